--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+GOLANGCI_LINT_VERSION = v2.15.0
+TOOLS = $(CURDIR)/.tools
+PROTOC_GEN_GO = $(TOOLS)/protoc-gen-go
+PROTOC_GEN_GO_DRPC = $(TOOLS)/protoc-gen-go-drpc
+
+.PHONY: build
+build:
+	go build -o bin/nutmegfield .
+	go build -o bin/nutmegfield-standin ./nutmegfield-standin
+
+.PHONY: run
+run:
+	bash script/thinpath
+
+.PHONY: test
+test:
+	go vet ./...
+	go test -race ./...
+
+.PHONY: lint
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint run ./...
+	$(TOOLS)/golangci-lint fmt --diff
+
+.PHONY: format
+format: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint fmt
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+# Generated code is committed; this needs Debian's protobuf-compiler.
+.PHONY: generate
+generate:
+	cd tools && go build -o $(TOOLS)/ tool
+	cd peer/peerpb && protoc \
+		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
+		--plugin=$(PROTOC_GEN_GO_DRPC) --go-drpc_out=. --go-drpc_opt=paths=source_relative \
+		peer.proto
--- /dev/null
+++ b/command/apply.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"nutmegfield.example/platform"
+	"nutmegfield.example/profile"
+)
+
+const platformTimeout = 10 * time.Second
+
+type platformOptions struct {
+	Platform string `long:"platform" required:"true" value-name:"URL" description:"the platform's object API"`
+}
+
+func (options *platformOptions) client() *platform.Client {
+	return &platform.Client{Address: options.Platform, Timeout: platformTimeout, Do: new(http.Client).Do}
+}
+
+type apply struct {
+	platformOptions
+	File    string `long:"file" required:"true" value-name:"FILE" description:"the configuration"`
+	Version int64  `long:"version" default:"-1" description:"apply only over this version; 0 for none yet; by default over the present one"`
+}
+
+func init() {
+	Register(Command{
+		Name:  "apply",
+		Short: "put a configuration in force",
+		Long:  "Check a configuration and write it to the platform, on condition that nobody else changed it meanwhile.",
+		Data:  &apply{},
+	})
+}
+
+// Execute applies the file.
+func (apply *apply) Execute([]string) error {
+	text, err := readConfiguration(apply.File)
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	client := apply.client()
+	ctx := context.Background()
+	over, err := apply.over(ctx, client)
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	version, err := client.Put(ctx, platform.Object{
+		Kind: profile.ObjectKind, Name: profile.ObjectName, Version: over, Value: text,
+	})
+	if platform.Is(err, platform.Conflict) {
+		return fmt.Errorf("apply over version %d: another operator changed the configuration: %w", over, err)
+	}
+	if err != nil {
+		return fmt.Errorf("apply over version %d: %w", over, err)
+	}
+	fmt.Fprintf(os.Stdout, "version %d\n", version)
+	return nil
+}
+
+func (apply *apply) over(ctx context.Context, client *platform.Client) (int64, error) {
+	if apply.Version >= 0 {
+		return apply.Version, nil
+	}
+	object, err := client.Get(ctx, profile.ObjectKind, profile.ObjectName)
+	if platform.Is(err, platform.NotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read the present version: %w", err)
+	}
+	return object.Version, nil
+}
--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,53 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"nutmegfield.example/profile"
+	"nutmegfield.example/settings"
+)
+
+type check struct {
+	Settings      string `long:"settings" value-name:"FILE" description:"a host's settings to check"`
+	Configuration string `long:"configuration" value-name:"FILE" description:"a configuration to check"`
+}
+
+func init() {
+	Register(Command{
+		Name:  "check",
+		Short: "check files without a platform",
+		Long:  "Check a host's settings, a configuration, or both. Every fault is printed with file, line and key.",
+		Data:  &check{},
+	})
+}
+
+// Execute checks the files.
+func (check *check) Execute([]string) error {
+	if check.Settings == "" && check.Configuration == "" {
+		return errNothingToCheck
+	}
+	if check.Settings != "" {
+		if _, err := settings.Load(check.Settings); err != nil {
+			return fmt.Errorf("check: %w", err)
+		}
+	}
+	if check.Configuration != "" {
+		if _, err := readConfiguration(check.Configuration); err != nil {
+			return fmt.Errorf("check: %w", err)
+		}
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func readConfiguration(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	if _, err := profile.Decode(file, text); err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,71 @@
+// Package command holds the subcommands, one a file, each of which registers
+// itself.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Command is one subcommand.
+type Command struct {
+	Name  string
+	Short string
+	Long  string
+	// Data holds the options and does the work.
+	Data flags.Commander
+}
+
+var commands []Command
+
+// Register adds a subcommand; files call it from init.
+func Register(command Command) { commands = append(commands, command) }
+
+// Main runs the subcommand that the arguments name and returns the exit code.
+func Main(arguments []string) int {
+	return Run("nutmegfield", arguments, commands)
+}
+
+// Run parses the arguments of a program with the given subcommands, runs the
+// one named and returns the exit code.
+func Run(program string, arguments []string, commands []Command) int {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	sorted := append([]Command(nil), commands...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
+	for _, command := range sorted {
+		if _, err := parser.AddCommand(command.Name, command.Short, command.Long, command.Data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	if !errors.As(err, &usage) {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		return exitFailed
+	}
+	if usage.Type == flags.ErrHelp {
+		fmt.Fprintln(os.Stdout, usage.Message)
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, usage.Message)
+	return exitUsage
+}
--- /dev/null
+++ b/entry/classify.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nutmegfield.example/once"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
+)
+
+// passedHeaders are the caller's headers that a target gets.
+var passedHeaders = []string{"Content-Type", "Accept", HeaderIdempotency}
+
+// classify finds the pool, workspace and profile of a request and what they
+// ask of it.
+func (entry *Entry) classify(received *http.Request, poolName, kind string, body []byte) (*job, *Problem) {
+	snapshot := entry.Store.Current()
+	if snapshot == nil {
+		return nil, notRun(request.ReasonNoConfiguration, retryNoConfiguration)
+	}
+	pool := snapshot.Pool(poolName)
+	if pool == nil || pool.Kind != kind {
+		return nil, badRequest(http.StatusNotFound, "there is no "+kind+" "+poolName)
+	}
+	workspace, problem := findWorkspace(snapshot, received.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	used, problem := findProfile(snapshot, pool, received.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	now := time.Now()
+	timeout, problem := findTimeout(received.Header, used.Deadline)
+	if problem != nil {
+		return nil, problem
+	}
+	classified := &job{
+		id:          request.NewID(),
+		snapshot:    snapshot,
+		pool:        pool,
+		profile:     used,
+		workspace:   workspace,
+		arrived:     now,
+		deadline:    now.Add(timeout),
+		fingerprint: xxhash.Sum64(body),
+		method:      received.Method,
+		header:      http.Header{},
+		body:        body,
+	}
+	for _, name := range passedHeaders {
+		if values := received.Header.Values(name); len(values) > 0 {
+			classified.header[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	return classified, classified.findKey(received.Header)
+}
+
+// findKey names the record of a non-idempotent request.
+func (job *job) findKey(header http.Header) *Problem {
+	if job.profile.Idempotent {
+		return nil
+	}
+	key := header.Get(HeaderIdempotency)
+	if key == "" {
+		return badRequest(http.StatusBadRequest,
+			"the profile "+job.profile.Name+" is not idempotent: the header "+HeaderIdempotency+" is needed")
+	}
+	job.key = once.Key(job.workspace.Name, job.pool.Name, key)
+	return nil
+}
+
+func findWorkspace(snapshot *profile.Snapshot, header http.Header) (*profile.Workspace, *Problem) {
+	if token, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer "); ok {
+		sum := sha256.Sum256([]byte(token))
+		if found := snapshot.WorkspaceByTokenHash(hex.EncodeToString(sum[:])); found != nil {
+			return found, nil
+		}
+	}
+	name := header.Get(HeaderWorkspace)
+	found := snapshot.Workspace(name)
+	switch {
+	case found == nil && name == "":
+		return nil, badRequest(http.StatusUnauthorized, "no workspace: send its bearer token or "+HeaderWorkspace)
+	case found == nil:
+		return nil, badRequest(http.StatusForbidden, "there is no workspace "+name)
+	case len(found.TokenHashes) > 0:
+		return nil, badRequest(http.StatusUnauthorized, "workspace "+name+" needs its bearer token")
+	}
+	return found, nil
+}
+
+func findProfile(snapshot *profile.Snapshot, pool *profile.Pool, header http.Header) (*profile.Profile, *Problem) {
+	name := header.Get(HeaderProfile)
+	if name == "" {
+		name = pool.Profile
+	}
+	if !pool.Allows(name) {
+		return nil, badRequest(http.StatusBadRequest, "profile "+name+" is not allowed for "+pool.Name)
+	}
+	return snapshot.Profile(name), nil
+}
+
+func findTimeout(header http.Header, deadline time.Duration) (time.Duration, *Problem) {
+	text := header.Get(HeaderTimeout)
+	if text == "" {
+		return deadline, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 {
+		return 0, badRequest(http.StatusBadRequest, HeaderTimeout+" is no duration such as 1m30s")
+	}
+	return min(timeout, deadline), nil
+}
--- /dev/null
+++ b/operator/part.go
@@ -0,0 +1,135 @@
+// Package operator is the operators' side of a host: metrics, status and
+// time line, on an address of its own.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"nutmegfield.example/kernel"
+	"nutmegfield.example/peer"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/timeline"
+)
+
+const readTimeout = 5 * time.Second
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "operators", Rank: kernel.RankOperators, New: newPart})
+}
+
+// Operator serves the operators' side. Fields are set before use.
+type Operator struct {
+	// TokenHash is the SHA-256 sum, in hexadecimal, of the operators' token;
+	// empty for none.
+	TokenHash string
+	Store     *profile.Store
+	Members   *peer.Members
+	Events    *timeline.Recorder
+}
+
+// Status is what a host says of itself.
+type Status struct {
+	Host    string `json:"host"`
+	Zone    string `json:"zone"`
+	Version int64  `json:"version"`
+	// Since is when the version came in force here; absent before the first.
+	Since time.Time `json:"since,omitzero"`
+	// Hosts are the hosts it holds for live.
+	Hosts []peer.Host `json:"hosts"`
+}
+
+func newPart(host *kernel.Host) (*kernel.Part, error) {
+	store, err := kernel.Need[profile.Store](host)
+	if err != nil {
+		return nil, err
+	}
+	members, err := kernel.Need[peer.Members](host)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", host.Settings.Operators.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	operator := &Operator{
+		TokenHash: host.Settings.Operators.TokenHash,
+		Store:     store,
+		Members:   members,
+		Events:    host.Events,
+	}
+	return &kernel.Part{Run: operator.serve(listener)}, nil
+}
+
+func (operator *Operator) serve(listener net.Listener) func(context.Context) error {
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server.ReadTimeout = readTimeout
+	server.HandlePrefix("/", operator.Handler())
+	return func(ctx context.Context) error {
+		go func() {
+			<-ctx.Done()
+			_ = server.Stop(context.Background())
+		}()
+		if err := server.Start(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve operators: %w", err)
+		}
+		return nil
+	}
+}
+
+// Handler returns the operators' side.
+func (operator *Operator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /status", operator.status)
+	mux.HandleFunc("GET /timeline", operator.timeline)
+	return operator.authorised(mux)
+}
+
+func (operator *Operator) authorised(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		token := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(token))
+		given := hex.EncodeToString(sum[:])
+		if operator.TokenHash != "" && subtle.ConstantTimeCompare([]byte(given), []byte(operator.TokenHash)) != 1 {
+			http.Error(writer, "the operators' token is needed", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (operator *Operator) status(writer http.ResponseWriter, _ *http.Request) {
+	status := Status{
+		Host:  operator.Members.Self.ID,
+		Zone:  operator.Members.Self.Zone,
+		Hosts: operator.Members.View().Hosts,
+	}
+	if snapshot := operator.Store.Current(); snapshot != nil {
+		status.Version = snapshot.Version
+		status.Since = snapshot.Since
+	}
+	writeJSON(writer, status)
+}
+
+func (operator *Operator) timeline(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, operator.Events.Events())
+}
+
+func writeJSON(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	// The operator may be gone; there is nobody to tell.
+	_ = json.NewEncoder(writer).Encode(value)
+}
--- /dev/null
+++ b/profile/configuration.go
@@ -0,0 +1,187 @@
+// Package profile holds the operators' objects: tiers, profiles, workspaces,
+// pools and their targets. Together they are one Configuration, the only
+// thing by which operators drive the system.
+package profile
+
+import (
+	"time"
+
+	"nutmegfield.example/request"
+)
+
+// Configuration is what an operator writes and applies, whole.
+type Configuration struct {
+	// Format is the version of this file format.
+	Format int `yaml:"format" default:"1"`
+	// Tiers lists the names of the tiers, the most important first.
+	Tiers      []string    `yaml:"tiers"`
+	Profiles   []Profile   `yaml:"profiles"`
+	Workspaces []Workspace `yaml:"workspaces"`
+	Pools      []Pool      `yaml:"pools"`
+	Limits     Limits      `yaml:"limits"`
+}
+
+// Profile states what matters of the requests that use it.
+type Profile struct {
+	Name string `yaml:"name"`
+	Tier string `yaml:"tier"`
+	// Deadline is the time from arrival in which an answer is of use.
+	Deadline time.Duration `yaml:"deadline" default:"30s"`
+	// Sheddable requests may be refused under pressure.
+	Sheddable bool `yaml:"sheddable"`
+	// Idempotent requests may be sent again by their caller without harm.
+	Idempotent bool `yaml:"idempotent"`
+	// OutputTokens is the expected length of an answer where the caller sets
+	// no limit.
+	OutputTokens int `yaml:"outputTokens" default:"256"`
+}
+
+// Workspace is a customer of the system.
+type Workspace struct {
+	Name string `yaml:"name"`
+	// Weight is its share of each pool against the other workspaces.
+	Weight int `yaml:"weight" default:"1"`
+	// TokenHashes are the SHA-256 sums, in hexadecimal, of the bearer tokens
+	// that name this workspace.
+	TokenHashes []string `yaml:"tokenHashes"`
+	// Waiting limits its waiting requests on one host; 0 is no limit.
+	Waiting int `yaml:"waiting"`
+	// Rate limits its requests a second on one host; 0 is no limit.
+	Rate float64 `yaml:"rate"`
+}
+
+// Kinds of pool.
+const (
+	KindModel   = "model"
+	KindService = "service"
+)
+
+// Pool is one model or one service and the targets that serve it.
+type Pool struct {
+	Name string `yaml:"name"`
+	Kind string `yaml:"kind"`
+	// Profile is the one used where the caller names none.
+	Profile string `yaml:"profile"`
+	// Profiles are the others that a caller may name.
+	Profiles []string `yaml:"profiles"`
+	// Policy is the name of the routing policy.
+	Policy string `yaml:"policy" default:"expectedFinish"`
+	// Waiting is the most tickets that wait in one zone.
+	Waiting int      `yaml:"waiting" default:"10000"`
+	Targets []Target `yaml:"targets"`
+}
+
+// Target is one server behind a pool.
+type Target struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+	// Protocol names the registered client that speaks to it.
+	Protocol string `yaml:"protocol"`
+	// Address is its base URL.
+	Address string `yaml:"address"`
+	// Slots is the most requests it runs at once.
+	Slots int `yaml:"slots" default:"8"`
+	// Fenced targets refuse an order with an old fencing number.
+	Fenced bool `yaml:"fenced"`
+	// Leaving targets get no new work.
+	Leaving bool `yaml:"leaving"`
+}
+
+// Limits are the bounds that hold for every host.
+type Limits struct {
+	// RecordRetention is how long the record of a non-idempotent request is
+	// kept.
+	RecordRetention time.Duration `yaml:"recordRetention" default:"24h"`
+	// RecordAnswer is the longest answer, in bytes, kept in a record.
+	RecordAnswer int `yaml:"recordAnswer" default:"4096"`
+}
+
+// Snapshot is a configuration in force, with its version in the platform and
+// lookups by name. It is never changed once made.
+type Snapshot struct {
+	Version       int64
+	Configuration Configuration
+	// Since is when this host put it in force.
+	Since time.Time
+
+	tiers      map[string]request.Tier
+	profiles   map[string]*Profile
+	pools      map[string]*Pool
+	workspaces map[string]*Workspace
+	tokens     map[string]*Workspace
+}
+
+// NewSnapshot indexes a checked configuration.
+func NewSnapshot(version int64, configuration Configuration) *Snapshot {
+	snapshot := &Snapshot{
+		Version:       version,
+		Configuration: configuration,
+		Since:         time.Now(),
+		tiers:         map[string]request.Tier{},
+		profiles:      map[string]*Profile{},
+		pools:         map[string]*Pool{},
+		workspaces:    map[string]*Workspace{},
+		tokens:        map[string]*Workspace{},
+	}
+	for i, tier := range configuration.Tiers {
+		snapshot.tiers[tier] = request.Tier(i)
+	}
+	for i := range configuration.Profiles {
+		profile := &snapshot.Configuration.Profiles[i]
+		snapshot.profiles[profile.Name] = profile
+	}
+	for i := range configuration.Pools {
+		pool := &snapshot.Configuration.Pools[i]
+		snapshot.pools[pool.Name] = pool
+	}
+	for i := range configuration.Workspaces {
+		workspace := &snapshot.Configuration.Workspaces[i]
+		snapshot.workspaces[workspace.Name] = workspace
+		for _, hash := range workspace.TokenHashes {
+			snapshot.tokens[hash] = workspace
+		}
+	}
+	return snapshot
+}
+
+// Tier returns the rank of a named tier.
+func (snapshot *Snapshot) Tier(name string) request.Tier { return snapshot.tiers[name] }
+
+// Profile returns a profile by name, nil if there is none.
+func (snapshot *Snapshot) Profile(name string) *Profile { return snapshot.profiles[name] }
+
+// Pool returns a pool by name, nil if there is none.
+func (snapshot *Snapshot) Pool(name string) *Pool { return snapshot.pools[name] }
+
+// Workspace returns a workspace by name, nil if there is none.
+func (snapshot *Snapshot) Workspace(name string) *Workspace { return snapshot.workspaces[name] }
+
+// WorkspaceByTokenHash returns the workspace of a token's SHA-256 sum in
+// hexadecimal, nil if there is none. Looking up a hash tells a guesser
+// nothing about the token.
+func (snapshot *Snapshot) WorkspaceByTokenHash(hash string) *Workspace {
+	return snapshot.tokens[hash]
+}
+
+// Target returns a target of a pool by name, nil if there is none.
+func (pool *Pool) Target(name string) *Target {
+	for i := range pool.Targets {
+		if pool.Targets[i].Name == name {
+			return &pool.Targets[i]
+		}
+	}
+	return nil
+}
+
+// Allows reports whether callers of the pool may name the profile.
+func (pool *Pool) Allows(profile string) bool {
+	if profile == pool.Profile {
+		return true
+	}
+	for _, name := range pool.Profiles {
+		if name == profile {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,189 @@
+// Package scheduler runs, on each host, the pool schedulers that the
+// membership names it for, and carries their messages.
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"nutmegfield.example/peer"
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/policy"
+	"nutmegfield.example/pool"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
+	"nutmegfield.example/timeline"
+)
+
+// settle is how long a new scheduler listens before it grants.
+const settle = 500 * time.Millisecond
+
+// Events of this package.
+var (
+	eventTakeover = timeline.Define(timeline.Kind{
+		Number: 2001, Name: "pool scheduler started", Level: timeline.Info,
+		Meaning: "This host schedules the pool in its zone from now on.",
+	})
+	eventGrant = timeline.Define(timeline.Kind{
+		Number: 2002, Name: "granted", Level: timeline.Trace,
+		Meaning: "A waiting request was granted a slot on the target.",
+	})
+	eventRefuse = timeline.Define(timeline.Kind{
+		Number: 2003, Name: "refused", Level: timeline.Trace,
+		Meaning: "A waiting request left the queue without a grant, for the reason in the detail.",
+	})
+)
+
+// Scheduler holds the pools of a host. Fields are set before Run.
+type Scheduler struct {
+	Host   string
+	Zone   string
+	Store  *profile.Store
+	Events *timeline.Recorder
+	// Send passes an envelope to a host.
+	Send func(host string, envelope *peerpb.Envelope)
+	// Cached says what a target probably holds of a prompt; nil for none.
+	Cached func(pool, target string, prefixes []request.Prefix) int
+
+	mutex sync.Mutex
+	pools map[string]*pool.Pool
+	ctx   context.Context
+	group sync.WaitGroup
+}
+
+// Run works until the context ends.
+func (scheduler *Scheduler) Run(ctx context.Context) error {
+	scheduler.mutex.Lock()
+	scheduler.ctx = ctx
+	scheduler.mutex.Unlock()
+	scheduler.Store.Listen(scheduler.configure)
+	<-ctx.Done()
+	scheduler.group.Wait()
+	return nil
+}
+
+// Receive takes the envelopes of the entry hosts.
+func (scheduler *Scheduler) Receive(from string, envelope *peerpb.Envelope) {
+	for _, message := range envelope.GetTickets() {
+		scheduler.submit(peer.Ticket(from, message))
+	}
+	for _, message := range envelope.GetCancels() {
+		if found := scheduler.find(message.GetPool()); found != nil {
+			found.Cancel(peer.Cancel(message))
+		}
+	}
+	for _, message := range envelope.GetProgress() {
+		if found := scheduler.find(message.GetPool()); found != nil {
+			found.Progress(peer.Progress(message))
+		}
+	}
+	for _, message := range envelope.GetReleases() {
+		if found := scheduler.find(message.GetPool()); found != nil {
+			found.Release(peer.Release(message))
+		}
+	}
+}
+
+func (scheduler *Scheduler) submit(ticket *request.Ticket) {
+	found := scheduler.open(ticket.Pool)
+	if found == nil {
+		return
+	}
+	found.Submit(ticket)
+}
+
+func (scheduler *Scheduler) find(name string) *pool.Pool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.pools[name]
+}
+
+// open returns the pool, started if this is the first word of it.
+func (scheduler *Scheduler) open(name string) *pool.Pool {
+	snapshot := scheduler.Store.Current()
+	if snapshot == nil || snapshot.Pool(name) == nil {
+		return nil
+	}
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if found := scheduler.pools[name]; found != nil {
+		return found
+	}
+	if scheduler.ctx == nil || scheduler.ctx.Err() != nil {
+		return nil
+	}
+	started := scheduler.start(snapshot, name)
+	if scheduler.pools == nil {
+		scheduler.pools = map[string]*pool.Pool{}
+	}
+	scheduler.pools[name] = started
+	return started
+}
+
+func (scheduler *Scheduler) start(snapshot *profile.Snapshot, name string) *pool.Pool {
+	described := snapshot.Pool(name)
+	started := &pool.Pool{
+		Name:    name,
+		Host:    scheduler.Host,
+		Settle:  settle,
+		Policy:  policy.New(described.Policy, rand.Uint64()),
+		Granted: scheduler.granted,
+		Refused: scheduler.refused,
+	}
+	if scheduler.Cached != nil {
+		started.Cached = func(target string, prefixes []request.Prefix) int {
+			return scheduler.Cached(name, target, prefixes)
+		}
+	}
+	started.Start()
+	started.Configure(configuration(snapshot, described, scheduler.Zone))
+	scheduler.group.Go(func() { started.Run(scheduler.ctx) })
+	scheduler.Events.Record(eventTakeover, timeline.Event{Pool: name})
+	return started
+}
+
+func (scheduler *Scheduler) configure(snapshot *profile.Snapshot) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	for name, running := range scheduler.pools {
+		if described := snapshot.Pool(name); described != nil {
+			running.Configure(configuration(snapshot, described, scheduler.Zone))
+		} else {
+			running.Configure(pool.Configuration{})
+		}
+	}
+}
+
+// configuration picks what concerns one pool in one zone.
+func configuration(snapshot *profile.Snapshot, described *profile.Pool, zone string) pool.Configuration {
+	result := pool.Configuration{Waiting: described.Waiting, Weights: map[string]int{}}
+	for _, target := range described.Targets {
+		if target.Zone == zone {
+			result.Targets = append(result.Targets, pool.Target{
+				Name:    target.Name,
+				Slots:   target.Slots,
+				Leaving: target.Leaving,
+			})
+		}
+	}
+	for _, workspace := range snapshot.Configuration.Workspaces {
+		result.Weights[workspace.Name] = workspace.Weight
+	}
+	return result
+}
+
+func (scheduler *Scheduler) granted(entry string, grant request.Grant) {
+	scheduler.Events.Record(eventGrant, timeline.Event{
+		Request: grant.Ticket.String(), Pool: grant.Pool, Target: grant.Target, Peer: entry,
+	})
+	scheduler.Send(entry, &peerpb.Envelope{Grants: []*peerpb.Grant{peer.GrantMessage(&grant)}})
+}
+
+func (scheduler *Scheduler) refused(entry string, refusal request.Refusal) {
+	scheduler.Events.Record(eventRefuse, timeline.Event{
+		Request: refusal.Ticket.String(), Pool: refusal.Pool, Peer: entry, Detail: string(refusal.Reason),
+	})
+	scheduler.Send(entry, &peerpb.Envelope{Refusals: []*peerpb.Refusal{peer.RefusalMessage(&refusal)}})
+}
--- /dev/null
+++ b/settings/peers.go
@@ -0,0 +1,19 @@
+package settings
+
+import "strconv"
+
+// Peers is the side that the other hosts reach.
+type Peers struct {
+	// Listen is the address, TCP and UDP, that the other hosts use.
+	Listen string `yaml:"listen" default:"127.0.0.1:8070"`
+	// Seeds are addresses of hosts to ask first while the platform's list
+	// can't be had.
+	Seeds []string `yaml:"seeds"`
+}
+
+func (peers *Peers) check(checker *checker) {
+	checker.address("peers.listen", peers.Listen)
+	for i, seed := range peers.Seeds {
+		checker.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,75 @@
+// Package settings reads host.yaml, what one host knows before it has met
+// the platform: its name, zone, addresses and files. Each section of the file
+// has a source file of its own.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/creasty/defaults"
+	"github.com/joomcode/errorx"
+	"go.yaml.in/yaml/v3"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("settings")
+	// BadFile is returned for a file that can't be read as settings.
+	BadFile = Errors.NewType("badFile")
+	// BadValue is returned for a key whose value is not allowed.
+	BadValue = Errors.NewType("badValue")
+)
+
+// Settings is host.yaml.
+type Settings struct {
+	Host      Host      `yaml:"host"`
+	Callers   Callers   `yaml:"callers"`
+	Operators Operators `yaml:"operators"`
+	Peers     Peers     `yaml:"peers"`
+	Platform  Platform  `yaml:"platform"`
+	Log       Log       `yaml:"log"`
+	Drain     Drain     `yaml:"drain"`
+}
+
+// Load reads and checks a file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Decode(file, text)
+}
+
+// Decode reads settings from YAML, sets defaults and checks them. The error
+// names every fault with file, line and key.
+func Decode(file string, text []byte) (*Settings, error) {
+	settings := &Settings{}
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(settings); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, BadFile.New("%s: the file is empty", file)
+		}
+		return nil, BadFile.Wrap(err, "%s", file)
+	}
+	if err := defaults.Set(settings); err != nil {
+		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
+	}
+	checker := newChecker(file, text)
+	settings.check(checker)
+	return settings, checker.err()
+}
+
+func (settings *Settings) check(checker *checker) {
+	settings.Host.check(checker)
+	settings.Callers.check(checker)
+	settings.Operators.check(checker)
+	settings.Peers.check(checker)
+	settings.Platform.check(checker)
+	settings.Log.check(checker)
+	settings.Drain.check(checker)
+}
--- /dev/null
+++ b/target/clients.go
@@ -0,0 +1,39 @@
+package target
+
+import (
+	"time"
+
+	"nutmegfield.example/kernel"
+)
+
+// answerBytes and silence bound what a target may send back.
+const (
+	answerBytes = 16 << 20
+	silence     = 30 * time.Second
+)
+
+// Clients holds one client of each protocol.
+type Clients struct {
+	byProtocol map[string]*Client
+}
+
+// NewClients makes a client of every registered protocol.
+func NewClients(limits Limits) *Clients {
+	clients := &Clients{byProtocol: map[string]*Client{}}
+	for _, protocol := range Protocols() {
+		clients.byProtocol[protocol] = New(protocol, limits)
+	}
+	return clients
+}
+
+// Client returns the client of a protocol, nil if there is none.
+func (clients *Clients) Client(protocol string) *Client { return clients.byProtocol[protocol] }
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "targets", Rank: kernel.RankTargets, New: newPart})
+}
+
+func newPart(host *kernel.Host) (*kernel.Part, error) {
+	kernel.Provide(host, NewClients(Limits{Bytes: answerBytes, Silence: silence}))
+	return &kernel.Part{}, nil
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,160 @@
+// Package target speaks to the servers behind the pools. Clients register by
+// the name of their protocol.
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"nutmegfield.example/request"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("target")
+	// NotSent: no byte of the request left this host.
+	NotSent = Errors.NewType("notSent")
+	// Leaving: the target refused the request, unrun, as it is leaving.
+	Leaving = Errors.NewType("leaving")
+	// Broken: bytes left, and the end of the answer was not seen.
+	Broken = Errors.NewType("broken")
+	// Garbled: the answer is not this request's, not whole, or not in the
+	// protocol.
+	Garbled = Errors.NewType("garbled")
+	// TooMuch: the answer is longer than allowed.
+	TooMuch = Errors.NewType("tooMuch")
+	// Silent: nothing came for longer than allowed.
+	Silent = Errors.NewType("silent")
+)
+
+// Call is one request to a target.
+type Call struct {
+	Request request.ID
+	Method  string
+	// Path is what follows the target's base address, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Stream asks for server-sent events.
+	Stream bool
+	// Sending is called when the connection stands, before the first byte is
+	// written; false keeps the request from being sent.
+	Sending func() bool
+}
+
+// Answer is a target's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body gives the answer as the caller should get it. Its Read ends with
+	// io.EOF only when the whole answer was seen, else with an error of this
+	// package. Close cancels what still runs.
+	Body io.ReadCloser
+	// Usage is complete after the body's end.
+	Usage func() request.Usage
+}
+
+// Load is a target's report of its load, which lags.
+type Load struct {
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
+	Leaving bool      `json:"leaving"`
+	At      time.Time `json:"at"`
+}
+
+// CacheEvent says that a target stored or removed the blocks of a prefix.
+type CacheEvent struct {
+	Sequence uint64   `json:"sequence"`
+	Stored   []uint64 `json:"stored,omitempty"`
+	Removed  []uint64 `json:"removed,omitempty"`
+}
+
+// Order asks a target for a state, not for a change: to be given it twice
+// does no harm.
+type Order struct {
+	// Fence is the fencing number of the giver.
+	Fence int64 `json:"fence"`
+	// Action is load, unload or role.
+	Action  string `json:"action"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// State is what a target says it has.
+type State struct {
+	Fence    int64    `json:"fence"`
+	Role     string   `json:"role"`
+	Models   []string `json:"models"`
+	Adapters []string `json:"adapters"`
+}
+
+// Client speaks one protocol. Functions that a protocol lacks are nil.
+type Client struct {
+	// Dispatch sends the call, at most once.
+	Dispatch func(ctx context.Context, address string, call *Call) (*Answer, error)
+	// Cancel stops a request that runs.
+	Cancel func(ctx context.Context, address string, id request.ID) error
+	Load   func(ctx context.Context, address string) (Load, error)
+	// CacheEvents returns the events after a sequence number; a first number
+	// above after+1 is a gap.
+	CacheEvents func(ctx context.Context, address string, after uint64) ([]CacheEvent, error)
+	Export      func(ctx context.Context, address string, prefix uint64) ([]byte, error)
+	Import      func(ctx context.Context, address string, prefix uint64, cache []byte) error
+	Order       func(ctx context.Context, address string, order Order) error
+	State       func(ctx context.Context, address string) (State, error)
+}
+
+// Limits bound what a target may send back.
+type Limits struct {
+	// Bytes is the longest answer.
+	Bytes int64
+	// Silence is how long nothing may come.
+	Silence time.Duration
+}
+
+var constructors = map[string]func(Limits) *Client{}
+
+// Register adds a protocol by name; packages call it from init.
+func Register(protocol string, construct func(Limits) *Client) { constructors[protocol] = construct }
+
+// New makes the client of a protocol, nil if the name is not registered.
+func New(protocol string, limits Limits) *Client {
+	construct, ok := constructors[protocol]
+	if !ok {
+		return nil
+	}
+	return construct(limits)
+}
+
+// Protocols lists the registered protocols.
+func Protocols() []string {
+	names := make([]string, 0, len(constructors))
+	for name := range constructors {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Is reports whether an error, however wrapped with %w, is of one of the
+// types.
+func Is(err error, types ...*errorx.Type) bool {
+	var typed *errorx.Error
+	if !errors.As(err, &typed) {
+		return false
+	}
+	for _, kind := range types {
+		if typed.IsOfType(kind) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/timeline/recorder.go
@@ -0,0 +1,98 @@
+package timeline
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	At       time.Time `json:"at"`
+	Host     string    `json:"host"`
+	Sequence uint64    `json:"sequence"`
+	Number   int       `json:"number"`
+	Name     string    `json:"name"`
+	Request  string    `json:"request,omitempty"`
+	Pool     string    `json:"pool,omitempty"`
+	Target   string    `json:"target,omitempty"`
+	Peer     string    `json:"peer,omitempty"`
+	Detail   string    `json:"detail,omitempty"`
+}
+
+// ringSize is the number of events a host keeps.
+const ringSize = 8192
+
+// Recorder keeps the last events of a host. A nil Recorder discards.
+type Recorder struct {
+	// Host is the id of the host.
+	Host string
+	// Logger receives events above Trace; nil for none.
+	Logger *log.Logger
+
+	sequence atomic.Uint64
+	ring     [ringSize]atomic.Pointer[Event]
+}
+
+// Record stores an event of the kind and logs it unless it is a trace.
+func (recorder *Recorder) Record(kind Kind, event Event) {
+	if recorder == nil {
+		return
+	}
+	event.At = time.Now()
+	event.Host = recorder.Host
+	event.Number = kind.Number
+	event.Name = kind.Name
+	event.Sequence = recorder.sequence.Add(1)
+	recorder.ring[event.Sequence%ringSize].Store(&event)
+	if kind.Level != Trace && recorder.Logger != nil {
+		recorder.write(kind.Level, &event)
+	}
+}
+
+// Events returns the kept events, oldest first.
+func (recorder *Recorder) Events() []Event {
+	last := recorder.sequence.Load()
+	first := uint64(1)
+	if last > ringSize {
+		first = last - ringSize + 1
+	}
+	events := make([]Event, 0, last-first+1)
+	for sequence := first; sequence <= last; sequence++ {
+		event := recorder.ring[sequence%ringSize].Load()
+		if event != nil && event.Sequence == sequence {
+			events = append(events, *event)
+		}
+	}
+	return events
+}
+
+func (recorder *Recorder) write(level Level, event *Event) {
+	entry := recorder.entry(level)
+	entry = entry.Int("event", event.Number)
+	entry = entry.Str("host", event.Host)
+	for _, field := range []struct{ key, value string }{
+		{"request", event.Request},
+		{"pool", event.Pool},
+		{"target", event.Target},
+		{"peer", event.Peer},
+		{"detail", event.Detail},
+	} {
+		if field.value != "" {
+			entry = entry.Str(field.key, field.value)
+		}
+	}
+	entry.Msg(event.Name)
+}
+
+func (recorder *Recorder) entry(level Level) *log.Entry {
+	switch level {
+	case Error:
+		return recorder.Logger.Error()
+	case Warn:
+		return recorder.Logger.Warn()
+	default:
+		return recorder.Logger.Info()
+	}
+}
