--- a/pool/pool.go
+++ b/pool/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"nutmegfield.example/policy"
+	"nutmegfield.example/prefix"
 	"nutmegfield.example/request"
 )
 
@@ -51,13 +52,14 @@
 	// entry hosts can tell it which grants they hold.
 	Settle time.Duration
 	Policy *policy.Policy
-	// Cached says how many tokens of a prompt each target probably holds; nil
-	// for none.
-	Cached func(target string, prefixes []request.Prefix) int
+	// Prefixes knows what the targets probably hold; nil for a service.
+	Prefixes *prefix.Index
 	// Granted and Refused pass the decisions to the entry host. They are
 	// called with the pool locked and must not block or call back.
 	Granted func(entry string, grant request.Grant)
 	Refused func(entry string, refusal request.Refusal)
+	// Suspected passes a new suspicion to the other schedulers; nil for none.
+	Suspected func(suspect Suspect)
 
 	mutex         sync.Mutex
 	started       time.Time
@@ -67,6 +69,7 @@
 	byName        map[string]*target
 	held          map[request.ID]*holding
 	number        uint64
+	suspects      map[uint64]Suspect
 	candidates    []policy.Candidate
 	open          []*target
 }
@@ -201,6 +204,9 @@
 	if release.End == request.EndLeaving {
 		held.target.Leaving = true
 	}
+	if pool.Prefixes != nil && release.End == request.EndDone {
+		pool.Prefixes.Answered(release.Target, held.ticket.Prefixes, release.Usage.CachedTokens)
+	}
 	pool.free(held)
 	pool.schedule(time.Now())
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -57,10 +57,10 @@
 }
 
 func (pool *Pool) cached(target *target, ticket *request.Ticket) int {
-	if pool.Cached == nil || len(ticket.Prefixes) == 0 {
+	if pool.Prefixes == nil || len(ticket.Prefixes) == 0 {
 		return 0
 	}
-	return pool.Cached(target.Name, ticket.Prefixes)
+	return pool.Prefixes.Cached(target.Name, ticket.Prefixes)
 }
 
 func (pool *Pool) grant(ticket *request.Ticket, chosen *target, now time.Time) {
@@ -83,6 +83,9 @@
 			Lifetime:     grantLifetime,
 		},
 	}
+	if pool.Prefixes != nil {
+		pool.Prefixes.Granted(chosen.Name, ticket.Prefixes)
+	}
 	chosen.running++
 	chosen.pendingPrefill += held.prefill
 	pool.held[ticket.ID] = held
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/policy"
 	"nutmegfield.example/pool"
+	"nutmegfield.example/prefix"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 	"nutmegfield.example/timeline"
@@ -44,8 +45,6 @@
 	Events *timeline.Recorder
 	// Send passes an envelope to a host.
 	Send func(host string, envelope *peerpb.Envelope)
-	// Cached says what a target probably holds of a prompt; nil for none.
-	Cached func(pool, target string, prefixes []request.Prefix) int
 
 	mutex sync.Mutex
 	pools map[string]*pool.Pool
@@ -132,10 +131,8 @@
 		Granted: scheduler.granted,
 		Refused: scheduler.refused,
 	}
-	if scheduler.Cached != nil {
-		started.Cached = func(target string, prefixes []request.Prefix) int {
-			return scheduler.Cached(name, target, prefixes)
-		}
+	if described.Kind == profile.KindModel {
+		started.Prefixes = &prefix.Index{}
 	}
 	started.Start()
 	started.Configure(configuration(snapshot, described, scheduler.Zone))
