--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,233 +4,371 @@
 package standin
 
 import (
-	"encoding/json"
-	"io"
-	"net/http"
+	"context"
 	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"nutmegfield.example/platform"
 )
 
-// Platform is a stand-in of the platform's object API.
+// Platform is a stand-in of the platform's object API. Its methods are those
+// of platform.Client, for use in the same process; Handler serves them over
+// HTTP. The zero value is ready.
 type Platform struct {
 	mutex   sync.Mutex
-	objects map[objectKey]platform.Object
+	objects map[objectKey]stored
 	version int64
 	changed chan struct{}
-	hosts   []platform.ListedHost
+	hosts   []hostList
 	faults  PlatformFaults
+	limiter *rate.Limiter
+	calls   map[string]int
 }
 
 // PlatformFaults are what is wrong with the platform now.
 type PlatformFaults struct {
-	// Down answers every call with 503.
+	// Down fails every call without effect.
 	Down bool `json:"down"`
-	// LoseWrites lets writes take effect but breaks the connection instead
-	// of answering.
+	// LoseWrites lets writes take effect but loses their answers.
 	LoseWrites bool `json:"loseWrites"`
+	// LoseNext does so for this many writes.
+	LoseNext int `json:"loseNext"`
+	// DropNext loses this many writes before they take effect; their callers
+	// can't tell the difference.
+	DropNext int `json:"dropNext"`
 	// Delay slows every call.
 	Delay time.Duration `json:"delay"`
+	// WatchGaps keeps changes from the watches.
+	WatchGaps bool `json:"watchGaps"`
+	// OldReads answers reads and watches with the version before the present
+	// one.
+	OldReads bool `json:"oldReads"`
+	// HostsLag is how far the list of hosts is behind.
+	HostsLag time.Duration `json:"hostsLag"`
+	// Rate is the most calls a second, a waiting watch being one; 0 is no
+	// limit.
+	Rate float64 `json:"rate"`
 }
 
 type objectKey struct{ kind, name string }
 
-// Handler returns the API and, under /standin/, the switches.
-func (standin *Platform) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /objects/{kind}/{name}", standin.get)
-	mux.HandleFunc("PUT /objects/{kind}/{name}", standin.put)
-	mux.HandleFunc("DELETE /objects/{kind}/{name}", standin.remove)
-	mux.HandleFunc("GET /objects/{kind}", standin.list)
-	mux.HandleFunc("GET /hosts", standin.listHosts)
-	faulty := standin.faulty(mux)
-	outer := http.NewServeMux()
-	outer.HandleFunc("PUT /standin/hosts", standin.setHosts)
-	outer.HandleFunc("PUT /standin/faults", standin.setFaults)
-	outer.Handle("/", faulty)
-	return outer
-}
-
-func (standin *Platform) faulty(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		standin.mutex.Lock()
-		faults := standin.faults
-		standin.mutex.Unlock()
-		time.Sleep(faults.Delay)
-		if faults.Down {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if faults.LoseWrites && request.Method != http.MethodGet {
-			next.ServeHTTP(discard{http.Header{}}, request)
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(writer, request)
-	})
+// stored is an object and its version before; each may be missing.
+type stored struct{ present, before platform.Object }
+
+type hostList struct {
+	at    time.Time
+	hosts []platform.ListedHost
 }
 
-// discard is the writer of an answer that is lost.
-type discard struct{ header http.Header }
+// API returns the stand-in's calls.
+func (standin *Platform) API() platform.API {
+	return platform.API{
+		Get:    standin.Get,
+		Put:    standin.Put,
+		Delete: standin.Delete,
+		Watch:  standin.Watch,
+		List:   standin.List,
+		Hosts:  standin.Hosts,
+	}
+}
 
-// Header returns a header that nobody reads.
-func (discard discard) Header() http.Header { return discard.header }
+// CutOff returns calls that fail as from a place cut off from the platform
+// while cut reports true.
+func CutOff(api platform.API, cut func() bool) platform.API {
+	unreachable := func() error {
+		if cut() {
+			return platform.Unavailable.New("cut off")
+		}
+		return nil
+	}
+	return platform.API{
+		Get: func(ctx context.Context, kind, name string) (platform.Object, error) {
+			if err := unreachable(); err != nil {
+				return platform.Object{}, err
+			}
+			return api.Get(ctx, kind, name)
+		},
+		Put: func(ctx context.Context, object platform.Object) (int64, error) {
+			if err := unreachable(); err != nil {
+				return 0, err
+			}
+			return api.Put(ctx, object)
+		},
+		Delete: func(ctx context.Context, kind, name string, version int64) error {
+			if err := unreachable(); err != nil {
+				return err
+			}
+			return api.Delete(ctx, kind, name, version)
+		},
+		Watch: func(ctx context.Context, kind, name string, after int64, wait time.Duration) (platform.Object, bool, error) {
+			if err := unreachable(); err != nil {
+				return platform.Object{}, false, err
+			}
+			object, changed, err := api.Watch(ctx, kind, name, after, wait)
+			if lost := unreachable(); lost != nil {
+				return platform.Object{}, false, lost
+			}
+			return object, changed, err
+		},
+		List: func(ctx context.Context, kind string) ([]platform.Object, error) {
+			if err := unreachable(); err != nil {
+				return nil, err
+			}
+			return api.List(ctx, kind)
+		},
+		Hosts: func(ctx context.Context) ([]platform.ListedHost, error) {
+			if err := unreachable(); err != nil {
+				return nil, err
+			}
+			return api.Hosts(ctx)
+		},
+	}
+}
 
-// Write drops the part.
-func (discard) Write(part []byte) (int, error) { return len(part), nil }
+// SetFaults changes what is wrong from now on.
+func (standin *Platform) SetFaults(faults PlatformFaults) {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	standin.faults = faults
+	standin.limiter = nil
+	if faults.Rate > 0 {
+		standin.limiter = rate.NewLimiter(rate.Limit(faults.Rate), max(1, int(faults.Rate)))
+	}
+	standin.wake()
+}
 
-// WriteHeader does nothing.
-func (discard) WriteHeader(int) {}
+// SetHosts changes the list of hosts.
+func (standin *Platform) SetHosts(hosts []platform.ListedHost) {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	standin.hosts = append(standin.hosts, hostList{time.Now(), hosts})
+}
 
-func (standin *Platform) get(writer http.ResponseWriter, request *http.Request) {
-	key := keyOf(request)
-	after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
-	wait, _ := time.ParseDuration(request.FormValue("wait"))
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		object, changed := standin.read(key)
-		switch {
-		case object.Version > after:
-			writer.Header().Set("ETag", etag(object.Version))
-			// The client may be gone.
-			_, _ = writer.Write(object.Value)
-			return
-		case !request.URL.Query().Has("wait"):
-			writer.WriteHeader(http.StatusNotFound)
-			return
-		}
+// Calls returns the number of calls so far, by name.
+func (standin *Platform) Calls() map[string]int {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	calls := map[string]int{}
+	for name, count := range standin.calls {
+		calls[name] = count
+	}
+	return calls
+}
+
+// enter counts a call, slows it and fails it as the faults say.
+func (standin *Platform) enter(ctx context.Context, name string) error {
+	standin.mutex.Lock()
+	if standin.calls == nil {
+		standin.calls = map[string]int{}
+	}
+	standin.calls[name]++
+	faults := standin.faults
+	limited := standin.limiter != nil && !standin.limiter.Allow()
+	standin.mutex.Unlock()
+	if faults.Delay > 0 {
+		timer := time.NewTimer(faults.Delay)
+		defer timer.Stop()
 		select {
-		case <-changed:
 		case <-timer.C:
-			writer.WriteHeader(http.StatusNotModified)
-			return
-		case <-request.Context().Done():
-			return
+		case <-ctx.Done():
+			return platform.Unavailable.Wrap(ctx.Err(), "slow platform")
 		}
 	}
+	switch {
+	case ctx.Err() != nil:
+		return platform.Unavailable.Wrap(ctx.Err(), "call ended")
+	case limited:
+		return overRate.New("too many calls")
+	case faults.Down:
+		return platform.Unavailable.New("platform down")
+	}
+	return nil
 }
 
-func (standin *Platform) read(key objectKey) (platform.Object, <-chan struct{}) {
+// overRate tells the HTTP side which status to answer.
+var overRate = platform.Unavailable.NewSubtype("overRate")
+
+// Get reads an object.
+func (standin *Platform) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := standin.enter(ctx, "get"); err != nil {
+		return platform.Object{}, err
+	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	if standin.changed == nil {
-		standin.changed = make(chan struct{})
+	object := standin.visible(objectKey{kind, name})
+	if object.Version == 0 {
+		return platform.Object{}, platform.NotFound.New("no such object")
 	}
-	return standin.objects[key], standin.changed
+	return object, nil
 }
 
-func (standin *Platform) put(writer http.ResponseWriter, request *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, platform.MaxObjectBytes))
-	if err != nil {
-		writer.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
+// visible returns what a read sees of an object.
+func (standin *Platform) visible(key objectKey) platform.Object {
+	found := standin.objects[key]
+	if standin.faults.OldReads && found.before.Version != 0 {
+		return found.before
+	}
+	return found.present
+}
+
+// Put writes an object on condition of its version.
+func (standin *Platform) Put(ctx context.Context, object platform.Object) (int64, error) {
+	if err := standin.enter(ctx, "put"); err != nil {
+		return 0, err
+	}
+	if len(object.Value) > platform.MaxObjectBytes {
+		return 0, platform.Refused.New("%d bytes, at most %d", len(object.Value), platform.MaxObjectBytes)
 	}
-	key := keyOf(request)
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	present := standin.objects[key].Version
-	if !allowed(request, present) {
-		writer.Header().Set("ETag", etag(present))
-		writer.WriteHeader(http.StatusPreconditionFailed)
-		return
+	if standin.takeDrop() {
+		return 0, platform.Lost.New("no answer")
+	}
+	key := objectKey{object.Kind, object.Name}
+	before := standin.objects[key].present
+	if before.Version != object.Version {
+		return before.Version, platform.Conflict.New("version is %d", before.Version)
 	}
 	standin.version++
-	standin.store(platform.Object{Kind: key.kind, Name: key.name, Version: standin.version, Value: value})
-	writer.Header().Set("ETag", etag(standin.version))
-}
-
-func (standin *Platform) store(object platform.Object) {
+	object.Version = standin.version
+	object.Value = append([]byte(nil), object.Value...)
+	object.Written = time.Now()
 	if standin.objects == nil {
-		standin.objects = map[objectKey]platform.Object{}
+		standin.objects = map[objectKey]stored{}
 	}
-	standin.objects[objectKey{object.Kind, object.Name}] = object
+	standin.objects[key] = stored{present: object, before: before}
 	standin.wake()
-}
-
-func (standin *Platform) wake() {
-	if standin.changed != nil {
-		close(standin.changed)
+	if standin.takeLoss() {
+		return 0, platform.Lost.New("no answer")
 	}
-	standin.changed = make(chan struct{})
+	return object.Version, nil
 }
 
-func (standin *Platform) remove(writer http.ResponseWriter, request *http.Request) {
-	key := keyOf(request)
+// Delete removes an object on condition of its version.
+func (standin *Platform) Delete(ctx context.Context, kind, name string, version int64) error {
+	if err := standin.enter(ctx, "delete"); err != nil {
+		return err
+	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	present := standin.objects[key].Version
-	if present == 0 {
-		writer.WriteHeader(http.StatusNotFound)
-		return
+	if standin.takeDrop() {
+		return platform.Lost.New("no answer")
 	}
-	if !allowed(request, present) {
-		writer.WriteHeader(http.StatusPreconditionFailed)
-		return
+	key := objectKey{kind, name}
+	present := standin.objects[key].present
+	switch present.Version {
+	case 0:
+		return platform.NotFound.New("no such object")
+	case version:
+	default:
+		return platform.Conflict.New("version is %d", present.Version)
 	}
 	delete(standin.objects, key)
 	standin.wake()
+	if standin.takeLoss() {
+		return platform.Lost.New("no answer")
+	}
+	return nil
 }
 
-func (standin *Platform) list(writer http.ResponseWriter, request *http.Request) {
-	standin.mutex.Lock()
-	defer standin.mutex.Unlock()
-	objects := []platform.Object{}
-	for key, object := range standin.objects {
-		if key.kind == request.PathValue("kind") {
-			objects = append(objects, object)
-		}
+func (standin *Platform) takeDrop() bool {
+	if standin.faults.DropNext == 0 {
+		return false
 	}
-	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
-	_ = json.NewEncoder(writer).Encode(objects)
+	standin.faults.DropNext--
+	return true
 }
 
-func (standin *Platform) listHosts(writer http.ResponseWriter, _ *http.Request) {
-	standin.mutex.Lock()
-	defer standin.mutex.Unlock()
-	_ = json.NewEncoder(writer).Encode(standin.hosts)
+func (standin *Platform) takeLoss() bool {
+	if standin.faults.LoseWrites {
+		return true
+	}
+	if standin.faults.LoseNext == 0 {
+		return false
+	}
+	standin.faults.LoseNext--
+	return true
 }
 
-func (standin *Platform) setHosts(writer http.ResponseWriter, request *http.Request) {
-	var hosts []platform.ListedHost
-	if !decodeBody(writer, request, &hosts) {
-		return
+// Watch waits for a version above after.
+func (standin *Platform) Watch(ctx context.Context, kind, name string, after int64, wait time.Duration) (platform.Object, bool, error) {
+	if err := standin.enter(ctx, "watch"); err != nil {
+		return platform.Object{}, false, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		object, changed, err := standin.poll(objectKey{kind, name}, after)
+		if err != nil || object.Version != 0 {
+			return object, err == nil, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return platform.Object{}, false, nil
+		case <-ctx.Done():
+			return platform.Object{}, false, platform.Unavailable.Wrap(ctx.Err(), "watch ended")
+		}
 	}
-	standin.mutex.Lock()
-	defer standin.mutex.Unlock()
-	standin.hosts = hosts
 }
 
-func (standin *Platform) setFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults PlatformFaults
-	if !decodeBody(writer, request, &faults) {
-		return
-	}
+func (standin *Platform) poll(key objectKey, after int64) (platform.Object, <-chan struct{}, error) {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	standin.faults = faults
+	if standin.changed == nil {
+		standin.changed = make(chan struct{})
+	}
+	object := standin.visible(key)
+	switch {
+	case standin.faults.Down:
+		return platform.Object{}, nil, platform.Unavailable.New("platform down")
+	case standin.faults.WatchGaps, object.Version <= after:
+		return platform.Object{}, standin.changed, nil
+	default:
+		return object, standin.changed, nil
+	}
 }
 
-func keyOf(request *http.Request) objectKey {
-	return objectKey{request.PathValue("kind"), request.PathValue("name")}
+func (standin *Platform) wake() {
+	if standin.changed != nil {
+		close(standin.changed)
+	}
+	standin.changed = make(chan struct{})
 }
 
-func etag(version int64) string { return `"` + strconv.FormatInt(version, 10) + `"` }
-
-func allowed(request *http.Request, present int64) bool {
-	if request.Header.Get("If-None-Match") == "*" {
-		return present == 0
+// List reads all objects of a kind, by name.
+func (standin *Platform) List(ctx context.Context, kind string) ([]platform.Object, error) {
+	if err := standin.enter(ctx, "list"); err != nil {
+		return nil, err
 	}
-	return strings.Trim(request.Header.Get("If-Match"), `"`) == strconv.FormatInt(present, 10)
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	objects := []platform.Object{}
+	for key := range standin.objects {
+		if key.kind == kind {
+			objects = append(objects, standin.visible(key))
+		}
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
+	return objects, nil
 }
 
-func decodeBody(writer http.ResponseWriter, request *http.Request, into any) bool {
-	if err := json.NewDecoder(request.Body).Decode(into); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return false
+// Hosts reads the list of hosts as it was some time ago.
+func (standin *Platform) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+	if err := standin.enter(ctx, "hosts"); err != nil {
+		return nil, err
 	}
-	return true
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	shown := []platform.ListedHost{}
+	limit := time.Now().Add(-standin.faults.HostsLag)
+	for _, list := range standin.hosts {
+		if !list.at.After(limit) {
+			shown = list.hosts
+		}
+	}
+	return shown, nil
 }
--- /dev/null
+++ b/standin/platformhttp.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"nutmegfield.example/platform"
+)
+
+// Handler returns the API and, under /standin/, the switches.
+func (standin *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}/{name}", standin.get)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", standin.put)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", standin.remove)
+	mux.HandleFunc("GET /objects/{kind}", standin.list)
+	mux.HandleFunc("GET /hosts", standin.listHosts)
+	mux.HandleFunc("PUT /standin/hosts", standin.setHosts)
+	mux.HandleFunc("PUT /standin/faults", standin.setFaults)
+	mux.HandleFunc("GET /standin/calls", standin.showCalls)
+	return mux
+}
+
+func (standin *Platform) get(writer http.ResponseWriter, request *http.Request) {
+	kind, name := request.PathValue("kind"), request.PathValue("name")
+	if !request.URL.Query().Has("wait") {
+		object, err := standin.Get(request.Context(), kind, name)
+		writeObject(writer, object, err)
+		return
+	}
+	after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
+	wait, _ := time.ParseDuration(request.FormValue("wait"))
+	object, changed, err := standin.Watch(request.Context(), kind, name, after, wait)
+	if err == nil && !changed {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeObject(writer, object, err)
+}
+
+func writeObject(writer http.ResponseWriter, object platform.Object, err error) {
+	if err != nil {
+		writeError(writer, err)
+		return
+	}
+	writer.Header().Set("ETag", etag(object.Version))
+	writer.Header().Set("Last-Modified", object.Written.UTC().Format(http.TimeFormat))
+	// The client may be gone.
+	_, _ = writer.Write(object.Value)
+}
+
+func (standin *Platform) put(writer http.ResponseWriter, request *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, platform.MaxObjectBytes))
+	if err != nil {
+		writer.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	version, err := standin.Put(request.Context(), platform.Object{
+		Kind:    request.PathValue("kind"),
+		Name:    request.PathValue("name"),
+		Version: expected(request),
+		Value:   value,
+	})
+	if err == nil || platform.Is(err, platform.Conflict) {
+		writer.Header().Set("ETag", etag(version))
+	}
+	writeError(writer, err)
+}
+
+func (standin *Platform) remove(writer http.ResponseWriter, request *http.Request) {
+	kind, name := request.PathValue("kind"), request.PathValue("name")
+	writeError(writer, standin.Delete(request.Context(), kind, name, expected(request)))
+}
+
+func (standin *Platform) list(writer http.ResponseWriter, request *http.Request) {
+	objects, err := standin.List(request.Context(), request.PathValue("kind"))
+	writeAnswer(writer, objects, err)
+}
+
+func (standin *Platform) listHosts(writer http.ResponseWriter, request *http.Request) {
+	hosts, err := standin.Hosts(request.Context())
+	writeAnswer(writer, hosts, err)
+}
+
+func (standin *Platform) setHosts(writer http.ResponseWriter, request *http.Request) {
+	var hosts []platform.ListedHost
+	if decodeBody(writer, request, &hosts) {
+		standin.SetHosts(hosts)
+	}
+}
+
+func (standin *Platform) setFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults PlatformFaults
+	if decodeBody(writer, request, &faults) {
+		standin.SetFaults(faults)
+	}
+}
+
+func (standin *Platform) showCalls(writer http.ResponseWriter, _ *http.Request) {
+	writeAnswer(writer, standin.Calls(), nil)
+}
+
+func writeAnswer(writer http.ResponseWriter, value any, err error) {
+	if err != nil {
+		writeError(writer, err)
+		return
+	}
+	_ = json.NewEncoder(writer).Encode(value)
+}
+
+// writeError answers with the status of an error; nil is 200.
+func writeError(writer http.ResponseWriter, err error) {
+	switch {
+	case err == nil:
+	case platform.Is(err, platform.Lost):
+		panic(http.ErrAbortHandler)
+	case platform.Is(err, overRate):
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case platform.Is(err, platform.NotFound):
+		writer.WriteHeader(http.StatusNotFound)
+	case platform.Is(err, platform.Conflict):
+		writer.WriteHeader(http.StatusPreconditionFailed)
+	case platform.Is(err, platform.Refused):
+		writer.WriteHeader(http.StatusRequestEntityTooLarge)
+	default:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func etag(version int64) string { return `"` + strconv.FormatInt(version, 10) + `"` }
+
+// expected returns the version that a write is conditional on; 0 stands for
+// none, -1 for a condition that can't be read.
+func expected(request *http.Request) int64 {
+	if request.Header.Get("If-None-Match") == "*" {
+		return 0
+	}
+	version, err := strconv.ParseInt(strings.Trim(request.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return version
+}
+
+func decodeBody(writer http.ResponseWriter, request *http.Request, into any) bool {
+	if err := json.NewDecoder(request.Body).Decode(into); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
