yamlfile, profile: check configurations within bounds and against known names

The reading of YAML with file, line and key stood twice, in settings and profile; both now use yamlfile. Policies and protocols are checked against those that the program has registered.

--- a/command/check.go
+++ b/command/check.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"os"
 
+	"nutmegfield.example/policy"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/settings"
+	"nutmegfield.example/target"
 )
 
 type check struct {
@@ -46,8 +48,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	if _, err := profile.Decode(file, text); err != nil {
+	if _, err := known().Decode(file, text); err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
 	return text, nil
 }
+
+// known lists the names that this program has registered.
+func known() *profile.Known {
+	return &profile.Known{Policies: policy.Names(), Protocols: target.Protocols()}
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -54,6 +54,7 @@
 		},
 	}
 	invariant.Recorder.Store(host.Events)
+	kernel.Provide(host, known())
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
--- /dev/null
+++ b/profile/check.go
@@ -0,0 +1,194 @@
+package profile
+
+import (
+	"encoding/hex"
+	"math"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"nutmegfield.example/yamlfile"
+)
+
+// Bounds of a configuration's values.
+const (
+	maxNameBytes       = 128
+	maxDeadline        = 24 * time.Hour
+	maxRecordRetention = 366 * 24 * time.Hour
+	// maxRecordAnswer keeps a record, whose answer is encoded, well below
+	// the platform's limit of a megabyte.
+	maxRecordAnswer = 512 << 10
+	maxCount        = 10_000_000
+	tokenHashBytes  = 32
+)
+
+type checker struct {
+	yamlfile.Checker
+	known Known
+}
+
+func (checker *checker) check(configuration *Configuration) {
+	if configuration.Format != Format {
+		checker.Fault(yamlfile.Path{"format"}, "is %d, this program reads %d", configuration.Format, Format)
+		return
+	}
+	tiers := checker.checkTiers(configuration.Tiers)
+	profiles := checker.checkProfiles(configuration.Profiles, tiers)
+	checker.checkWorkspaces(configuration.Workspaces)
+	checker.checkPools(configuration.Pools, profiles)
+	checker.checkLimits(configuration.Limits)
+}
+
+func (checker *checker) checkTiers(tiers []string) nameSet {
+	names := nameSet{}
+	if len(tiers) == 0 {
+		checker.Fault(yamlfile.Path{"tiers"}, "lists no tier, at least one is needed")
+	}
+	if len(tiers) > math.MaxUint8 {
+		checker.Fault(yamlfile.Path{"tiers"}, "lists %d tiers, at most %d", len(tiers), math.MaxUint8)
+	}
+	for i, tier := range tiers {
+		checker.checkName(yamlfile.Path{"tiers", i}, tier, names)
+	}
+	return names
+}
+
+func (checker *checker) checkProfiles(profiles []Profile, tiers nameSet) nameSet {
+	names := nameSet{}
+	for i, profile := range profiles {
+		path := yamlfile.Path{"profiles", i}
+		checker.checkName(path.At("name"), profile.Name, names)
+		if !tiers.has(profile.Tier) {
+			checker.Fault(path.At("tier"), "%q is not a tier, allowed: %s", profile.Tier, tiers)
+		}
+		checker.checkDuration(path.At("deadline"), profile.Deadline, maxDeadline)
+		checker.checkCount(path.At("outputTokens"), profile.OutputTokens, 1)
+	}
+	return names
+}
+
+func (checker *checker) checkWorkspaces(workspaces []Workspace) {
+	names := nameSet{}
+	hashes := nameSet{}
+	for i, workspace := range workspaces {
+		path := yamlfile.Path{"workspaces", i}
+		checker.checkName(path.At("name"), workspace.Name, names)
+		checker.checkCount(path.At("weight"), workspace.Weight, 1)
+		checker.checkCount(path.At("waiting"), workspace.Waiting, 0)
+		// The comparison is false for what is no number.
+		if !(workspace.Rate >= 0 && workspace.Rate <= maxCount) {
+			checker.Fault(path.At("rate"), "is %g, allowed: 0 to %d", workspace.Rate, maxCount)
+		}
+		for j, hash := range workspace.TokenHashes {
+			checker.checkTokenHash(path.At("tokenHashes", j), hash, hashes)
+		}
+	}
+}
+
+func (checker *checker) checkTokenHash(path yamlfile.Path, hash string, hashes nameSet) {
+	sum, err := hex.DecodeString(hash)
+	if err != nil || len(sum) != tokenHashBytes || strings.ToLower(hash) != hash {
+		checker.Fault(path, "is no SHA-256 sum in lower-case hexadecimal")
+	}
+	checker.checkName(path, hash, hashes)
+}
+
+func (checker *checker) checkPools(pools []Pool, profiles nameSet) {
+	names := nameSet{}
+	for i, pool := range pools {
+		path := yamlfile.Path{"pools", i}
+		checker.checkName(path.At("name"), pool.Name, names)
+		if pool.Kind != KindModel && pool.Kind != KindService {
+			checker.Fault(path.At("kind"), "is %q, allowed: %s, %s", pool.Kind, KindModel, KindService)
+		}
+		if !profiles.has(pool.Profile) {
+			checker.Fault(path.At("profile"), "%q is not a profile, allowed: %s", pool.Profile, profiles)
+		}
+		for j, profile := range pool.Profiles {
+			if !profiles.has(profile) {
+				checker.Fault(path.At("profiles", j), "%q is not a profile, allowed: %s", profile, profiles)
+			}
+		}
+		checker.checkKnown(path.At("policy"), pool.Policy, checker.known.Policies)
+		checker.checkCount(path.At("waiting"), pool.Waiting, 0)
+		checker.checkTargets(path, pool.Targets)
+	}
+}
+
+func (checker *checker) checkTargets(path yamlfile.Path, targets []Target) {
+	names := nameSet{}
+	addresses := nameSet{}
+	for i, target := range targets {
+		place := path.At("targets", i)
+		checker.checkName(place.At("name"), target.Name, names)
+		checker.checkAddress(place.At("address"), target.Address, addresses)
+		if target.Zone == "" {
+			checker.Fault(place.At("zone"), "is missing")
+		}
+		if target.Protocol == "" {
+			checker.Fault(place.At("protocol"), "is missing")
+		} else {
+			checker.checkKnown(place.At("protocol"), target.Protocol, checker.known.Protocols)
+		}
+		checker.checkCount(place.At("slots"), target.Slots, 1)
+	}
+}
+
+func (checker *checker) checkAddress(path yamlfile.Path, address string, seen nameSet) {
+	parsed, err := url.Parse(address)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		checker.Fault(path, "%q is no URL such as http://10.0.0.1:8000", address)
+		return
+	}
+	checker.checkName(path, strings.TrimSuffix(address, "/"), seen)
+}
+
+func (checker *checker) checkLimits(limits Limits) {
+	path := yamlfile.Path{"limits"}
+	checker.checkDuration(path.At("recordRetention"), limits.RecordRetention, maxRecordRetention)
+	if limits.RecordAnswer < 0 || limits.RecordAnswer > maxRecordAnswer {
+		checker.Fault(path.At("recordAnswer"), "is %d, allowed: 0 to %d", limits.RecordAnswer, maxRecordAnswer)
+	}
+}
+
+func (checker *checker) checkDuration(path yamlfile.Path, duration, most time.Duration) {
+	if duration <= 0 {
+		checker.Fault(path, "is %s, must be above 0", duration)
+	}
+	if duration > most {
+		checker.Fault(path, "is %s, at most %s", duration, most)
+	}
+}
+
+func (checker *checker) checkCount(path yamlfile.Path, count, least int) {
+	if count < least {
+		checker.Fault(path, "is %d, must be at least %d", count, least)
+	}
+	if count > maxCount {
+		checker.Fault(path, "is %d, at most %d", count, maxCount)
+	}
+}
+
+func (checker *checker) checkKnown(path yamlfile.Path, name string, known []string) {
+	if len(known) > 0 && !slices.Contains(known, name) {
+		checker.Fault(path, "%q is not known, allowed: %s", name, strings.Join(known, ", "))
+	}
+}
+
+func (checker *checker) checkName(path yamlfile.Path, name string, seen nameSet) {
+	if name == "" {
+		checker.Fault(path, "is missing")
+		return
+	}
+	if len(name) > maxNameBytes {
+		checker.Fault(path, "has %d bytes, at most %d", len(name), maxNameBytes)
+	}
+	if strings.ContainsFunc(name, func(letter rune) bool { return letter <= ' ' || letter > '~' }) {
+		checker.Fault(path, "%q holds a character other than printable ASCII without spaces", name)
+	}
+	if seen.has(name) {
+		checker.Fault(path, "%q stands twice", name)
+	}
+	seen[name] = struct{}{}
+}
--- a/profile/decode_test.go
+++ b/profile/decode_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"nutmegfield.example/profile"
@@ -21,7 +22,8 @@
 		c.Run(filepath.Base(file), func(c *qt.C) {
 			archive, err := txtar.ParseFile(file)
 			c.Assert(err, qt.IsNil)
-			_, err = profile.Decode(archive.Files[0].Name, archive.Files[0].Data)
+			known := profile.Known{Policies: []string{"expectedFinish"}, Protocols: []string{"engine", "service"}}
+			_, err = known.Decode(archive.Files[0].Name, archive.Files[0].Data)
 			expected := strings.TrimSpace(string(archive.Files[1].Data))
 			if expected == "" {
 				c.Assert(err, qt.IsNil)
@@ -34,3 +36,35 @@
 		})
 	}
 }
+
+// FuzzDecode looks for texts that make Decode fail in another way than by an
+// error, or that it accepts and does not read again as they were.
+func FuzzDecode(f *testing.F) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(archive.Files[0].Data)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := qt.New(t)
+		configuration, err := profile.Decode("fuzz.yaml", text)
+		if err != nil {
+			return
+		}
+		profile.NewSnapshot(1, *configuration)
+		again, err := profile.Encode(configuration)
+		c.Assert(err, qt.IsNil)
+		if len(again) > profile.MaxBytes {
+			return
+		}
+		read, err := profile.Decode("again.yaml", again)
+		c.Assert(err, qt.IsNil)
+		c.Assert(read, qt.CmpEquals(cmpopts.EquateEmpty()), configuration)
+	})
+}
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -1,31 +1,24 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"strings"
 
-	"go.yaml.in/yaml/v3"
+	"nutmegfield.example/yamlfile"
 )
 
+// checker collects the faults of a file, whose keys are written with dots.
 type checker struct {
-	file   string
-	root   yaml.Node
-	faults []error
-}
-
-func newChecker(file string, text []byte) *checker {
-	checker := &checker{file: file}
-	// The text was decoded before; on an error lines are merely unknown.
-	_ = yaml.Unmarshal(text, &checker.root)
-	return checker
+	yamlfile.Checker
 }
 
 func (checker *checker) fault(key, format string, arguments ...any) {
-	message := fmt.Sprintf(format, arguments...)
-	fault := BadValue.New("%s:%d: %s: %s", checker.file, checker.line(key), key, message)
-	checker.faults = append(checker.faults, fault)
+	var path yamlfile.Path
+	for _, step := range strings.Split(key, ".") {
+		path = append(path, step)
+	}
+	checker.Fault(path, format, arguments...)
 }
 
 func (checker *checker) required(key, value string) {
@@ -41,31 +34,8 @@
 }
 
 func (checker *checker) err() error {
-	if len(checker.faults) == 0 {
-		return nil
-	}
-	return fmt.Errorf("check settings: %w", errors.Join(checker.faults...))
-}
-
-func (checker *checker) line(key string) int {
-	node := &checker.root
-	if len(node.Content) > 0 {
-		node = node.Content[0]
-	}
-	line := node.Line
-	for _, step := range strings.Split(key, ".") {
-		found := false
-		for i := 0; i+1 < len(node.Content); i += 2 {
-			if node.Content[i].Value == step {
-				line = node.Content[i].Line
-				node = node.Content[i+1]
-				found = true
-				break
-			}
-		}
-		if !found {
-			break
-		}
+	if err := checker.Err(); err != nil {
+		return fmt.Errorf("check settings: %w", err)
 	}
-	return line
+	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,15 +4,12 @@
 package settings
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"os"
 
-	"github.com/creasty/defaults"
 	"github.com/joomcode/errorx"
-	"go.yaml.in/yaml/v3"
+
+	"nutmegfield.example/yamlfile"
 )
 
 // Errors of this package.
@@ -47,19 +44,15 @@
 // Decode reads settings from YAML, sets defaults and checks them. The error
 // names every fault with file, line and key.
 func Decode(file string, text []byte) (*Settings, error) {
-	settings := &Settings{}
-	decoder := yaml.NewDecoder(bytes.NewReader(text))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(settings); err != nil {
-		if errors.Is(err, io.EOF) {
-			return nil, BadFile.New("%s: the file is empty", file)
-		}
+	root, err := yamlfile.Parse(text)
+	if err != nil {
 		return nil, BadFile.Wrap(err, "%s", file)
 	}
-	if err := defaults.Set(settings); err != nil {
-		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
+	settings := &Settings{}
+	if err := yamlfile.Decode(text, settings); err != nil {
+		return nil, BadFile.Wrap(err, "%s", file)
 	}
-	checker := newChecker(file, text)
+	checker := &checker{yamlfile.Checker{File: file, Root: root, Type: BadValue}}
 	settings.check(checker)
 	return settings, checker.err()
 }
