peer: keep members by probing at constant cost

The view followed the platform's list, read by each host each second, which lags and whose calls grew with the fleet. Now each host probes one other a second as in SWIM (Das, Gupta, Motivala, DSN 2002), with indirect probes, suspicion and refutation by incarnation, and news told with the probes; whole tables are compared now and then. Tried first: announcing dead after one missed probe would have made 10% loss a stream of suspicions, so two missed rounds suspect, and a suspect is probed again by whoever believes it.

--- a/peer/members.go
+++ b/peer/members.go
@@ -73,7 +73,7 @@
 		if host.Zone != zone || host.Leaving {
 			continue
 		}
-		score := score(host.ID, key)
+		score := Score(host.ID, key)
 		if !found || score > highest {
 			best, highest, found = host, score, true
 		}
@@ -81,7 +81,8 @@
 	return best, found
 }
 
-func score(host, key string) uint64 {
+// Score ranks a host for a key; the highest of a zone is responsible.
+func Score(host, key string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	// A digest's WriteString never fails.
@@ -99,6 +100,9 @@
 	view      atomic.Pointer[View]
 	mutex     sync.Mutex
 	listeners []func(*View)
+
+	version          atomic.Int64
+	versionListeners []func(host string, version int64)
 }
 
 // View returns the present view.
@@ -128,3 +132,28 @@
 		listener(view)
 	}
 }
+
+// SetVersion tells the other hosts, with the probes, which version of the
+// configuration is in force here.
+func (members *Members) SetVersion(version int64) { members.version.Store(version) }
+
+// Version is the version last set.
+func (members *Members) Version() int64 { return members.version.Load() }
+
+// ListenVersions calls back with the version that another host has in force,
+// each time a probe tells it. It is called before the members are probed.
+func (members *Members) ListenVersions(listener func(host string, version int64)) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	members.versionListeners = append(members.versionListeners, listener)
+}
+
+// hear passes on the version that another host told.
+func (members *Members) hear(host string, version int64) {
+	members.mutex.Lock()
+	listeners := members.versionListeners
+	members.mutex.Unlock()
+	for _, listener := range listeners {
+		listener(host, version)
+	}
+}
--- /dev/null
+++ b/peer/network_test.go
@@ -0,0 +1,207 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"nutmegfield.example/peer"
+	"nutmegfield.example/platform"
+	"nutmegfield.example/timeline"
+)
+
+// network joins members in one process, without sockets.
+type network struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	nodes  map[string]*node
+	// loss is the share of datagrams lost.
+	loss float64
+	// cut reports whether two hosts can't reach each other.
+	cut func(from, to *node) bool
+	// messages and bytes count what was sent.
+	messages, bytes int
+	group           sync.WaitGroup
+	calls           int
+}
+
+type node struct {
+	network *network
+	prober  *peer.Prober
+	events  *timeline.Recorder
+	stop    context.CancelFunc
+	ended   chan error
+	// frozen is until when the host's process stands still.
+	frozen time.Time
+	gone   bool
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{random: rand.New(rand.NewPCG(seed, seed)), nodes: map[string]*node{}}
+}
+
+// hosts makes hosts spread over five zones, or fewer.
+func (network *network) hosts(count int) {
+	for i := range count {
+		zone := string(rune('a' + i%5))
+		network.start(fmt.Sprintf("%s%03d", zone, i/5), zone, fmt.Sprintf("10.0.%d.%d:8070", i/200, i%200))
+	}
+}
+
+func (network *network) start(id, zone, address string) *node {
+	self := peer.Host{ID: id, Zone: zone, Address: address, Incarnation: uint64(time.Now().UnixMicro())}
+	node := &node{network: network, events: &timeline.Recorder{Host: id}, ended: make(chan error, 1)}
+	node.prober = &peer.Prober{
+		Members: &peer.Members{Self: self},
+		Events:  node.events,
+		Send:    func(to string, datagram []byte) { network.send(node, to, datagram) },
+		Hosts:   network.list,
+	}
+	network.mutex.Lock()
+	network.nodes[address] = node
+	network.mutex.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	network.group.Go(func() { node.ended <- node.prober.Run(ctx) })
+	return node
+}
+
+// list is the platform's list: every host ever started.
+func (network *network) list(context.Context) ([]platform.ListedHost, error) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.calls++
+	var listed []platform.ListedHost
+	for _, node := range network.nodes {
+		self := node.prober.Members.Self
+		listed = append(listed, platform.ListedHost{ID: self.ID, Zone: self.Zone, Address: self.Address})
+	}
+	return listed, nil
+}
+
+func (network *network) send(from *node, address string, datagram []byte) {
+	// A host that stands still sends, and does, nothing until it goes on.
+	time.Sleep(network.standstill(from))
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.messages++
+	network.bytes += len(datagram)
+	to := network.nodes[address]
+	switch {
+	case to == nil || to.gone || from.gone:
+		return
+	case network.cut != nil && network.cut(from, to):
+		return
+	case network.random.Float64() < network.loss:
+		return
+	}
+	delay := 200*time.Microsecond + time.Duration(network.random.Int64N(int64(time.Millisecond)))
+	time.AfterFunc(delay, func() {
+		time.Sleep(network.standstill(to))
+		to.prober.Receive(datagram)
+	})
+}
+
+func (network *network) standstill(node *node) time.Duration {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return time.Until(node.frozen)
+}
+
+// crash ends a host without a word.
+func (network *network) crash(node *node) {
+	network.mutex.Lock()
+	node.gone = true
+	network.mutex.Unlock()
+	node.stop()
+}
+
+func (network *network) freeze(node *node, duration time.Duration) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	node.frozen = time.Now().Add(duration)
+}
+
+func (network *network) setCut(cut func(from, to *node) bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.cut = cut
+}
+
+func (network *network) setLoss(loss float64) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.loss = loss
+}
+
+// count resets the counters and returns them.
+func (network *network) count() (messages, bytes int) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	messages, bytes = network.messages, network.bytes
+	network.messages, network.bytes = 0, 0
+	return messages, bytes
+}
+
+// listed counts the reads of the platform's list.
+func (network *network) listed() int {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return network.calls
+}
+
+// stop ends all hosts.
+func (network *network) stop() {
+	for _, node := range network.nodes {
+		node.stop()
+	}
+	network.group.Wait()
+}
+
+func (node *node) zone() string { return node.prober.Members.Self.Zone }
+
+func (node *node) id() string { return node.prober.Members.Self.ID }
+
+// events counts the events of a number over all hosts.
+func (network *network) events(number int) int {
+	count := 0
+	for _, node := range network.nodes {
+		for _, event := range node.events.Events() {
+			if event.Number == number {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// settled reports whether each live host of the filter knows exactly the
+// live hosts.
+func (network *network) settled(take func(*node) bool) bool {
+	expected := 0
+	for _, node := range network.nodes {
+		if !node.gone && take(node) {
+			expected++
+		}
+	}
+	for _, node := range network.nodes {
+		if !node.gone && take(node) && len(node.prober.Members.View().Hosts) != expected {
+			return false
+		}
+	}
+	return true
+}
+
+func everyone(*node) bool { return true }
+
+// until passes time in steps until the condition holds, and returns how long
+// it took; it gives up after the limit.
+func until(limit time.Duration, condition func() bool) time.Duration {
+	begin := time.Now()
+	for !condition() && time.Since(begin) < limit {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
--- a/peer/part.go
+++ b/peer/part.go
@@ -2,23 +2,44 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/platform"
 )
 
-// listInterval is the interval at which the platform's list of hosts is read.
-const listInterval = time.Second
+// leaveRank drains first: the others hear of it before anything ends.
+const leaveRank = kernel.RankOperators + 1
+
+// largestDatagram is more than any host sends.
+const largestDatagram = 2 * datagramBytes
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "peers", Rank: kernel.RankPeers, New: newPart})
+	kernel.Register(kernel.Plugin{Name: "leaving", Rank: leaveRank, New: newLeavePart})
+}
+
+// newLeavePart says that this host leaves as soon as the drain begins.
+func newLeavePart(host *kernel.Host) (*kernel.Part, error) {
+	prober, err := kernel.Need[Prober](host)
+	if err != nil {
+		return nil, err
+	}
+	drain := func(context.Context) error {
+		prober.Leave()
+		return nil
+	}
+	return &kernel.Part{Drain: drain}, nil
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	client, err := kernel.Need[platform.Client](host)
+	api, err := kernel.Need[platform.API](host)
 	if err != nil {
 		return nil, err
 	}
@@ -27,6 +48,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	datagrams, err := net.ListenPacket("udp", settings.Peers.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for probes: %w", err)
+	}
 	members := &Members{Self: Host{
 		ID:          settings.Host.ID,
 		Zone:        settings.Host.Zone,
@@ -42,32 +67,66 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 	}
+	prober := &Prober{
+		Members: members,
+		Events:  host.Events,
+		Send:    sender(datagrams),
+		Hosts:   api.Hosts,
+		Seeds:   settings.Peers.Seeds,
+	}
 	kernel.Provide(host, members)
 	kernel.Provide(host, links)
+	kernel.Provide(host, prober)
 	run := func(ctx context.Context) error {
-		go follow(ctx, client, members)
-		return links.Run(ctx)
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		var group sync.WaitGroup
+		group.Go(func() { receive(datagrams, prober) })
+		group.Go(func() {
+			if err := prober.Run(ctx); err != nil {
+				cancel(err)
+			}
+			// The farewell is sent.
+			_ = datagrams.Close()
+		})
+		err := links.Run(ctx)
+		cancel(nil)
+		group.Wait()
+		if cause := context.Cause(ctx); Is(cause, Replaced) {
+			return fmt.Errorf("keep members: %w", cause)
+		}
+		return err
 	}
 	return &kernel.Part{Run: run}, nil
 }
 
-// follow keeps the view equal to the platform's list.
-func follow(ctx context.Context, client *platform.Client, members *Members) {
-	for ctx.Err() == nil {
-		if listed, err := client.Hosts(ctx); err == nil {
-			members.Replace(merge(members.Self, listed))
+// sender sends datagrams; those that can't be sent are as good as lost.
+func sender(datagrams net.PacketConn) func(address string, datagram []byte) {
+	return func(address string, datagram []byte) {
+		resolved, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			return
 		}
-		pause(ctx, listInterval)
+		_, _ = datagrams.WriteTo(datagram, resolved)
 	}
 }
 
-func merge(self Host, listed []platform.ListedHost) []Host {
-	hosts := []Host{self}
-	for _, entry := range listed {
-		if entry.ID == self.ID {
-			continue
+// receive passes datagrams on until the connection is closed.
+func receive(datagrams net.PacketConn, prober *Prober) {
+	buffer := make([]byte, largestDatagram)
+	for {
+		size, _, err := datagrams.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			prober.Receive(buffer[:size])
 		}
-		hosts = append(hosts, Host{ID: entry.ID, Zone: entry.Zone, Address: entry.Address, Leaving: entry.Leaving})
 	}
-	return hosts
+}
+
+// Is reports whether an error, however wrapped with %w, is of the type.
+func Is(err error, kind *errorx.Type) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(kind)
 }
--- /dev/null
+++ b/peer/probe_test.go
@@ -0,0 +1,223 @@
+package peer_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"nutmegfield.example/peer"
+	"nutmegfield.example/peer/peerpb"
+)
+
+// Numbers of events asserted on.
+const (
+	eventSuspect   = 6011
+	eventDead      = 6012
+	eventLeft      = 6013
+	eventReplaced  = 6014
+	eventOlderTwin = 6015
+	eventRefused   = 6016
+)
+
+// controlBytes is what a host may send a second for all control.
+const controlBytes = 2 << 10
+
+// run starts hosts and waits until all know each other.
+func run(t *testing.T, hosts int, seed uint64, test func(c *qt.C, network *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork(seed)
+		network.hosts(hosts)
+		joined := until(2*time.Minute, func() bool { return network.settled(everyone) })
+		c.Assert(network.settled(everyone), qt.IsTrue)
+		c.Logf("%d hosts: all known after %s", hosts, joined)
+		time.Sleep(time.Minute)
+		network.count()
+		test(c, network)
+		network.stop()
+	})
+}
+
+func perHost(network *network, span time.Duration) (messages, bytes float64) {
+	sent, size := network.count()
+	share := float64(len(network.nodes)) * span.Seconds()
+	return float64(sent) / share, float64(size) / share
+}
+
+// TestMembers goes through the life of a system of each size: at rest, under
+// loss, with a dead host, with a zone cut off, and whole again.
+func TestMembers(t *testing.T) {
+	for _, hosts := range []int{8, 66, 330} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			run(t, hosts, 1, func(c *qt.C, network *network) {
+				restCostsLittle(c, network)
+				lossIsNoDeath(c, network)
+				deadHostIsNoticed(c, network)
+				zoneCutOffComesBack(c, network)
+			})
+		})
+	}
+}
+
+func restCostsLittle(c *qt.C, network *network) {
+	time.Sleep(30 * time.Second)
+	messages, bytes := perHost(network, 30*time.Second)
+	c.Logf("at rest: %.2f messages and %.0f bytes a host and second", messages, bytes)
+	c.Assert(bytes < controlBytes, qt.IsTrue)
+	c.Assert(network.events(eventDead), qt.Equals, 0)
+}
+
+func lossIsNoDeath(c *qt.C, network *network) {
+	network.setLoss(0.1)
+	time.Sleep(time.Minute)
+	messages, bytes := perHost(network, time.Minute)
+	c.Logf("10%% lost: %.2f messages and %.0f bytes a host and second, %d suspicions",
+		messages, bytes, network.events(eventSuspect))
+	c.Assert(bytes < controlBytes, qt.IsTrue)
+	c.Assert(network.events(eventDead), qt.Equals, 0)
+	network.setLoss(0)
+}
+
+func deadHostIsNoticed(c *qt.C, network *network) {
+	network.crash(network.nodes["10.0.0.3:8070"])
+	first := until(time.Minute, func() bool { return network.events(eventDead) > 0 })
+	all := first + until(time.Minute, func() bool { return network.settled(everyone) })
+	c.Logf("a dead host noticed by the first after %s, by all after %s", first, all)
+	c.Assert(network.settled(everyone), qt.IsTrue)
+}
+
+func zoneCutOffComesBack(c *qt.C, network *network) {
+	inA := func(node *node) bool { return node.zone() == "a" }
+	outside := func(node *node) bool { return !inA(node) }
+	network.setCut(func(from, to *node) bool { return inA(from) != inA(to) })
+	parted := until(3*time.Minute, func() bool { return network.settled(inA) && network.settled(outside) })
+	c.Assert(network.settled(inA), qt.IsTrue)
+	c.Assert(network.settled(outside), qt.IsTrue)
+	time.Sleep(time.Minute)
+	network.count()
+	calls := network.listed()
+	network.setCut(nil)
+	time.Sleep(10 * time.Second)
+	messages, bytes := perHost(network, 10*time.Second)
+	calls = network.listed() - calls
+	again := 10*time.Second + until(5*time.Minute, func() bool { return network.settled(everyone) })
+	c.Logf("zone cut off: parted after %s; in the first 10 s back %.2f messages and %.0f bytes a host and second, %d calls; whole after %s",
+		parted, messages, bytes, calls, again)
+	c.Assert(network.settled(everyone), qt.IsTrue)
+}
+
+func TestNoFalseAlarmForShortFreeze(t *testing.T) {
+	for _, hosts := range []int{8, 66} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint(hosts, " ", seed), func(t *testing.T) {
+				run(t, hosts, seed, func(c *qt.C, network *network) {
+					network.freeze(network.nodes["10.0.0.3:8070"], 2*time.Second)
+					time.Sleep(30 * time.Second)
+					c.Assert(network.events(eventDead), qt.Equals, 0)
+				})
+			})
+		}
+	}
+}
+
+func TestLeavingAndLeft(t *testing.T) {
+	run(t, 8, 5, func(c *qt.C, network *network) {
+		leaving := network.nodes["10.0.0.3:8070"]
+		leaving.prober.Leave()
+		until(10*time.Second, func() bool { return everyoneSees(network, leaving.id(), true) })
+		c.Assert(everyoneSees(network, leaving.id(), true), qt.IsTrue)
+		leaving.stop()
+		synctest.Wait()
+		leaving.gone = true
+		until(10*time.Second, func() bool { return network.settled(everyone) })
+		c.Assert(network.settled(everyone), qt.IsTrue)
+		c.Assert(network.events(eventDead), qt.Equals, 0)
+		c.Assert(network.events(eventLeft), qt.Equals, 7)
+	})
+}
+
+func everyoneSees(network *network, id string, leaving bool) bool {
+	for _, node := range network.nodes {
+		host, ok := node.prober.Members.View().Find(id)
+		if !ok || host.Leaving != leaving {
+			return false
+		}
+	}
+	return true
+}
+
+func TestNewerHostOfSameIDWins(t *testing.T) {
+	run(t, 8, 6, func(c *qt.C, network *network) {
+		older := network.nodes["10.0.0.3:8070"]
+		newer := network.start(older.id(), older.zone(), "10.0.9.9:8070")
+		until(30*time.Second, func() bool { return len(older.ended) > 0 })
+		c.Assert(peer.Is(<-older.ended, peer.Replaced), qt.IsTrue)
+		older.gone = true
+		until(time.Minute, func() bool { return network.settled(everyone) })
+		c.Assert(network.settled(everyone), qt.IsTrue)
+		host, ok := network.nodes["10.0.0.1:8070"].prober.Members.View().Find(newer.id())
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(host.Address, qt.Equals, "10.0.9.9:8070")
+		c.Assert(network.events(eventReplaced), qt.Equals, 1)
+		c.Assert(network.events(eventDead), qt.Equals, 0)
+	})
+}
+
+// TestOlderTwinIsReported hears of an older host of the own id from a third.
+func TestOlderTwinIsReported(t *testing.T) {
+	run(t, 2, 8, func(c *qt.C, network *network) {
+		node := network.nodes["10.0.0.0:8070"]
+		other := network.nodes["10.0.0.1:8070"].prober.Members.Self
+		datagram, err := proto.Marshal(&peerpb.Probe{Kind: 2, From: other.ID, Hosts: []*peerpb.Host{
+			{Id: other.ID, Zone: other.Zone, Address: other.Address, Incarnation: 1, State: 1},
+			{Id: node.id(), Zone: node.zone(), Address: "10.0.9.9:8070", Incarnation: 1, State: 1},
+		}})
+		c.Assert(err, qt.IsNil)
+		node.prober.Receive(datagram)
+		node.prober.Receive(datagram)
+		c.Assert(network.events(eventOlderTwin), qt.Equals, 1)
+		c.Assert(network.events(eventReplaced), qt.Equals, 0)
+	})
+}
+
+func TestBadDatagramsAreRefused(t *testing.T) {
+	run(t, 3, 7, func(c *qt.C, network *network) {
+		node := network.nodes["10.0.0.0:8070"]
+		for _, datagram := range []string{"", "no probe", "\x08\x01\x1a\x07unknown"} {
+			node.prober.Receive([]byte(datagram))
+		}
+		c.Assert(network.events(eventRefused), qt.Equals, 1)
+		c.Assert(network.settled(everyone), qt.IsTrue)
+	})
+}
+
+// TestResponsibleMovesOnlyWhatMust takes one host away: only its keys move.
+func TestResponsibleMovesOnlyWhatMust(t *testing.T) {
+	c := qt.New(t)
+	members := &peer.Members{}
+	var hosts []peer.Host
+	for i := range 66 {
+		hosts = append(hosts, peer.Host{ID: fmt.Sprint("host", i), Zone: "a"})
+	}
+	members.Replace(hosts)
+	before := members.View()
+	members.Replace(append(hosts[:7:7], hosts[8:]...))
+	after := members.View()
+	moved := 0
+	for i := range 10_000 {
+		key := fmt.Sprint("key", i)
+		was, _ := before.Responsible("a", key)
+		is, _ := after.Responsible("a", key)
+		if was.ID == is.ID {
+			continue
+		}
+		moved++
+		c.Assert(was.ID, qt.Equals, "host7")
+	}
+	c.Logf("%d of 10000 keys moved", moved)
+	c.Assert(moved > 0, qt.IsTrue)
+}
