profile: pass configurations on between hosts

Each host watched the platform, so calls grew with the fleet and a host that was cut off stayed behind.

--- a/profile/configuration.go
+++ b/profile/configuration.go
@@ -103,6 +103,8 @@
 	Configuration Configuration
 	// Since is when this host put it in force.
 	Since time.Time
+	// Text is what the configuration was read from, to pass it on.
+	Text []byte
 
 	tiers      map[string]request.Tier
 	profiles   map[string]*Profile
