--- a/command/apply.go
+++ b/command/apply.go
@@ -48,19 +48,40 @@
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
-	version, err := client.Put(ctx, platform.Object{
+	api := client.API()
+	written, err := api.PutKnown(ctx, platform.Object{
 		Kind: profile.ObjectKind, Name: profile.ObjectName, Version: over, Value: text,
 	})
 	if platform.Is(err, platform.Conflict) {
-		return fmt.Errorf("apply over version %d: another operator changed the configuration: %w", over, err)
+		return conflict(ctx, client, over)
+	}
+	if platform.Is(err, platform.Lost) {
+		return fmt.Errorf("apply over version %d: it is not known whether the configuration was taken; see status: %w", over, err)
 	}
 	if err != nil {
 		return fmt.Errorf("apply over version %d: %w", over, err)
 	}
-	fmt.Fprintf(os.Stdout, "version %d\n", version)
+	fmt.Fprintf(os.Stdout, "version %d\n", written.Version)
 	return nil
 }
 
+// conflict names the version that another operator applied meanwhile.
+func conflict(ctx context.Context, client *platform.Client, over int64) error {
+	other, err := client.Get(ctx, profile.ObjectKind, profile.ObjectName)
+	if platform.Is(err, platform.NotFound) {
+		return Conflict.New("apply over version %d: the platform holds no configuration", over)
+	}
+	if err != nil {
+		return Conflict.Wrap(err, "apply over version %d: another operator changed the configuration, read it back", over)
+	}
+	when := "at a time that the platform does not say"
+	if !other.Written.IsZero() {
+		when = other.Written.UTC().Format(time.RFC3339)
+	}
+	return Conflict.New("apply over version %d: another operator applied version %d, %s; get it, merge, and apply with --version %d",
+		over, other.Version, when, other.Version)
+}
+
 func (apply *apply) over(ctx context.Context, client *platform.Client) (int64, error) {
 	if apply.Version >= 0 {
 		return apply.Version, nil
--- a/command/errors.go
+++ b/command/errors.go
@@ -8,5 +8,12 @@
 	// Usage: the options do not say what to do.
 	Usage = Errors.NewType("usage")
 
+	// Conflict: another operator was faster.
+	Conflict = Errors.NewType("conflict")
+	// Unreachable: a host did not answer as asked.
+	Unreachable = Errors.NewType("unreachable")
+	// Behind: not every host has the newest configuration in force.
+	Behind = Errors.NewType("behind")
+
 	errNothingToCheck = Usage.New("name a file with --settings or --configuration")
 )
