--- a/command/serve.go
+++ b/command/serve.go
@@ -20,6 +20,7 @@
 	_ "nutmegfield.example/profile"
 	_ "nutmegfield.example/scheduler"
 	"nutmegfield.example/settings"
+	_ "nutmegfield.example/status"
 	_ "nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
--- /dev/null
+++ b/status/status.go
@@ -0,0 +1,148 @@
+// Package status writes what a zone's hosts know of each other to the
+// platform, seldom and from one host of a zone, so that the calls do not grow
+// with the fleet.
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"nutmegfield.example/peer"
+	"nutmegfield.example/platform"
+)
+
+const (
+	// ObjectKind is the kind of the summaries; each is named after its zone.
+	ObjectKind = "status"
+	// Interval is the mean time between two summaries of a zone.
+	Interval = 30 * time.Second
+
+	// writerKey ranks a zone's hosts for writing.
+	writerKey = "status"
+)
+
+// Summary is what one zone looks like from the host that writes it.
+type Summary struct {
+	Zone   string `json:"zone"`
+	Writer string `json:"writer"`
+	// Written is by the writer's clock.
+	Written time.Time `json:"written"`
+	// Version is the configuration in force on the writer.
+	Version int64  `json:"version"`
+	Hosts   []Host `json:"hosts"`
+	// Others is the number of live hosts of each other zone, as seen here.
+	Others map[string]int `json:"others"`
+}
+
+// Host is one live host of the zone.
+type Host struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving,omitempty"`
+	// Version is the configuration in force there when it was last heard, 0
+	// if it was not heard yet.
+	Version int64 `json:"version"`
+	// Heard is when that was; absent if never.
+	Heard time.Time `json:"heard,omitzero"`
+}
+
+// Writer writes a zone's summary while this host is responsible for it.
+// Fields are set before Run.
+type Writer struct {
+	API     platform.API
+	Members *peer.Members
+
+	mutex sync.Mutex
+	heard map[string]told
+}
+
+// told is what a host said last.
+type told struct {
+	version int64
+	at      time.Time
+}
+
+// Heard notes the version that a host has in force.
+func (writer *Writer) Heard(host string, version int64) {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if writer.heard == nil {
+		writer.heard = map[string]told{}
+	}
+	writer.heard[host] = told{version, time.Now()}
+}
+
+// Run writes until the context ends.
+func (writer *Writer) Run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(platform.Jitter(Interval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		writer.forget()
+		self := writer.Members.Self
+		responsible, ok := writer.Members.View().Responsible(self.Zone, writerKey)
+		if ok && responsible.ID == self.ID {
+			// A summary that can't be written is written next time.
+			_ = writer.write(ctx)
+		}
+	}
+}
+
+// write puts the summary in place of the present one.
+func (writer *Writer) write(ctx context.Context) error {
+	value, err := json.Marshal(writer.summary())
+	if err != nil {
+		return fmt.Errorf("encode summary: %w", err)
+	}
+	change := func(platform.Object) ([]byte, error) { return value, nil }
+	if _, err := writer.API.Update(ctx, ObjectKind, writer.Members.Self.Zone, change); err != nil {
+		return fmt.Errorf("write summary: %w", err)
+	}
+	return nil
+}
+
+func (writer *Writer) summary() Summary {
+	self := writer.Members.Self
+	summary := Summary{
+		Zone:    self.Zone,
+		Writer:  self.ID,
+		Written: time.Now(),
+		Version: writer.Members.Version(),
+		Others:  map[string]int{},
+	}
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	for _, host := range writer.Members.View().Hosts {
+		if host.Zone != self.Zone {
+			summary.Others[host.Zone]++
+			continue
+		}
+		heard := writer.heard[host.ID]
+		if host.ID == self.ID {
+			heard = told{summary.Version, summary.Written}
+		}
+		summary.Hosts = append(summary.Hosts, Host{
+			ID: host.ID, Address: host.Address, Leaving: host.Leaving, Version: heard.version, Heard: heard.at,
+		})
+	}
+	return summary
+}
+
+// forget drops what was heard of hosts that are gone.
+func (writer *Writer) forget() {
+	view := writer.Members.View()
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	for id := range writer.heard {
+		if _, ok := view.Find(id); !ok {
+			delete(writer.heard, id)
+		}
+	}
+}
