order: bring targets to their wanted state under a fenced lease

One host of a zone compares what each target has with what the configuration wants and orders the difference: role, loads, unloads, paced under the weight store's limit, the most useful first. The lease is checked right before each order; targets that ignore fencing numbers get none from a new holder before an old one's last must have ended.

--- a/command/serve.go
+++ b/command/serve.go
@@ -15,6 +15,7 @@
 	"nutmegfield.example/kernel"
 	_ "nutmegfield.example/once"
 	_ "nutmegfield.example/operator"
+	_ "nutmegfield.example/order"
 	_ "nutmegfield.example/peer"
 	_ "nutmegfield.example/platform"
 	_ "nutmegfield.example/profile"
--- a/profile/configuration.go
+++ b/profile/configuration.go
@@ -85,6 +85,8 @@
 	Fenced bool `yaml:"fenced"`
 	// Leaving targets get no new work.
 	Leaving bool `yaml:"leaving"`
+	// Wanted is what the target should have loaded and be.
+	Wanted Wanted `yaml:"wanted"`
 }
 
 // Limits are the bounds that hold for every host.
@@ -94,6 +96,8 @@
 	RecordRetention time.Duration `yaml:"recordRetention" default:"24h"`
 	// RecordAnswer is the longest answer, in bytes, kept in a record.
 	RecordAnswer int `yaml:"recordAnswer" default:"4096"`
+	// WeightLoads is the weight store's limit.
+	WeightLoads WeightLoads `yaml:"weightLoads"`
 }
 
 // Snapshot is a configuration in force, with its version in the platform and
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// Waiting returns the number of requests that wait here for a pool.
+func (scheduler *Scheduler) Waiting(name string) int {
+	if found := scheduler.find(name); found != nil {
+		return found.Waiting()
+	}
+	return 0
+}
+
 func (scheduler *Scheduler) submit(ticket *request.Ticket) {
 	found := scheduler.open(ticket.Pool)
 	if found == nil {
