once, record: group the records of a range into conditional writes

A record of its own for each payment costs two writes and, for its expiry, a third; at 200 a second that alone is what the platform takes in all. Records of one of eight ranges now share a head object: changes that come together are one conditional write, a full head is sealed off into segments that are merged four by four, and one host for each range groups the writes of all. Safety rests on the condition alone; any host may write when the keeper does not answer.

Faults found by the random trial, each fixed and kept by a test: - a keeper that failed to write returned the claim ten seconds later although the entry host had written it itself and run: only the asker's own host takes back (TestKeeperThatFails...); - a claim delayed on its way to the keeper took the key again after its request had given it back: an entry names the last 16 that did; - a host refused by a head it had read long ago: a refusal from a record that can still change is read anew after a second; - a claim abandoned by its asker, refused, then granted late by the keeper.

That a decision and the end of its context can't both win is by compare and swap; no test was made to fail without it.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -72,7 +72,8 @@
 		return badRequest(http.StatusBadRequest,
 			"the profile "+job.profile.Name+" is not idempotent: the header "+HeaderIdempotency+" is needed")
 	}
-	job.key = once.Key(job.workspace.Name, job.pool.Name, key)
+	job.recorded = true
+	job.key = once.NewKey(job.workspace.Name, job.pool.Name, key)
 	return nil
 }
 
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -93,14 +93,15 @@
 
 // keep stores the answer of a non-idempotent request in its record.
 func (entry *Entry) keep(job *job, record once.Record, answer *target.Answer, body []byte, outcome request.Outcome) {
-	if job.key == "" {
+	if !job.recorded {
 		return
 	}
 	record.State = once.Ended
 	record.Status = answer.Status
 	record.Type = answer.Header.Get("Content-Type")
-	record.Outcome = string(outcome)
-	if len(body) <= job.snapshot.Configuration.Limits.RecordAnswer {
+	record.Outcome = outcome
+	record.Truncated = len(body) > job.snapshot.Configuration.Limits.RecordAnswer
+	if !record.Truncated {
 		record.Answer = body
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), retryNoRecord)
--- a/entry/job.go
+++ b/entry/job.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 )
@@ -28,9 +29,10 @@
 	header      http.Header
 	body        []byte
 	stream      bool
-	// key is the name of its record; empty for an idempotent request.
-	key   string
-	round uint32
+	// key names its record; recorded is false for an idempotent request.
+	key      once.Key
+	recorded bool
+	round    uint32
 }
 
 // ticket returns the ticket of a new round of waiting.
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -37,14 +36,13 @@
 
 // claim makes the record of a non-idempotent request.
 func (entry *Entry) claim(ctx context.Context, job *job) (once.Record, *Problem) {
-	if job.key == "" {
+	if !job.recorded {
 		return once.Record{}, nil
 	}
-	sum := sha256.Sum256(job.body)
 	record := once.Record{
 		Request: job.id,
 		Host:    entry.Host,
-		Body:    hex.EncodeToString(sum[:]),
+		Body:    sha256.Sum256(job.body),
 		State:   once.Running,
 		Made:    time.Now(),
 	}
@@ -71,7 +69,7 @@
 }
 
 func (entry *Entry) giveBack(job *job, record once.Record) {
-	if job.key == "" {
+	if !job.recorded {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), retryNoRecord)
--- /dev/null
+++ b/once/codec.go
@@ -0,0 +1,113 @@
+package once
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"nutmegfield.example/once/oncepb"
+	"nutmegfield.example/request"
+)
+
+// encode writes a segment as an object's value.
+func encode(segment *oncepb.Segment) ([]byte, error) {
+	value, err := proto.Marshal(segment)
+	if err != nil {
+		return nil, fmt.Errorf("encode segment: %w", err)
+	}
+	return value, nil
+}
+
+// decode reads a segment and refuses one with a malformed entry: to pass over
+// it could let a request run twice.
+func decode(value []byte) (*oncepb.Segment, error) {
+	segment := &oncepb.Segment{}
+	if err := proto.Unmarshal(value, segment); err != nil {
+		return nil, Unavailable.Wrap(err, "decode segment")
+	}
+	for _, entry := range segment.GetEntries() {
+		if err := checkEntry(entry); err != nil {
+			return nil, err
+		}
+	}
+	return segment, nil
+}
+
+func checkEntry(entry *oncepb.Entry) error {
+	state := State(entry.GetState())
+	switch {
+	case len(entry.GetKey()) != len(Key{}):
+		return Unavailable.New("entry with a key of %d bytes", len(entry.GetKey()))
+	case len(entry.GetRequest()) != len(request.ID{}):
+		return Unavailable.New("entry with a request of %d bytes", len(entry.GetRequest()))
+	case state < Running || state > Returned:
+		return Unavailable.New("entry with state %d", entry.GetState())
+	}
+	for _, raw := range entry.GetReturned() {
+		if len(raw) != len(request.ID{}) {
+			return Unavailable.New("entry with a returned request of %d bytes", len(raw))
+		}
+	}
+	return nil
+}
+
+// EncodeRecord writes a record for another host.
+func EncodeRecord(key Key, record Record) ([]byte, error) {
+	value, err := proto.Marshal(entryOf(key, record))
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return value, nil
+}
+
+// DecodeRecord reads what EncodeRecord wrote.
+func DecodeRecord(value []byte) (Key, Record, error) {
+	entry := &oncepb.Entry{}
+	if err := proto.Unmarshal(value, entry); err != nil {
+		return Key{}, Record{}, Unavailable.Wrap(err, "decode record")
+	}
+	if err := checkEntry(entry); err != nil {
+		return Key{}, Record{}, err
+	}
+	return Key(entry.GetKey()), recordOf(entry), nil
+}
+
+func entryOf(key Key, record Record) *oncepb.Entry {
+	entry := &oncepb.Entry{
+		Key:       key[:],
+		Request:   record.Request[:],
+		Host:      record.Host,
+		Body:      record.Body[:],
+		State:     uint32(record.State),
+		Made:      record.Made.Unix(),
+		Status:    int32(record.Status),
+		Type:      record.Type,
+		Answer:    record.Answer,
+		Outcome:   string(record.Outcome),
+		Truncated: record.Truncated,
+	}
+	for _, id := range record.Returned {
+		entry.Returned = append(entry.Returned, id[:])
+	}
+	return entry
+}
+
+func recordOf(entry *oncepb.Entry) Record {
+	record := Record{
+		Request:   request.ID(entry.GetRequest()),
+		Host:      entry.GetHost(),
+		State:     State(entry.GetState()),
+		Made:      time.Unix(entry.GetMade(), 0),
+		Status:    int(entry.GetStatus()),
+		Type:      entry.GetType(),
+		Answer:    entry.GetAnswer(),
+		Outcome:   request.Outcome(entry.GetOutcome()),
+		Truncated: entry.GetTruncated(),
+	}
+	copy(record.Body[:], entry.GetBody())
+	for _, raw := range entry.GetReturned() {
+		record.Returned = append(record.Returned, request.ID(raw))
+	}
+	return record
+}
--- a/once/once.go
+++ b/once/once.go
@@ -1,56 +1,89 @@
-// Package once keeps a non-idempotent request at most once: a record in the
-// platform, made by conditional update before the dispatch, names the only
-// request that may run for a caller's key.
+// Package once keeps a non-idempotent request at most once. Before such a
+// request may be dispatched, a record in the platform, made by conditional
+// update, names it as the only one that may run for its caller's key.
+//
+// The records of one range of keys share a head object. Every change of the
+// range is a conditional write of its head, so two writers can never both
+// succeed; safety rests on that condition alone. Many changes are grouped
+// into one write, and a full head is sealed off into segments that never
+// change again.
 package once
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
 
-	"nutmegfield.example/platform"
 	"nutmegfield.example/request"
 )
 
-// Errors of this package.
+// Errors of this package. Missing, Conflict and Lost are what the seams
+// Read, Write and Remove must return.
 var (
 	Errors = errorx.NewNamespace("once")
-	// Unavailable: no record could be made and none was left behind that
-	// this request may use.
+	// Unavailable: the right to run was not got; the request must not run.
 	Unavailable = Errors.NewType("unavailable")
+	// Missing: there is no such object.
+	Missing = Errors.NewType("missing")
+	// Conflict: the object's version is not the expected one.
+	Conflict = Errors.NewType("conflict")
+	// Lost: a write was sent and may or may not have taken effect.
+	Lost = Errors.NewType("lost")
 )
 
+// Key names a record: the hash of workspace, service and the caller's key.
+type Key [sha256.Size]byte
+
+// NewKey returns the key of a workspace's idempotency key for a service.
+func NewKey(workspace, service, key string) Key {
+	digest := sha256.New()
+	for _, part := range []string{workspace, service, key} {
+		// A hash's Write never fails.
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
+	}
+	return Key(digest.Sum(nil))
+}
+
+// String returns the key in hexadecimal.
+func (key Key) String() string { return hex.EncodeToString(key[:]) }
+
 // State is where a record stands.
-type State string
+type State uint8
 
 // The states of a record.
 const (
 	// Running: its request has the right to run and may have run.
-	Running State = "running"
-	// Ended: the answer is kept in the record.
-	Ended State = "ended"
-	// Returned: its request certainly did not run; another may take it.
-	Returned State = "returned"
+	Running State = iota + 1
+	// Ended: its request ran; the answer is kept unless it was too long.
+	Ended
+	// Returned: its request certainly did not run and never will; another
+	// request may take the key.
+	Returned
 )
 
-// Record is what the platform keeps of a key.
+// Record is what is kept of a key.
 type Record struct {
-	Request request.ID `json:"request"`
-	Host    string     `json:"host"`
+	Request request.ID
+	// Host names the entry host and its incarnation.
+	Host string
 	// Body is the hash of the caller's body: the same key with another body
 	// is a mistake of the caller.
-	Body    string    `json:"body"`
-	State   State     `json:"state"`
-	Made    time.Time `json:"made"`
-	Status  int       `json:"status,omitempty"`
-	Type    string    `json:"type,omitempty"`
-	Answer  []byte    `json:"answer,omitempty"`
-	Outcome string    `json:"outcome,omitempty"`
+	Body  [sha256.Size]byte
+	State State
+	Made  time.Time
+	// Status, Type, Answer and Outcome are the answer of an ended request.
+	Status  int
+	Type    string
+	Answer  []byte
+	Outcome request.Outcome
+	// Truncated is set when the answer was too long to keep.
+	Truncated bool
+	// Returned are the last requests that gave the key back.
+	Returned []request.ID
 }
 
 // Claim is the result of asking for the right to run.
@@ -61,113 +94,25 @@
 	Record Record
 }
 
-// Store makes, ends and returns records. Its functions are seams: the
-// platform's client outside tests.
-type Store struct {
-	Get func(ctx context.Context, kind, name string) (platform.Object, error)
-	Put func(ctx context.Context, object platform.Object) (int64, error)
+// Object is a versioned value of the platform. Version 0 means that it does
+// not exist.
+type Object struct {
+	Name    string
+	Version int64
+	Value   []byte
 }
 
-const recordKind = "record"
-
-// Key names the record of a workspace's idempotency key for a service.
-func Key(workspace, service, key string) string {
-	digest := sha256.New()
-	for _, part := range []string{workspace, service, key} {
-		// A hash's Write never fails.
-		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
-	}
-	return hex.EncodeToString(digest.Sum(nil))
-}
-
-// Claim asks for the right to run. On an error of type Unavailable the
-// request must not run.
-func (store *Store) Claim(ctx context.Context, key string, record Record) (Claim, error) {
-	object, err := store.Get(ctx, recordKind, key)
-	switch {
-	case err == nil:
-		return store.retake(ctx, object, record)
-	case platform.Is(err, platform.NotFound):
-		return store.write(ctx, platform.Object{Kind: recordKind, Name: key}, record)
-	default:
-		return Claim{}, Unavailable.Wrap(err, "read the record")
+// Is reports whether an error, however wrapped with %w, is of one of the
+// types.
+func Is(err error, types ...*errorx.Type) bool {
+	var typed *errorx.Error
+	if !errors.As(err, &typed) {
+		return false
 	}
-}
-
-// End keeps the answer of a request that ran.
-func (store *Store) End(ctx context.Context, key string, record Record) error {
-	return store.change(ctx, key, record)
-}
-
-// Return gives the record of a request that did not run back.
-func (store *Store) Return(ctx context.Context, key string, record Record) error {
-	record.State = Returned
-	return store.change(ctx, key, record)
-}
-
-func (store *Store) retake(ctx context.Context, object platform.Object, record Record) (Claim, error) {
-	present, err := decode(object)
-	if err != nil {
-		return Claim{}, err
-	}
-	if present.Body != record.Body || present.State != Returned {
-		return Claim{Record: present}, nil
-	}
-	return store.write(ctx, object, record)
-}
-
-// write puts the record on condition and, when the answer is lost or the
-// condition fails, reads back who holds it.
-func (store *Store) write(ctx context.Context, object platform.Object, record Record) (Claim, error) {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return Claim{}, Unavailable.Wrap(err, "encode the record")
-	}
-	object.Value = value
-	_, err = store.Put(ctx, object)
-	if err == nil {
-		return Claim{Mine: true, Record: record}, nil
-	}
-	if !platform.Is(err, platform.Lost, platform.Conflict) {
-		return Claim{}, Unavailable.Wrap(err, "write the record")
-	}
-	back, err := store.Get(ctx, object.Kind, object.Name)
-	if err != nil {
-		return Claim{}, Unavailable.Wrap(err, "read the record back")
-	}
-	present, err := decode(back)
-	if err != nil {
-		return Claim{}, err
-	}
-	return Claim{Mine: present.Request == record.Request, Record: present}, nil
-}
-
-func (store *Store) change(ctx context.Context, key string, record Record) error {
-	object, err := store.Get(ctx, recordKind, key)
-	if err != nil {
-		return fmt.Errorf("read the record: %w", err)
-	}
-	present, err := decode(object)
-	if err != nil {
-		return err
-	}
-	if present.Request != record.Request {
-		return Unavailable.New("the record is of request %s", present.Request)
-	}
-	object.Value, err = json.Marshal(record)
-	if err != nil {
-		return fmt.Errorf("encode the record: %w", err)
-	}
-	if _, err := store.Put(ctx, object); err != nil {
-		return fmt.Errorf("write the record: %w", err)
-	}
-	return nil
-}
-
-func decode(object platform.Object) (Record, error) {
-	var record Record
-	if err := json.Unmarshal(object.Value, &record); err != nil {
-		return record, Unavailable.Wrap(err, "read the record")
+	for _, kind := range types {
+		if typed.IsOfType(kind) {
+			return true
+		}
 	}
-	return record, nil
+	return false
 }
--- a/peer/members.go
+++ b/peer/members.go
@@ -66,11 +66,20 @@
 // hashing over the hosts that are not leaving: when a host comes or goes only
 // its own keys move.
 func (view *View) Responsible(zone, key string) (Host, bool) {
+	return view.responsible(key, func(host *Host) bool { return host.Zone == zone })
+}
+
+// ResponsibleOverall is Responsible over the hosts of all zones.
+func (view *View) ResponsibleOverall(key string) (Host, bool) {
+	return view.responsible(key, func(*Host) bool { return true })
+}
+
+func (view *View) responsible(key string, eligible func(*Host) bool) (Host, bool) {
 	var best Host
 	var highest uint64
 	found := false
 	for _, host := range view.Hosts {
-		if host.Zone != zone || host.Leaving {
+		if host.Leaving || !eligible(&host) {
 			continue
 		}
 		score := score(host.ID, key)
--- /dev/null
+++ b/record/part.go
@@ -0,0 +1,59 @@
+package record
+
+import (
+	"time"
+
+	"nutmegfield.example/kernel"
+	"nutmegfield.example/once"
+	"nutmegfield.example/peer"
+	"nutmegfield.example/platform"
+	"nutmegfield.example/profile"
+)
+
+// defaultRetention holds before there is a configuration.
+const defaultRetention = 24 * time.Hour
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "records", Rank: kernel.RankRecords, New: newPart})
+}
+
+func newPart(host *kernel.Host) (*kernel.Part, error) {
+	client, err := kernel.Need[platform.Client](host)
+	if err != nil {
+		return nil, err
+	}
+	profiles, err := kernel.Need[profile.Store](host)
+	if err != nil {
+		return nil, err
+	}
+	links, err := kernel.Need[peer.Links](host)
+	if err != nil {
+		return nil, err
+	}
+	store := newStore(&objects{client: client}, func() time.Duration {
+		if snapshot := profiles.Current(); snapshot != nil {
+			return snapshot.Configuration.Limits.RecordRetention
+		}
+		return defaultRetention
+	})
+	keeper := &Keeper{Members: links.Members, Store: store, Send: links.Send}
+	store.Remote = keeper.Remote
+	links.Receive(keeper.Receive)
+	kernel.Provide(host, store)
+	return &kernel.Part{}, nil
+}
+
+func newStore(objects *objects, retention func() time.Duration) *once.Store {
+	store := &once.Store{}
+	for index := range once.Ranges {
+		store.Ranges = append(store.Ranges, &once.Range{
+			Name:      once.RangeName(index),
+			Read:      objects.read,
+			Write:     objects.write,
+			Remove:    objects.remove,
+			Retention: retention,
+			Window:    once.GroupWindow,
+		})
+	}
+	return store
+}
