--- a/once/fake_test.go
+++ b/once/fake_test.go
@@ -28,10 +28,11 @@
 	reads, writes, bytes int
 }
 
-func (objects *objects) chance(share float64) bool {
+// chance draws against a share that heal may change.
+func (objects *objects) chance(share *float64) bool {
 	objects.mutex.Lock()
 	defer objects.mutex.Unlock()
-	return objects.random.Float64() < share
+	return objects.random.Float64() < *share
 }
 
 func (objects *objects) pause(most time.Duration) {
@@ -53,7 +54,7 @@
 
 func (objects *objects) read(_ context.Context, name string) (once.Object, error) {
 	objects.pause(objects.delay)
-	if objects.chance(objects.fail) {
+	if objects.chance(&objects.fail) {
 		return once.Object{}, once.Unavailable.New("down")
 	}
 	objects.mutex.Lock()
@@ -68,11 +69,12 @@
 
 func (objects *objects) write(_ context.Context, object once.Object) (int64, error) {
 	objects.pause(objects.delay)
-	if objects.chance(objects.fail) {
+	if objects.chance(&objects.fail) {
 		return 0, once.Unavailable.New("down")
 	}
-	if objects.chance(objects.lose) {
-		if objects.chance(0.5) {
+	if objects.chance(&objects.lose) {
+		half := 0.5
+		if objects.chance(&half) {
 			go func() {
 				objects.pause(objects.late)
 				_, _ = objects.put(object)
