--- a/trial/world_test.go
+++ b/trial/world_test.go
@@ -211,7 +211,7 @@
 func (world *world) alive(id string) bool { return world.hosts[id].stop != nil }
 
 // addTarget starts a stand-in server.
-func (world *world) addTarget(name, protocol string, zone, number int) *target {
+func (world *world) addTarget(name, protocol string, zone, number int) {
 	made := &target{
 		name: name, zone: string(rune('a' + zone)), protocol: protocol,
 		place: fmt.Sprintf("10.%d.1.%d", zone+1, number+1),
@@ -229,7 +229,6 @@
 	}
 	made.server = world.serve(made.place+":8000", handler)
 	world.targets[name] = made
-	return made
 }
 
 // control calls a switch of a stand-in.
