timeline: merge the events of all hosts into one order

Operators need one time line over all processes. Written as text, JSON lines, or a picture with a row a host.

--- /dev/null
+++ b/command/timeline.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"nutmegfield.example/picture"
+	"nutmegfield.example/timeline"
+)
+
+type timelineCommand struct {
+	hostOptions
+	Request string        `long:"request" value-name:"ID" description:"only the events of this request"`
+	Since   time.Duration `long:"since" value-name:"DURATION" default:"10m" description:"how far back to look"`
+	Format  string        `long:"format" choice:"text" choice:"json" choice:"svg" choice:"png" default:"text" description:"how to write the events"`
+	Output  string        `long:"output" value-name:"FILE" description:"write here, not on standard output"`
+}
+
+func init() {
+	Register(Command{
+		Name:  "timeline",
+		Short: "merge the time lines of hosts",
+		Long: "Ask each host for its events and write them in one order, as text, as JSON lines, or as a picture. " +
+			"The exit status is 1 if a host can't be reached; the events of the others are written all the same.",
+		Data: &timelineCommand{},
+	})
+}
+
+// Execute asks the hosts and writes the merged events.
+func (command *timelineCommand) Execute([]string) error {
+	answers, failures := command.ask(context.Background())
+	events := timeline.Merge(answers)
+	if err := command.write(events); err != nil {
+		return fmt.Errorf("timeline: %w", err)
+	}
+	if failures != nil {
+		return fmt.Errorf("timeline: %w", failures)
+	}
+	return nil
+}
+
+func (command *timelineCommand) write(events []timeline.Event) error {
+	if command.Output == "" {
+		return command.format(os.Stdout, events)
+	}
+	file, err := os.Create(command.Output)
+	if err != nil {
+		return fmt.Errorf("create output: %w", err)
+	}
+	if err := command.format(file, events); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("close output: %w", err)
+	}
+	return nil
+}
+
+func (command *timelineCommand) format(writer io.Writer, events []timeline.Event) error {
+	switch command.Format {
+	case "json":
+		return timeline.WriteJSON(writer, events)
+	case "svg", "png":
+		if len(events) == 0 {
+			return NoEvents.New("no events to draw")
+		}
+		return picture.Timeline(writer, events, command.Format)
+	default:
+		return timeline.WriteText(writer, events)
+	}
+}
--- a/operator/part.go
+++ b/operator/part.go
@@ -124,8 +124,24 @@
 	writeJSON(writer, status)
 }
 
-func (operator *Operator) timeline(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, operator.Events.Events())
+// timeline answers with the events that the query asks for: request is an id,
+// since a duration before now.
+func (operator *Operator) timeline(writer http.ResponseWriter, asked *http.Request) {
+	now := time.Now()
+	selection := timeline.Selection{Request: asked.FormValue("request")}
+	if text := asked.FormValue("since"); text != "" {
+		since, err := time.ParseDuration(text)
+		if err != nil {
+			http.Error(writer, "since is no duration such as 10m", http.StatusBadRequest)
+			return
+		}
+		selection.Since = now.Add(-since)
+	}
+	writeJSON(writer, timeline.Page{
+		Host:   operator.Events.Host,
+		Now:    now,
+		Events: selection.Select(operator.Events.Events()),
+	})
 }
 
 func writeJSON(writer http.ResponseWriter, value any) {
--- /dev/null
+++ b/picture/timeline.go
@@ -0,0 +1,118 @@
+// Package picture draws what operators look at.
+package picture
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"sort"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"nutmegfield.example/timeline"
+)
+
+const (
+	width      = 28 * vg.Centimeter
+	baseHeight = 6 * vg.Centimeter
+	hostHeight = 1.2 * vg.Centimeter
+	// labelled is the most events whose names are written beside them.
+	labelled = 60
+)
+
+// Timeline draws events, a row for each host, in a format such as svg or png.
+func Timeline(writer io.Writer, events []timeline.Event, format string) error {
+	drawn := plot.New()
+	drawn.Title.Text = "time line"
+	drawn.X.Label.Text = "seconds from the first event"
+	rows := rowsOf(events)
+	names := make([]string, len(rows))
+	for host, row := range rows {
+		names[row] = host
+	}
+	drawn.NominalY(names...)
+	if err := addKinds(drawn, events, rows); err != nil {
+		return err
+	}
+	height := baseHeight + vg.Length(len(rows))*hostHeight
+	canvas, err := drawn.WriterTo(width, height, format)
+	if err != nil {
+		return fmt.Errorf("draw time line as %s: %w", format, err)
+	}
+	if _, err := canvas.WriteTo(writer); err != nil {
+		return fmt.Errorf("write picture: %w", err)
+	}
+	return nil
+}
+
+type hostRows map[string]int
+
+func rowsOf(events []timeline.Event) hostRows {
+	rows := hostRows{}
+	var hosts []string
+	for i := range events {
+		if _, ok := rows[events[i].Host]; !ok {
+			rows[events[i].Host] = 0
+			hosts = append(hosts, events[i].Host)
+		}
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(hosts)))
+	for row, host := range hosts {
+		rows[host] = row
+	}
+	return rows
+}
+
+// addKinds draws the events of each kind in a colour of their own.
+func addKinds(drawn *plot.Plot, events []timeline.Event, rows hostRows) error {
+	byName := map[string]plotter.XYs{}
+	var names []string
+	for i := range events {
+		event := &events[i]
+		if byName[event.Name] == nil {
+			names = append(names, event.Name)
+		}
+		seconds := event.At.Sub(events[0].At).Seconds()
+		byName[event.Name] = append(byName[event.Name], plotter.XY{X: seconds, Y: float64(rows[event.Host])})
+	}
+	for i, name := range names {
+		scatter, err := plotter.NewScatter(byName[name])
+		if err != nil {
+			return fmt.Errorf("draw %s: %w", name, err)
+		}
+		scatter.GlyphStyle = draw.GlyphStyle{
+			Color:  colourOf(i),
+			Radius: vg.Points(3),
+			Shape:  plotutil.Shape(i),
+		}
+		drawn.Add(scatter)
+		drawn.Legend.Add(name, scatter)
+	}
+	drawn.Legend.Top = true
+	if len(events) <= labelled {
+		return addLabels(drawn, events, rows)
+	}
+	return nil
+}
+
+func addLabels(drawn *plot.Plot, events []timeline.Event, rows hostRows) error {
+	labels := plotter.XYLabels{}
+	for i := range events {
+		event := &events[i]
+		seconds := event.At.Sub(events[0].At).Seconds()
+		labels.XYs = append(labels.XYs, plotter.XY{X: seconds, Y: float64(rows[event.Host]) + 0.1})
+		labels.Labels = append(labels.Labels, fmt.Sprint(event.Number))
+	}
+	made, err := plotter.NewLabels(labels)
+	if err != nil {
+		return fmt.Errorf("draw labels: %w", err)
+	}
+	drawn.Add(made)
+	return nil
+}
+
+func colourOf(i int) color.Color { return plotutil.Color(i) }
