peer: compare tables more often while there is much news

A cold start of 330 hosts took 60 s to be known everywhere, and its news was told for another minute. Whole tables are now asked for each 4 rounds on average while there is more news than fits a datagram, else each 10 (equal tables cost one small datagram), and news is told half as often.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 test:
 	go vet ./...
 	go test -race ./...
+	go test ./peer -run TestMembers -hosts 330
 
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -38,7 +38,11 @@
 	revivalTime = 30 * time.Second
 	// syncRounds is the mean number of intervals between two comparisons of
 	// whole tables.
-	syncRounds = 30
+	syncRounds = 10
+	// busySyncRounds is that while there is more news than busyNews records,
+	// as after a cold start or a cut; whole tables then spread it faster.
+	busySyncRounds = 4
+	busyNews       = 20
 	// askPause is the least time between two questions for a whole table to
 	// known hosts, answerPause that between two tables sent.
 	askPause    = 5 * time.Second
@@ -247,11 +251,18 @@
 		prober.probe(id)
 	}
 	prober.probeDead(now)
-	if rand.N(syncRounds) == 0 {
+	if rand.N(prober.syncRounds()) == 0 {
 		prober.askTable(target, now)
 	}
 }
 
+func (prober *Prober) syncRounds() int {
+	if len(prober.table.news) > busyNews {
+		return busySyncRounds
+	}
+	return syncRounds
+}
+
 // nextTurn goes through all hosts in an order drawn anew each time, so that
 // each one's turn comes within a bounded time.
 func (prober *Prober) nextTurn() string {
--- a/peer/table.go
+++ b/peer/table.go
@@ -67,7 +67,7 @@
 
 // tellings is how often each piece of news is told: enough that by chance
 // none is missed, growing with the logarithm of the hosts as in SWIM.
-func (table *table) tellings() int { return 4 + 2*bits.Len(uint(table.alive)) }
+func (table *table) tellings() int { return 3 + bits.Len(uint(table.alive)) }
 
 // tell returns the news told least often that fit in a datagram.
 func (table *table) tell() []*peerpb.Host {
