--- a/command/serve.go
+++ b/command/serve.go
@@ -20,6 +20,7 @@
 	_ "nutmegfield.example/record"
 	_ "nutmegfield.example/scheduler"
 	"nutmegfield.example/settings"
+	_ "nutmegfield.example/status"
 	_ "nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
@@ -55,6 +56,7 @@
 		},
 	}
 	invariant.Recorder.Store(host.Events)
+	kernel.Provide(host, known())
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
