pool, prefix: order by heaps, adapt slots, isolate suspects, look up holders by hash

Flows, deadlines and victims are heaps now; a pool of more than 32 targets offers the policy the holders of the prompt and the least busy. Slots follow each target's own speed, unreachable targets are backed off from, suspects run alone, a target's own leaving word stands.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -59,26 +59,35 @@
 	Granted func(entry string, grant request.Grant)
 	Refused func(entry string, refusal request.Refusal)
 	// Suspected passes a new suspicion to the other schedulers; nil for none.
+	// It is called with the pool locked.
 	Suspected func(suspect Suspect)
 
 	mutex         sync.Mutex
 	started       time.Time
+	stopped       bool
 	configuration Configuration
 	queue         *queue
-	targets       []*target
-	byName        map[string]*target
-	held          map[request.ID]*holding
-	number        uint64
-	suspects      map[uint64]Suspect
-	candidates    []policy.Candidate
-	open          []*target
-}
+	// targets are the configured ones; byName has those removed with work
+	// still on them too.
+	targets []*target
+	byName  map[string]*target
+	// open holds the targets with room, the least busy first.
+	open     ordered[*target]
+	held     map[request.ID]*holding
+	number   uint64
+	leaving  map[string]time.Time
+	looked   time.Time
+	peak     peak
+	drain    drain
+	suspects suspects
+	alone    alone
+	floors   floors
 
-type target struct {
-	Target
-	running        int
-	pendingPrefill int
-	load           Load
+	candidates []policy.Candidate
+	chosen     []*target
+	aside      []*item
+	holders    []prefix.Holder
+	stamp      uint64
 }
 
 // holding is a grant in use.
@@ -89,8 +98,14 @@
 	at     time.Time
 	// used is true once the entry host has shown that it got the grant.
 	used bool
-	// prefill is what the grant added to pendingPrefill and still counts.
-	prefill int
+	// started is true once the first token was seen.
+	started bool
+	// prefill is what the grant added to pendingPrefill and still counts,
+	// expectedPrefill all that was pending there with it.
+	prefill         int
+	expectedPrefill int
+	// crashed is true once a crash of its target was counted against it.
+	crashed bool
 }
 
 // Start readies the pool; Run calls it.
@@ -104,6 +119,13 @@
 	pool.queue = newQueue()
 	pool.byName = map[string]*target{}
 	pool.held = map[request.ID]*holding{}
+	pool.leaving = map[string]time.Time{}
+	pool.open = ordered[*target]{
+		less:  func(one, other *target) bool { return one.busy < other.busy },
+		place: func(target *target) *int { return &target.place },
+	}
+	// An entry host may still name grants of an earlier run on this host.
+	pool.number = uint64(pool.started.UnixMicro())
 }
 
 // Run does the work that only time brings about, until the context ends.
@@ -121,42 +143,34 @@
 	}
 }
 
-// Tick refuses what is past its deadline, takes unused grants back and
-// schedules.
-func (pool *Pool) Tick() {
+// Stop drops the waiting tickets without a word, as another scheduler is
+// responsible now: the entry hosts send them there. Running work may still be
+// released.
+func (pool *Pool) Stop() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	now := time.Now()
-	for _, ticket := range pool.queue.expired(now) {
-		pool.refuse(ticket, request.ReasonDeadline)
-	}
-	pool.schedule(now)
+	pool.stopped = true
+	pool.queue = newQueue()
+	pool.queue.weights = pool.configuration.Weights
+	pool.alone.waiting = nil
 }
 
-// Configure puts the operators' word on the pool in force.
-func (pool *Pool) Configure(configuration Configuration) {
+// Tick refuses what is past its deadline, gives slots back and schedules.
+func (pool *Pool) Tick() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.configuration = configuration
-	pool.queue.weights = configuration.Weights
-	byName := map[string]*target{}
-	pool.targets = pool.targets[:0]
-	for _, told := range configuration.Targets {
-		known := pool.byName[told.Name]
-		if known == nil {
-			known = &target{}
-		}
-		known.Target = told
-		byName[told.Name] = known
-		pool.targets = append(pool.targets, known)
+	now := time.Now()
+	for ticket := pool.queue.expired(now); ticket != nil; ticket = pool.queue.expired(now) {
+		pool.refuse(ticket, request.ReasonDeadline)
 	}
-	for _, holding := range pool.held {
-		if byName[holding.target.Name] == nil {
-			holding.target.Leaving = true
-		}
+	pool.lookForOverdue(now)
+	for _, target := range pool.targets {
+		target.grow(now)
+		pool.refresh(target, now)
 	}
-	pool.byName = byName
-	pool.schedule(time.Now())
+	pool.queue.forgetIdle(now)
+	pool.refuseUnserved(now)
+	pool.schedule(now)
 }
 
 // Submit takes a ticket, or one sent again.
@@ -164,6 +178,12 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := time.Now()
+	if pool.stopped && ticket.Held == nil {
+		return
+	}
+	if pool.stale(ticket) {
+		return
+	}
 	if ticket.Held != nil {
 		pool.adopt(ticket, now)
 		return
@@ -173,23 +193,77 @@
 			pool.Granted(ticket.Entry, held.grant)
 			return
 		}
-		pool.free(held)
-	}
-	if pool.queue.has(ticket.ID) {
-		pool.queue.remove(ticket.ID)
+		pool.free(held, now)
 	}
-	if pool.queue.len() >= pool.configuration.Waiting && !pool.makeRoom(ticket) {
-		pool.refuse(ticket, request.ReasonShed)
+	pool.queue.remove(ticket.ID)
+	if reason, ok := pool.admissible(ticket, now); !ok {
+		pool.refuse(ticket, reason)
 		return
 	}
 	pool.queue.push(ticket)
+	if pool.suspects.suspected(ticket.Fingerprint, now) {
+		pool.isolate(pool.queue.items[ticket.ID])
+	}
+	pool.makeRoom(ticket, now)
 	pool.schedule(now)
 }
 
+// stale reports whether a newer round of the ticket is known.
+func (pool *Pool) stale(ticket *request.Ticket) bool {
+	if held := pool.held[ticket.ID]; held != nil && held.grant.Round > ticket.Round {
+		return true
+	}
+	waiting := pool.queue.get(ticket.ID)
+	return waiting != nil && waiting.Round > ticket.Round
+}
+
+// admissible reports whether a ticket may wait at all, and if not, why.
+func (pool *Pool) admissible(ticket *request.Ticket, now time.Time) (request.Reason, bool) {
+	if pool.suspects.quarantined(ticket.Fingerprint, now) {
+		return request.ReasonQuarantined, false
+	}
+	if !pool.settling(now) && !pool.served(now) {
+		return request.ReasonNoTarget, false
+	}
+	if pool.late(ticket, now) {
+		return request.ReasonDeadline, false
+	}
+	return "", true
+}
+
+func (pool *Pool) settling(now time.Time) bool { return now.Sub(pool.started) < pool.Settle }
+
+// served reports whether any target may take work sooner or later.
+func (pool *Pool) served(now time.Time) bool {
+	for _, target := range pool.targets {
+		if target.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// late reports whether a ticket would miss its deadline even if it ran at
+// once at the best speed seen.
+func (pool *Pool) late(ticket *request.Ticket, now time.Time) bool {
+	left := ticket.Deadline.Sub(now)
+	if left <= 0 {
+		return true
+	}
+	if pool.peak.fastest(ticket, 0) <= left {
+		return false
+	}
+	return pool.peak.fastest(ticket, pool.mostCached(ticket)) > left
+}
+
 // Cancel withdraws a waiting ticket.
 func (pool *Pool) Cancel(cancel request.Cancel) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	waiting := pool.queue.get(cancel.Ticket)
+	if waiting == nil || waiting.Round > cancel.Round {
+		return
+	}
 	pool.queue.remove(cancel.Ticket)
 }
 
@@ -198,17 +272,49 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	held := pool.held[release.Ticket]
-	if held == nil || held.grant.Number != release.Number {
+	if held == nil || !held.is(release.Number, release.Scheduler) {
 		return
 	}
-	if release.End == request.EndLeaving {
-		held.target.Leaving = true
+	now := time.Now()
+	pool.ended(held, release, now)
+	pool.free(held, now)
+	pool.schedule(now)
+}
+
+// is reports whether a message means this grant. An empty scheduler fits any.
+func (held *holding) is(number uint64, scheduler string) bool {
+	return held.grant.Number == number && (scheduler == "" || scheduler == held.grant.Scheduler)
+}
+
+// ended learns from the end of a grant.
+func (pool *Pool) ended(held *holding, release request.Release, now time.Time) {
+	switch release.End {
+	case request.EndLeaving:
+		pool.tell(held.target.Name, true, now)
+	case request.EndUnreachable:
+		held.target.fail(now)
+	case request.EndBroken:
+		held.target.fail(now)
+		pool.crash(held, now)
+	case request.EndDone:
+		held.target.answered()
+		pool.suspects.clear(held.ticket.Fingerprint, now, pool.Suspected)
+		pool.drain.ended(now)
+		pool.queue.correct(held.ticket, work(release.Usage.PromptTokens, release.Usage.OutputTokens))
+		pool.learn(held, release, now)
+		if pool.Prefixes != nil {
+			pool.Prefixes.Missed(held.target.Name, held.grant.CachedTokens, release.Usage.CachedTokens)
+			pool.Prefixes.Answered(held.target.Name, held.ticket.Prefixes, release.Usage.CachedTokens)
+		}
+	case request.EndFailed:
+		held.target.answered()
+		pool.drain.ended(now)
+	case request.EndUnused, request.EndCancelled:
 	}
-	if pool.Prefixes != nil && release.End == request.EndDone {
-		pool.Prefixes.Answered(release.Target, held.ticket.Prefixes, release.Usage.CachedTokens)
+	if release.End == request.EndUnused || release.End == request.EndUnreachable || release.End == request.EndLeaving {
+		// Nothing ran: the workspace gets its share back.
+		pool.queue.correct(held.ticket, 0)
 	}
-	pool.free(held)
-	pool.schedule(time.Now())
 }
 
 // Progress learns of the first token of a running request.
@@ -216,12 +322,20 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	held := pool.held[progress.Ticket]
-	if held == nil || held.grant.Number != progress.Number {
+	if held == nil || !held.is(progress.Number, "") {
 		return
 	}
+	now := time.Now()
 	held.used = true
+	if !held.started {
+		held.started = true
+		held.target.answered()
+		pool.learnFirst(held, progress.FirstToken, now)
+	}
 	held.target.pendingPrefill -= held.prefill
 	held.prefill = 0
+	pool.refresh(held.target, now)
+	pool.schedule(now)
 }
 
 // Observe takes a target's load report.
@@ -233,16 +347,6 @@
 	}
 }
 
-// Leave marks a target as leaving, or as back.
-func (pool *Pool) Leave(name string, leaving bool) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	if known := pool.byName[name]; known != nil {
-		known.Leaving = leaving
-	}
-	pool.schedule(time.Now())
-}
-
 // Waiting returns the number of waiting tickets.
 func (pool *Pool) Waiting() int {
 	pool.mutex.Lock()
@@ -250,24 +354,17 @@
 	return pool.queue.len()
 }
 
-// adopt takes over a grant of an earlier scheduler.
-func (pool *Pool) adopt(ticket *request.Ticket, now time.Time) {
-	if pool.held[ticket.ID] != nil {
-		return
-	}
-	pool.queue.remove(ticket.ID)
-	known := pool.byName[ticket.Held.Target]
-	if known == nil {
-		known = &target{Target: Target{Name: ticket.Held.Target, Leaving: true}}
-	}
-	known.running++
-	pool.held[ticket.ID] = &holding{ticket: ticket, grant: *ticket.Held, target: known, at: now, used: true}
-}
-
-func (pool *Pool) free(held *holding) {
-	held.target.running--
-	held.target.pendingPrefill -= held.prefill
+func (pool *Pool) free(held *holding, now time.Time) {
+	known := held.target
+	known.running--
+	known.pendingPrefill -= held.prefill
+	held.prefill = 0
 	delete(pool.held, held.ticket.ID)
+	if known.removed && known.running == 0 {
+		delete(pool.byName, known.Name)
+	}
+	pool.aloneEnded(held, now)
+	pool.refresh(known, now)
 }
 
 func (pool *Pool) refuse(ticket *request.Ticket, reason request.Reason) {
@@ -276,6 +373,6 @@
 		Round:      ticket.Round,
 		Pool:       pool.Name,
 		Reason:     reason,
-		RetryAfter: pool.retryAfter(),
+		RetryAfter: pool.retryAfter(ticket, reason),
 	})
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -7,154 +7,337 @@
 	"nutmegfield.example/request"
 )
 
+// idleTier is how long a tier must be empty before its flows are forgotten.
+const idleTier = 10 * time.Second
+
 // queue orders waiting tickets: tier first, inside a tier weighted fair
-// between workspaces, inside a workspace the earliest deadline.
+// between workspaces, inside a workspace the earliest deadline. Each step is
+// logarithmic in what waits.
+//
+// Fairness is start-time fair queueing (Goyal, Vin and Cheng, 1996) on the
+// estimated cost, corrected once the real one is known.
 type queue struct {
 	weights map[string]int
 	tiers   []*tierQueue
 	items   map[request.ID]*item
+	expiry  ordered[*item]
 }
 
 type tierQueue struct {
 	workspaces map[string]*flow
+	// turns holds the flows with a ticket to grant, the next one first.
+	turns ordered[*flow]
+	// victims holds the flows with sheddable tickets, the largest first.
+	victims ordered[*flow]
+	// idle holds the flows without tickets that used more than their share.
+	idle ordered[*flow]
 	// virtual is the virtual time of start-time fair queueing.
 	virtual float64
 	length  int
+	emptyAt time.Time
 }
 
 // flow is the waiting work of one workspace in one tier.
 type flow struct {
-	items  itemHeap
-	finish float64
+	workspace string
+	weight    float64
+	// ready holds the tickets to grant, the earliest deadline first.
+	ready ordered[*item]
+	// sheddable holds the tickets to shed, the latest deadline first.
+	sheddable ordered[*item]
+	// backlog is the cost of the sheddable tickets.
+	backlog float64
+	start   float64
+	length  int
+
+	turnPlace, victimPlace, idlePlace int
 }
 
 type item struct {
 	ticket *request.Ticket
 	flow   *flow
-	index  int
+	cost   float64
+
+	readyPlace, shedPlace, expiryPlace int
+}
+
+func newQueue() *queue {
+	return &queue{
+		items: map[request.ID]*item{},
+		expiry: ordered[*item]{
+			less:  func(one, other *item) bool { return earlier(one.ticket, other.ticket) },
+			place: func(item *item) *int { return &item.expiryPlace },
+		},
+	}
+}
+
+func newTier() *tierQueue {
+	return &tierQueue{
+		workspaces: map[string]*flow{},
+		turns: ordered[*flow]{
+			less:  before,
+			place: func(flow *flow) *int { return &flow.turnPlace },
+		},
+		victims: ordered[*flow]{
+			less:  losesLess,
+			place: func(flow *flow) *int { return &flow.victimPlace },
+		},
+		idle: ordered[*flow]{
+			less:  func(one, other *flow) bool { return one.start < other.start },
+			place: func(flow *flow) *int { return &flow.idlePlace },
+		},
+	}
 }
 
-func newQueue() *queue { return &queue{items: map[request.ID]*item{}} }
+func newFlow(workspace string, weight int) *flow {
+	return &flow{
+		workspace: workspace,
+		weight:    float64(max(1, weight)),
+		ready: ordered[*item]{
+			less:  func(one, other *item) bool { return earlier(one.ticket, other.ticket) },
+			place: func(item *item) *int { return &item.readyPlace },
+		},
+		sheddable: ordered[*item]{
+			less:  func(one, other *item) bool { return earlier(other.ticket, one.ticket) },
+			place: func(item *item) *int { return &item.shedPlace },
+		},
+		turnPlace: absent, victimPlace: absent, idlePlace: absent,
+	}
+}
 
 func (queue *queue) len() int { return len(queue.items) }
 
-func (queue *queue) has(id request.ID) bool { return queue.items[id] != nil }
+func (queue *queue) get(id request.ID) *request.Ticket {
+	if found := queue.items[id]; found != nil {
+		return found.ticket
+	}
+	return nil
+}
 
-func (queue *queue) push(ticket *request.Ticket) {
-	for len(queue.tiers) <= int(ticket.Tier) {
-		queue.tiers = append(queue.tiers, &tierQueue{workspaces: map[string]*flow{}})
+func (queue *queue) tier(number request.Tier) *tierQueue {
+	for len(queue.tiers) <= int(number) {
+		queue.tiers = append(queue.tiers, newTier())
+	}
+	return queue.tiers[number]
+}
+
+func (queue *queue) flow(tier *tierQueue, workspace string) *flow {
+	found := tier.workspaces[workspace]
+	if found == nil {
+		found = newFlow(workspace, queue.weights[workspace])
+		found.start = tier.virtual
+		tier.workspaces[workspace] = found
 	}
-	tier := queue.tiers[ticket.Tier]
-	waiting := tier.workspaces[ticket.Workspace]
-	if waiting == nil {
-		waiting = &flow{}
-		tier.workspaces[ticket.Workspace] = waiting
+	return found
+}
+
+func (queue *queue) push(ticket *request.Ticket) {
+	tier := queue.tier(ticket.Tier)
+	flow := queue.flow(tier, ticket.Workspace)
+	if flow.length == 0 {
+		flow.start = max(flow.start, tier.virtual)
 	}
-	if len(waiting.items) == 0 {
-		waiting.finish = max(waiting.finish, tier.virtual)
+	added := &item{
+		ticket: ticket, flow: flow, cost: cost(ticket),
+		readyPlace: absent, shedPlace: absent, expiryPlace: absent,
 	}
-	added := &item{ticket: ticket, flow: waiting}
-	heap.Push(&waiting.items, added)
-	tier.length++
 	queue.items[ticket.ID] = added
+	tier.idle.remove(flow)
+	flow.length++
+	tier.length++
+	queue.expiry.fix(added)
+	if ticket.Sheddable {
+		flow.sheddable.fix(added)
+		flow.backlog += added.cost
+		tier.victims.fix(flow)
+	}
+	flow.ready.fix(added)
+	tier.turns.fix(flow)
 }
 
-func (queue *queue) remove(id request.ID) {
+// remove takes a ticket out and reports whether it was there.
+func (queue *queue) remove(id request.ID) bool {
 	found := queue.items[id]
 	if found == nil {
-		return
+		return false
+	}
+	tier := queue.tiers[found.ticket.Tier]
+	flow := found.flow
+	queue.setAside(found)
+	queue.expiry.remove(found)
+	if found.ticket.Sheddable {
+		flow.sheddable.remove(found)
+		flow.backlog -= found.cost
+		tier.settleVictim(flow)
 	}
-	heap.Remove(&found.flow.items, found.index)
-	queue.tiers[found.ticket.Tier].length--
 	delete(queue.items, id)
+	flow.length--
+	tier.length--
+	if flow.length == 0 {
+		tier.retire(flow)
+	}
+	if tier.length == 0 {
+		tier.emptyAt = time.Now()
+	}
+	return true
+}
+
+// setAside takes a ticket out of the turns; it goes on waiting.
+func (queue *queue) setAside(found *item) {
+	tier := queue.tiers[found.ticket.Tier]
+	found.flow.ready.remove(found)
+	if found.flow.ready.len() == 0 {
+		tier.turns.remove(found.flow)
+		return
+	}
+	tier.turns.fix(found.flow)
+}
+
+// putBack undoes setAside.
+func (queue *queue) putBack(found *item) {
+	found.flow.ready.fix(found)
+	queue.tiers[found.ticket.Tier].turns.fix(found.flow)
 }
 
 // next returns the ticket whose turn it is, without taking it; nil if none
 // waits.
-func (queue *queue) next() *request.Ticket {
+func (queue *queue) next() *item {
 	for _, tier := range queue.tiers {
-		if tier.length > 0 {
-			return tier.next()
+		if tier.turns.len() > 0 {
+			return tier.turns.first().ready.first()
 		}
 	}
 	return nil
 }
 
-func (tier *tierQueue) next() *request.Ticket {
-	var best *flow
-	for _, waiting := range tier.workspaces {
-		if len(waiting.items) == 0 {
-			continue
-		}
-		if best == nil || before(waiting, best) {
-			best = waiting
-		}
+// take removes a ticket that gets a grant and charges its workspace.
+func (queue *queue) take(found *item) {
+	tier := queue.tiers[found.ticket.Tier]
+	flow := found.flow
+	tier.virtual = max(tier.virtual, flow.start)
+	flow.start += found.cost / flow.weight
+	queue.remove(found.ticket.ID)
+	if flow.turnPlace != absent {
+		tier.turns.fix(flow)
 	}
-	return best.items[0].ticket
+	tier.forgetIdle()
 }
 
-func before(one, other *flow) bool {
-	if one.finish != other.finish {
-		return one.finish < other.finish
+// correct charges a workspace the difference between the real cost of a
+// ticket and the estimate it was charged.
+func (queue *queue) correct(ticket *request.Ticket, real float64) {
+	difference := real - cost(ticket)
+	tier := queue.tier(ticket.Tier)
+	if difference == 0 || (difference < 0 && tier.workspaces[ticket.Workspace] == nil) {
+		return
+	}
+	flow := queue.flow(tier, ticket.Workspace)
+	flow.start = max(tier.virtual, flow.start+difference/flow.weight)
+	if flow.turnPlace != absent {
+		tier.turns.fix(flow)
+	}
+	if flow.length == 0 {
+		tier.retire(flow)
 	}
-	return earlier(one.items[0].ticket, other.items[0].ticket)
 }
 
-// take removes a ticket that gets a grant and charges its workspace.
-func (queue *queue) take(ticket *request.Ticket) {
-	tier := queue.tiers[ticket.Tier]
-	waiting := tier.workspaces[ticket.Workspace]
-	queue.remove(ticket.ID)
-	tier.virtual = waiting.finish
-	weight := max(1, queue.weights[ticket.Workspace])
-	waiting.finish += cost(ticket) / float64(weight)
+// setWeights puts new weights in force.
+func (queue *queue) setWeights(weights map[string]int) {
+	queue.weights = weights
+	for _, tier := range queue.tiers {
+		for name, flow := range tier.workspaces {
+			flow.weight = float64(max(1, weights[name]))
+		}
+		tier.victims.reorder()
+	}
 }
 
-// cost is what a ticket takes of its workspace's share, in output tokens:
-// decoding takes a slot far longer than prefill does.
-func cost(ticket *request.Ticket) float64 {
-	const promptPerOutput = 20.0
-	return 1 + float64(ticket.Size.OutputTokens) + float64(ticket.Size.PromptTokens)/promptPerOutput
+// forgetIdle drops what long-empty tiers remember.
+func (queue *queue) forgetIdle(now time.Time) {
+	for i, tier := range queue.tiers {
+		if tier.length == 0 && len(tier.workspaces) > 0 && now.Sub(tier.emptyAt) > idleTier {
+			queue.tiers[i] = newTier()
+		}
+	}
 }
 
-// expired removes and returns the tickets whose deadline has passed.
-func (queue *queue) expired(now time.Time) []*request.Ticket {
-	var tickets []*request.Ticket
-	for _, tier := range queue.tiers {
-		for _, waiting := range tier.workspaces {
-			for len(waiting.items) > 0 && !waiting.items[0].ticket.Deadline.After(now) {
-				tickets = append(tickets, waiting.items[0].ticket)
-				queue.remove(waiting.items[0].ticket.ID)
-			}
-		}
+// expired removes and returns a ticket whose deadline has passed, nil if there
+// is none.
+func (queue *queue) expired(now time.Time) *request.Ticket {
+	if queue.expiry.len() == 0 {
+		return nil
 	}
-	return tickets
+	ticket := queue.expiry.first().ticket
+	if ticket.Deadline.After(now) {
+		return nil
+	}
+	queue.remove(ticket.ID)
+	return ticket
 }
 
-// lowest returns the sheddable ticket that loses least: of the lowest waiting
-// tier the one with the latest deadline; nil if there is none.
-func (queue *queue) lowest() *request.Ticket {
+// victim returns the sheddable ticket that loses least: of the lowest tier
+// that has one, in the workspace with the largest backlog for its weight, the
+// one with the latest deadline; nil if none may be shed.
+func (queue *queue) victim() *request.Ticket {
 	for i := len(queue.tiers) - 1; i >= 0; i-- {
-		if found := queue.tiers[i].latestSheddable(); found != nil {
-			return found
-		}
-		if queue.tiers[i].length > 0 {
-			return nil
+		if victims := &queue.tiers[i].victims; victims.len() > 0 {
+			return victims.first().sheddable.first().ticket
 		}
 	}
 	return nil
 }
 
-func (tier *tierQueue) latestSheddable() *request.Ticket {
-	var latest *request.Ticket
-	for _, waiting := range tier.workspaces {
-		for _, item := range waiting.items {
-			if item.ticket.Sheddable && (latest == nil || earlier(latest, item.ticket)) {
-				latest = item.ticket
-			}
-		}
+// retire keeps an empty flow only while it has used more than its share.
+func (tier *tierQueue) retire(flow *flow) {
+	if flow.start > tier.virtual {
+		tier.idle.fix(flow)
+		return
+	}
+	tier.idle.remove(flow)
+	delete(tier.workspaces, flow.workspace)
+}
+
+func (tier *tierQueue) forgetIdle() {
+	for tier.idle.len() > 0 && tier.idle.first().start <= tier.virtual {
+		tier.retire(tier.idle.first())
+	}
+}
+
+func (tier *tierQueue) settleVictim(flow *flow) {
+	if flow.sheddable.len() == 0 {
+		tier.victims.remove(flow)
+		flow.backlog = 0
+		return
 	}
-	return latest
+	tier.victims.fix(flow)
+}
+
+func before(one, other *flow) bool {
+	if one.start != other.start {
+		return one.start < other.start
+	}
+	return one.workspace < other.workspace
+}
+
+func losesLess(one, other *flow) bool {
+	mine, others := one.backlog/one.weight, other.backlog/other.weight
+	if mine != others {
+		return mine > others
+	}
+	return one.workspace < other.workspace
+}
+
+// promptPerOutput is how many prompt tokens cost as much as one output token:
+// decoding takes a slot far longer than prefill does.
+const promptPerOutput = 20.0
+
+// cost is what a ticket takes of its workspace's share, in output tokens.
+func cost(ticket *request.Ticket) float64 {
+	return work(ticket.Size.PromptTokens, ticket.Size.OutputTokens)
+}
+
+func work(promptTokens, outputTokens int) float64 {
+	return 1 + float64(outputTokens) + float64(promptTokens)/promptPerOutput
 }
 
 func earlier(one, other *request.Ticket) bool {
@@ -164,29 +347,70 @@
 	return string(one.ID[:]) < string(other.ID[:])
 }
 
-type itemHeap []*item
+// absent is the place of what is in no heap.
+const absent = -1
+
+// ordered is a binary heap whose members know their place in it.
+type ordered[T any] struct {
+	members []T
+	less    func(one, other T) bool
+	place   func(member T) *int
+}
+
+func (ordered *ordered[T]) len() int { return len(ordered.members) }
+
+func (ordered *ordered[T]) first() T { return ordered.members[0] }
 
-func (items itemHeap) Len() int           { return len(items) }
-func (items itemHeap) Less(i, j int) bool { return earlier(items[i].ticket, items[j].ticket) }
+// fix adds a member, or moves it to where it belongs now.
+func (ordered *ordered[T]) fix(member T) {
+	place := *ordered.place(member)
+	if place == absent {
+		heap.Push((*plumbing[T])(ordered), member)
+		return
+	}
+	heap.Fix((*plumbing[T])(ordered), place)
+}
+
+// reorder is for a change of many members.
+func (ordered *ordered[T]) reorder() { heap.Init((*plumbing[T])(ordered)) }
+
+// remove takes a member out, if it is in.
+func (ordered *ordered[T]) remove(member T) {
+	if place := *ordered.place(member); place != absent {
+		heap.Remove((*plumbing[T])(ordered), place)
+	}
+}
+
+// plumbing is ordered as container/heap wants it.
+type plumbing[T any] ordered[T]
+
+func (plumbing *plumbing[T]) Len() int { return len(plumbing.members) }
+
+func (plumbing *plumbing[T]) Less(i, j int) bool {
+	return plumbing.less(plumbing.members[i], plumbing.members[j])
+}
 
-func (items itemHeap) Swap(i, j int) {
-	items[i], items[j] = items[j], items[i]
-	items[i].index = i
-	items[j].index = j
+func (plumbing *plumbing[T]) Swap(i, j int) {
+	members := plumbing.members
+	members[i], members[j] = members[j], members[i]
+	*plumbing.place(members[i]) = i
+	*plumbing.place(members[j]) = j
 }
 
 // Push is for container/heap.
-func (items *itemHeap) Push(added any) {
-	item := added.(*item)
-	item.index = len(*items)
-	*items = append(*items, item)
+func (plumbing *plumbing[T]) Push(added any) {
+	member := added.(T)
+	*plumbing.place(member) = len(plumbing.members)
+	plumbing.members = append(plumbing.members, member)
 }
 
 // Pop is for container/heap.
-func (items *itemHeap) Pop() any {
-	last := len(*items) - 1
-	item := (*items)[last]
-	(*items)[last] = nil
-	*items = (*items)[:last]
-	return item
+func (plumbing *plumbing[T]) Pop() any {
+	last := len(plumbing.members) - 1
+	member := plumbing.members[last]
+	var none T
+	plumbing.members[last] = none
+	plumbing.members = plumbing.members[:last]
+	*plumbing.place(member) = absent
+	return member
 }
--- a/pool/reconcile.go
+++ b/pool/reconcile.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"nutmegfield.example/request"
@@ -10,6 +12,28 @@
 // host's list frees its slot: the grant or the list may still be on its way.
 const reconcileAge = 2 * grantLifetime
 
+// adopt takes over a grant of an earlier scheduler. It goes before a grant of
+// this one that the entry host does not know.
+func (pool *Pool) adopt(ticket *request.Ticket, now time.Time) {
+	if held := pool.held[ticket.ID]; held != nil {
+		if held.is(ticket.Held.Number, ticket.Held.Scheduler) {
+			held.used = true
+			return
+		}
+		pool.free(held, now)
+	}
+	pool.queue.remove(ticket.ID)
+	known := pool.byName[ticket.Held.Target]
+	if known == nil {
+		known = newTarget(Target{Name: ticket.Held.Target})
+		known.removed = true
+		pool.byName[known.Name] = known
+	}
+	known.running++
+	pool.held[ticket.ID] = &holding{ticket: ticket, grant: *ticket.Held, target: known, at: now, used: true}
+	pool.refresh(known, now)
+}
+
 // Reconcile frees the slots of grants that their entry host no longer holds,
 // whose release was lost.
 func (pool *Pool) Reconcile(entry string, numbers []uint64) {
@@ -25,7 +49,7 @@
 			continue
 		}
 		if _, ok := listed[held.grant.Number]; !ok {
-			pool.free(held)
+			pool.free(held, now)
 		}
 	}
 	pool.schedule(now)
@@ -35,8 +59,8 @@
 func (pool *Pool) Resend(entry string) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for _, held := range pool.held {
-		if held.ticket.Entry == entry && !held.used {
+	for _, held := range pool.heldBy(entry) {
+		if !held.used {
 			pool.Granted(entry, held.grant)
 		}
 	}
@@ -47,12 +71,21 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	var grants []request.Grant
+	for _, held := range pool.heldBy(entry) {
+		grants = append(grants, held.grant)
+	}
+	return grants
+}
+
+func (pool *Pool) heldBy(entry string) []*holding {
+	var found []*holding
 	for _, held := range pool.held {
 		if held.ticket.Entry == entry {
-			grants = append(grants, held.grant)
+			found = append(found, held)
 		}
 	}
-	return grants
+	slices.SortFunc(found, func(one, other *holding) int { return cmp.Compare(one.grant.Number, other.grant.Number) })
+	return found
 }
 
 // Forget drops the waiting tickets of an entry host that is gone. Its grants
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -8,32 +8,64 @@
 	"nutmegfield.example/request"
 )
 
+const (
+	// maxCandidates bounds the targets a policy chooses from. Larger pools
+	// offer their least busy ones and those that hold the prompt.
+	maxCandidates = 32
+	// maxHolders is how many of them may be there for what they hold.
+	maxHolders = 12
+	// lookAhead is how many tickets that have to wait though there is room
+	// may be passed over.
+	lookAhead = 16
+)
+
 // schedule grants as long as a ticket waits and a target has room.
 func (pool *Pool) schedule(now time.Time) {
-	if now.Sub(pool.started) < pool.Settle {
+	if pool.settling(now) || pool.stopped {
 		return
 	}
-	for pool.queue.len() > 0 {
-		ticket := pool.queue.next()
+	pool.scheduleAlone(now)
+	for pool.open.len() > 0 && len(pool.aside) < lookAhead {
+		next := pool.queue.next()
+		if next == nil {
+			break
+		}
+		pool.scheduleOne(next, now)
+	}
+	for i, passed := range pool.aside {
+		pool.queue.putBack(passed)
+		pool.aside[i] = nil
+	}
+	pool.aside = pool.aside[:0]
+}
+
+func (pool *Pool) scheduleOne(next *item, now time.Time) {
+	ticket := next.ticket
+	switch {
+	case pool.suspects.quarantined(ticket.Fingerprint, now):
+		pool.queue.remove(ticket.ID)
+		pool.refuse(ticket, request.ReasonQuarantined)
+	case pool.suspects.suspected(ticket.Fingerprint, now):
+		pool.isolate(next)
+		pool.scheduleAlone(now)
+	case pool.late(ticket, now):
+		pool.queue.remove(ticket.ID)
+		pool.refuse(ticket, request.ReasonDeadline)
+	default:
 		chosen := pool.choose(ticket)
 		if chosen == nil {
+			pool.queue.setAside(next)
+			pool.aside = append(pool.aside, next)
 			return
 		}
-		pool.queue.take(ticket)
+		pool.queue.take(next)
 		pool.grant(ticket, chosen, now)
 	}
 }
 
+// choose asks the policy; nil if the ticket should wait.
 func (pool *Pool) choose(ticket *request.Ticket) *target {
-	pool.candidates = pool.candidates[:0]
-	pool.open = pool.open[:0]
-	for _, target := range pool.targets {
-		if target.Leaving || target.running >= target.Slots {
-			continue
-		}
-		pool.open = append(pool.open, target)
-		pool.candidates = append(pool.candidates, pool.candidate(ticket, target))
-	}
+	pool.gather(ticket)
 	if len(pool.candidates) == 0 {
 		return nil
 	}
@@ -41,37 +73,106 @@
 	if choice == policy.Wait {
 		return nil
 	}
-	return pool.open[choice]
+	return pool.chosen[choice]
 }
 
-func (pool *Pool) candidate(ticket *request.Ticket, target *target) policy.Candidate {
-	return policy.Candidate{
+// gather fills the candidates: all targets with room of a small pool, in their
+// configured order; else some that hold the prompt and the least busy.
+func (pool *Pool) gather(ticket *request.Ticket) {
+	pool.candidates = pool.candidates[:0]
+	pool.chosen = pool.chosen[:0]
+	pool.stamp++
+	pool.lookUp(ticket)
+	if len(pool.targets) <= maxCandidates {
+		for _, target := range pool.targets {
+			if target.place != absent {
+				pool.add(target)
+			}
+		}
+		return
+	}
+	for i := range pool.holders {
+		if len(pool.candidates) == maxHolders {
+			break
+		}
+		known := pool.byName[pool.holders[i].Target]
+		if known != nil && known.place != absent {
+			pool.add(known)
+		}
+	}
+	for i := 0; i < pool.open.len() && len(pool.candidates) < maxCandidates; i++ {
+		if known := pool.open.members[i]; known.stamp != pool.stamp || !known.added {
+			pool.add(known)
+		}
+	}
+}
+
+// lookUp finds out what the targets hold of a prompt.
+func (pool *Pool) lookUp(ticket *request.Ticket) {
+	pool.holders = pool.holders[:0]
+	if pool.Prefixes == nil || len(ticket.Prefixes) == 0 {
+		return
+	}
+	pool.holders = pool.Prefixes.Holders(ticket.Prefixes, pool.holders)
+	for i := range pool.holders {
+		if known := pool.byName[pool.holders[i].Target]; known != nil {
+			known.stamp = pool.stamp
+			known.added = false
+			known.cached = pool.holders[i].Tokens
+		}
+	}
+}
+
+// mostCached is the most that any target holds of a prompt, in tokens.
+func (pool *Pool) mostCached(ticket *request.Ticket) int {
+	pool.stamp++
+	pool.lookUp(ticket)
+	if len(pool.holders) == 0 {
+		return 0
+	}
+	return pool.holders[0].Tokens
+}
+
+func (pool *Pool) add(target *target) {
+	if target.stamp != pool.stamp {
+		target.stamp = pool.stamp
+		target.cached = 0
+	}
+	target.added = true
+	pool.chosen = append(pool.chosen, target)
+	pool.candidates = append(pool.candidates, policy.Candidate{
 		Name:           target.Name,
-		Slots:          target.Slots,
+		Slots:          target.slots,
 		Running:        target.running,
-		CachedTokens:   pool.cached(target, ticket),
+		CachedTokens:   target.cached,
+		PrefillRate:    target.speed.prefill.rate(),
+		DecodeRate:     target.speed.decode.rate(),
 		PendingPrefill: target.pendingPrefill,
 		Reported:       float64(target.load.Running + target.load.Waiting),
 		ReportedAt:     target.load.At,
-	}
+	})
 }
 
-func (pool *Pool) cached(target *target, ticket *request.Ticket) int {
-	if pool.Prefixes == nil || len(ticket.Prefixes) == 0 {
-		return 0
+// refresh puts a target where it belongs among those with room.
+func (pool *Pool) refresh(target *target, now time.Time) {
+	target.slots = target.capacity(now)
+	target.busy = target.busyness()
+	if target.running >= target.slots {
+		pool.open.remove(target)
+		return
 	}
-	return pool.Prefixes.Cached(target.Name, ticket.Prefixes)
+	pool.open.fix(target)
 }
 
 func (pool *Pool) grant(ticket *request.Ticket, chosen *target, now time.Time) {
-	invariant.LeavingTargetIdle.Check(!chosen.Leaving, "grant to %s", chosen.Name)
-	cached := pool.cached(chosen, ticket)
+	left, leaving := pool.leaving[chosen.Name]
+	invariant.LeavingTargetIdle.Check(!leaving, "grant to %s, said to leave at %s", chosen.Name, left)
 	pool.number++
 	held := &holding{
 		ticket:  ticket,
 		target:  chosen,
 		at:      now,
-		prefill: max(0, ticket.Size.PromptTokens-cached),
+		prefill: max(0, ticket.Size.PromptTokens-chosen.cached),
 		grant: request.Grant{
 			Ticket:       ticket.ID,
 			Round:        ticket.Round,
@@ -79,7 +180,7 @@
 			Target:       chosen.Name,
 			Scheduler:    pool.Host,
 			Number:       pool.number,
-			CachedTokens: cached,
+			CachedTokens: chosen.cached,
 			Lifetime:     grantLifetime,
 		},
 	}
@@ -88,6 +189,8 @@
 	}
 	chosen.running++
 	chosen.pendingPrefill += held.prefill
+	held.expectedPrefill = chosen.pendingPrefill
 	pool.held[ticket.ID] = held
+	pool.refresh(chosen, now)
 	pool.Granted(ticket.Entry, held.grant)
 }
--- /dev/null
+++ b/pool/target.go
@@ -0,0 +1,175 @@
+package pool
+
+import "time"
+
+const (
+	// slowTolerance is how much slower than its own best a target may be
+	// before it gets fewer slots; a full batch alone makes it slower too.
+	slowTolerance = 3.0
+	// shrinkPause is the least time between two cuts of a target's slots.
+	shrinkPause = 400 * time.Millisecond
+	// growPause is how long after a cut slots come back one by one.
+	growPause = time.Second
+	// overduePause is the interval of the look at what runs too long.
+	overduePause = 500 * time.Millisecond
+	// overdueGrace is added to each expectation before it counts as missed.
+	overdueGrace = 300 * time.Millisecond
+	// rateWeight is the weight of a new sample in a mean.
+	rateWeight = 0.3
+	// bestDrift is how far a slower sample moves the best one, so that a
+	// target that stays slow is measured against its new self in the end.
+	bestDrift = 0.005
+	// minPrefillTokens and minDecodeTokens bound the samples worth keeping.
+	minPrefillTokens = 64
+	minDecodeTokens  = 8
+
+	// firstBackOff doubles with each failure in a row up to maxBackOff.
+	firstBackOff = 250 * time.Millisecond
+	maxBackOff   = 30 * time.Second
+	// failuresAbsent is how many failures in a row make a target count as
+	// none while it is backed off from.
+	failuresAbsent = 3
+)
+
+// target is what the scheduler knows of one target.
+type target struct {
+	Target
+	// told is the target's own word that it leaves, or the platform's.
+	told    bool
+	removed bool
+	// reserved stops new grants, so that a suspect can run alone.
+	reserved       bool
+	running        int
+	pendingPrefill int
+	load           Load
+	speed          speed
+	limit          float64
+	shrunk         time.Time
+	grown          time.Time
+	failures       int
+	backedOffUntil time.Time
+	// slots and busy are what refresh last found, place is that among the
+	// targets with room.
+	slots int
+	busy  float64
+	place int
+	// cached holds for the ticket that stamp counts; added, that the target
+	// is among its candidates.
+	cached int
+	stamp  uint64
+	added  bool
+}
+
+func newTarget(told Target) *target {
+	return &target{Target: told, limit: float64(told.Slots), place: absent}
+}
+
+// speed is what was seen of a target's speed. The times are seconds.
+type speed struct {
+	prefill sample
+	decode  sample
+	whole   sample
+}
+
+// sample is a mean and a recent best of a time in seconds.
+type sample struct {
+	mean float64
+	best float64
+}
+
+// add learns a time and returns how many times slower than the best the mean
+// is.
+func (sample *sample) add(value float64) float64 {
+	if value <= 0 {
+		return 1
+	}
+	if sample.best == 0 {
+		sample.mean = value
+		sample.best = value
+		return 1
+	}
+	sample.mean += rateWeight * (value - sample.mean)
+	slowness := sample.mean / sample.best
+	sample.best = min(value, sample.best+bestDrift*(value-sample.best))
+	return slowness
+}
+
+// rate turns a time for one token into tokens a second, 0 if not seen.
+func (sample *sample) rate() float64 {
+	if sample.mean == 0 {
+		return 0
+	}
+	return 1 / sample.mean
+}
+
+// capacity is how many requests the target may run now.
+func (target *target) capacity(now time.Time) int {
+	if target.Leaving || target.told || target.removed || target.reserved || target.Slots <= 0 {
+		return 0
+	}
+	if target.failures == 0 {
+		return min(target.Slots, max(1, int(target.limit)))
+	}
+	if now.Before(target.backedOffUntil) {
+		return 0
+	}
+	return 1
+}
+
+// usable reports whether the target counts as there at all.
+func (target *target) usable(now time.Time) bool {
+	if target.Leaving || target.told || target.removed || target.Slots <= 0 {
+		return false
+	}
+	return target.failures < failuresAbsent || !now.Before(target.backedOffUntil)
+}
+
+// judge changes the slots by how slow a sample was.
+func (target *target) judge(slowness float64, now time.Time) {
+	if slowness <= slowTolerance {
+		if now.Sub(target.shrunk) >= shrinkPause {
+			target.limit = min(float64(target.Slots), target.limit+1)
+		}
+		return
+	}
+	if now.Sub(target.shrunk) < shrinkPause {
+		return
+	}
+	target.shrunk = now
+	target.grown = now
+	target.limit = max(1, target.limit*max(0.5, slowTolerance/slowness))
+}
+
+// grow gives slots back with time when nothing speaks against it, as no
+// sample may come from a target that runs little.
+func (target *target) grow(now time.Time) {
+	if target.limit >= float64(target.Slots) || now.Sub(target.grown) < growPause {
+		return
+	}
+	target.grown = now
+	target.limit = min(float64(target.Slots), target.limit+max(1, float64(target.Slots)/8))
+}
+
+// fail backs off from a target that could not be reached or broke.
+func (target *target) fail(now time.Time) {
+	if now.Before(target.backedOffUntil) {
+		return
+	}
+	target.failures++
+	backOff := maxBackOff
+	if doublings := target.failures - 1; doublings < 7 {
+		backOff = min(maxBackOff, firstBackOff<<doublings)
+	}
+	target.backedOffUntil = now.Add(backOff)
+}
+
+// answered ends the back-off.
+func (target *target) answered() { target.failures = 0 }
+
+// busyness orders targets for large pools: the seconds of prefill that wait,
+// and how full it is for its speed.
+func (target *target) busyness() float64 {
+	prefill := float64(target.pendingPrefill) * target.speed.prefill.mean
+	share := float64(target.running) / float64(max(1, target.Slots))
+	return prefill + share
+}
