--- /dev/null
+++ b/certificate/certificate.go
@@ -0,0 +1,192 @@
+// Package certificate keeps the TLS files of one side of a host and reads
+// them again when they change, so that a renewed certificate needs no
+// restart.
+package certificate
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"nutmegfield.example/settings"
+	"nutmegfield.example/timeline"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("certificate")
+	// BadFile is returned for a file that holds no certificate or key.
+	BadFile = Errors.NewType("badFile")
+)
+
+// Events of this package.
+var (
+	eventLoaded = timeline.Define(timeline.Kind{
+		Number: 110, Name: "certificate loaded", Level: timeline.Info,
+		Meaning: "The TLS files of a side were read, at start or after a change.",
+	})
+	eventKept = timeline.Define(timeline.Kind{
+		Number: 111, Name: "certificate not loaded", Level: timeline.Warn,
+		Meaning: "Changed TLS files could not be read; the earlier ones stay in use.",
+		Action:  "mend the files that the detail names",
+	})
+)
+
+// lookInterval is the least time between two looks at the files.
+const lookInterval = time.Second
+
+// handshakeTimeout bounds the handshake of a dialled connection.
+const handshakeTimeout = 5 * time.Second
+
+// Side is the TLS of one side of a host. Fields are set before use.
+type Side struct {
+	Files  settings.TLS
+	Events *timeline.Recorder
+
+	mutex  sync.Mutex
+	loaded *loaded
+	looked time.Time
+}
+
+// loaded is what the files held when they were read.
+type loaded struct {
+	stamp       [3]fileStamp
+	certificate tls.Certificate
+	authority   *x509.CertPool
+}
+
+// fileStamp tells a changed file.
+type fileStamp struct {
+	changed time.Time
+	size    int64
+}
+
+// Load reads the files for the first time; an error stops the start of a
+// host.
+func (side *Side) Load() error {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	return side.load()
+}
+
+// Listen wraps a listener; it returns it unchanged where TLS is off.
+func (side *Side) Listen(listener net.Listener) (net.Listener, error) {
+	if !side.Files.Enabled() {
+		return listener, nil
+	}
+	if err := side.Load(); err != nil {
+		return nil, fmt.Errorf("load the certificate: %w", err)
+	}
+	return tls.NewListener(listener, &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return side.server(), nil
+		},
+	}), nil
+}
+
+// Dial opens a connection; it is plain where TLS is off.
+func (side *Side) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{}
+	if !side.Files.Enabled() {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	connection, err := (&tls.Dialer{NetDialer: dialer, Config: side.client()}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial with TLS: %w", err)
+	}
+	return connection, nil
+}
+
+func (side *Side) server() *tls.Config {
+	present := side.current()
+	config := &tls.Config{
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"http/1.1"},
+		Certificates: []tls.Certificate{present.certificate},
+	}
+	if present.authority != nil {
+		config.ClientCAs = present.authority
+		config.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return config
+}
+
+// client has no name to verify of its own: the dialer takes the address's.
+func (side *Side) client() *tls.Config {
+	present := side.current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS12,
+		Certificates: []tls.Certificate{present.certificate},
+		RootCAs:      present.authority,
+	}
+}
+
+// current returns what is in use, after a look at the files from time to
+// time. Files that can't be read leave the earlier ones in use.
+func (side *Side) current() *loaded {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	if time.Since(side.looked) < lookInterval {
+		return side.loaded
+	}
+	side.looked = time.Now()
+	if stamp := side.stamp(); side.loaded != nil && stamp == side.loaded.stamp {
+		return side.loaded
+	}
+	if err := side.load(); err != nil {
+		side.Events.Record(eventKept, timeline.Event{Detail: err.Error()})
+	}
+	return side.loaded
+}
+
+func (side *Side) load() error {
+	side.looked = time.Now()
+	// The stamps come first: a change after them is seen at the next look.
+	read := &loaded{stamp: side.stamp()}
+	certificate, err := tls.LoadX509KeyPair(side.Files.Certificate, side.Files.Key)
+	if err != nil {
+		return BadFile.Wrap(err, "read %s and %s", side.Files.Certificate, side.Files.Key)
+	}
+	read.certificate = certificate
+	if side.Files.Authority != "" {
+		read.authority, err = readAuthority(side.Files.Authority)
+		if err != nil {
+			return err
+		}
+	}
+	side.loaded = read
+	side.Events.Record(eventLoaded, timeline.Event{Detail: side.Files.Certificate})
+	return nil
+}
+
+func readAuthority(name string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, BadFile.New("%s holds no certificate", name)
+	}
+	return pool, nil
+}
+
+func (side *Side) stamp() [3]fileStamp {
+	var stamps [3]fileStamp
+	for i, name := range []string{side.Files.Certificate, side.Files.Key, side.Files.Authority} {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = fileStamp{changed: info.ModTime(), size: info.Size()}
+		}
+	}
+	return stamps
+}
--- a/operator/part.go
+++ b/operator/part.go
@@ -18,13 +18,19 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
 )
 
-const readTimeout = 5 * time.Second
+const (
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = time.Minute
+	stopTimeout  = time.Second
+)
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "operators", Rank: kernel.RankOperators, New: newPart})
@@ -64,6 +70,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
+	side := &certificate.Side{Files: host.Settings.Operators.TLS, Events: host.Events}
+	listener, err = side.Listen(listener)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
 	operator := &Operator{
 		TokenHash: host.Settings.Operators.TokenHash,
 		Store:     store,
@@ -75,14 +86,21 @@
 
 func (operator *Operator) serve(listener net.Listener) func(context.Context) error {
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server.ReadHeaderTimeout = readTimeout
 	server.ReadTimeout = readTimeout
+	server.WriteTimeout = writeTimeout
+	server.IdleTimeout = idleTimeout
 	server.HandlePrefix("/", operator.Handler())
 	return func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
-			_ = server.Stop(context.Background())
+			stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			defer cancel()
+			if server.Stop(stopping) != nil {
+				_ = server.Close()
+			}
 		}()
-		if err := server.Start(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Start(context.WithoutCancel(ctx)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve operators: %w", err)
 		}
 		return nil
--- a/peer/part.go
+++ b/peer/part.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/platform"
 )
@@ -23,24 +24,26 @@
 		return nil, err
 	}
 	settings := host.Settings
+	side := &certificate.Side{Files: settings.Peers.TLS, Events: host.Events}
 	listener, err := net.Listen("tcp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	listener, err = side.Listen(listener)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
 	members := &Members{Self: Host{
 		ID:          settings.Host.ID,
 		Zone:        settings.Host.Zone,
 		Address:     settings.Peers.Listen,
 		Incarnation: uint64(time.Now().UnixMicro()),
 	}}
-	dialer := &net.Dialer{}
 	links := &Links{
 		Members:  members,
 		Events:   host.Events,
 		Listener: listener,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
+		Dial:     side.Dial,
 	}
 	kernel.Provide(host, members)
 	kernel.Provide(host, links)
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -4,19 +4,20 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
 )
 
 type checker struct {
-	file   string
+	name   string
 	root   yaml.Node
 	faults []error
 }
 
 func newChecker(file string, text []byte) *checker {
-	checker := &checker{file: file}
+	checker := &checker{name: file}
 	// The text was decoded before; on an error lines are merely unknown.
 	_ = yaml.Unmarshal(text, &checker.root)
 	return checker
@@ -24,7 +25,7 @@
 
 func (checker *checker) fault(key, format string, arguments ...any) {
 	message := fmt.Sprintf(format, arguments...)
-	fault := BadValue.New("%s:%d: %s: %s", checker.file, checker.line(key), key, message)
+	fault := BadValue.New("%s:%d: %s: %s", checker.name, checker.line(key), key, message)
 	checker.faults = append(checker.faults, fault)
 }
 
@@ -35,7 +36,11 @@
 }
 
 func (checker *checker) address(key, value string) {
-	if _, _, err := net.SplitHostPort(value); err != nil {
+	_, port, err := net.SplitHostPort(value)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
 		checker.fault(key, "%q is no address such as 10.0.0.1:8080", value)
 	}
 }
--- a/settings/peers.go
+++ b/settings/peers.go
@@ -9,10 +9,16 @@
 	// Seeds are addresses of hosts to ask first while the platform's list
 	// can't be had.
 	Seeds []string `yaml:"seeds"`
+	// TLS encrypts this side.
+	TLS TLS `yaml:"tls"`
 }
 
 func (peers *Peers) check(checker *checker) {
 	checker.address("peers.listen", peers.Listen)
+	peers.TLS.check(checker, "peers")
+	if peers.TLS.Enabled() && peers.TLS.Authority == "" {
+		checker.fault("peers.tls", "needs an authority: hosts prove themselves to each other")
+	}
 	for i, seed := range peers.Seeds {
 		checker.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,9 @@
 		}
 		return nil, BadFile.Wrap(err, "%s", file)
 	}
+	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return nil, BadFile.New("%s: more than one YAML document", file)
+	}
 	if err := defaults.Set(settings); err != nil {
 		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
 	}
