kernel, command: drain before parts stop, also when one fails

A part that failed ended the context of all parts at once, which cut running answers. Now the failure is noted, the parts drain within drain.limit while all of them go on running, and only then stop. The log of the HTTP transport is silent: the log holds numbered events only.

--- a/command/serve.go
+++ b/command/serve.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/phuslu/log"
 
 	// The parts of a host register themselves.
@@ -54,27 +56,31 @@
 		},
 	}
 	invariant.Recorder.Store(host.Events)
+	// The log holds numbered events only.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
 	running, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	force, cancel := forceAfter(running, loaded.Drain)
+	force, cancel := forceAfter(running)
 	defer cancel()
 	return host.Run(running, force)
 }
 
-// forceAfter returns a context that ends with a second signal, or when the
-// drain limit has passed after the first.
-func forceAfter(running context.Context, drain settings.Drain) (context.Context, context.CancelFunc) {
+// forceAfter returns a context that ends with a second signal after running
+// has ended with the first. The drain limit is the kernel's.
+func forceAfter(running context.Context) (context.Context, context.CancelFunc) {
 	force, cancel := context.WithCancel(context.Background())
 	go func() {
-		<-running.Done()
-		second, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-running.Done():
+		case <-force.Done():
+			return
+		}
+		second, stop := signal.NotifyContext(force, syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		limited, end := context.WithTimeout(second, drain.Limit)
-		defer end()
-		<-limited.Done()
+		<-second.Done()
 		cancel()
 	}()
 	return force, cancel
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -107,31 +107,35 @@
 	return nil
 }
 
-// Run starts every part and waits. When ctx ends it drains the parts, the
-// last first, within what force allows, and stops them.
+// Run starts every part and waits. When ctx ends, or a part fails, it drains
+// the parts, the last first, within what force and the drain limit allow,
+// while all of them go on running. Then it stops them.
 func (host *Host) Run(ctx, force context.Context) error {
-	running, stop := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer stop(nil)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	var group sync.WaitGroup
+	failed := make(chan error, len(host.parts))
 	for _, part := range host.parts {
 		if part.Run == nil {
 			continue
 		}
 		group.Go(func() {
 			if err := part.Run(running); err != nil && running.Err() == nil {
-				stop(fmt.Errorf("run %s: %w", part.Name, err))
+				failed <- fmt.Errorf("run %s: %w", part.Name, err)
 			}
 		})
 	}
-	var drained error
+	var failure error
 	select {
 	case <-ctx.Done():
-		drained = host.drain(force)
-	case <-running.Done():
+	case failure = <-failed:
 	}
-	stop(nil)
+	limited, cancel := context.WithTimeout(force, host.Settings.Drain.Limit)
+	defer cancel()
+	drained := host.drain(limited)
+	stop()
 	group.Wait()
-	return errors.Join(failure(running), drained)
+	return errors.Join(failure, drained)
 }
 
 func (host *Host) drain(force context.Context) error {
@@ -147,11 +151,3 @@
 	}
 	return errors.Join(faults...)
 }
-
-func failure(ctx context.Context) error {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, context.Canceled) {
-		return nil
-	}
-	return cause
-}
