entry: give every caller one true answer, within bounds

Outcomes, as found in review: - a caller that hung up cancelled its payment on the target; a non-idempotent request now runs on once dispatched, and its answer is kept in its record; - a resend heard 'unknown' though the answer was kept; it now gets it, and on the same host waits for the request that still runs; - a record that could not be given back held the notRun answer for up to 5s; it now follows the answer; - a grant refused as stale was reported as an unreachable target; a refusal by a leaving target, a garbled or too long answer as the loss of a target, which would make its request suspect; - a stream that broke left its release without usage, as the abort skipped it; one that breaks before its first event is now answered by a problem; - a grant that could not be used was followed by the next without a pause; - a panic kept the slot and the caller without an answer; - the target of a grant was looked up only in the configuration of the request's arrival. The deadline bounds waiting and dialling; once dispatched the whole answer is given, late.

Bounds: connections (answered and closed above the limit), header and body read time (the read deadline no longer stays armed while an answer streams, which would have read as a hang-up), each write to a caller, the bytes of all bodies together, waiting requests and rate of each workspace with a Retry-After that is spread at random.

Services get their path as it was sent, all end-to-end headers but those of this system and the token; /v1/models lists the model pools. The router that rewrote paths is passed by. The callers' side is tested in-process through function fields, with the clock paused.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -7,22 +7,20 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 )
 
-// passedHeaders are the caller's headers that a target gets.
-var passedHeaders = []string{"Content-Type", "Accept", HeaderIdempotency}
-
 // classify finds the pool, workspace and profile of a request and what they
 // ask of it.
 func (entry *Entry) classify(received *http.Request, poolName, kind string, body []byte) (*job, *Problem) {
 	snapshot := entry.Store.Current()
 	if snapshot == nil {
-		return nil, notRun(request.ReasonNoConfiguration, retryNoConfiguration)
+		return nil, notRun(request.ReasonNoConfiguration, spread(retryNoConfiguration))
+	}
+	if problem := checkSingle(received.Header); problem != nil {
+		return nil, problem
 	}
 	pool := snapshot.Pool(poolName)
 	if pool == nil || pool.Kind != kind {
@@ -42,22 +40,15 @@
 		return nil, problem
 	}
 	classified := &job{
-		id:          request.NewID(),
-		snapshot:    snapshot,
-		pool:        pool,
-		profile:     used,
-		workspace:   workspace,
-		arrived:     now,
-		deadline:    now.Add(timeout),
-		fingerprint: xxhash.Sum64(body),
-		method:      received.Method,
-		header:      http.Header{},
-		body:        body,
-	}
-	for _, name := range passedHeaders {
-		if values := received.Header.Values(name); len(values) > 0 {
-			classified.header[http.CanonicalHeaderKey(name)] = values
-		}
+		id:        request.NewID(),
+		snapshot:  snapshot,
+		pool:      pool,
+		profile:   used,
+		workspace: workspace,
+		arrived:   now,
+		deadline:  now.Add(timeout),
+		method:    received.Method,
+		body:      body,
 	}
 	return classified, classified.findKey(received.Header)
 }
@@ -76,14 +67,30 @@
 	return nil
 }
 
+// bearer returns the token of an Authorization header, empty if there is
+// none.
+func bearer(header http.Header) string {
+	scheme, token, _ := strings.Cut(header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// findWorkspace goes by the bearer token, and by the name only where the
+// workspace has no token. Tokens are compared by their hashes.
 func findWorkspace(snapshot *profile.Snapshot, header http.Header) (*profile.Workspace, *Problem) {
-	if token, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer "); ok {
+	name := header.Get(HeaderWorkspace)
+	if token := bearer(header); token != "" {
 		sum := sha256.Sum256([]byte(token))
-		if found := snapshot.WorkspaceByTokenHash(hex.EncodeToString(sum[:])); found != nil {
+		found := snapshot.WorkspaceByTokenHash(hex.EncodeToString(sum[:]))
+		switch {
+		case found != nil && (name == "" || name == found.Name):
 			return found, nil
+		case found != nil:
+			return nil, badRequest(http.StatusForbidden, "the bearer token is not of workspace "+name)
 		}
 	}
-	name := header.Get(HeaderWorkspace)
 	found := snapshot.Workspace(name)
 	switch {
 	case found == nil && name == "":
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,13 +3,13 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
 	"nutmegfield.example/settings"
 	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
@@ -20,6 +20,16 @@
 	retryDraining        = time.Second
 	retryNoRecord        = 5 * time.Second
 	retryDeadline        = 2 * time.Second
+	retryLimited         = time.Second
+
+	// recordTimeout bounds the calls that end a record or give it back.
+	recordTimeout = 5 * time.Second
+	// cancelTimeout bounds the call that cancels a request on its target.
+	cancelTimeout = 5 * time.Second
+	// pauseFirst and pauseMost bound the pause before a request waits again
+	// after a grant that could not be used.
+	pauseFirst = 20 * time.Millisecond
+	pauseMost  = time.Second
 )
 
 // Events of this package.
@@ -38,38 +48,68 @@
 	})
 	eventDraining = timeline.Define(timeline.Kind{
 		Number: 1004, Name: "draining", Level: timeline.Info,
-		Meaning: "The host takes nothing new and lets running answers end.",
+		Meaning: "The host is no longer ready; after the notice it takes nothing new and lets running answers end.",
 	})
 	eventCut = timeline.Define(timeline.Kind{
 		Number: 1005, Name: "drain cut short", Level: timeline.Warn,
 		Meaning: "The drain limit passed, or a second signal came, while answers still ran; the detail is their number.",
 		Action:  "raise drain.limit if it was the limit",
 	})
+	eventCutRequest = timeline.Define(timeline.Kind{
+		Number: 1006, Name: "request cut", Level: timeline.Warn,
+		Meaning: "A drain that was cut short ended before this request did.",
+	})
+	eventPanicked = timeline.Define(timeline.Kind{
+		Number: 1007, Name: "handler panicked", Level: timeline.Error,
+		Meaning: "The program failed while it handled a request; the request was answered and the host goes on.",
+		Action:  "report the detail to the maintainers",
+	})
+	eventRecordLeft = timeline.Define(timeline.Kind{
+		Number: 1008, Name: "record not written", Level: timeline.Trace,
+		Meaning: "The end of a non-idempotent request could not be kept in its record; a resend hears unknown.",
+	})
 )
 
 // Entry takes the callers' requests of a host. Fields are set before use.
 type Entry struct {
 	Settings *settings.Callers
-	Store    *profile.Store
-	Tickets  *Tickets
-	Records  *once.Store
-	Events   *timeline.Recorder
-	Host     string
+	// Drains bounds a graceful shutdown.
+	Drains  *settings.Drain
+	Store   *profile.Store
+	Records *once.Store
+	Events  *timeline.Recorder
+	Host    string
 	// Client returns the client of a protocol, nil if there is none.
 	Client func(protocol string) *target.Client
+	// Submit sends a ticket and returns the channel of its decision, Withdraw
+	// takes a waiting one back.
+	Submit   func(ticket *request.Ticket) <-chan Decision
+	Withdraw func(ticket *request.Ticket)
+	// Release gives a grant back.
+	Release func(release *request.Release)
+	// Progress tells of a request's first token.
+	Progress func(grant *request.Grant, firstToken time.Duration)
 
+	// leaving makes the host unready, draining refuses new requests.
+	leaving  atomic.Bool
 	draining atomic.Bool
-	// drained is closed by Drain: waiting requests answer notRun.
+	// forced is set when a drain ended before the running answers did.
+	forced atomic.Bool
+	// drained is closed when draining begins: waiting requests answer notRun.
 	drained   chan struct{}
 	once      sync.Once
 	running   sync.WaitGroup
 	inFlight  atomic.Int64
 	admission sync.RWMutex
+	bodyBytes atomic.Int64
+	jobs      jobSet
+	limits    limits
+	keys      keyLocks
 }
 
-// Ready reports whether the host takes new requests.
+// Ready reports whether the balancer should send requests here.
 func (entry *Entry) Ready() bool {
-	return !entry.draining.Load() && entry.Store.Current() != nil
+	return !entry.leaving.Load() && entry.Store.Current() != nil
 }
 
 // enter counts a request in, unless the host drains.
@@ -89,28 +129,6 @@
 	entry.running.Done()
 }
 
-func (entry *Entry) drainSignal() chan struct{} {
-	entry.once.Do(func() { entry.drained = make(chan struct{}) })
-	return entry.drained
-}
-
-// Drain takes nothing new, answers waiting requests notRun and returns when
-// running answers have ended. It fails at the end of the context.
-func (entry *Entry) Drain(ctx context.Context) error {
-	entry.Events.Record(eventDraining, timeline.Event{})
-	entry.admission.Lock()
-	entry.draining.Store(true)
-	entry.admission.Unlock()
-	close(entry.drainSignal())
-	ended := make(chan struct{})
-	go func() {
-		entry.running.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return entry.cut()
-	}
-}
+// background runs work that outlives its request's answer. The request must
+// be counted in while it is called.
+func (entry *Entry) background(work func()) { entry.running.Go(work) }
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -2,62 +2,87 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
-	"nutmegfield.example/once"
 	"nutmegfield.example/request"
 	"nutmegfield.example/target"
 )
 
-// finish brings the answer of a dispatched request to its caller and gives
-// the slot back.
-func (entry *Entry) finish(writer http.ResponseWriter, job *job, grant *request.Grant, record once.Record, sent time.Time, answer *target.Answer, err error) {
-	ending := release(grant, request.EndBroken)
-	ending.Fingerprint = job.fingerprint
-	defer func() {
-		ending.Total = time.Since(sent)
-		entry.Tickets.Release(ending)
-	}()
-	if err != nil {
-		entry.answerProblem(writer, job, brokenAnswer(err))
+// streamBytes is the most that is passed on of a stream at once.
+const streamBytes = 16 << 10
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamBytes]byte) }}
+
+// errCaller says that the caller no longer takes its answer.
+var errCaller = Errors.NewType("caller").New("the caller takes no more of its answer")
+
+// finish brings the answer of a dispatched request to its caller.
+func (attempt *attempt) finish(writer *callerWriter, answer *target.Answer) {
+	if answer.Status < http.StatusOK || answer.Status > 599 {
+		attempt.broken(writer, target.Garbled.New("status %d", answer.Status))
 		return
 	}
-	defer answer.Body.Close()
-	first := func() {
-		ending.FirstToken = time.Since(sent)
-		entry.Tickets.Progress(grant, ending.FirstToken)
-	}
-	body := &firstReader{Reader: answer.Body, first: first}
-	if job.stream && answer.Status == http.StatusOK {
-		err = entry.stream(writer, job, grant, answer, body)
+	body := &firstReader{Reader: answer.Body, first: attempt.firstByte}
+	var err error
+	if attempt.job.stream && answer.Status == http.StatusOK {
+		err = attempt.stream(writer, answer, body)
 	} else {
-		err = entry.whole(writer, job, grant, record, answer, body)
+		err = attempt.whole(writer, answer, body)
 	}
-	ending.Usage = answer.Usage()
-	ending.End = endOf(answer.Status, err)
+	attempt.ending.Usage = answer.Usage()
+	attempt.ending.End = attempt.endOf(answer.Status, err)
+}
+
+func (attempt *attempt) firstByte() {
+	attempt.ending.FirstToken = time.Since(attempt.begun)
+	attempt.entry.Progress(attempt.grant, attempt.ending.FirstToken)
 }
 
-func endOf(status int, err error) request.End {
+// endOf tells the scheduler how the grant was used. Only the loss of a target
+// makes its request suspect.
+func (attempt *attempt) endOf(status int, err error) request.End {
 	switch {
-	case errors.Is(err, context.Canceled):
+	case err == nil && status < http.StatusInternalServerError:
+		return request.EndDone
+	case err == nil:
+		return request.EndFailed
+	case errors.Is(err, errCaller):
 		return request.EndCancelled
-	case err != nil:
-		return request.EndBroken
-	case status >= http.StatusInternalServerError:
+	case attempt.caller.Err() != nil && attempt.job.profile.Idempotent:
+		return request.EndCancelled
+	case target.Is(err, target.Leaving):
+		return request.EndLeaving
+	case target.Is(err, target.Garbled, target.TooMuch):
 		return request.EndFailed
 	default:
-		return request.EndDone
+		return request.EndBroken
+	}
+}
+
+// broken answers a dispatched request whose whole answer was not seen.
+func (attempt *attempt) broken(writer *callerWriter, err error) {
+	job := attempt.job
+	attempt.ending.End = attempt.endOf(0, err)
+	attempt.entry.answerProblem(writer, job, brokenAnswer(err))
+	if target.Is(err, target.Leaving) {
+		// The target says that it did not run: a resend may.
+		attempt.entry.giveBack(job)
+		return
 	}
+	attempt.entry.keep(job, nil, request.Unknown, nil)
 }
 
 func brokenAnswer(err error) *Problem {
 	switch {
 	case target.Is(err, target.Leaving):
-		return ended(request.Failed, request.ReasonTargetError, "the target is leaving and refused")
+		problem := ended(request.Failed, request.ReasonTargetError, "the target is leaving and refused")
+		problem.RetryAfter = wholeSeconds(spread(leastRetry))
+		return problem
 	case target.Is(err, target.Garbled, target.TooMuch):
 		return ended(request.Unknown, request.ReasonTargetGarbled, err.Error())
 	default:
@@ -67,93 +92,152 @@
 
 // whole reads an answer to its end before the caller gets any of it, so that
 // the outcome in the header is true.
-func (entry *Entry) whole(writer http.ResponseWriter, job *job, grant *request.Grant, record once.Record, answer *target.Answer, body io.Reader) error {
+func (attempt *attempt) whole(writer *callerWriter, answer *target.Answer, body io.Reader) error {
 	var buffer bytes.Buffer
-	if _, err := io.Copy(&buffer, body); err != nil {
-		entry.answerProblem(writer, job, brokenAnswer(err))
+	if _, err := buffer.ReadFrom(body); err != nil {
+		attempt.broken(writer, err)
 		return err
 	}
 	outcome := request.Done
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = request.Failed
 	}
-	entry.keep(job, record, answer, buffer.Bytes(), outcome)
-	job.machine.Answer()
-	entry.record(eventAnswered, job, string(outcome))
+	job := attempt.job
+	kept := attempt.newKept()
+	kept.add(buffer.Bytes())
+	attempt.entry.keep(job, answer, outcome, kept)
+	attempt.answered(outcome)
 	header := writer.Header()
-	header.Set("Content-Type", answer.Header.Get("Content-Type"))
-	header.Set(HeaderRequest, job.id.String())
+	attempt.setHeader(header, answer)
 	header.Set(HeaderOutcome, string(outcome))
-	header.Set(HeaderTarget, grant.Target)
+	setLength(header, job.method, answer, buffer.Len())
 	writer.WriteHeader(answer.Status)
+	if buffer.Len() == 0 {
+		return nil
+	}
 	// The caller may be gone; the request ran all the same.
 	_, _ = writer.Write(buffer.Bytes())
 	return nil
 }
 
-// keep stores the answer of a non-idempotent request in its record.
-func (entry *Entry) keep(job *job, record once.Record, answer *target.Answer, body []byte, outcome request.Outcome) {
-	if job.key == "" {
-		return
+// setLength gives the length of the body that follows or, for a HEAD request,
+// would.
+func setLength(header http.Header, method string, answer *target.Answer, length int) {
+	switch {
+	case method == http.MethodHead:
+		if value := answer.Header.Get("Content-Length"); value != "" {
+			header.Set("Content-Length", value)
+		}
+	case answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified:
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
+// setHeader passes on what a target's answer says of itself, and says where
+// it came from.
+func (attempt *attempt) setHeader(header http.Header, answer *target.Answer) {
+	passed := endToEnd(answer.Header)
+	for _, name := range targetHeaders {
+		delete(passed, name)
 	}
-	record.State = once.Ended
-	record.Status = answer.Status
-	record.Type = answer.Header.Get("Content-Type")
-	record.Outcome = string(outcome)
-	if len(body) <= job.snapshot.Configuration.Limits.RecordAnswer {
-		record.Answer = body
+	for name, values := range passed {
+		header[name] = values
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), retryNoRecord)
-	defer cancel()
-	// Without it the caller's resend hears unknown, never a second run.
-	_ = entry.Records.End(ctx, job.key, record)
+	header.Set(HeaderRequest, attempt.job.id.String())
+	header.Set(HeaderTarget, attempt.grant.Target)
 }
 
-// stream passes events on as they come. The outcome follows as a trailer.
-func (entry *Entry) stream(writer http.ResponseWriter, job *job, grant *request.Grant, answer *target.Answer, body io.Reader) error {
-	header := writer.Header()
-	header.Set("Content-Type", answer.Header.Get("Content-Type"))
-	header.Set(HeaderRequest, job.id.String())
-	header.Set(HeaderTarget, grant.Target)
-	header.Set("Trailer", HeaderOutcome)
-	writer.WriteHeader(answer.Status)
-	sink := &flushWriter{writer: writer, control: http.NewResponseController(writer), timeout: entry.Settings.WriteTimeout}
-	_, err := io.Copy(sink, body)
-	job.machine.Answer()
-	outcome := request.Done
-	if err != nil {
-		outcome = request.Unknown
+func (attempt *attempt) newKept() *keptAnswer {
+	if !attempt.job.claimed {
+		return &keptAnswer{}
+	}
+	return &keptAnswer{limit: attempt.job.snapshot.Configuration.Limits.RecordAnswer}
+}
+
+func (attempt *attempt) answered(outcome request.Outcome) {
+	attempt.job.machine.Answer()
+	attempt.entry.record(eventAnswered, attempt.job, string(outcome))
+}
+
+// stream passes events on as they come. The outcome follows as a trailer. A
+// stream that breaks is aborted, so that the caller can't take it for whole.
+func (attempt *attempt) stream(writer *callerWriter, answer *target.Answer, body io.Reader) error {
+	job := attempt.job
+	passing := &streamWriter{attempt: attempt, writer: writer, answer: answer, kept: attempt.newKept()}
+	err := passing.copy(body)
+	if err != nil && !writer.begun {
+		attempt.broken(writer, err)
+		return err
 	}
-	header.Set(HeaderOutcome, string(outcome))
-	entry.record(eventAnswered, job, string(outcome))
 	if err != nil {
-		// The caller must not take what it has for the whole.
-		sink.abort = true
+		attempt.entry.keep(job, nil, request.Unknown, nil)
+		attempt.answered(request.Unknown)
+		job.abort = true
+		return err
 	}
-	if sink.abort {
-		panic(http.ErrAbortHandler)
+	attempt.entry.keep(job, answer, request.Done, passing.kept)
+	attempt.answered(request.Done)
+	passing.begin()
+	writer.Header().Set(HeaderOutcome, string(request.Done))
+	job.abort = passing.callerGone
+	return nil
+}
+
+// streamWriter passes a stream on to its caller.
+type streamWriter struct {
+	attempt *attempt
+	writer  *callerWriter
+	answer  *target.Answer
+	kept    *keptAnswer
+	// callerGone: a non-idempotent stream is read to its end all the same.
+	callerGone bool
+}
+
+// copy reads to the end of the stream. It stops at a caller that is gone,
+// except for a non-idempotent request, which runs to its end for its record.
+func (stream *streamWriter) copy(body io.Reader) error {
+	buffer := streamBuffers.Get().(*[streamBytes]byte)
+	defer streamBuffers.Put(buffer)
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			stream.pass(buffer[:n])
+		}
+		if stream.callerGone && stream.attempt.job.profile.Idempotent {
+			return errCaller
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
 }
 
-// flushWriter sends each write at once, and gives up on a caller that does
-// not read.
-type flushWriter struct {
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	timeout time.Duration
-	abort   bool
+func (stream *streamWriter) pass(part []byte) {
+	stream.kept.add(part)
+	if stream.callerGone {
+		return
+	}
+	stream.begin()
+	if _, err := stream.writer.Write(part); err != nil {
+		stream.callerGone = true
+		return
+	}
+	stream.callerGone = stream.writer.flush() != nil
 }
 
-// Write fails when the caller does not read for the timeout.
-func (writer *flushWriter) Write(part []byte) (int, error) {
-	// A writer without deadlines is one of a test.
-	_ = writer.control.SetWriteDeadline(time.Now().Add(writer.timeout))
-	n, err := writer.writer.Write(part)
-	if err != nil {
-		return n, errors.Join(context.Canceled, err)
+// begin sends the header with the first event, so that a stream that breaks
+// before it can still be answered by a problem.
+func (stream *streamWriter) begin() {
+	if stream.writer.begun {
+		return
 	}
-	return n, writer.control.Flush()
+	header := stream.writer.Header()
+	stream.attempt.setHeader(header, stream.answer)
+	header.Set("Trailer", HeaderOutcome)
+	stream.writer.WriteHeader(stream.answer.Status)
 }
 
 // firstReader calls first with the first byte that comes.
--- /dev/null
+++ b/entry/fixture_test.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/invariant"
+	"nutmegfield.example/once"
+	"nutmegfield.example/platform"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
+	"nutmegfield.example/settings"
+	"nutmegfield.example/target"
+	"nutmegfield.example/timeline"
+)
+
+const fixtureConfiguration = `
+tiers: [draft, status]
+profiles:
+  - {name: chat, tier: draft, deadline: 20s, idempotent: true}
+  - {name: chatOnce, tier: draft, deadline: 20s}
+  - {name: status, tier: status, deadline: 5s, idempotent: true}
+  - {name: payment, tier: draft, deadline: 5s}
+workspaces:
+  - {name: clubs}
+  # The token is "laces".
+  - {name: shop, tokenHashes: [0720d9676de6561eceb3600e54bfbcf26465876f62a568fa830b464247f0e5e4]}
+  - {name: few, waiting: 1}
+  - {name: slow, rate: 1}
+pools:
+  - name: boots
+    kind: model
+    profile: chat
+    profiles: [chatOnce]
+    targets: [{name: e1, zone: a, protocol: engine, address: "http://e1"}]
+  - name: orders
+    kind: service
+    profile: status
+    profiles: [payment]
+    targets: [{name: s1, zone: a, protocol: service, address: "http://s1"}]
+`
+
+// pipeListener accepts in-memory connections, whose deadlines follow the
+// paused clock.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	once        sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (listener *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-listener.connections:
+		return connection, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener *pipeListener) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return nil
+}
+
+func (listener *pipeListener) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
+}
+
+func (listener *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case listener.connections <- server:
+		return client, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// fixture is a host's callers' side over fakes at its seams.
+type fixture struct {
+	*qt.C
+	entry    *Entry
+	listener *pipeListener
+	client   *http.Client
+	stop     context.CancelFunc
+	served   chan error
+	platform map[string]platform.Object
+
+	// decide answers a ticket; nil grants at once, a nil decision never.
+	decide func(*request.Ticket) *Decision
+	// answer plays the target after the first byte.
+	answer func(ctx context.Context, call *target.Call) (*target.Answer, error)
+
+	// outage leaves the platform silent.
+	outage atomic.Bool
+
+	mutex     sync.Mutex
+	calls     []*target.Call
+	releases  []*request.Release
+	withdrawn int
+	cancelled int
+}
+
+func newFixture(t testing.TB) *fixture {
+	c := qt.New(t)
+	configuration, err := profile.Decode("fixture.yaml", []byte(fixtureConfiguration))
+	c.Assert(err, qt.IsNil)
+	loaded, err := settings.Decode("host.yaml", []byte("host: {id: a1, zone: a}\nplatform: {address: 'http://p'}\n"))
+	c.Assert(err, qt.IsNil)
+	fixture := &fixture{C: c, listener: newPipeListener(), served: make(chan error, 1), platform: map[string]platform.Object{}}
+	store := &profile.Store{}
+	store.Offer(profile.NewSnapshot(1, *configuration))
+	fixture.entry = &Entry{
+		Settings: &loaded.Callers,
+		Drains:   &loaded.Drain,
+		Store:    store,
+		Records:  &once.Store{Get: fixture.get, Put: fixture.put},
+		Events:   &timeline.Recorder{Host: "a1"},
+		Host:     "a1",
+		Client: func(string) *target.Client {
+			return &target.Client{Dispatch: fixture.dispatch, Cancel: fixture.cancel}
+		},
+		Submit:   fixture.submit,
+		Withdraw: func(*request.Ticket) { fixture.locked(func() { fixture.withdrawn++ }) },
+		Release: func(release *request.Release) {
+			fixture.locked(func() { fixture.releases = append(fixture.releases, release) })
+		},
+		Progress: func(*request.Grant, time.Duration) {},
+	}
+	fixture.client = &http.Client{
+		Transport:     &http.Transport{DialContext: fixture.listener.dial},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	c.Cleanup(invariant.Watch(func(message string) { t.Error(message) }))
+	return fixture
+}
+
+// play runs the test against a served fixture, with the clock paused.
+func play(t *testing.T, test func(fixture *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(t)
+		fixture.serve()
+		defer fixture.client.CloseIdleConnections()
+		defer fixture.stop()
+		test(fixture)
+		fixture.end()
+	})
+}
+
+func (fixture *fixture) serve() {
+	ctx, stop := context.WithCancel(context.Background())
+	fixture.stop = stop
+	listener := &limitListener{Listener: fixture.listener, limit: int64(fixture.entry.Settings.Connections), refusal: refusal}
+	go func() { fixture.served <- fixture.entry.Serve(ctx, listener) }()
+	synctest.Wait()
+}
+
+// end expects that nothing is left: no request, no slot, no body's memory.
+func (fixture *fixture) end() {
+	fixture.client.CloseIdleConnections()
+	fixture.entry.running.Wait()
+	fixture.stop()
+	fixture.Assert(<-fixture.served, qt.IsNil)
+	fixture.Assert(fixture.entry.inFlight.Load(), qt.Equals, int64(0))
+	fixture.Assert(fixture.entry.bodyBytes.Load(), qt.Equals, int64(0))
+	fixture.Assert(fixture.entry.jobs.list(), qt.HasLen, 0)
+	fixture.Assert(fixture.entry.keys.held, qt.HasLen, 0)
+	fixture.entry.limits.workspaces.Range(func(name, use any) bool {
+		fixture.Assert(use.(*workspaceUse).waiting.Load(), qt.Equals, int64(0), qt.Commentf("workspace %s", name))
+		return true
+	})
+}
+
+func (fixture *fixture) locked(work func()) {
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	work()
+}
+
+func (fixture *fixture) submit(ticket *request.Ticket) <-chan Decision {
+	decisions := make(chan Decision, 1)
+	decide := fixture.decide
+	if decide == nil {
+		decide = grantTo
+	}
+	if decision := decide(ticket); decision != nil {
+		decisions <- *decision
+	}
+	return decisions
+}
+
+func grantTo(ticket *request.Ticket) *Decision {
+	name := map[string]string{"boots": "e1", "orders": "s1"}[ticket.Pool]
+	return &Decision{Grant: &request.Grant{
+		Ticket: ticket.ID, Round: ticket.Round, Pool: ticket.Pool, Target: name, Lifetime: time.Second,
+	}}
+}
+
+func never(*request.Ticket) *Decision { return nil }
+
+func (fixture *fixture) dispatch(ctx context.Context, _ string, call *target.Call) (*target.Answer, error) {
+	if !call.Sending() {
+		return nil, target.NotSent.New("refused")
+	}
+	fixture.locked(func() { fixture.calls = append(fixture.calls, call) })
+	if fixture.answer == nil {
+		return answerOf(http.StatusOK, strings.NewReader("{}")), nil
+	}
+	return fixture.answer(ctx, call)
+}
+
+func (fixture *fixture) cancel(context.Context, string, request.ID) error {
+	fixture.locked(func() { fixture.cancelled++ })
+	return nil
+}
+
+func answerOf(status int, body io.Reader) *target.Answer {
+	return &target.Answer{
+		Status: status,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   io.NopCloser(body),
+		Usage:  func() request.Usage { return request.Usage{} },
+	}
+}
+
+func (fixture *fixture) get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if fixture.outage.Load() {
+		<-ctx.Done()
+		return platform.Object{}, platform.Lost.New("no answer")
+	}
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	object, ok := fixture.platform[kind+"/"+name]
+	if !ok {
+		return object, platform.NotFound.New("%s", name)
+	}
+	return object, nil
+}
+
+func (fixture *fixture) put(_ context.Context, object platform.Object) (int64, error) {
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	place := object.Kind + "/" + object.Name
+	if fixture.platform[place].Version != object.Version {
+		return 0, platform.Conflict.New("%s", place)
+	}
+	object.Version++
+	fixture.platform[place] = object
+	return object.Version, nil
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	trailer http.Header
+	err     error
+}
+
+// send asks as the workspace clubs; headers are pairs of a name and a value.
+func (fixture *fixture) send(ctx context.Context, method, path, body string, headers ...string) reply {
+	made, err := http.NewRequestWithContext(ctx, method, "http://host"+path, strings.NewReader(body))
+	fixture.Assert(err, qt.IsNil)
+	made.Header.Set(HeaderWorkspace, "clubs")
+	for i := 0; i < len(headers); i += 2 {
+		made.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := fixture.client.Do(made)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(text), response.Trailer, err}
+}
+
+// post sends in the background.
+func (fixture *fixture) post(ctx context.Context, path, body string, headers ...string) <-chan reply {
+	replies := make(chan reply, 1)
+	go func() { replies <- fixture.send(ctx, http.MethodPost, path, body, headers...) }()
+	synctest.Wait()
+	return replies
+}
+
+var paymentHeaders = []string{HeaderProfile, "payment", HeaderIdempotency, "order-17"}
+
+func (fixture *fixture) pay(ctx context.Context) <-chan reply {
+	return fixture.post(ctx, "/services/orders/payments", `{"yen":1}`, paymentHeaders...)
+}
+
+// write writes raw bytes; a host that refuses early reads no further.
+func (fixture *fixture) write(connection net.Conn, raw string) {
+	_, _ = io.WriteString(connection, raw)
+}
+
+const (
+	chatText   = `{"model":"boots","messages":[{"role":"user","content":"a boot"}]}`
+	streamText = `{"model":"boots","stream":true,"messages":[{"role":"user","content":"a boot"}]}`
+)
+
+var errLost = errors.New("lost")
+
+// brokenReader gives a text and then an error.
+type brokenReader struct {
+	io.Reader
+	err error
+}
+
+func (reader *brokenReader) Read(into []byte) (int, error) {
+	n, err := reader.Reader.Read(into)
+	if errors.Is(err, io.EOF) {
+		err = reader.err
+	}
+	return n, err
+}
--- a/entry/job.go
+++ b/entry/job.go
@@ -1,9 +1,15 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 )
@@ -21,7 +27,7 @@
 	deadline  time.Time
 	size      request.Size
 	prefixes  []request.Prefix
-	// fingerprint is the hash of the body.
+	// fingerprint is the hash of method, path and body.
 	fingerprint uint64
 	method      string
 	path        string
@@ -31,6 +37,44 @@
 	// key is the name of its record; empty for an idempotent request.
 	key   string
 	round uint32
+	// use is its workspace's use while it waits.
+	use *workspaceUse
+	// record is its own record, claimed is true while it holds it.
+	record  once.Record
+	claimed bool
+	// dispatches counts the dispatches, for the assertion that there is one.
+	dispatches int
+	// abort: the connection must end, as the answer did not end whole.
+	abort bool
+}
+
+// digest hashes what a target would be asked to do: equal requests have equal
+// fingerprints.
+func (job *job) digest() {
+	var fingerprint xxhash.Digest
+	fingerprint.Reset()
+	// A digest's writes never fail.
+	_, _ = fingerprint.WriteString(job.method)
+	_, _ = fingerprint.WriteString(" " + job.path + "\n")
+	_, _ = fingerprint.Write(job.body)
+	job.fingerprint = fingerprint.Sum64()
+}
+
+// bodySum is the SHA-256 sum, in hexadecimal, of method, path and body.
+func (job *job) bodySum() string {
+	sum := sha256.New()
+	// A hash's writes never fail.
+	_, _ = io.WriteString(sum, job.method+" "+job.path+"\n")
+	_, _ = sum.Write(job.body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// stopWaiting takes the job out of its workspace's count of waiting ones.
+func (job *job) stopWaiting() {
+	if job.use != nil {
+		job.use.waiting.Add(-1)
+		job.use = nil
+	}
 }
 
 // ticket returns the ticket of a new round of waiting.
--- /dev/null
+++ b/entry/keys.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"sync"
+)
+
+// keyLocks lets one request of an idempotency key at a time go on to its
+// record, so that a resend on the same host waits for the answer.
+type keyLocks struct {
+	mutex sync.Mutex
+	held  map[string]chan struct{}
+}
+
+// lock waits for the key; false means that the context ended or stop was
+// closed first.
+func (locks *keyLocks) lock(ctx context.Context, stop <-chan struct{}, key string) bool {
+	for {
+		ended, taken := locks.take(key)
+		if taken {
+			return true
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return false
+		case <-stop:
+			return false
+		}
+	}
+}
+
+// take returns the channel that is closed when the present holder ends, or
+// true when the key is now the caller's.
+func (locks *keyLocks) take(key string) (<-chan struct{}, bool) {
+	locks.mutex.Lock()
+	defer locks.mutex.Unlock()
+	if ended, ok := locks.held[key]; ok {
+		return ended, false
+	}
+	if locks.held == nil {
+		locks.held = map[string]chan struct{}{}
+	}
+	locks.held[key] = make(chan struct{})
+	return nil, true
+}
+
+func (locks *keyLocks) unlock(key string) {
+	locks.mutex.Lock()
+	defer locks.mutex.Unlock()
+	close(locks.held[key])
+	delete(locks.held, key)
+}
--- a/entry/part.go
+++ b/entry/part.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
-
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
@@ -37,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", host.Settings.Callers.Listen)
+	listener, err := listen(host)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
@@ -54,30 +51,36 @@
 	members.Listen(func(*peer.View) { tickets.Moved() })
 	entry := &Entry{
 		Settings: &host.Settings.Callers,
+		Drains:   &host.Settings.Drain,
 		Store:    store,
-		Tickets:  tickets,
 		Records:  records,
 		Events:   host.Events,
 		Host:     host.Settings.Host.ID,
 		Client:   clients.Client,
+		Submit:   tickets.Submit,
+		Withdraw: tickets.Withdraw,
+		Release:  tickets.Release,
+		Progress: tickets.Progress,
+	}
+	run := func(ctx context.Context) error {
+		go func() { _ = tickets.Run(ctx) }()
+		return entry.Serve(ctx, listener)
 	}
-	return &kernel.Part{Run: entry.serve(listener), Drain: entry.Drain}, nil
+	return &kernel.Part{Run: run, Drain: entry.Drain}, nil
 }
 
-func (entry *Entry) serve(listener net.Listener) func(context.Context) error {
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
-	server.ReadTimeout = entry.Settings.ReadTimeout
-	server.MaxHeaderBytes = entry.Settings.HeaderBytes
-	server.HandlePrefix("/", entry.Handler())
-	return func(ctx context.Context) error {
-		go func() { _ = entry.Tickets.Run(ctx) }()
-		go func() {
-			<-ctx.Done()
-			_ = server.Stop(context.Background())
-		}()
-		if err := server.Start(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve callers: %w", err)
-		}
-		return nil
+// listen opens the callers' side. The limit of connections is below TLS, so
+// that a connection above it costs no handshake.
+func listen(host *kernel.Host) (net.Listener, error) {
+	callers := &host.Settings.Callers
+	listener, err := net.Listen("tcp", callers.Listen)
+	if err != nil {
+		return nil, err
+	}
+	limited := &limitListener{Listener: listener, limit: int64(callers.Connections)}
+	if !callers.TLS.Enabled() {
+		limited.refusal = refusal
 	}
+	side := &certificate.Side{Files: callers.TLS, Events: host.Events}
+	return side.Listen(limited)
 }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -46,7 +46,11 @@
 	}
 }
 
-// notRun says that a request was certainly not dispatched.
+// leastRetry is the shortest wait that a Retry-After header can name.
+const leastRetry = time.Second
+
+// notRun says that a request was certainly not dispatched, and when to send
+// it again.
 func notRun(reason request.Reason, retryAfter time.Duration) *Problem {
 	status := http.StatusServiceUnavailable
 	if reason == request.ReasonShed || reason == request.ReasonLimited {
@@ -58,7 +62,7 @@
 		Status:     status,
 		Outcome:    request.NotRun,
 		Reason:     reason,
-		RetryAfter: wholeSeconds(retryAfter),
+		RetryAfter: wholeSeconds(max(retryAfter, leastRetry)),
 	}
 }
 
@@ -85,6 +89,9 @@
 	if problem.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(problem.RetryAfter))
 	}
+	if problem.Status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	writer.WriteHeader(problem.Status)
 	// The caller may be gone; there is nobody to tell.
 	_ = json.NewEncoder(writer).Encode(problem)
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,89 +2,57 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"net/http"
 	"time"
 
 	"nutmegfield.example/invariant"
-	"nutmegfield.example/once"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
 // run takes a classified job to its end. It writes the one answer.
-func (entry *Entry) run(writer http.ResponseWriter, received *http.Request, job *job) {
+func (entry *Entry) run(ctx context.Context, writer *callerWriter, job *job) {
+	job.digest()
 	entry.record(eventAccepted, job, "")
-	record, problem := entry.claim(received.Context(), job)
+	use, problem := entry.limits.admit(job.workspace)
 	if problem != nil {
 		entry.answerProblem(writer, job, problem)
 		return
 	}
-	for {
-		granted, problem := entry.wait(received.Context(), job)
+	job.use = use
+	defer job.stopWaiting()
+	if job.key != "" && !entry.claim(ctx, writer, job) {
+		return
+	}
+	defer entry.forget(job)
+	for attempt := 0; ; attempt++ {
+		grant, problem := entry.wait(ctx, job)
 		if problem != nil {
-			entry.giveBack(job, record)
 			entry.answerProblem(writer, job, problem)
+			entry.giveBack(job)
 			return
 		}
-		if entry.dispatch(writer, received, job, granted, record) {
+		if entry.dispatch(ctx, writer, job, grant) {
 			return
 		}
+		entry.pauseAgain(ctx, job, attempt)
 	}
 }
 
-// claim makes the record of a non-idempotent request.
-func (entry *Entry) claim(ctx context.Context, job *job) (once.Record, *Problem) {
-	if job.key == "" {
-		return once.Record{}, nil
-	}
-	sum := sha256.Sum256(job.body)
-	record := once.Record{
-		Request: job.id,
-		Host:    entry.Host,
-		Body:    hex.EncodeToString(sum[:]),
-		State:   once.Running,
-		Made:    time.Now(),
-	}
-	claim, err := entry.Records.Claim(ctx, job.key, record)
-	if err != nil {
-		return record, notRun(request.ReasonRecordUnavailable, retryNoRecord)
-	}
-	if claim.Mine {
-		return record, nil
-	}
-	return record, recorded(claim.Record, record)
-}
-
-// recorded turns another request's record into the answer for this one.
-func recorded(present, mine once.Record) *Problem {
-	if present.Body != mine.Body {
-		problem := badRequest(http.StatusUnprocessableEntity, "the key was used with another body")
-		problem.Reason = request.ReasonKeyReused
-		return problem
-	}
-	problem := ended(request.Unknown, request.ReasonRecordHeld, "request "+present.Request.String()+" holds the key")
-	problem.Status = http.StatusConflict
-	return problem
-}
-
-func (entry *Entry) giveBack(job *job, record once.Record) {
-	if job.key == "" {
-		return
+// forget lets go of a key that a panic left held.
+func (entry *Entry) forget(job *job) {
+	if job.claimed {
+		job.claimed = false
+		entry.keys.unlock(job.key)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), retryNoRecord)
-	defer cancel()
-	// A record that can't be given back leaves the caller's resend unknown,
-	// never a second run.
-	_ = entry.Records.Return(ctx, job.key, record)
 }
 
 // wait returns a grant, or the problem that ends the job.
 func (entry *Entry) wait(ctx context.Context, job *job) (*request.Grant, *Problem) {
+	if problem := entry.givenUp(ctx, job); problem != nil {
+		return nil, problem
+	}
 	ticket := job.ticket()
-	decisions := entry.Tickets.Submit(ticket)
+	decisions := entry.Submit(ticket)
 	timer := time.NewTimer(time.Until(job.deadline))
 	defer timer.Stop()
 	select {
@@ -92,35 +60,56 @@
 		if decision.Refusal != nil {
 			return nil, notRun(decision.Refusal.Reason, decision.Refusal.RetryAfter)
 		}
+		job.stopWaiting()
 		return decision.Grant, nil
 	case <-timer.C:
-		entry.withdraw(ticket, decisions)
-		return nil, notRun(request.ReasonDeadline, retryDeadline)
 	case <-ctx.Done():
-		entry.withdraw(ticket, decisions)
-		return nil, notRun(request.ReasonCallerGone, 0)
 	case <-entry.drainSignal():
-		entry.withdraw(ticket, decisions)
-		return nil, notRun(request.ReasonDraining, retryDraining)
+	}
+	entry.withdraw(ticket, decisions)
+	return nil, entry.givenUp(ctx, job)
+}
+
+// givenUp returns the answer of a job that need not wait any more, nil if it
+// must.
+func (entry *Entry) givenUp(ctx context.Context, job *job) *Problem {
+	switch {
+	case ctx.Err() != nil:
+		return notRun(request.ReasonCallerGone, leastRetry)
+	case !time.Now().Before(job.deadline):
+		return notRun(request.ReasonDeadline, spread(retryDeadline))
+	case entry.draining.Load():
+		return notRun(request.ReasonDraining, spread(retryDraining))
+	default:
+		return nil
+	}
+}
+
+// pauseAgain keeps a job whose grants can't be used from asking for the next
+// one without rest.
+func (entry *Entry) pauseAgain(ctx context.Context, job *job, attempt int) {
+	wait := min(pauseFirst<<min(attempt, 8), pauseMost, time.Until(job.deadline))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-entry.drainSignal():
 	}
 }
 
 // withdraw takes a ticket back, and the grant that may have come meanwhile.
 func (entry *Entry) withdraw(ticket *request.Ticket, decisions <-chan Decision) {
-	entry.Tickets.Withdraw(ticket)
+	entry.Withdraw(ticket)
 	select {
 	case decision := <-decisions:
 		if decision.Grant != nil {
-			entry.Tickets.Release(unused(decision.Grant))
+			entry.Release(release(decision.Grant, request.EndUnused))
 		}
 	default:
 	}
 }
 
-func unused(grant *request.Grant) *request.Release {
-	return release(grant, request.EndUnused)
-}
-
 func release(grant *request.Grant, end request.End) *request.Release {
 	return &request.Release{
 		Ticket: grant.Ticket, Pool: grant.Pool, Target: grant.Target,
@@ -128,54 +117,7 @@
 	}
 }
 
-// dispatch uses a grant. It returns false when nothing was sent and the job
-// must wait again.
-func (entry *Entry) dispatch(writer http.ResponseWriter, received *http.Request, job *job, grant *request.Grant, record once.Record) bool {
-	described := job.pool.Target(grant.Target)
-	if described == nil || !job.machine.Grant() {
-		entry.Tickets.Release(unused(grant))
-		return false
-	}
-	client := entry.Client(described.Protocol)
-	if client == nil {
-		job.machine.Return()
-		entry.Tickets.Release(unused(grant))
-		return false
-	}
-	arrived := time.Now()
-	call := entry.call(received.Context(), job, grant, arrived)
-	answer, err := client.Dispatch(received.Context(), described.Address, call)
-	if err != nil && target.Is(err, target.NotSent) {
-		job.machine.Undo()
-		job.machine.Return()
-		entry.Tickets.Release(release(grant, request.EndUnreachable))
-		return false
-	}
-	entry.finish(writer, job, grant, record, arrived, answer, err)
-	return true
-}
-
-func (entry *Entry) call(ctx context.Context, job *job, grant *request.Grant, arrived time.Time) *target.Call {
-	return &target.Call{
-		Request: job.id,
-		Method:  job.method,
-		Path:    job.path,
-		Header:  job.header,
-		Body:    job.body,
-		Stream:  job.stream,
-		Sending: func() bool {
-			now := time.Now()
-			stale := now.Sub(arrived) > grant.Lifetime || now.After(job.deadline) || ctx.Err() != nil
-			if stale || !job.machine.Dispatch() {
-				return false
-			}
-			entry.record(eventDispatched, job, "to "+grant.Target)
-			return true
-		},
-	}
-}
-
-func (entry *Entry) answerProblem(writer http.ResponseWriter, job *job, problem *Problem) {
+func (entry *Entry) answerProblem(writer *callerWriter, job *job, problem *Problem) {
 	ran := job.machine.Ran()
 	invariant.NotRunIsTrue.Check(problem.Outcome != request.NotRun || !ran, "request %s", job.id)
 	job.machine.Answer()
--- a/entry/service.go
+++ b/entry/service.go
@@ -9,14 +9,14 @@
 
 const servicePrefix = "/services/"
 
-func (entry *Entry) service(writer http.ResponseWriter, received *http.Request) {
-	entry.handle(writer, received, func(body []byte) (*job, *Problem) {
-		return entry.serviceJob(received, body)
-	})
-}
-
 func (entry *Entry) serviceJob(received *http.Request, body []byte) (*job, *Problem) {
+	if received.Method == http.MethodConnect || received.Method == http.MethodTrace {
+		return nil, badRequest(http.StatusMethodNotAllowed, received.Method+" is not passed on")
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(received.URL.EscapedPath(), servicePrefix), "/")
+	if hasDots(received.URL.Path) {
+		return nil, badRequest(http.StatusBadRequest, "the path holds the segment . or ..")
+	}
 	job, problem := entry.classify(received, name, profile.KindService, body)
 	if problem != nil {
 		return nil, problem
@@ -25,5 +25,17 @@
 	if received.URL.RawQuery != "" {
 		job.path += "?" + received.URL.RawQuery
 	}
+	job.header = toService(received.Header)
 	return job, nil
 }
+
+// hasDots reports whether a path, in which nothing is escaped, could leave
+// the base address of a service.
+func hasDots(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/once/once.go
+++ b/once/once.go
@@ -44,13 +44,15 @@
 	Host    string     `json:"host"`
 	// Body is the hash of the caller's body: the same key with another body
 	// is a mistake of the caller.
-	Body    string    `json:"body"`
-	State   State     `json:"state"`
-	Made    time.Time `json:"made"`
-	Status  int       `json:"status,omitempty"`
-	Type    string    `json:"type,omitempty"`
-	Answer  []byte    `json:"answer,omitempty"`
-	Outcome string    `json:"outcome,omitempty"`
+	Body   string    `json:"body"`
+	State  State     `json:"state"`
+	Made   time.Time `json:"made"`
+	Status int       `json:"status,omitempty"`
+	Type   string    `json:"type,omitempty"`
+	Answer []byte    `json:"answer,omitempty"`
+	// AnswerDropped: the answer was longer than a record keeps.
+	AnswerDropped bool   `json:"answerDropped,omitempty"`
+	Outcome       string `json:"outcome,omitempty"`
 }
 
 // Claim is the result of asking for the right to run.
