settings: name file, line, key and what is allowed for every fault

Unknown keys were refused without what is allowed, a key set to 0 was taken for an absent one and got the default, and a fraction of a whole number was cut off without a word.

--- /dev/null
+++ b/certificate/certificate_test.go
@@ -0,0 +1,172 @@
+package certificate_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/certificate"
+	"nutmegfield.example/settings"
+	"nutmegfield.example/timeline"
+)
+
+// authority signs certificates for a test.
+type authority struct {
+	*qt.C
+	key    *ecdsa.PrivateKey
+	issuer *x509.Certificate
+	serial int64
+}
+
+func newAuthority(c *qt.C) *authority {
+	authority := &authority{C: c, key: newKey(c)}
+	template := authority.template("authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &authority.key.PublicKey, authority.key)
+	c.Assert(err, qt.IsNil)
+	authority.issuer, err = x509.ParseCertificate(der)
+	c.Assert(err, qt.IsNil)
+	return authority
+}
+
+func newKey(c *qt.C) *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	return key
+}
+
+func (authority *authority) template(name string) *x509.Certificate {
+	authority.serial++
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(authority.serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+// write puts a new certificate, its key and the authority into a directory.
+func (authority *authority) write(directory, name string) settings.TLS {
+	key := newKey(authority.C)
+	der, err := x509.CreateCertificate(rand.Reader, authority.template(name), authority.issuer, &key.PublicKey, authority.key)
+	authority.Assert(err, qt.IsNil)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	authority.Assert(err, qt.IsNil)
+	files := settings.TLS{
+		Certificate: filepath.Join(directory, "certificate.pem"),
+		Key:         filepath.Join(directory, "key.pem"),
+		Authority:   filepath.Join(directory, "authority.pem"),
+	}
+	for file, block := range map[string]*pem.Block{
+		files.Certificate: {Type: "CERTIFICATE", Bytes: der},
+		files.Key:         {Type: "EC PRIVATE KEY", Bytes: keyDER},
+		files.Authority:   {Type: "CERTIFICATE", Bytes: authority.issuer.Raw},
+	} {
+		authority.Assert(os.WriteFile(file, pem.EncodeToMemory(block), 0o600), qt.IsNil)
+	}
+	return files
+}
+
+// echo serves a side that sends back what it reads.
+func echo(c *qt.C, side *certificate.Side) string {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener, err := side.Listen(plain)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				_, _ = io.Copy(connection, connection)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// line is longer than the header of a TLS record.
+const line = "a line of plain text"
+
+// exchange sends a line and reads it back.
+func exchange(side *certificate.Side, address string) error {
+	connection, err := side.Dial(context.Background(), address)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	if _, err := connection.Write([]byte(line)); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(connection, make([]byte, len(line)))
+	return err
+}
+
+func newSide(c *qt.C, files settings.TLS) *certificate.Side {
+	side := &certificate.Side{Files: files, Events: &timeline.Recorder{Host: "a1"}}
+	c.Assert(side.Load(), qt.IsNil)
+	return side
+}
+
+func TestMutual(t *testing.T) {
+	c := qt.New(t)
+	ours := newAuthority(c)
+	address := echo(c, newSide(c, ours.write(c.TempDir(), "a1")))
+	c.Assert(exchange(newSide(c, ours.write(c.TempDir(), "a2")), address), qt.IsNil)
+
+	stranger := newAuthority(c).write(c.TempDir(), "stranger")
+	c.Assert(exchange(newSide(c, stranger), address), qt.IsNotNil)
+	// A stranger that trusts this side is still refused.
+	trusting := newAuthority(c).write(c.TempDir(), "stranger")
+	trusting.Authority = ours.write(c.TempDir(), "a3").Authority
+	c.Assert(exchange(newSide(c, trusting), address), qt.IsNotNil)
+	// So is a plain connection.
+	c.Assert(exchange(&certificate.Side{}, address), qt.IsNotNil)
+}
+
+func TestPlainWithoutFiles(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(exchange(&certificate.Side{}, echo(c, &certificate.Side{})), qt.IsNil)
+}
+
+func TestRenewalWithoutRestart(t *testing.T) {
+	c := qt.New(t)
+	before, after := newAuthority(c), newAuthority(c)
+	directory := c.TempDir()
+	side := newSide(c, before.write(directory, "a1"))
+	address := echo(c, side)
+	peer := newSide(c, after.write(c.TempDir(), "a2"))
+	c.Assert(exchange(peer, address), qt.IsNotNil)
+
+	after.write(directory, "a1")
+	side.LookAgain()
+	c.Assert(exchange(peer, address), qt.IsNil)
+
+	// A file that can't be read leaves the earlier certificate in use.
+	c.Assert(os.WriteFile(side.Files.Certificate, []byte("nothing"), 0o600), qt.IsNil)
+	side.LookAgain()
+	c.Assert(exchange(peer, address), qt.IsNil)
+	events := side.Events.Events()
+	c.Assert(events[len(events)-1].Name, qt.Equals, "certificate not loaded")
+}
--- a/settings/drain.go
+++ b/settings/drain.go
@@ -15,7 +15,7 @@
 	if drain.Limit <= 0 {
 		checker.fault("drain.limit", "is %s, must be above 0", drain.Limit)
 	}
-	if drain.Notice < 0 {
-		checker.fault("drain.notice", "is %s, must not be below 0", drain.Notice)
+	if drain.Notice < 0 || drain.Notice >= drain.Limit {
+		checker.fault("drain.notice", "is %s, must be at least 0 and below limit, %s", drain.Notice, drain.Limit)
 	}
 }
--- a/settings/host.go
+++ b/settings/host.go
@@ -11,4 +11,6 @@
 func (host *Host) check(checker *checker) {
 	checker.required("host.id", host.ID)
 	checker.required("host.zone", host.Zone)
+	checker.identifier("host.id", host.ID)
+	checker.identifier("host.zone", host.Zone)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 
 	"github.com/creasty/defaults"
 	"github.com/joomcode/errorx"
@@ -44,13 +45,35 @@
 	return Decode(file, text)
 }
 
-// Decode reads settings from YAML, sets defaults and checks them. The error
-// names every fault with file, line and key.
+// Decode reads settings from YAML over the defaults and checks them. The
+// error names every fault with file, line and key.
 func Decode(file string, text []byte) (*Settings, error) {
+	root, err := parse(file, text)
+	if err != nil {
+		return nil, err
+	}
 	settings := &Settings{}
+	// The defaults come first, so that a key that is set to 0 or "" is checked
+	// and not taken for an absent one.
+	if err := defaults.Set(settings); err != nil {
+		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
+	}
+	checker := &checker{name: file, root: root}
+	checker.known(root, reflect.TypeFor[Settings](), "")
+	if err := root.Decode(settings); err != nil {
+		checker.mistyped(err)
+	}
+	if len(checker.faults) == 0 {
+		settings.check(checker)
+	}
+	return settings, checker.err()
+}
+
+// parse reads the one YAML document of a file and returns its mapping.
+func parse(file string, text []byte) (*yaml.Node, error) {
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(settings); err != nil {
+	var document yaml.Node
+	if err := decoder.Decode(&document); err != nil {
 		if errors.Is(err, io.EOF) {
 			return nil, BadFile.New("%s: the file is empty", file)
 		}
@@ -59,12 +82,11 @@
 	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
 		return nil, BadFile.New("%s: more than one YAML document", file)
 	}
-	if err := defaults.Set(settings); err != nil {
-		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
+	root := document.Content[0]
+	if root.Kind != yaml.MappingNode {
+		return nil, BadFile.New("%s:%d: the file is no mapping of keys to values", file, root.Line)
 	}
-	checker := newChecker(file, text)
-	settings.check(checker)
-	return settings, checker.err()
+	return root, nil
 }
 
 func (settings *Settings) check(checker *checker) {
