command: end on the second signal, test a shutdown of the real program

The second signal was watched only from some time after the first, so that one in between was swallowed.

--- a/command/serve.go
+++ b/command/serve.go
@@ -34,7 +34,7 @@
 	Register(Command{
 		Name:  "serve",
 		Short: "run an entry host",
-		Long:  "Run an entry host until SIGTERM, then let running answers end. A second signal ends it at once.",
+		Long:  "Run an entry host until SIGTERM, then let running answers end. A second signal, or the drain limit, ends it sooner; answers that were cut are logged and the exit code is 1.",
 		Data:  &serve{},
 	})
 }
@@ -61,27 +61,22 @@
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
-	running, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	force, cancel := forceAfter(running)
-	defer cancel()
+	running, force := onSignals()
 	return host.Run(running, force)
 }
 
-// forceAfter returns a context that ends with a second signal after running
-// has ended with the first. The drain limit is the kernel's.
-func forceAfter(running context.Context) (context.Context, context.CancelFunc) {
-	force, cancel := context.WithCancel(context.Background())
+// onSignals returns a context that ends with the first signal and one that
+// ends with the second.
+func onSignals() (running, force context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	running, drain := context.WithCancel(context.Background())
+	force, cut := context.WithCancel(context.Background())
 	go func() {
-		select {
-		case <-running.Done():
-		case <-force.Done():
-			return
-		}
-		second, stop := signal.NotifyContext(force, syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		<-second.Done()
-		cancel()
+		<-signals
+		drain()
+		<-signals
+		cut()
 	}()
-	return force, cancel
+	return running, force
 }
--- /dev/null
+++ b/command/serve_test.go
@@ -0,0 +1,153 @@
+package command_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/platform"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/standin"
+)
+
+// process is a host of the built program, between a stand-in of the platform
+// and an engine that answers when it is told to.
+type process struct {
+	*qt.C
+	command  *exec.Cmd
+	log      *bufio.Scanner
+	address  string
+	received chan struct{}
+	answer   chan struct{}
+}
+
+func startProcess(t *testing.T) *process {
+	c := qt.New(t)
+	process := &process{C: c, received: make(chan struct{}), answer: make(chan struct{})}
+	directory := c.TempDir()
+	binary := filepath.Join(directory, "nutmegfield")
+	built, err := exec.Command("go", "build", "-o", binary, "nutmegfield.example").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", built))
+
+	engine := httptest.NewServer(http.HandlerFunc(process.engine))
+	c.Cleanup(engine.Close)
+	objects := httptest.NewServer((&standin.Platform{}).Handler())
+	c.Cleanup(objects.Close)
+	client := &platform.Client{Address: objects.URL, Timeout: 10 * time.Second, Do: new(http.Client).Do}
+	_, err = client.Put(context.Background(), platform.Object{Kind: profile.ObjectKind, Name: profile.ObjectName, Value: []byte(
+		"tiers: [draft]\nprofiles: [{name: draft, tier: draft, idempotent: true}]\nworkspaces: [{name: clubs}]\n" +
+			"pools: [{name: boots, kind: model, profile: draft, targets: [{name: e1, zone: a, protocol: engine, address: '" + engine.URL + "'}]}]\n")})
+	c.Assert(err, qt.IsNil)
+
+	process.address = freeAddress(c)
+	file := filepath.Join(directory, "host.yaml")
+	c.Assert(os.WriteFile(file, []byte("host: {id: a1, zone: a}\ncallers: {listen: '"+process.address+"'}\n"+
+		"operators: {listen: '"+freeAddress(c)+"'}\npeers: {listen: '"+freeAddress(c)+"'}\n"+
+		"platform: {address: '"+objects.URL+"'}\ndrain: {notice: 0s}\n"), 0o600), qt.IsNil)
+	process.command = exec.Command(binary, "serve", "--settings", file)
+	pipe, err := process.command.StderrPipe()
+	c.Assert(err, qt.IsNil)
+	process.log = bufio.NewScanner(pipe)
+	c.Assert(process.command.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = process.command.Process.Kill() })
+	process.logs("configuration in force")
+	return process
+}
+
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (process *process) engine(writer http.ResponseWriter, received *http.Request) {
+	if received.Method != http.MethodPost {
+		http.NotFound(writer, received)
+		return
+	}
+	_, _ = io.Copy(io.Discard, received.Body)
+	close(process.received)
+	select {
+	case <-process.answer:
+		_, _ = io.WriteString(writer, `{"whole":true}`)
+	case <-received.Context().Done():
+	}
+}
+
+// logs reads the log up to a line that holds the text.
+func (process *process) logs(text string) {
+	for process.log.Scan() {
+		if strings.Contains(process.log.Text(), text) {
+			return
+		}
+	}
+	process.Fatalf("the log ended before %q", text)
+}
+
+// ask sends a request and returns when the engine has it.
+func (process *process) ask() <-chan string {
+	answers := make(chan string, 1)
+	body := `{"model":"boots","messages":[{"role":"user","content":"a boot"}]}`
+	made, err := http.NewRequest(http.MethodPost, "http://"+process.address+"/v1/chat/completions", strings.NewReader(body))
+	process.Assert(err, qt.IsNil)
+	made.Header.Set("Nutmegfield-Workspace", "clubs")
+	go func() {
+		response, err := http.DefaultClient.Do(made)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		text, _ := io.ReadAll(response.Body)
+		answers <- response.Header.Get("Nutmegfield-Outcome") + " " + string(text)
+	}()
+	<-process.received
+	return answers
+}
+
+func (process *process) signal() {
+	process.Assert(process.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+}
+
+func (process *process) exitCode() int {
+	for process.log.Scan() {
+		continue
+	}
+	_ = process.command.Wait()
+	return process.command.ProcessState.ExitCode()
+}
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	process := startProcess(t)
+	answers := process.ask()
+	process.signal()
+	process.logs("draining")
+	close(process.answer)
+	process.Assert(<-answers, qt.Equals, `done {"whole":true}`)
+	process.Assert(process.exitCode(), qt.Equals, 0)
+}
+
+func TestSecondSignalCutsAndSaysSo(t *testing.T) {
+	process := startProcess(t)
+	answers := process.ask()
+	process.signal()
+	process.logs("draining")
+	process.signal()
+	process.logs("drain cut short")
+	process.logs("request cut")
+	<-answers
+	process.Assert(process.exitCode(), qt.Equals, 1)
+}
