--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"nutmegfield.example/request"
+	"nutmegfield.example/target"
+)
+
+// BenchmarkSmallRequest is the host's own work on a small request: from its
+// handler to the target's client and back, over fakes that answer at once.
+func BenchmarkSmallRequest(b *testing.B) {
+	for _, kind := range []struct{ name, path, text, answer string }{
+		{"chat", chatPath, chatText, `{"choices":[]}`},
+		{"stream", chatPath, streamText, "data: 1\n\ndata: [DONE]\n\n"},
+		{"service", "/services/orders/status/17", "", "{}"},
+	} {
+		b.Run(kind.name, func(b *testing.B) {
+			fixture := newFixture(b)
+			fixture.entry.Client = func(string) *target.Client {
+				return &target.Client{Dispatch: func(_ context.Context, _ string, call *target.Call) (*target.Answer, error) {
+					call.Sending()
+					return answerOf(http.StatusOK, strings.NewReader(kind.answer)), nil
+				}}
+			}
+			fixture.entry.Release = func(*request.Release) {}
+			handler := fixture.entry.Handler()
+			b.ReportAllocs()
+			for b.Loop() {
+				received := httptest.NewRequest(http.MethodPost, kind.path, strings.NewReader(kind.text))
+				received.Header.Set(HeaderWorkspace, "clubs")
+				handler.ServeHTTP(httptest.NewRecorder(), received)
+			}
+		})
+	}
+}
