--- a/entry/classify.go
+++ b/entry/classify.go
@@ -39,8 +39,10 @@
 	if problem != nil {
 		return nil, problem
 	}
+	id := request.NewID()
 	classified := &job{
-		id:        request.NewID(),
+		id:        id,
+		text:      id.String(),
 		snapshot:  snapshot,
 		pool:      pool,
 		profile:   used,
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -143,7 +143,7 @@
 	for name, values := range passed {
 		header[name] = values
 	}
-	header.Set(HeaderRequest, attempt.job.id.String())
+	header.Set(HeaderRequest, attempt.job.text)
 	header.Set(HeaderTarget, attempt.grant.Target)
 }
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -17,7 +17,9 @@
 // job is one caller's request on its entry host, from its classification to
 // its answer.
 type job struct {
-	id        request.ID
+	id request.ID
+	// text is the id in hexadecimal, which several places write.
+	text      string
 	machine   request.Machine
 	snapshot  *profile.Snapshot
 	pool      *profile.Pool
--- a/entry/run.go
+++ b/entry/run.go
@@ -119,12 +119,12 @@
 
 func (entry *Entry) answerProblem(writer *callerWriter, job *job, problem *Problem) {
 	ran := job.machine.Ran()
-	invariant.NotRunIsTrue.Check(problem.Outcome != request.NotRun || !ran, "request %s", job.id)
+	invariant.NotRunIsTrue.Check(problem.Outcome != request.NotRun || !ran, "request %s", job.text)
 	job.machine.Answer()
 	entry.record(eventAnswered, job, string(problem.Outcome)+" "+string(problem.Reason))
 	problem.write(writer, job.id)
 }
 
 func (entry *Entry) record(kind timeline.Kind, job *job, detail string) {
-	entry.Events.Record(kind, timeline.Event{Request: job.id.String(), Pool: job.pool.Name, Detail: detail})
+	entry.Events.Record(kind, timeline.Event{Request: job.text, Pool: job.pool.Name, Detail: detail})
 }
