--- a/entry/claim.go
+++ b/entry/claim.go
@@ -60,11 +60,11 @@
 		problem := badRequest(http.StatusUnprocessableEntity, "the key was used with another request")
 		problem.Reason = request.ReasonKeyReused
 		entry.answerProblem(writer, job, problem)
-	case present.State == once.Ended && !present.AnswerDropped:
+	case present.State == once.Ended && !present.Truncated:
 		entry.replay(writer, job, present)
 	case present.State == once.Ended:
 		problem := held("request " + present.Request.String() + " ran; its answer was too large to keep")
-		problem.Outcome = request.Outcome(present.Outcome)
+		problem.Outcome = present.Outcome
 		entry.answerProblem(writer, job, problem)
 	default:
 		entry.answerProblem(writer, job, held("request "+present.Request.String()+" holds the key"))
@@ -73,13 +73,13 @@
 
 func (entry *Entry) replay(writer *callerWriter, job *job, present once.Record) {
 	job.machine.Answer()
-	entry.record(eventAnswered, job, present.Outcome+" recorded")
+	entry.record(eventAnswered, job, string(present.Outcome)+" recorded")
 	header := writer.Header()
 	if present.Type != "" {
 		header.Set("Content-Type", present.Type)
 	}
 	header.Set(HeaderRequest, present.Request.String())
-	header.Set(HeaderOutcome, present.Outcome)
+	header.Set(HeaderOutcome, string(present.Outcome))
 	writer.WriteHeader(present.Status)
 	// The caller may be gone; there is nobody to tell.
 	_, _ = writer.Write(present.Answer)
@@ -119,9 +119,9 @@
 	record.State = once.Ended
 	record.Status = answer.Status
 	record.Type = answer.Header.Get("Content-Type")
-	record.Outcome = string(outcome)
+	record.Outcome = outcome
 	record.Answer = kept.bytes
-	record.AnswerDropped = kept.dropped
+	record.Truncated = kept.dropped
 	entry.background(func() {
 		defer entry.keys.unlock(job.key)
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -17,7 +17,6 @@
 
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/once"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 	"nutmegfield.example/settings"
@@ -99,7 +98,7 @@
 	client   *http.Client
 	stop     context.CancelFunc
 	served   chan error
-	platform map[string]platform.Object
+	platform map[string]once.Object
 
 	// decide answers a ticket; nil grants at once, a nil decision never.
 	decide func(*request.Ticket) *Decision
@@ -122,14 +121,14 @@
 	c.Assert(err, qt.IsNil)
 	loaded, err := settings.Decode("host.yaml", []byte("host: {id: a1, zone: a}\nplatform: {address: 'http://p'}\n"))
 	c.Assert(err, qt.IsNil)
-	fixture := &fixture{C: c, listener: newPipeListener(), served: make(chan error, 1), platform: map[string]platform.Object{}}
+	fixture := &fixture{C: c, listener: newPipeListener(), served: make(chan error, 1), platform: map[string]once.Object{}}
 	store := &profile.Store{}
 	store.Offer(profile.NewSnapshot(1, *configuration))
 	fixture.entry = &Entry{
 		Settings: &loaded.Callers,
 		Drains:   &loaded.Drain,
 		Store:    store,
-		Records:  &once.Store{Get: fixture.get, Put: fixture.put},
+		Records:  fixture.records(),
 		Events:   &timeline.Recorder{Host: "a1"},
 		Host:     "a1",
 		Client: func(string) *target.Client {
@@ -238,29 +237,48 @@
 	}
 }
 
-func (fixture *fixture) get(ctx context.Context, kind, name string) (platform.Object, error) {
+// outageTime is how long a call to a silent platform takes to fail.
+const outageTime = 2 * time.Second
+
+// records is a store of records over the fixture's platform.
+func (fixture *fixture) records() *once.Store {
+	store := &once.Store{}
+	for index := range once.Ranges {
+		store.Ranges = append(store.Ranges, &once.Range{
+			Name: once.RangeName(index), Read: fixture.read, Write: fixture.replace,
+			Remove:    func(context.Context, string) error { return nil },
+			Retention: func() time.Duration { return 24 * time.Hour },
+		})
+	}
+	return store
+}
+
+func (fixture *fixture) read(_ context.Context, name string) (once.Object, error) {
 	if fixture.outage.Load() {
-		<-ctx.Done()
-		return platform.Object{}, platform.Lost.New("no answer")
+		time.Sleep(outageTime)
+		return once.Object{}, once.Lost.New("no answer")
 	}
 	fixture.mutex.Lock()
 	defer fixture.mutex.Unlock()
-	object, ok := fixture.platform[kind+"/"+name]
+	object, ok := fixture.platform[name]
 	if !ok {
-		return object, platform.NotFound.New("%s", name)
+		return object, once.Missing.New("%s", name)
 	}
 	return object, nil
 }
 
-func (fixture *fixture) put(_ context.Context, object platform.Object) (int64, error) {
+func (fixture *fixture) replace(_ context.Context, object once.Object) (int64, error) {
+	if fixture.outage.Load() {
+		time.Sleep(outageTime)
+		return 0, once.Lost.New("no answer")
+	}
 	fixture.mutex.Lock()
 	defer fixture.mutex.Unlock()
-	place := object.Kind + "/" + object.Name
-	if fixture.platform[place].Version != object.Version {
-		return 0, platform.Conflict.New("%s", place)
+	if fixture.platform[object.Name].Version != object.Version {
+		return 0, once.Conflict.New("%s", object.Name)
 	}
 	object.Version++
-	fixture.platform[place] = object
+	fixture.platform[object.Name] = object
 	return object.Version, nil
 }
 
--- a/entry/job.go
+++ b/entry/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"time"
@@ -36,9 +35,10 @@
 	header      http.Header
 	body        []byte
 	stream      bool
-	// key is the name of its record; empty for an idempotent request.
-	key   string
-	round uint32
+	// key names its record; recorded is false for an idempotent request.
+	key      once.Key
+	recorded bool
+	round    uint32
 	// use is its workspace's use while it waits.
 	use *workspaceUse
 	// record is its own record, claimed is true while it holds it.
@@ -66,13 +66,13 @@
 	job.fingerprint = fingerprint.Sum64()
 }
 
-// bodySum is the SHA-256 sum, in hexadecimal, of method, path and body.
-func (job *job) bodySum() string {
+// bodySum is the SHA-256 sum of method, path and body.
+func (job *job) bodySum() [sha256.Size]byte {
 	sum := sha256.New()
 	// A hash's writes never fail.
 	_, _ = io.WriteString(sum, job.method+" "+job.path+"\n")
 	_, _ = sum.Write(job.body)
-	return hex.EncodeToString(sum.Sum(nil))
+	return [sha256.Size]byte(sum.Sum(nil))
 }
 
 // stopWaiting takes the job out of its workspace's count of waiting ones.
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -113,6 +113,9 @@
 		begun := time.Now()
 		fixture.wants(<-replies, http.StatusServiceUnavailable, request.NotRun)
 		fixture.Assert(time.Since(begun), qt.Equals, 5*time.Second)
+		fixture.entry.running.Wait()
+		fixture.outage.Store(false)
+		time.Sleep(time.Minute)
 	})
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,7 +20,7 @@
 	}
 	job.use = use
 	defer job.stopWaiting()
-	if job.key != "" && !entry.claim(ctx, writer, job) {
+	if job.recorded && !entry.claim(ctx, writer, job) {
 		return
 	}
 	defer entry.forget(job)
