--- a/command/command.go
+++ b/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"sort"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -49,10 +50,34 @@
 			return exitFailed
 		}
 	}
+	if name := repeated(arguments); name != "" {
+		fmt.Fprintf(os.Stderr, "the flag %s stands more than once\n", name)
+		return exitUsage
+	}
 	_, err := parser.ParseArgs(arguments)
 	return exitCode(err)
 }
 
+// repeated returns a flag that stands more than once, empty if there is none:
+// the parser would take the last without a word.
+func repeated(arguments []string) string {
+	seen := map[string]bool{}
+	for _, argument := range arguments {
+		if argument == "--" {
+			break
+		}
+		name, _, _ := strings.Cut(argument, "=")
+		if !strings.HasPrefix(name, "--") {
+			continue
+		}
+		if seen[name] {
+			return name
+		}
+		seen[name] = true
+	}
+	return ""
+}
+
 func exitCode(err error) int {
 	if err == nil {
 		return exitOK
--- a/operator/part.go
+++ b/operator/part.go
@@ -118,10 +118,12 @@
 
 func (operator *Operator) authorised(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		token := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+		token, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
 		given := hex.EncodeToString(sum[:])
-		if operator.TokenHash != "" && subtle.ConstantTimeCompare([]byte(given), []byte(operator.TokenHash)) != 1 {
+		same := subtle.ConstantTimeCompare([]byte(given), []byte(operator.TokenHash)) == 1
+		if operator.TokenHash != "" && (!bearer || !same) {
+			writer.Header().Set("WWW-Authenticate", "Bearer")
 			http.Error(writer, "the operators' token is needed", http.StatusUnauthorized)
 			return
 		}
--- /dev/null
+++ b/operator/part_test.go
@@ -0,0 +1,47 @@
+package operator_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/operator"
+	"nutmegfield.example/peer"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/timeline"
+)
+
+// TestToken: only the operators' token opens their side, and no answer or
+// event holds a token.
+func TestToken(t *testing.T) {
+	c := qt.New(t)
+	sum := sha256.Sum256([]byte("night-watch"))
+	operator := &operator.Operator{
+		TokenHash: hex.EncodeToString(sum[:]),
+		Store:     &profile.Store{},
+		Members:   &peer.Members{Self: peer.Host{ID: "a1", Zone: "a"}},
+		Events:    &timeline.Recorder{Host: "a1"},
+	}
+	handler := operator.Handler()
+	for authorization, status := range map[string]int{
+		"":                   http.StatusUnauthorized,
+		"Bearer ":            http.StatusUnauthorized,
+		"Bearer day-watch":   http.StatusUnauthorized,
+		"Basic night-watch":  http.StatusUnauthorized,
+		"night-watch":        http.StatusUnauthorized,
+		"Bearer night-watch": http.StatusOK,
+	} {
+		asked := httptest.NewRequest(http.MethodGet, "/status", nil)
+		asked.Header.Set("Authorization", authorization)
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, asked)
+		c.Assert(answer.Code, qt.Equals, status, qt.Commentf("%q", authorization))
+		c.Assert(strings.Contains(answer.Body.String(), "-watch"), qt.IsFalse)
+	}
+	c.Assert(operator.Events.Events(), qt.HasLen, 0)
+}
