entry: leave the lifting of the read deadline to net/http

A trial without the call passed TestDeadlineWhileRunningLetsAnswerCome, in which an answer comes a minute after its body with a read timeout of 10s: net/http lifts the deadline itself when the body ends.

--- a/entry/body.go
+++ b/entry/body.go
@@ -51,10 +51,9 @@
 	return badRequest(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 }
 
-// armRead bounds the reading of a body; a writer without deadlines is one of
-// a test.
+// armRead bounds the reading of a body. net/http lifts the deadline at the
+// body's end, before it watches for the caller's hang-up. A writer without
+// deadlines is one of a test.
 func (entry *Entry) armRead(writer *callerWriter) {
 	_ = writer.control.SetReadDeadline(time.Now().Add(entry.Settings.ReadTimeout))
 }
-
-func disarmRead(writer *callerWriter) { _ = writer.control.SetReadDeadline(time.Time{}) }
--- a/entry/server.go
+++ b/entry/server.go
@@ -128,7 +128,5 @@
 	if err != nil {
 		return nil, reader.taken, bodyProblem(writer, err)
 	}
-	// The read that watches for the caller's hang-up must not time out.
-	disarmRead(writer)
 	return body, reader.taken, nil
 }
