--- a/command/serve.go
+++ b/command/serve.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/phuslu/log"
 
 	// The parts of a host register themselves.
@@ -33,7 +35,7 @@
 	Register(Command{
 		Name:  "serve",
 		Short: "run an entry host",
-		Long:  "Run an entry host until SIGTERM, then let running answers end. A second signal ends it at once.",
+		Long:  "Run an entry host until SIGTERM, then let running answers end. A second signal, or the drain limit, ends it sooner; answers that were cut are logged and the exit code is 1.",
 		Data:  &serve{},
 	})
 }
@@ -57,28 +59,27 @@
 	}
 	invariant.Recorder.Store(host.Events)
 	kernel.Provide(host, known())
+	// The log holds numbered events only.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
-	running, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	force, cancel := forceAfter(running, loaded.Drain)
-	defer cancel()
+	running, force := onSignals()
 	return host.Run(running, force)
 }
 
-// forceAfter returns a context that ends with a second signal, or when the
-// drain limit has passed after the first.
-func forceAfter(running context.Context, drain settings.Drain) (context.Context, context.CancelFunc) {
-	force, cancel := context.WithCancel(context.Background())
+// onSignals returns a context that ends with the first signal and one that
+// ends with the second.
+func onSignals() (running, force context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	running, drain := context.WithCancel(context.Background())
+	force, cut := context.WithCancel(context.Background())
 	go func() {
-		<-running.Done()
-		second, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		limited, end := context.WithTimeout(second, drain.Limit)
-		defer end()
-		<-limited.Done()
-		cancel()
+		<-signals
+		drain()
+		<-signals
+		cut()
 	}()
-	return force, cancel
+	return running, force
 }
--- a/peer/part.go
+++ b/peer/part.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/platform"
 )
@@ -44,10 +45,15 @@
 		return nil, err
 	}
 	settings := host.Settings
+	side := &certificate.Side{Files: settings.Peers.TLS, Events: host.Events, Connect: host.Dial}
 	listener, err := host.Network.Listen("tcp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	listener, err = side.Listen(listener)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
 	datagrams, err := host.Network.ListenPacket("udp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for probes: %w", err)
@@ -62,9 +68,7 @@
 		Members:  members,
 		Events:   host.Events,
 		Listener: listener,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return host.Dial(ctx, "tcp", address)
-		},
+		Dial:     side.Dial,
 	}
 	prober := &Prober{
 		Members: members,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,12 +4,16 @@
 package settings
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"reflect"
 
+	"github.com/creasty/defaults"
 	"github.com/joomcode/errorx"
-
-	"nutmegfield.example/yamlfile"
+	"go.yaml.in/yaml/v3"
 )
 
 // Errors of this package.
@@ -41,22 +45,50 @@
 	return Decode(file, text)
 }
 
-// Decode reads settings from YAML, sets defaults and checks them. The error
-// names every fault with file, line and key.
+// Decode reads settings from YAML over the defaults and checks them. The
+// error names every fault with file, line and key.
 func Decode(file string, text []byte) (*Settings, error) {
-	root, err := yamlfile.Parse(text)
+	root, err := parse(file, text)
 	if err != nil {
-		return nil, BadFile.Wrap(err, "%s", file)
+		return nil, err
 	}
 	settings := &Settings{}
-	if err := yamlfile.Decode(text, settings); err != nil {
-		return nil, BadFile.Wrap(err, "%s", file)
+	// The defaults come first, so that a key that is set to 0 or "" is checked
+	// and not taken for an absent one.
+	if err := defaults.Set(settings); err != nil {
+		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
+	}
+	checker := &checker{name: file, root: root}
+	checker.known(root, reflect.TypeFor[Settings](), "")
+	if err := root.Decode(settings); err != nil {
+		checker.mistyped(err)
+	}
+	if len(checker.faults) == 0 {
+		settings.check(checker)
 	}
-	checker := &checker{yamlfile.Checker{File: file, Root: root, Type: BadValue}}
-	settings.check(checker)
 	return settings, checker.err()
 }
 
+// parse reads the one YAML document of a file and returns its mapping.
+func parse(file string, text []byte) (*yaml.Node, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	var document yaml.Node
+	if err := decoder.Decode(&document); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, BadFile.New("%s: the file is empty", file)
+		}
+		return nil, BadFile.Wrap(err, "%s", file)
+	}
+	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return nil, BadFile.New("%s: more than one YAML document", file)
+	}
+	root := document.Content[0]
+	if root.Kind != yaml.MappingNode {
+		return nil, BadFile.New("%s:%d: the file is no mapping of keys to values", file, root.Line)
+	}
+	return root, nil
+}
+
 func (settings *Settings) check(checker *checker) {
 	settings.Host.check(checker)
 	settings.Callers.check(checker)
