pool, prefix: test the decisions by scripts, at random and against slow engines

Faults found by these tests and mended here: - a busy target passed for a slow one, as its time to first token was divided by all that was pending there; the mean takes the least, the best the most; - two thinned chains met a shared head of 40 blocks at 3 (FuzzChain seed 0): each shrank from its own length; all prompts share one grid now; - a leaving word freed the target kept for a suspect while that still ran.

--- /dev/null
+++ b/pool/adapt_test.go
@@ -0,0 +1,156 @@
+package pool_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/policy"
+	"nutmegfield.example/pool"
+	"nutmegfield.example/request"
+)
+
+// slowed runs an engine that takes the given time for each answer, keeps 16
+// tickets waiting, and returns the most slots in use in the last second.
+type slowed struct {
+	pool    *pool.Pool
+	running []running
+	next    int
+}
+
+type running struct {
+	grant request.Grant
+	end   time.Time
+	took  time.Duration
+}
+
+func (slowed *slowed) run(period, took time.Duration) int {
+	most := 0
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		slowed.step(took)
+		if time.Until(end) <= time.Second {
+			most = max(most, len(slowed.running))
+		}
+	}
+	return most
+}
+
+func (slowed *slowed) step(took time.Duration) {
+	for i := range slowed.running {
+		if slowed.running[i].took == 0 {
+			slowed.running[i].took = took
+			slowed.running[i].end = time.Now().Add(took)
+		}
+	}
+	kept := slowed.running[:0:0]
+	var ended []running
+	for _, each := range slowed.running {
+		if time.Now().Before(each.end) {
+			kept = append(kept, each)
+		} else {
+			ended = append(ended, each)
+		}
+	}
+	slowed.running = kept
+	for _, each := range ended {
+		slowed.pool.Release(request.Release{
+			Ticket: each.grant.Ticket, Number: each.grant.Number, End: request.EndDone,
+			FirstToken: each.took / 5, Total: each.took,
+			Usage: request.Usage{PromptTokens: 1000, OutputTokens: 41},
+		})
+	}
+	for slowed.pool.Waiting() < 16 {
+		slowed.next++
+		slowed.pool.Submit(&request.Ticket{
+			ID: request.ID{byte(slowed.next), byte(slowed.next >> 8)}, Round: 1,
+			Deadline: time.Now().Add(time.Hour), Size: request.Size{PromptTokens: 1000, OutputTokens: 41},
+		})
+	}
+	slowed.pool.Tick()
+}
+
+// TestSlowEngine slows an engine tenfold: it gets fewer slots within 5 s,
+// never none, and has them back within 5 s of its recovery.
+func TestSlowEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slowed := &slowed{}
+		slowed.pool = &pool.Pool{
+			Policy:  policy.New("expectedFinish", 1),
+			Granted: func(_ string, grant request.Grant) { slowed.running = append(slowed.running, running{grant: grant}) },
+			Refused: func(string, request.Refusal) {},
+		}
+		slowed.pool.Start()
+		slowed.pool.Configure(pool.Configuration{Waiting: 100, Targets: []pool.Target{{Name: "a", Slots: 8}}})
+		qt.Assert(t, slowed.run(10*time.Second, 500*time.Millisecond), qt.Equals, 8)
+		slowed.run(4*time.Second, 5*time.Second)
+		slow := slowed.run(6*time.Second, 5*time.Second)
+		qt.Assert(t, slow < 8 && slow >= 1, qt.IsTrue, qt.Commentf("%d slots", slow))
+		// What the slow engine still runs ends first.
+		slowed.run(5*time.Second, 500*time.Millisecond)
+		qt.Assert(t, slowed.run(5*time.Second, 500*time.Millisecond), qt.Equals, 8)
+	})
+}
+
+// TestWaitBlocksNobody has a policy that lets one workspace's tickets wait.
+func TestWaitBlocksNobody(t *testing.T) {
+	var granted []byte
+	choose := func(ticket *request.Ticket, _ []policy.Candidate) policy.Choice {
+		if ticket.Workspace == "picky" {
+			return policy.Wait
+		}
+		return 0
+	}
+	waits := &pool.Pool{
+		Policy:  &policy.Policy{Choose: choose},
+		Granted: func(_ string, grant request.Grant) { granted = append(granted, grant.Ticket[0]) },
+		Refused: func(string, request.Refusal) {},
+	}
+	waits.Start()
+	waits.Configure(pool.Configuration{Waiting: 100, Targets: []pool.Target{{Name: "a", Slots: 8}}})
+	for id, workspace := range []string{"picky", "picky", "other", "picky", "other"} {
+		waits.Submit(&request.Ticket{
+			ID: request.ID{byte(id)}, Round: 1, Workspace: workspace, Tier: request.Tier(id / 3),
+			Deadline: time.Now().Add(time.Hour),
+		})
+	}
+	qt.Assert(t, granted, qt.DeepEquals, []byte{2, 4})
+	qt.Assert(t, waits.Waiting(), qt.Equals, 3)
+}
+
+// TestLate refuses what cannot make its deadline, and nothing that could.
+func TestLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var granted []request.Grant
+		var refused []request.Reason
+		late := &pool.Pool{
+			Policy:  policy.New("expectedFinish", 1),
+			Granted: func(_ string, grant request.Grant) { granted = append(granted, grant) },
+			Refused: func(_ string, refusal request.Refusal) { refused = append(refused, refusal.Reason) },
+		}
+		late.Start()
+		late.Configure(pool.Configuration{Waiting: 100, Targets: []pool.Target{{Name: "a", Slots: 1}}})
+		submit := func(deadline time.Duration) {
+			late.Submit(&request.Ticket{
+				ID: request.NewID(), Round: 1, Deadline: time.Now().Add(deadline),
+				Size: request.Size{PromptTokens: 1000, OutputTokens: 100},
+			})
+		}
+		// Answers take 1 s to the first token and 1 s for half the output
+		// that was estimated: 2 s is always enough.
+		for range 600 {
+			submit(2 * time.Second)
+			grant := granted[len(granted)-1]
+			time.Sleep(2 * time.Second)
+			late.Release(request.Release{
+				Ticket: grant.Ticket, Number: grant.Number, End: request.EndDone,
+				FirstToken: time.Second, Total: 2 * time.Second,
+				Usage: request.Usage{PromptTokens: 1000, OutputTokens: 51},
+			})
+		}
+		qt.Assert(t, refused, qt.HasLen, 0)
+		submit(100 * time.Millisecond)
+		qt.Assert(t, refused, qt.DeepEquals, []request.Reason{request.ReasonDeadline})
+	})
+}
--- a/pool/configure.go
+++ b/pool/configure.go
@@ -65,7 +65,7 @@
 	if pool.Prefixes != nil {
 		pool.Prefixes.Forget(known.Name)
 	}
-	if pool.alone.target == known {
+	if pool.alone.target == known && !pool.alone.busy {
 		pool.alone.release()
 	}
 }
@@ -90,7 +90,7 @@
 	}
 	known.told = leaving
 	pool.word(name, leaving || known.Leaving, now)
-	if pool.alone.target == known && leaving {
+	if pool.alone.target == known && leaving && !pool.alone.busy {
 		pool.alone.release()
 	}
 	pool.refresh(known, now)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -101,8 +101,10 @@
 	// started is true once the first token was seen.
 	started bool
 	// prefill is what the grant added to pendingPrefill and still counts,
-	// expectedPrefill all that was pending there with it.
+	// ownPrefill what it added at first, expectedPrefill all that was pending
+	// there with it.
 	prefill         int
+	ownPrefill      int
 	expectedPrefill int
 	// crashed is true once a crash of its target was counted against it.
 	crashed bool
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -155,11 +155,11 @@
 	tier.turns.fix(flow)
 }
 
-// remove takes a ticket out and reports whether it was there.
-func (queue *queue) remove(id request.ID) bool {
+// remove takes a ticket out, if it is in.
+func (queue *queue) remove(id request.ID) {
 	found := queue.items[id]
 	if found == nil {
-		return false
+		return
 	}
 	tier := queue.tiers[found.ticket.Tier]
 	flow := found.flow
@@ -179,7 +179,6 @@
 	if tier.length == 0 {
 		tier.emptyAt = time.Now()
 	}
-	return true
 }
 
 // setAside takes a ticket out of the turns; it goes on waiting.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -189,6 +189,7 @@
 	}
 	chosen.running++
 	chosen.pendingPrefill += held.prefill
+	held.ownPrefill = held.prefill
 	held.expectedPrefill = chosen.pendingPrefill
 	pool.held[ticket.ID] = held
 	pool.refresh(chosen, now)
--- /dev/null
+++ b/pool/script_test.go
@@ -0,0 +1,205 @@
+package pool_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/invariant"
+	"nutmegfield.example/policy"
+	"nutmegfield.example/pool"
+	"nutmegfield.example/request"
+)
+
+// TestScripts runs the scripts of testdata on the paused clock. A line is a
+// step, "name key=value ..."; "= words; words" states all decisions since the
+// last such line. Steps without a pool= key go to the pool "p".
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runScript(t, path) })
+		})
+	}
+}
+
+func runScript(t *testing.T, path string) {
+	defer invariant.Watch(func(message string) { t.Error(message) })()
+	raw, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	script := &script{t: t, pools: map[string]*pool.Pool{}, grants: map[string]request.Grant{}}
+	for number, line := range strings.Split(string(raw), "\n") {
+		script.where = fmt.Sprintf("%s:%d: %s", path, number+1, line)
+		line, _, _ = strings.Cut(line, "#")
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "":
+		case strings.HasPrefix(line, "="):
+			got := strings.Join(script.seen, "; ")
+			qt.Assert(t, got, qt.Equals, strings.TrimSpace(line[1:]), qt.Commentf("%s", script.where))
+			script.seen = nil
+		default:
+			script.step(strings.Fields(line))
+		}
+	}
+}
+
+type script struct {
+	t      *testing.T
+	where  string
+	pools  map[string]*pool.Pool
+	grants map[string]request.Grant
+	seen   []string
+}
+
+// words are the arguments of a step.
+type words map[string]string
+
+func (words words) or(key, otherwise string) string {
+	if value, ok := words[key]; ok {
+		return value
+	}
+	return otherwise
+}
+
+func (script *script) number(text string) int {
+	value, err := strconv.Atoi(text)
+	qt.Assert(script.t, err, qt.IsNil, qt.Commentf("%s", script.where))
+	return value
+}
+
+func (script *script) duration(text string) time.Duration {
+	value, err := time.ParseDuration(text)
+	qt.Assert(script.t, err, qt.IsNil, qt.Commentf("%s", script.where))
+	return value
+}
+
+func (script *script) step(fields []string) {
+	words := words{}
+	for _, field := range fields[1:] {
+		key, value, _ := strings.Cut(field, "=")
+		words[key] = value
+	}
+	name := words.or("pool", "p")
+	target := script.pools[name]
+	switch fields[0] {
+	case "configure":
+		if target == nil {
+			target = script.start(name, script.duration(words.or("settle", "0s")))
+		}
+		target.Configure(script.configuration(words))
+	case "submit":
+		target.Submit(script.ticket(words))
+	case "release":
+		target.Release(script.release(words))
+	case "leave":
+		target.Leave(words["target"], words.or("leaving", "yes") == "yes")
+	case "sleep":
+		script.sleep(script.duration(words["for"]))
+	case "reconcile":
+		target.Reconcile("e1", nil)
+	case "forget":
+		target.Forget("e1")
+	case "stop":
+		target.Stop()
+	case "floors":
+		script.exchangeFloors()
+	case "waiting":
+		qt.Assert(script.t, target.Waiting(), qt.Equals, script.number(words["is"]), qt.Commentf("%s", script.where))
+	default:
+		script.t.Fatalf("unknown step %s", script.where)
+	}
+}
+
+func (script *script) start(name string, settle time.Duration) *pool.Pool {
+	started := &pool.Pool{
+		Name: name, Host: "h-" + name, Settle: settle, Policy: policy.New("expectedFinish", 1),
+		Granted: func(_ string, grant request.Grant) {
+			id := strconv.Itoa(int(grant.Ticket[0]))
+			script.grants[id] = grant
+			script.seen = append(script.seen, "grant "+id+" "+grant.Target)
+		},
+		Refused: func(_ string, refusal request.Refusal) {
+			script.seen = append(script.seen, fmt.Sprintf("refuse %d %s", refusal.Ticket[0], refusal.Reason))
+		},
+	}
+	started.Start()
+	script.pools[name] = started
+	return started
+}
+
+func (script *script) configuration(words words) pool.Configuration {
+	configuration := pool.Configuration{Waiting: script.number(words.or("waiting", "100")), Weights: map[string]int{}}
+	for _, text := range strings.FieldsFunc(words["targets"], func(r rune) bool { return r == ',' }) {
+		name, slots, _ := strings.Cut(text, ":")
+		slots, leaving := strings.CutSuffix(slots, "!")
+		configuration.Targets = append(configuration.Targets, pool.Target{Name: name, Slots: script.number(slots), Leaving: leaving})
+	}
+	for _, text := range strings.FieldsFunc(words["weights"], func(r rune) bool { return r == ',' }) {
+		name, weight, _ := strings.Cut(text, ":")
+		configuration.Weights[name] = script.number(weight)
+	}
+	return configuration
+}
+
+func (script *script) ticket(words words) *request.Ticket {
+	id := script.number(words["id"])
+	ticket := &request.Ticket{
+		ID: request.ID{byte(id)}, Pool: "p", Entry: "e1", Workspace: words.or("workspace", "w"),
+		Tier:        request.Tier(script.number(words.or("tier", "0"))),
+		Sheddable:   words.or("sheddable", "yes") == "yes",
+		Deadline:    time.Now().Add(script.duration(words.or("deadline", "1h"))),
+		Size:        request.Size{PromptTokens: 100, OutputTokens: script.number(words.or("output", "100"))},
+		Fingerprint: uint64(script.number(words.or("body", words["id"]))),
+		Round:       uint32(script.number(words.or("round", "1"))),
+	}
+	if held, ok := words["held"]; ok {
+		ticket.Held = &request.Grant{Ticket: ticket.ID, Round: ticket.Round, Target: held, Scheduler: "other", Number: 7}
+		script.grants[words["id"]] = *ticket.Held
+	}
+	return ticket
+}
+
+func (script *script) release(words words) request.Release {
+	grant := script.grants[words["id"]]
+	ends := map[string]request.End{
+		"unused": request.EndUnused, "done": request.EndDone, "failed": request.EndFailed,
+		"broken": request.EndBroken, "unreachable": request.EndUnreachable, "leaving": request.EndLeaving,
+	}
+	end, ok := ends[words.or("end", "done")]
+	qt.Assert(script.t, ok, qt.IsTrue, qt.Commentf("%s", script.where))
+	return request.Release{
+		Ticket: grant.Ticket, Target: grant.Target, Number: grant.Number, Scheduler: grant.Scheduler, End: end,
+		Total: script.duration(words.or("total", "2s")), FirstToken: script.duration(words.or("first", "1s")),
+		Usage: request.Usage{PromptTokens: 100, OutputTokens: script.number(words.or("output", "100"))},
+	}
+}
+
+func (script *script) sleep(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+		for _, each := range []string{"p", "q"} {
+			if found := script.pools[each]; found != nil {
+				found.Tick()
+			}
+		}
+	}
+}
+
+func (script *script) exchangeFloors() {
+	for name, from := range script.pools {
+		for other, to := range script.pools {
+			if name != other {
+				to.ObserveFloor(name, from.Floor())
+			}
+		}
+	}
+}
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -12,7 +12,7 @@
 	uncached := release.Usage.PromptTokens - release.Usage.CachedTokens
 	if release.Usage.OutputTokens == 0 {
 		if release.Usage.PromptTokens == 0 {
-			known.judge(known.speed.whole.add(release.Total.Seconds()), now)
+			known.judge(known.speed.whole.add(release.Total.Seconds(), release.Total.Seconds()), now)
 		}
 		return
 	}
@@ -21,7 +21,7 @@
 	}
 	if release.Usage.OutputTokens >= minDecodeTokens && release.Total > release.FirstToken {
 		decode := (release.Total - release.FirstToken).Seconds() / float64(release.Usage.OutputTokens-1)
-		known.judge(known.speed.decode.add(decode), now)
+		known.judge(known.speed.decode.add(decode, decode), now)
 		pool.peak.decode(decode)
 	}
 	if held.ticket.Size.OutputTokens > 0 {
@@ -34,11 +34,12 @@
 
 // learnFirst takes the time to the first token of a running request.
 func (pool *Pool) learnFirst(held *holding, first time.Duration, now time.Time) {
-	if held.expectedPrefill < minPrefillTokens {
+	if held.ownPrefill < minPrefillTokens {
 		return
 	}
-	known := held.target
-	known.judge(known.speed.prefill.add(first.Seconds()/float64(held.expectedPrefill)), now)
+	speed := &held.target.speed.prefill
+	least := first.Seconds() / float64(held.expectedPrefill)
+	held.target.judge(speed.add(least, first.Seconds()/float64(held.ownPrefill)), now)
 }
 
 // lookForOverdue takes slots from targets whose running requests should long
--- a/pool/target.go
+++ b/pool/target.go
@@ -77,20 +77,22 @@
 	best float64
 }
 
-// add learns a time and returns how many times slower than the best the mean
-// is.
-func (sample *sample) add(value float64) float64 {
-	if value <= 0 {
+// add learns a time, at least and at most as the work beside it is counted,
+// and returns how many times slower the mean is than the best. The mean is
+// taken of the least, the best of the most, so that a busy target does not
+// pass for a slow one.
+func (sample *sample) add(least, most float64) float64 {
+	if least <= 0 {
 		return 1
 	}
 	if sample.best == 0 {
-		sample.mean = value
-		sample.best = value
+		sample.mean = least
+		sample.best = most
 		return 1
 	}
-	sample.mean += rateWeight * (value - sample.mean)
+	sample.mean += rateWeight * (least - sample.mean)
 	slowness := sample.mean / sample.best
-	sample.best = min(value, sample.best+bestDrift*(value-sample.best))
+	sample.best = min(most, sample.best+bestDrift*(most-sample.best))
 	return slowness
 }
 
--- a/prefix/chain.go
+++ b/prefix/chain.go
@@ -44,18 +44,14 @@
 	return hashes
 }
 
-// Thin picks at most 16 prefixes of a chain: the whole, and lengths that
-// shrink by about a quarter each step, so that a shared head of any length is
-// met to within that.
+// Thin picks at most 16 prefixes of a chain: the whole, and the lengths below
+// it of a grid that all prompts share. Its steps are at most a third, so that a
+// shared head is met to within a quarter, down to a 32nd of the whole.
 func Thin(chain []uint64) []request.Prefix {
-	var lengths []int
+	lengths := make([]int, 0, maxPrefixes)
 	for length := len(chain); length > 0 && len(lengths) < maxPrefixes; {
 		lengths = append(lengths, length)
-		next := canonical(length * 3 / 4)
-		if next >= length {
-			next = length - 1
-		}
-		length = next
+		length = gridBelow(length)
 	}
 	prefixes := make([]request.Prefix, 0, len(lengths))
 	for i := len(lengths) - 1; i >= 0; i-- {
@@ -65,12 +61,13 @@
 	return prefixes
 }
 
-// canonical rounds a length down to one with two leading bits of freedom, so
-// that prompts of unlike lengths pick the same points of a shared head.
-func canonical(length int) int {
+// gridBelow returns the largest length of the grid below the given one, 0 for
+// none: 1, 2, 3, and 4, 5 and 6 times each power of two.
+func gridBelow(length int) int {
+	length--
 	step := 1
 	for length/step >= 8 {
 		step *= 2
 	}
-	return length / step * step
+	return min(length/step, 6) * step
 }
--- /dev/null
+++ b/prefix/index_test.go
@@ -0,0 +1,152 @@
+package prefix_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/prefix"
+	"nutmegfield.example/request"
+)
+
+func prompt(number, length int) []request.Prefix {
+	prefixes := make([]request.Prefix, length)
+	for i := range prefixes {
+		prefixes[i] = request.Prefix{Hash: uint64(number)<<16 + uint64(i) + 1, Tokens: (i + 1) * prefix.BlockTokens}
+	}
+	return prefixes
+}
+
+func TestIndex(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		index := &prefix.Index{}
+		one, other := prompt(1, 4), prompt(2, 4)
+		index.Granted("a", one)
+		index.Granted("b", one[:2])
+		index.Event("b", []uint64{other[1].Hash}, []uint64{one[1].Hash})
+		qt.Check(t, index.Cached("a", one), qt.Equals, 4*prefix.BlockTokens)
+		qt.Check(t, index.Cached("b", one), qt.Equals, prefix.BlockTokens)
+		qt.Check(t, index.Cached("b", other), qt.Equals, 2*prefix.BlockTokens)
+		qt.Check(t, index.Holders(one, nil), qt.DeepEquals, []prefix.Holder{
+			{Target: "a", Tokens: 4 * prefix.BlockTokens}, {Target: "b", Tokens: prefix.BlockTokens},
+		})
+
+		index.Gap("b")
+		time.Sleep(2 * time.Minute)
+		qt.Check(t, index.Cached("b", one), qt.Equals, 0)
+		qt.Check(t, index.Cached("a", one), qt.Equals, 4*prefix.BlockTokens)
+		index.Event("b", []uint64{one[0].Hash}, nil)
+		qt.Check(t, index.Cached("b", one), qt.Equals, prefix.BlockTokens)
+
+		time.Sleep(9 * time.Minute)
+		qt.Check(t, index.Cached("a", one), qt.Equals, 0)
+
+		index.Answered("a", one, 0)
+		index.Forget("a")
+		qt.Check(t, index.Cached("a", one), qt.Equals, 0)
+		qt.Check(t, index.Entries(), qt.Equals, 2)
+	})
+}
+
+// TestMissed sees that a target which holds less than expected is trusted
+// with less, the oldest first.
+func TestMissed(t *testing.T) {
+	index := &prefix.Index{}
+	for number := range 100 {
+		index.Granted("a", prompt(number, 16))
+	}
+	index.Missed("a", 16*prefix.BlockTokens, 0)
+	qt.Check(t, index.Cached("a", prompt(0, 16)), qt.Equals, 0)
+	qt.Check(t, index.Cached("a", prompt(99, 16)), qt.Equals, 16*prefix.BlockTokens)
+	before := index.Entries()
+	index.Missed("a", 16*prefix.BlockTokens, 16*prefix.BlockTokens)
+	qt.Check(t, index.Entries(), qt.Equals, before)
+}
+
+// TestBounded fills an index far beyond its bound.
+func TestBounded(t *testing.T) {
+	index := &prefix.Index{}
+	for number := range 40000 {
+		index.Granted(fmt.Sprint(number%20), prompt(number, 16))
+	}
+	qt.Check(t, index.Entries() <= 1<<17, qt.IsTrue, qt.Commentf("%d entries", index.Entries()))
+	qt.Check(t, index.Cached(fmt.Sprint(39999%20), prompt(39999, 16)), qt.Equals, 16*prefix.BlockTokens)
+}
+
+// FuzzChain checks that a head shared by two prompts is met to within a
+// quarter by their thinned chains.
+func FuzzChain(f *testing.F) {
+	f.Add(uint16(40), uint16(7), uint16(100))
+	f.Add(uint16(1), uint16(0), uint16(0))
+	f.Add(uint16(300), uint16(500), uint16(1))
+	f.Fuzz(func(t *testing.T, shared, one, other uint16) {
+		head := int(shared % 256)
+		first := prefix.Thin(chain(head, int(one%64), 1))
+		second := prefix.Thin(chain(head, int(other%64), 2))
+		met := 0
+		known := map[uint64]bool{}
+		for _, each := range first {
+			known[each.Hash] = true
+		}
+		for _, each := range second {
+			if known[each.Hash] {
+				met = max(met, each.Tokens/prefix.BlockTokens)
+			}
+		}
+		if len(first) > 16 || met > head {
+			t.Fatalf("%d prefixes, head of %d blocks: met %d", len(first), head, met)
+		}
+		if longest := head + max(int(one%64), int(other%64)); 32*head >= longest && 4*met < 3*head {
+			t.Fatalf("head of %d blocks, tails %d and %d: met %d", head, one%64, other%64, met)
+		}
+	})
+}
+
+func chain(head, tail int, mark byte) []uint64 {
+	text := make([]byte, (head+tail)*prefix.BlockBytes)
+	for i := range text {
+		text[i] = byte(i / prefix.BlockBytes)
+		if i >= head*prefix.BlockBytes {
+			text[i] = 255 - mark
+		}
+	}
+	return prefix.Chain(text)
+}
+
+// BenchmarkHolders is a look-up of 16 prefixes over 680 targets.
+func BenchmarkHolders(b *testing.B) {
+	index := &prefix.Index{}
+	for number := range 8000 {
+		index.Granted(fmt.Sprint(number%680), prompt(number, 16))
+	}
+	prefixes := prompt(4000, 16)
+	var buffer []prefix.Holder
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = index.Holders(prefixes, buffer[:0])
+	}
+}
+
+// BenchmarkEntry reports the bytes kept for each entry at 680 targets.
+func BenchmarkEntry(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		index := &prefix.Index{}
+		for number := range 16000 {
+			index.Granted(fmt.Sprint(number%680), prompt(number, 16))
+		}
+		b.ReportMetric(float64(heap()-before)/float64(index.Entries()), "B/entry")
+		runtime.KeepAlive(index)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
