prefix: find the entry of a hash and target in one step

Cause: with a head of the prompt shared by all 680 targets, each note walked the list of its holders. A second map from the mixed hash and target to the entry replaces the walk.

--- a/prefix/index.go
+++ b/prefix/index.go
@@ -39,9 +39,11 @@
 	numbers map[string]uint16
 	targets []*holdings
 	free    []uint16
-	// heads is the first entry of each hash, slots the entries.
-	heads map[uint64]int32
-	slots []slot
+	// heads is the first entry of each hash, places the entry of each hash and
+	// target, slots the entries.
+	heads  map[uint64]int32
+	places map[uint64]int32
+	slots  []slot
 	// spare heads the list of unused slots, by nextHolder.
 	spare int32
 	count int
@@ -229,6 +231,7 @@
 	if index.numbers == nil {
 		index.numbers = map[string]uint16{}
 		index.heads = map[uint64]int32{}
+		index.places = map[uint64]int32{}
 		index.spare = none
 		index.base = time.Now()
 	}
@@ -250,14 +253,18 @@
 }
 
 func (index *Index) find(number uint16, hash uint64) int32 {
-	next, ok := index.heads[hash]
-	for ok && next != none {
-		if index.slots[next].target == number {
-			return next
-		}
-		next = index.slots[next].nextHolder
+	at, ok := index.places[place(number, hash)]
+	if !ok || index.slots[at].target != number || index.slots[at].hash != hash {
+		return none
 	}
-	return none
+	return at
+}
+
+// place mixes a target's number into a hash. Two entries that meet in one
+// place are told apart by find, and the older one is forgotten.
+func place(number uint16, hash uint64) uint64 {
+	const oddMixer = 0x9e3779b97f4a7c15
+	return hash ^ (uint64(number)+1)*oddMixer
 }
 
 // note adds an entry, or makes it the newest.
@@ -269,7 +276,11 @@
 		for held.count > 0 && (float64(held.count) >= held.capacity || held.count >= share) {
 			index.drop(held.oldest)
 		}
+		if met, ok := index.places[place(number, hash)]; ok {
+			index.drop(met)
+		}
 		at = index.take()
+		index.places[place(number, hash)] = at
 		head, ok := index.heads[hash]
 		if !ok {
 			head = none
@@ -325,6 +336,7 @@
 	slot := &index.slots[at]
 	held := index.targets[slot.target]
 	index.unlink(held, at)
+	delete(index.places, place(slot.target, slot.hash))
 	if slot.nextHolder != none {
 		index.slots[slot.nextHolder].lastHolder = slot.lastHolder
 	}
