pool: keep slots free of large tickets

Cause: one size waited behind another for as long as the larger runs; with all 16 slots of four targets held by 50 s tickets, 0.5 s ones waited seconds. Ruled out: a fixed share of slots for large tickets, which is either too much or too little as the load of the small ones varies.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -82,6 +82,7 @@
 	suspects suspects
 	alone    alone
 	floors   floors
+	sizes    sizes
 
 	candidates []policy.Candidate
 	chosen     []*target
@@ -108,6 +109,8 @@
 	expectedPrefill int
 	// crashed is true once a crash of its target was counted against it.
 	crashed bool
+	// large is true where it counts as one of the large ones.
+	large bool
 }
 
 // Start readies the pool; Run calls it.
@@ -155,6 +158,7 @@
 	pool.queue = newQueue()
 	pool.queue.weights = pool.configuration.Weights
 	pool.alone.waiting = nil
+	pool.sizes.aside = nil
 }
 
 // Tick refuses what is past its deadline, gives slots back and schedules.
@@ -203,6 +207,7 @@
 		return
 	}
 	pool.queue.push(ticket)
+	pool.sizes.learn(cost(ticket))
 	if pool.suspects.suspected(ticket.Fingerprint, now) {
 		pool.isolate(pool.queue.items[ticket.ID])
 	}
@@ -362,6 +367,9 @@
 	known.pendingPrefill -= held.prefill
 	held.prefill = 0
 	delete(pool.held, held.ticket.ID)
+	if held.large {
+		pool.sizes.running--
+	}
 	if known.removed && known.running == 0 {
 		delete(pool.byName, known.Name)
 	}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -25,6 +25,7 @@
 		return
 	}
 	pool.scheduleAlone(now)
+	pool.bringBack(now)
 	for pool.open.len() > 0 && len(pool.aside) < lookAhead {
 		next := pool.queue.next()
 		if next == nil {
@@ -51,6 +52,7 @@
 	case pool.late(ticket, now):
 		pool.queue.remove(ticket.ID)
 		pool.refuse(ticket, request.ReasonDeadline)
+	case pool.holdBack(next):
 	default:
 		chosen := pool.choose(ticket)
 		if chosen == nil {
@@ -155,7 +157,9 @@
 
 // refresh puts a target where it belongs among those with room.
 func (pool *Pool) refresh(target *target, now time.Time) {
+	pool.sizes.slots -= target.slots
 	target.slots = target.capacity(now)
+	pool.sizes.slots += target.slots
 	target.busy = target.busyness()
 	if target.running >= target.slots {
 		pool.open.remove(target)
@@ -192,6 +196,9 @@
 	held.ownPrefill = held.prefill
 	held.expectedPrefill = chosen.pendingPrefill
 	pool.held[ticket.ID] = held
+	if held.large = pool.sizes.large(cost(ticket)); held.large {
+		pool.sizes.running++
+	}
 	pool.refresh(chosen, now)
 	pool.Granted(ticket.Entry, held.grant)
 }
--- /dev/null
+++ b/pool/size_test.go
@@ -0,0 +1,92 @@
+package pool_test
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/policy"
+	"nutmegfield.example/pool"
+	"nutmegfield.example/request"
+)
+
+// TestLargeTrapsNobody offers 16 slots a burst of large tickets of one tier
+// and workspace among tiny ones, and looks at how long those wait.
+func TestLargeTrapsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		waits := map[bool][]time.Duration{}
+		random := rand.New(rand.NewPCG(1, 1))
+		type sent struct {
+			at    time.Time
+			large bool
+		}
+		tickets := map[request.ID]sent{}
+		type run struct {
+			grant request.Grant
+			end   time.Time
+		}
+		var runs []run
+		var sized *pool.Pool
+		var last time.Time
+		pass := func() {
+			time.Sleep(100 * time.Millisecond)
+			due := slices.Clone(runs)
+			runs = slices.DeleteFunc(runs, func(run run) bool { return !run.end.After(time.Now()) })
+			for _, run := range due {
+				if !run.end.After(time.Now()) {
+					last = time.Now()
+					sized.Release(request.Release{Ticket: run.grant.Ticket, Number: run.grant.Number, End: request.EndUnused})
+				}
+			}
+		}
+		sized = &pool.Pool{
+			Policy: policy.New("expectedFinish", 1),
+			Granted: func(_ string, grant request.Grant) {
+				ticket := tickets[grant.Ticket]
+				waits[ticket.large] = append(waits[ticket.large], time.Since(ticket.at))
+				took := 500 * time.Millisecond
+				if ticket.large {
+					took = 50 * time.Second
+				}
+				runs = append(runs, run{grant: grant, end: time.Now().Add(took)})
+			},
+			Refused: func(string, request.Refusal) {},
+		}
+		sized.Start()
+		sized.Configure(pool.Configuration{Waiting: 10000, Targets: []pool.Target{
+			{Name: "a", Slots: 4}, {Name: "b", Slots: 4}, {Name: "c", Slots: 4}, {Name: "d", Slots: 4},
+		}})
+		start := time.Now()
+		for i := range 6000 {
+			pass()
+			// Large ones are about 0.6 of the load that the slots carry.
+			large := i > 100 && random.IntN(52) == 0
+			output := 20
+			if large {
+				output = 2000
+			}
+			ticket := &request.Ticket{
+				Round: 1, Deadline: time.Now().Add(time.Hour), Size: request.Size{PromptTokens: 20, OutputTokens: output},
+			}
+			binary.LittleEndian.PutUint64(ticket.ID[:], uint64(i))
+			tickets[ticket.ID] = sent{at: time.Now(), large: large}
+			sized.Submit(ticket)
+		}
+		for range 20000 {
+			pass()
+		}
+		at95 := func(large bool) time.Duration {
+			slices.Sort(waits[large])
+			return waits[large][len(waits[large])*95/100]
+		}
+		qt.Assert(t, len(waits[true])+len(waits[false]), qt.Equals, 6000)
+		t.Logf("95 in 100 waited at most: tiny %v, large %v; all ended after %v", at95(false), at95(true), last.Sub(start))
+		// A tiny one is worth waiting at most for another tiny one.
+		qt.Assert(t, at95(false) <= 500*time.Millisecond, qt.IsTrue)
+	})
+}
