--- a/pool/script_test.go
+++ b/pool/script_test.go
@@ -58,6 +58,8 @@
 	pools  map[string]*pool.Pool
 	grants map[string]request.Grant
 	seen   []string
+	// suspects are those not yet passed on.
+	suspects []pool.Suspect
 }
 
 // words are the arguments of a step.
@@ -110,6 +112,11 @@
 		target.Forget("e1")
 	case "stop":
 		target.Stop()
+	case "spread":
+		for _, suspect := range script.suspects {
+			target.Suspect(suspect)
+		}
+		script.suspects = nil
 	case "floors":
 		script.exchangeFloors()
 	case "waiting":
@@ -130,6 +137,7 @@
 		Refused: func(_ string, refusal request.Refusal) {
 			script.seen = append(script.seen, fmt.Sprintf("refuse %d %s", refusal.Ticket[0], refusal.Reason))
 		},
+		Suspected: func(suspect pool.Suspect) { script.suspects = append(script.suspects, suspect) },
 	}
 	started.Start()
 	script.pools[name] = started
