--- a/command/status.go
+++ b/command/status.go
@@ -2,33 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"nutmegfield.example/operator"
 )
 
-const (
-	// statusTimeout bounds the question to one host.
-	statusTimeout = 3 * time.Second
-	// statusAtOnce is the most hosts asked at a time.
-	statusAtOnce = 32
-	// statusBytes is the longest answer read.
-	statusBytes = 4 << 20
-)
-
 type status struct {
-	Hosts []string `long:"host" required:"true" value-name:"URL" description:"the operators' address of a host; repeat it for each host"`
-	Token string   `long:"token" env:"NUTMEGFIELD_OPERATORS_TOKEN" value-name:"TOKEN" description:"the operators' token"`
+	hostOptions
 }
 
 func init() {
@@ -56,45 +43,13 @@
 
 func (status *status) ask(ctx context.Context) []hostStatus {
 	answers := make([]hostStatus, len(status.Hosts))
-	places := make(chan struct{}, statusAtOnce)
-	var group sync.WaitGroup
-	for i, address := range status.Hosts {
-		group.Go(func() {
-			places <- struct{}{}
-			defer func() { <-places }()
-			answers[i] = hostStatus{address: address}
-			answers[i].status, answers[i].err = askHost(ctx, address, status.Token)
-		})
-	}
-	group.Wait()
+	status.each(func(i int, address string) {
+		answers[i].address = address
+		answers[i].err = status.get(ctx, address+"/status", &answers[i].status)
+	})
 	return answers
 }
 
-func askHost(ctx context.Context, address, token string) (operator.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	var answer operator.Status
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/status", nil)
-	if err != nil {
-		return answer, fmt.Errorf("make request: %w", err)
-	}
-	if token != "" {
-		request.Header.Set("Authorization", "Bearer "+token)
-	}
-	response, err := new(http.Client).Do(request)
-	if err != nil {
-		return answer, fmt.Errorf("ask %s: %w", address, err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return answer, Unreachable.New("ask %s: %s", address, response.Status)
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, statusBytes)).Decode(&answer); err != nil {
-		return answer, fmt.Errorf("read answer of %s: %w", address, err)
-	}
-	return answer, nil
-}
-
 // report writes a line for each host, by its id, and fails with Behind if one
 // is behind or was not reached.
 func report(writer io.Writer, answers []hostStatus) error {
