kernel: drain before the stop when a part fails

A host whose id a newer one took ended at once and cut its running answers. Now a failed part leads to a drain within drain.limit, as a signal does.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -107,11 +107,14 @@
 	return nil
 }
 
-// Run starts every part and waits. When ctx ends it drains the parts, the
-// last first, within what force allows, and stops them.
+// Run starts every part and waits. When ctx ends, or a part fails, it drains
+// the parts, the last first, within what force and, after a failure, the drain
+// limit allow, and stops them.
 func (host *Host) Run(ctx, force context.Context) error {
-	running, stop := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer stop(nil)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed, fail := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer fail(nil)
 	var group sync.WaitGroup
 	for _, part := range host.parts {
 		if part.Run == nil {
@@ -119,19 +122,21 @@
 		}
 		group.Go(func() {
 			if err := part.Run(running); err != nil && running.Err() == nil {
-				stop(fmt.Errorf("run %s: %w", part.Name, err))
+				fail(fmt.Errorf("run %s: %w", part.Name, err))
 			}
 		})
 	}
-	var drained error
 	select {
 	case <-ctx.Done():
-		drained = host.drain(force)
-	case <-running.Done():
+	case <-failed.Done():
+		limited, cancel := context.WithTimeout(force, host.Settings.Drain.Limit)
+		defer cancel()
+		force = limited
 	}
-	stop(nil)
+	drained := host.drain(force)
+	stop()
 	group.Wait()
-	return errors.Join(failure(running), drained)
+	return errors.Join(failure(failed), drained)
 }
 
 func (host *Host) drain(force context.Context) error {
