--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,11 +28,11 @@
 func (prober *Prober) post(address string, probe *peerpb.Probe) {
 	probe.From = prober.self.id
 	probe.ConfigurationVersion = prober.Members.Version()
-	hosts := append([]*peerpb.Host{prober.self.message()}, probe.Hosts...)
+	probe.Hosts = append([]*peerpb.Host{prober.self.message()}, probe.Hosts...)
 	if probe.Kind != kindTable {
-		hosts = append(hosts, prober.table.tell()...)
+		room := datagramBytes - proto.Size(probe)
+		probe.Hosts = append(probe.Hosts, prober.table.tell(room)...)
 	}
-	probe.Hosts = hosts
 	prober.outbox = append(prober.outbox, letter{address, probe})
 }
 
@@ -145,7 +146,7 @@
 		return
 	}
 	known := prober.table.records[heard.id]
-	if known == nil && !heard.present() {
+	if known == nil && (!heard.present() || len(prober.table.records) >= maxRecords) {
 		return
 	}
 	if known != nil && !heard.newerThan(known) {
@@ -241,16 +242,28 @@
 	}
 	prober.answeredAt = now
 	part := &peerpb.Probe{Kind: kindTable, Target: asker.id}
-	room := datagramBytes - headBytes
+	room := prober.tableRoom(asker)
 	for _, id := range prober.table.ids(func(record *record) bool { return record.state != stateLeft }) {
 		message := prober.table.records[id].message()
 		if room < recordBytes(message) {
 			prober.post(asker.address, part)
 			part = &peerpb.Probe{Kind: kindTable, Target: asker.id}
-			room = datagramBytes - headBytes
+			room = prober.tableRoom(asker)
 		}
 		room -= recordBytes(message)
 		part.Hosts = append(part.Hosts, message)
 	}
 	prober.post(asker.address, part)
 }
+
+// tableRoom is the number of bytes for records in a part of the table.
+func (prober *Prober) tableRoom(asker record) int {
+	head := &peerpb.Probe{
+		Kind:                 kindTable,
+		From:                 prober.self.id,
+		Target:               asker.id,
+		Hosts:                []*peerpb.Host{prober.self.message()},
+		ConfigurationVersion: math.MaxInt64,
+	}
+	return datagramBytes - proto.Size(head)
+}
--- a/peer/record.go
+++ b/peer/record.go
@@ -25,6 +25,11 @@
 	// lifeShift parts the wire's incarnation: the upper bits are the host's
 	// start, the lower ones count what it refuted since.
 	lifeShift = 12
+	// textBytes is the longest id, zone or address.
+	textBytes = 128
+	// clockSkew is how far ahead another host's clock may be; a start later
+	// than that is no start, and would make its record last.
+	clockSkew = 24 * time.Hour
 )
 
 // record is what is known of one host.
@@ -76,10 +81,13 @@
 		incarnation: message.GetIncarnation(),
 		state:       state(message.GetState() &^ leavingBit),
 	}
-	whole := read.id != "" && read.zone != "" && read.address != ""
-	return read, whole && read.state >= stateAlive && read.state <= stateLast
+	whole := isText(read.id) && isText(read.zone) && isText(read.address)
+	started := read.incarnation>>lifeShift <= uint64(time.Now().Add(clockSkew).UnixMicro())
+	return read, whole && started && read.state >= stateAlive && read.state <= stateLast
 }
 
+func isText(text string) bool { return text != "" && len(text) <= textBytes }
+
 // newerThan reports whether the record replaces another of the same host.
 func (record *record) newerThan(other *record) bool {
 	if record.incarnation != other.incarnation {
--- a/peer/table.go
+++ b/peer/table.go
@@ -16,8 +16,8 @@
 	forgetAfter = time.Hour
 	// datagramBytes is the longest datagram sent, below any usual MTU.
 	datagramBytes = 1200
-	// headBytes is kept for what is no host record.
-	headBytes = 160
+	// maxRecords is the most hosts that are remembered.
+	maxRecords = 4096
 )
 
 // table holds the records of the other hosts and the news among them that
@@ -69,15 +69,14 @@
 // none is missed, growing with the logarithm of the hosts as in SWIM.
 func (table *table) tellings() int { return 3 + bits.Len(uint(table.alive)) }
 
-// tell returns the news told least often that fit in a datagram.
-func (table *table) tell() []*peerpb.Host {
+// tell returns the news told least often that fit in a number of bytes.
+func (table *table) tell(room int) []*peerpb.Host {
 	ids := make([]string, 0, len(table.news))
 	for id := range table.news {
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(i, j int) bool { return table.news[ids[i]] < table.news[ids[j]] })
 	var messages []*peerpb.Host
-	room := datagramBytes - headBytes
 	for _, id := range ids {
 		message := table.records[id].message()
 		room -= recordBytes(message)
