--- a/peer/probe_test.go
+++ b/peer/probe_test.go
@@ -35,6 +35,7 @@
 func run(t *testing.T, hosts int, seed uint64, test func(c *qt.C, network *network)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
+		begin := time.Now()
 		network := newNetwork(seed)
 		network.hosts(hosts)
 		joined := until(2*time.Minute, func() bool { return network.settled(everyone) })
@@ -43,6 +44,7 @@
 		time.Sleep(40 * time.Second)
 		network.count()
 		test(c, network)
+		c.Logf("%s of virtual time", time.Since(begin))
 		network.stop()
 	})
 }
