--- a/command/errors.go
+++ b/command/errors.go
@@ -7,10 +7,9 @@
 	Errors = errorx.NewNamespace("command")
 	// Usage: the options do not say what to do.
 	Usage = Errors.NewType("usage")
-
 	// Conflict: another operator was faster.
 	Conflict = Errors.NewType("conflict")
-	// Unreachable: a host did not answer as asked.
+	// Unreachable: a host did not answer as it should.
 	Unreachable = Errors.NewType("unreachable")
 	// Behind: not every host has the newest configuration in force.
 	Behind = Errors.NewType("behind")
