target: dispatch at most once and resume streams

Cause: net/http writes a request even when its context ended after the connection was got, so a stale grant could still be sent; and a failure after GotConn was always taken as sent, also when an idle connection was dead and no byte left. A stream that broke or went silent was lost.

Change: connections count what they write and are sealed before it is asked whether a byte left. A stream is resumed on a new connection from the next offset when its connection breaks, is silent or brings what can't be the next event of this request; a plain answer is passed on only whole and with this request's id. A service's answer whose end can't be told is refused. The engine is told of a request given up before the slot is free. All calls of docs/ENGINE.md are there, bounded in bytes and silence.

The stand-in's usage event carries its id, as ENGINE.md asks.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -138,6 +138,6 @@
 			i, answer.id, answer.model, answer.token(i))
 		_ = control.Flush()
 	}
-	_, _ = fmt.Fprintf(writer, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":%s}\n\ndata: [DONE]\n\n",
-		answer.id, answer.model, answer.usage)
+	_, _ = fmt.Fprintf(writer, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":%s}\n\ndata: [DONE]\n\n",
+		tokens, answer.id, answer.model, answer.usage)
 }
--- a/target/clients.go
+++ b/target/clients.go
@@ -6,10 +6,13 @@
 	"nutmegfield.example/kernel"
 )
 
-// answerBytes and silence bound what a target may send back.
+// What a target may send back.
 const (
-	answerBytes = 16 << 20
-	silence     = 30 * time.Second
+	answerBytes   = 16 << 20
+	eventBytes    = 1 << 20
+	answerWait    = 10 * time.Minute
+	answerSilence = 10 * time.Second
+	streamResumes = 8
 )
 
 // Clients holds one client of each protocol.
@@ -34,6 +37,12 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	kernel.Provide(host, NewClients(Limits{Bytes: answerBytes, Silence: silence}))
+	kernel.Provide(host, NewClients(Limits{
+		Bytes:   answerBytes,
+		Event:   eventBytes,
+		Wait:    answerWait,
+		Silence: answerSilence,
+		Resumes: streamResumes,
+	}))
 	return &kernel.Part{}, nil
 }
--- a/target/engine.go
+++ b/target/engine.go
@@ -1,131 +1,126 @@
 package target
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"nutmegfield.example/request"
 )
 
 func init() {
 	Register("engine", func(limits Limits) *Client {
-		engine := &engine{limits: limits, transport: newTransport()}
-		return &Client{Dispatch: engine.dispatch, Load: engine.load}
+		return newEngine(limits, dialTCP)
 	})
 }
 
+func newEngine(limits Limits, dial dialFunc) *Client {
+	engine := &engine{limits: limits, transport: newTransport(dial), fresh: newFreshTransport(dial)}
+	return &Client{
+		Dispatch:    engine.dispatch,
+		Cancel:      engine.cancel,
+		Streams:     engine.streams,
+		Load:        engine.load,
+		CacheEvents: engine.cacheEvents,
+		Export:      engine.export,
+		Import:      engine.importCache,
+		Order:       engine.order,
+		State:       engine.state,
+	}
+}
+
+// cancelTimeout bounds the word to an engine that a request is given up.
+const cancelTimeout = 2 * time.Second
+
+// leavingHeader is set by an engine that refuses a request, unrun.
+const leavingHeader = "Nutmegfield-Leaving"
+
 // engine is the client of model engines: chat completions as JSON or
 // server-sent events, and the engine's own calls under /engine.
 type engine struct {
 	limits    Limits
 	transport *http.Transport
+	// fresh opens a connection for each request.
+	fresh *http.Transport
 }
 
 func (engine *engine) dispatch(ctx context.Context, address string, call *Call) (*Answer, error) {
-	response, err := send(ctx, engine.transport, address, call)
-	if err != nil {
+	wait := engine.limits.Wait
+	if call.Stream {
+		wait = engine.limits.Silence
+	}
+	response, err := send(ctx, engine.transport, address, call, wait)
+	switch {
+	case err == nil:
+		return engine.answer(ctx, address, call, response)
+	case Is(err, NotSent):
+		return nil, err
+	case call.Stream && ctx.Err() == nil:
+		return engine.resumed(ctx, address, call, err)
+	default:
+		engine.giveUp(ctx, address, call.Request)
 		return nil, err
 	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Nutmegfield-Leaving") != "" {
+}
+
+func (engine *engine) answer(ctx context.Context, address string, call *Call, response *http.Response) (*Answer, error) {
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(leavingHeader) != "" {
 		_ = response.Body.Close()
 		return nil, Leaving.New("%s takes no new work", address)
 	}
-	body := &wholeBody{body: response.Body, limit: engine.limits.Bytes}
-	usage := &usageReader{body: body, stream: strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")}
-	return &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   usage,
-		Usage:  usage.usage,
-	}, nil
-}
-
-func (engine *engine) load(ctx context.Context, address string) (Load, error) {
-	var load Load
-	err := engine.get(ctx, address+"/engine/load", &load)
-	return load, err
+	giveUp := func() { engine.giveUp(ctx, address, call.Request) }
+	switch {
+	case response.StatusCode != http.StatusOK:
+		return plainAnswer(response, engine.limits), nil
+	case call.Stream != isStream(response):
+		_ = response.Body.Close()
+		giveUp()
+		return nil, Garbled.New("%s: an answer of type %q", address, response.Header.Get("Content-Type"))
+	case call.Stream:
+		return engine.streamAnswer(ctx, address, call, response), nil
+	default:
+		return completionAnswer(response, engine.limits, call.Request, giveUp), nil
+	}
 }
 
-func (engine *engine) get(ctx context.Context, url string, into any) error {
-	made, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return NotSent.Wrap(err, "make request")
-	}
-	response, err := engine.transport.RoundTrip(made)
-	if err != nil {
-		return Broken.Wrap(err, "ask %s", url)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return Garbled.New("%s: status %d", url, response.StatusCode)
-	}
-	decoder := json.NewDecoder(io.LimitReader(response.Body, engine.limits.Bytes))
-	if err := decoder.Decode(into); err != nil {
-		return Garbled.Wrap(err, "read answer of %s", url)
+// resumed takes up a stream whose first connection broke after bytes left:
+// it may run all the same.
+func (engine *engine) resumed(ctx context.Context, address string, call *Call, fault error) (*Answer, error) {
+	stream := engine.newStream(ctx, address, call.Request)
+	if err := stream.resume(fault); err != nil {
+		_ = stream.Close()
+		return nil, err
 	}
-	return nil
+	header := http.Header{"Content-Type": {streamType}}
+	return &Answer{Status: http.StatusOK, Header: header, Body: stream, Usage: stream.usageSeen}, nil
 }
 
-// usageReader passes an engine's answer on, reads the usage at its end and
-// sees that a stream ends with its last event.
-type usageReader struct {
-	body   *wholeBody
-	stream bool
-	tail   []byte
+func (engine *engine) streamAnswer(ctx context.Context, address string, call *Call, response *http.Response) *Answer {
+	stream := engine.newStream(ctx, address, call.Request)
+	stream.attach(response.Body)
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: stream, Usage: stream.usageSeen}
 }
 
-// tailBytes is how much of an answer's end is kept to find the usage in.
-const tailBytes = 4096
-
-var streamEnd = []byte("data: [DONE]")
-
-// Read ends with io.EOF only after the whole answer.
-func (reader *usageReader) Read(into []byte) (int, error) {
-	n, err := reader.body.Read(into)
-	reader.keep(into[:n])
-	if errors.Is(err, io.EOF) && reader.stream && !bytes.Contains(reader.tail, streamEnd) {
-		return n, Broken.New("the stream ended before its last event")
-	}
-	return n, err
+func isStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), streamType)
 }
 
-// Close cancels what still runs.
-func (reader *usageReader) Close() error { return reader.body.Close() }
-
-func (reader *usageReader) keep(part []byte) {
-	reader.tail = append(reader.tail, part...)
-	if extra := len(reader.tail) - tailBytes; extra > 0 {
-		reader.tail = append(reader.tail[:0], reader.tail[extra:]...)
+// plainAnswer passes an answer on that is no completion, as an error is.
+func plainAnswer(response *http.Response, limits Limits) *Answer {
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   newWholeBody(response.Body, limits),
+		Usage:  func() request.Usage { return request.Usage{} },
 	}
 }
 
-// usageMessage is the part of an answer that tells its usage.
-type usageMessage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	Details          struct {
-		CachedTokens int `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
-}
-
-func (reader *usageReader) usage() request.Usage {
-	start := bytes.LastIndex(reader.tail, []byte(`"usage":{`))
-	if start < 0 {
-		return request.Usage{}
-	}
-	var message usageMessage
-	decoder := json.NewDecoder(bytes.NewReader(reader.tail[start+len(`"usage":`):]))
-	if err := decoder.Decode(&message); err != nil {
-		return request.Usage{}
-	}
-	return request.Usage{
-		PromptTokens: message.PromptTokens,
-		CachedTokens: message.Details.CachedTokens,
-		OutputTokens: message.CompletionTokens,
-	}
+// giveUp tells an engine that nobody waits for a request any more. It waits
+// for the answer, so that the slot is not given away before.
+func (engine *engine) giveUp(ctx context.Context, address string, id request.ID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	// An engine that can't be told ends the request by itself.
+	_ = engine.cancel(ctx, address, id)
 }
--- /dev/null
+++ b/target/engine_calls.go
@@ -0,0 +1,123 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"nutmegfield.example/request"
+)
+
+// cancel stops a request that runs; one that is not known has ended.
+func (engine *engine) cancel(ctx context.Context, address string, id request.ID) error {
+	_, err := engine.call(ctx, http.MethodDelete, address+"/engine/streams/"+id.String(), nil)
+	if Is(err, NotFound) {
+		return nil
+	}
+	return err
+}
+
+func (engine *engine) streams(ctx context.Context, address string) ([]Stream, error) {
+	var streams []Stream
+	err := engine.get(ctx, address+"/engine/streams", &streams)
+	return streams, err
+}
+
+func (engine *engine) load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := engine.get(ctx, address+"/engine/load", &load)
+	return load, err
+}
+
+// cacheEvents returns the events after a sequence number in order; one that
+// is not is refused.
+func (engine *engine) cacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	url := address + "/engine/cache?after=" + strconv.FormatUint(after, 10)
+	if err := engine.get(ctx, url, &events); err != nil {
+		return nil, err
+	}
+	for _, event := range events {
+		if event.Sequence <= after {
+			return nil, Garbled.New("%s: event %d after event %d", url, event.Sequence, after)
+		}
+		after = event.Sequence
+	}
+	return events, nil
+}
+
+func (engine *engine) export(ctx context.Context, address string, prefix uint64) ([]byte, error) {
+	return engine.call(ctx, http.MethodGet, cacheURL(address, prefix), nil)
+}
+
+func (engine *engine) importCache(ctx context.Context, address string, prefix uint64, cache []byte) error {
+	_, err := engine.call(ctx, http.MethodPut, cacheURL(address, prefix), cache)
+	return err
+}
+
+func cacheURL(address string, prefix uint64) string {
+	return address + "/engine/kv/" + strconv.FormatUint(prefix, 10)
+}
+
+func (engine *engine) order(ctx context.Context, address string, order Order) error {
+	text, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("write order: %w", err)
+	}
+	_, err = engine.call(ctx, http.MethodPost, address+"/engine/orders", text)
+	return err
+}
+
+func (engine *engine) state(ctx context.Context, address string) (State, error) {
+	var state State
+	err := engine.get(ctx, address+"/engine/state", &state)
+	return state, err
+}
+
+func (engine *engine) get(ctx context.Context, url string, into any) error {
+	text, err := engine.call(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return Garbled.Wrap(err, "read answer of %s", url)
+	}
+	return nil
+}
+
+// call makes one of the engine's own calls, on a new connection, and returns
+// the whole answer.
+func (engine *engine) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	made, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, NotSent.Wrap(err, "make request")
+	}
+	response, err := engine.fresh.RoundTrip(made)
+	if err != nil {
+		return nil, Broken.Wrap(err, "%s %s", method, url)
+	}
+	whole := newWholeBody(response.Body, engine.limits)
+	defer func() { _ = whole.Close() }()
+	text, err := io.ReadAll(whole)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	return text, statusError(response.StatusCode, method, url)
+}
+
+func statusError(status int, method, url string) error {
+	switch {
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return NotFound.New("%s %s: not known", method, url)
+	case status == http.StatusConflict:
+		return Fenced.New("%s %s: a higher fencing number was seen", method, url)
+	default:
+		return Garbled.New("%s %s: status %d", method, url, status)
+	}
+}
--- a/target/service.go
+++ b/target/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 
 	"nutmegfield.example/request"
@@ -11,11 +9,15 @@
 
 func init() {
 	Register("service", func(limits Limits) *Client {
-		service := &service{limits: limits, transport: newTransport()}
-		return &Client{Dispatch: service.dispatch}
+		return newService(limits, dialTCP)
 	})
 }
 
+func newService(limits Limits, dial dialFunc) *Client {
+	service := &service{limits: limits, transport: newTransport(dial)}
+	return &Client{Dispatch: service.dispatch}
+}
+
 // service is the client of plain HTTP services.
 type service struct {
 	limits    Limits
@@ -23,37 +25,24 @@
 }
 
 func (service *service) dispatch(ctx context.Context, address string, call *Call) (*Answer, error) {
-	response, err := send(ctx, service.transport, address, call)
+	response, err := send(ctx, service.transport, address, call, service.limits.Wait)
 	if err != nil {
 		return nil, err
 	}
+	if !bounded(response) {
+		_ = response.Body.Close()
+		return nil, Garbled.New("%s: an answer without a length, whose end can't be told", address)
+	}
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body:   &wholeBody{body: response.Body, limit: service.limits.Bytes},
+		Body:   newWholeBody(response.Body, service.limits),
 		Usage:  func() request.Usage { return request.Usage{} },
 	}, nil
 }
 
-// wholeBody turns the faults of an answer's end into errors of this package.
-type wholeBody struct {
-	body  io.ReadCloser
-	limit int64
-	read  int64
-}
-
-// Read ends with io.EOF only after the whole answer.
-func (body *wholeBody) Read(into []byte) (int, error) {
-	n, err := body.body.Read(into)
-	body.read += int64(n)
-	if body.read > body.limit {
-		return 0, TooMuch.New("more than %d bytes", body.limit)
-	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
-	}
-	return n, Broken.Wrap(err, "read answer")
+// bounded reports whether the end of an answer can be told from a broken
+// connection: by its length or its chunks.
+func bounded(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
-
-// Close cancels what still runs.
-func (body *wholeBody) Close() error { return body.body.Close() }
--- a/target/target.go
+++ b/target/target.go
@@ -31,6 +31,10 @@
 	TooMuch = Errors.NewType("tooMuch")
 	// Silent: nothing came for longer than allowed.
 	Silent = Errors.NewType("silent")
+	// NotFound: the target does not know what it was asked for.
+	NotFound = Errors.NewType("notFound")
+	// Fenced: the target has seen a higher fencing number than the order's.
+	Fenced = Errors.NewType("fenced")
 )
 
 // Call is one request to a target.
@@ -68,6 +72,15 @@
 	At      time.Time `json:"at"`
 }
 
+// Stream is a request that runs on an engine.
+type Stream struct {
+	Request request.ID `json:"request"`
+	// Offset is that of its next event.
+	Offset int64 `json:"offset"`
+	// Unread is how long nobody has read it, in seconds.
+	Unread float64 `json:"unread"`
+}
+
 // CacheEvent says that a target stored or removed the blocks of a prefix.
 type CacheEvent struct {
 	Sequence uint64   `json:"sequence"`
@@ -102,7 +115,9 @@
 	Dispatch func(ctx context.Context, address string, call *Call) (*Answer, error)
 	// Cancel stops a request that runs.
 	Cancel func(ctx context.Context, address string, id request.ID) error
-	Load   func(ctx context.Context, address string) (Load, error)
+	// Streams lists the requests that run.
+	Streams func(ctx context.Context, address string) ([]Stream, error)
+	Load    func(ctx context.Context, address string) (Load, error)
 	// CacheEvents returns the events after a sequence number; a first number
 	// above after+1 is a gap.
 	CacheEvents func(ctx context.Context, address string, after uint64) ([]CacheEvent, error)
@@ -116,8 +131,16 @@
 type Limits struct {
 	// Bytes is the longest answer.
 	Bytes int64
-	// Silence is how long nothing may come.
+	// Event is the longest event of a stream, in bytes.
+	Event int
+	// Wait is how long the header of an answer that comes whole may take;
+	// 0 leaves it to the context.
+	Wait time.Duration
+	// Silence is how long nothing may come of an answer that has begun, or
+	// of a stream.
 	Silence time.Duration
+	// Resumes is how often a stream is resumed with no new event in between.
+	Resumes int
 }
 
 var constructors = map[string]func(Limits) *Client{}
--- a/target/transport.go
+++ b/target/transport.go
@@ -3,25 +3,46 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"time"
 )
 
-// idlePerTarget is how many idle connections are kept to each target.
-const idlePerTarget = 64
+const (
+	// idlePerTarget is how many idle connections are kept to each target.
+	idlePerTarget = 64
+	// connectionsPerTarget is how many connections there are to each target.
+	connectionsPerTarget = 512
+	// idleTimeout closes an idle connection before most servers do.
+	idleTimeout = 4 * time.Second
+	// headerBytes is the longest header of an answer.
+	headerBytes = 64 << 10
+)
 
 // newTransport makes the connections to targets.
-func newTransport() *http.Transport {
+func newTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		MaxIdleConnsPerHost: idlePerTarget,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:            dialer(dial),
+		MaxIdleConnsPerHost:    idlePerTarget,
+		MaxConnsPerHost:        connectionsPerTarget,
+		MaxResponseHeaderBytes: headerBytes,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
 	}
 }
 
+// newFreshTransport makes a new connection for each request, for where an
+// open one may have gone silent.
+func newFreshTransport(dial dialFunc) *http.Transport {
+	transport := newTransport(dial)
+	transport.DisableKeepAlives = true
+	return transport
+}
+
 // onceBody hides its length and type from net/http, which else sends a
 // request again on a new connection when an idle one breaks: for a method it
 // holds idempotent, or with an Idempotency-Key, even after bytes have left.
@@ -30,36 +51,71 @@
 // Close does nothing.
 func (onceBody) Close() error { return nil }
 
-// send writes the call to the target at most once. The errors are NotSent
-// before the first byte and Broken after it.
-func send(ctx context.Context, transport *http.Transport, address string, call *Call) (*http.Response, error) {
-	sent := false
-	ctx, cancel := context.WithCancel(ctx)
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			if call.Sending() {
-				sent = true
-				return
-			}
-			cancel()
-		},
+// sending watches one request leave.
+type sending struct {
+	call *Call
+
+	mutex sync.Mutex
+	used  *connection
+	since int64
+}
+
+// got is called with the connection, before the first byte is written. net/http
+// writes even when the context has ended by then, so that a request that must
+// not be sent has its connection sealed.
+func (sending *sending) got(info httptrace.GotConnInfo) {
+	used := counted(info.Conn)
+	if used == nil {
+		_ = info.Conn.Close()
+		return
+	}
+	since := used.count()
+	if !sending.call.Sending() {
+		used.seal(since)
+		return
 	}
+	sending.mutex.Lock()
+	defer sending.mutex.Unlock()
+	sending.used = used
+	sending.since = since
+}
+
+// left reports whether a byte of a failed request may have left, and sees
+// that none does from now on.
+func (sending *sending) left() bool {
+	sending.mutex.Lock()
+	defer sending.mutex.Unlock()
+	return sending.used != nil && sending.used.seal(sending.since)
+}
+
+// send writes the call to the target at most once. The answer's header must
+// come within wait; 0 is no limit. The errors are NotSent when no byte left,
+// else Silent or Broken.
+func send(ctx context.Context, transport *http.Transport, address string, call *Call, wait time.Duration) (*http.Response, error) {
+	watch := &sending{call: call}
+	ctx, cancel := context.WithCancelCause(ctx)
+	trace := &httptrace.ClientTrace{GotConn: watch.got}
 	made, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
 	if err != nil {
-		cancel()
+		cancel(nil)
 		return nil, err
 	}
+	patience := newPatience(wait, cancel)
 	response, err := transport.RoundTrip(made)
-	switch {
-	case err == nil:
+	patience.stop()
+	if err == nil {
 		response.Body = &cancelBody{ReadCloser: response.Body, cancel: cancel}
 		return response, nil
-	case !sent:
-		cancel()
+	}
+	cause := context.Cause(ctx)
+	cancel(nil)
+	switch {
+	case !watch.left():
 		return nil, NotSent.Wrap(err, "send to %s", address)
+	case Is(cause, Silent):
+		return nil, Silent.Wrap(err, "send to %s", address)
 	default:
-		cancel()
-		return nil, Broken.Wrap(err, "send to %s", address)
+		return nil, Broken.Wrap(errors.Join(err, cause), "send to %s", address)
 	}
 }
 
@@ -80,14 +136,42 @@
 // cancelBody ends the request's context with its body.
 type cancelBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 // Close cancels what still runs.
 func (body *cancelBody) Close() error {
-	body.cancel()
+	body.cancel(nil)
 	if err := body.ReadCloser.Close(); err != nil {
 		return fmt.Errorf("close answer: %w", err)
 	}
 	return nil
 }
+
+// patience ends a context with Silent when nothing is heard for long.
+type patience struct {
+	limit time.Duration
+	timer *time.Timer
+}
+
+// newPatience starts to wait; a limit of 0 waits without end.
+func newPatience(limit time.Duration, cancel context.CancelCauseFunc) *patience {
+	if limit <= 0 {
+		return &patience{}
+	}
+	end := func() { cancel(Silent.New("nothing came for %s", limit)) }
+	return &patience{limit: limit, timer: time.AfterFunc(limit, end)}
+}
+
+// heard begins the wait anew.
+func (patience *patience) heard() {
+	if patience.timer != nil {
+		patience.timer.Reset(patience.limit)
+	}
+}
+
+func (patience *patience) stop() {
+	if patience.timer != nil {
+		patience.timer.Stop()
+	}
+}
