peer: drop silent links and refuse unknown senders

Cause: the receiving side never dropped a stream that nothing was heard on; a Send that blocked on a full window hung the link, as the silence was only looked at between sends; any name was taken as the sender.

Change: both sides put deadlines of the stated silence on each read and write. What waits is sent only once the first heartbeat was answered. The sender must be in the list of hosts and keep its name; a newer stream of a host ends the older one, so that nothing late comes out of order. Links of hosts that left are closed; envelopes are bounded; drops, refusals and bytes are counted in expvar "links".

Found on the way: the first flush of a drpc stream is shared by its first send and its first receive, so that a receive started earlier waits on a lock that a blocked send holds; the first message is sent before.

--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,204 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/timeline"
+)
+
+// link is the sending side towards one host.
+type link struct {
+	links  *Links
+	host   string
+	cancel context.CancelFunc
+	outbox chan *peerpb.Envelope
+	// down is true from a failure, which is told once, to the next answer.
+	down bool
+}
+
+func (link *link) run(ctx context.Context) {
+	if link.host == link.links.Members.Self.ID {
+		link.loop(ctx)
+		return
+	}
+	wait := redialFirst
+	for ctx.Err() == nil {
+		err := link.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !link.down {
+			link.down = true
+			wait = redialFirst
+			link.links.Events.Record(eventLinkDown, timeline.Event{Peer: link.host, Detail: err.Error()})
+		}
+		pause(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, redialMost)
+	}
+}
+
+// loop passes envelopes of the host to itself.
+func (link *link) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case envelope := <-link.outbox:
+			link.links.deliver(link.host, envelope)
+		}
+	}
+}
+
+// connect opens a connection and sends over it until it fails.
+func (link *link) connect(ctx context.Context) error {
+	host, known := link.links.Members.View().Find(link.host)
+	if !known {
+		return fmt.Errorf("host %s is not known", link.host)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialing, stop := context.WithTimeout(ctx, silence)
+	transport, err := link.links.Dial(dialing, host.Address)
+	stop()
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	conn := drpcconn.NewWithOptions(&watchedConn{Conn: transport}, drpcconn.Options{Manager: managerOptions})
+	defer func() { _ = conn.Close() }()
+	stream, err := peerpb.NewDRPCLinksClient(conn).Exchange(ctx)
+	if err != nil {
+		return fmt.Errorf("open exchange: %w", err)
+	}
+	// The stream opens with its first message, sent before anything waits for
+	// an answer.
+	if err := link.send(stream, &peerpb.Envelope{Beat: 1}); err != nil {
+		return err
+	}
+	answers := make(chan uint64, 1)
+	go receiveBeats(ctx, stream, answers)
+	return link.pump(ctx, stream, answers)
+}
+
+func receiveBeats(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers chan<- uint64) {
+	defer close(answers)
+	for {
+		envelope, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case answers <- envelope.GetBeat():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pump sends heartbeats and, once one was answered, what waits.
+func (link *link) pump(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers <-chan uint64) error {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	beat := uint64(1)
+	var waiting <-chan *peerpb.Envelope
+	for {
+		var envelope *peerpb.Envelope
+		select {
+		case <-ctx.Done():
+			return nil
+		case _, ok := <-answers:
+			if !ok {
+				return fmt.Errorf("link closed or silent for %s", silence)
+			}
+			if waiting == nil {
+				waiting = link.outbox
+				link.up()
+			}
+			continue
+		case <-ticker.C:
+			beat++
+			envelope = &peerpb.Envelope{Beat: beat}
+		case first := <-waiting:
+			envelope = link.merge(first)
+		}
+		if err := link.send(stream, envelope); err != nil {
+			return err
+		}
+	}
+}
+
+func (link *link) up() {
+	link.down = false
+	link.links.Events.Record(eventLinkUp, timeline.Event{Peer: link.host})
+	for _, listener := range link.links.connected {
+		go listener(link.host)
+	}
+}
+
+func (link *link) send(stream peerpb.DRPCLinks_ExchangeClient, envelope *peerpb.Envelope) error {
+	self := link.links.Members.Self
+	envelope.From = self.ID
+	envelope.Zone = self.Zone
+	envelope.Incarnation = self.Incarnation
+	if proto.Size(envelope) > messageBytes {
+		linkCounts.Add("dropped", 1)
+		return nil
+	}
+	if err := stream.Send(envelope); err != nil {
+		return fmt.Errorf("send envelope: %w", err)
+	}
+	linkCounts.Add("sent", 1)
+	return nil
+}
+
+// merge joins what already waits into one envelope.
+func (link *link) merge(first *peerpb.Envelope) *peerpb.Envelope {
+	merged := &peerpb.Envelope{}
+	join(merged, first)
+	size := proto.Size(first)
+	for range batch - 1 {
+		if size > batchBytes {
+			return merged
+		}
+		select {
+		case next := <-link.outbox:
+			join(merged, next)
+			size += proto.Size(next)
+		default:
+			return merged
+		}
+	}
+	return merged
+}
+
+func join(into, from *peerpb.Envelope) {
+	into.Tickets = append(into.Tickets, from.Tickets...)
+	into.Cancels = append(into.Cancels, from.Cancels...)
+	into.Releases = append(into.Releases, from.Releases...)
+	into.Progress = append(into.Progress, from.Progress...)
+	into.Grants = append(into.Grants, from.Grants...)
+	into.Refusals = append(into.Refusals, from.Refusals...)
+	into.Targets = append(into.Targets, from.Targets...)
+	into.Suspects = append(into.Suspects, from.Suspects...)
+	into.Configurations = append(into.Configurations, from.Configurations...)
+	into.Floors = append(into.Floors, from.Floors...)
+	into.RecordCalls = append(into.RecordCalls, from.RecordCalls...)
+	into.RecordReplies = append(into.RecordReplies, from.RecordReplies...)
+	into.Handovers = append(into.Handovers, from.Handovers...)
+	into.Holdings = append(into.Holdings, from.Holdings...)
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/peer/link_accept.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/joomcode/errorx"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/timeline"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("peer")
+	// Refused: the sender is not known, or not who it was.
+	Refused = Errors.NewType("refused")
+	// Replaced: the sender has opened a newer stream.
+	Replaced = Errors.NewType("replaced")
+)
+
+// refusedNames bounds how many refused names are remembered as told.
+const refusedNames = 1024
+
+// Exchange serves one link from another host: it delivers its envelopes and
+// answers its heartbeats. It ends when the sender is not known, changes its
+// name, or opened a newer stream, so that its envelopes stay in order.
+func (links *Links) Exchange(stream peerpb.DRPCLinks_ExchangeStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return fmt.Errorf("receive envelope: %w", err)
+	}
+	from := first.GetFrom()
+	number := links.begin(from)
+	for envelope := first; ; {
+		if err := links.admit(from, number, envelope); err != nil {
+			return err
+		}
+		linkCounts.Add("received", 1)
+		links.deliver(from, envelope)
+		if err := links.answer(stream, envelope.GetBeat()); err != nil {
+			return err
+		}
+		if envelope, err = stream.Recv(); err != nil {
+			return fmt.Errorf("receive envelope: %w", err)
+		}
+	}
+}
+
+func (links *Links) answer(stream peerpb.DRPCLinks_ExchangeStream, beat uint64) error {
+	if beat == 0 {
+		return nil
+	}
+	answer := &peerpb.Envelope{From: links.Members.Self.ID, Beat: beat}
+	if err := stream.Send(answer); err != nil {
+		return fmt.Errorf("answer heartbeat: %w", err)
+	}
+	return nil
+}
+
+// begin counts the streams of a known host; 0 for an unknown one.
+func (links *Links) begin(from string) uint64 {
+	if _, known := links.Members.View().Find(from); !known {
+		return 0
+	}
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	if links.streams == nil {
+		links.streams = map[string]uint64{}
+	}
+	links.streams[from]++
+	return links.streams[from]
+}
+
+// admit refuses an envelope that is not its stream's host's.
+func (links *Links) admit(from string, number uint64, envelope *peerpb.Envelope) error {
+	if envelope.GetFrom() != from {
+		return links.refuse(envelope.GetFrom(), "it came on the link of "+from)
+	}
+	if _, known := links.Members.View().Find(from); !known || number == 0 {
+		return links.refuse(from, "it is not in the list of hosts")
+	}
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	if links.streams[from] != number {
+		return Replaced.New("%s opened a newer stream", from)
+	}
+	return nil
+}
+
+// refuse counts a refusal and tells of it once for each name.
+func (links *Links) refuse(name, why string) error {
+	linkCounts.Add("refused", 1)
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	if links.refused == nil {
+		links.refused = map[string]struct{}{}
+	}
+	if _, told := links.refused[name]; !told && len(links.refused) < refusedNames {
+		links.refused[name] = struct{}{}
+		links.Events.Record(eventLinkRefused, timeline.Event{Peer: name, Detail: why})
+	}
+	return Refused.New("%q: %s", name, why)
+}
--- a/peer/links.go
+++ b/peer/links.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net"
 	"sync"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/timeline"
@@ -18,30 +20,44 @@
 const (
 	// heartbeat is the interval at which an idle link is used.
 	heartbeat = 500 * time.Millisecond
-	// silence is how long a link may go without an answer to a heartbeat
-	// before it is dropped and dialled anew.
+	// silence is how long a connection may go with nothing heard, or with a
+	// write that does not end, before it is dropped and dialled anew.
 	silence = 2 * time.Second
-	// redial is the pause after a failed dial.
-	redial = 200 * time.Millisecond
+	// redialFirst and redialMost bound the pause after a failed dial.
+	redialFirst = 200 * time.Millisecond
+	redialMost  = 2 * time.Second
 	// outbox is how many envelopes wait for a link; more are dropped, since
 	// all state in them is soft.
 	outbox = 4096
-	// batch is the most envelopes merged into one.
-	batch = 64
+	// batch is the most envelopes merged into one, and batchBytes the size
+	// at which no more are.
+	batch      = 64
+	batchBytes = 256 << 10
+	// messageBytes is the longest envelope that is sent or taken.
+	messageBytes = 2 << 20
 )
 
-// Events of this package.
+// Events of this package's links.
 var (
 	eventLinkUp = timeline.Define(timeline.Kind{
 		Number: 6001, Name: "link up", Level: timeline.Info,
-		Meaning: "A link to another host was opened.",
+		Meaning: "A link to another host was opened and answered.",
 	})
 	eventLinkDown = timeline.Define(timeline.Kind{
 		Number: 6002, Name: "link down", Level: timeline.Info,
-		Meaning: "A link to another host broke or went silent; it is dialled anew.",
+		Meaning: "A link to another host broke, went silent or could not be opened; it is dialled anew.",
+	})
+	eventLinkRefused = timeline.Define(timeline.Kind{
+		Number: 6010, Name: "link refused", Level: timeline.Warn,
+		Meaning: "Envelopes came from a host that is not known, or under another host's name; logged once for each name.",
+		Action:  "if it goes on, look for a host with wrong settings",
 	})
 )
 
+// linkCounts are the metrics of the links: envelopes sent, received, dropped
+// and refused, and the bytes of the connections.
+var linkCounts = expvar.NewMap("links")
+
 // Links sends envelopes to other hosts and receives theirs. Fields are set
 // before Run.
 type Links struct {
@@ -54,6 +70,8 @@
 
 	mutex     sync.Mutex
 	links     map[string]*link
+	streams   map[string]uint64
+	refused   map[string]struct{}
 	receivers []func(from string, envelope *peerpb.Envelope)
 	connected []func(host string)
 	ctx       context.Context
@@ -61,7 +79,7 @@
 }
 
 // Receive adds a receiver of the other hosts' envelopes. It is called in
-// order for each sender.
+// order for each sender and must not block.
 func (links *Links) Receive(receiver func(from string, envelope *peerpb.Envelope)) {
 	links.receivers = append(links.receivers, receiver)
 }
@@ -74,15 +92,17 @@
 
 // Send queues an envelope for a host. To this host itself it is passed on at
 // once, on another goroutine. It never blocks; what can't be queued is
-// dropped.
+// dropped and counted.
 func (links *Links) Send(host string, envelope *peerpb.Envelope) {
 	link := links.link(host)
 	if link == nil {
+		linkCounts.Add("dropped", 1)
 		return
 	}
 	select {
 	case link.outbox <- envelope:
 	default:
+		linkCounts.Add("dropped", 1)
 	}
 }
 
@@ -91,11 +111,13 @@
 	links.mutex.Lock()
 	links.ctx = ctx
 	links.mutex.Unlock()
+	links.Members.Listen(links.follow)
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterLinks(mux, links); err != nil {
 		return fmt.Errorf("register links: %w", err)
 	}
-	err := drpcserver.New(mux).Serve(ctx, links.Listener)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions})
+	err := server.Serve(ctx, watchedListener{links.Listener})
 	links.group.Wait()
 	if err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serve links: %w", err)
@@ -103,23 +125,8 @@
 	return nil
 }
 
-// Exchange serves one link from another host.
-func (links *Links) Exchange(stream peerpb.DRPCLinks_ExchangeStream) error {
-	for {
-		envelope, err := stream.Recv()
-		if err != nil {
-			return fmt.Errorf("receive envelope: %w", err)
-		}
-		links.deliver(envelope.GetFrom(), envelope)
-		if envelope.GetBeat() == 0 {
-			continue
-		}
-		answer := &peerpb.Envelope{From: links.Members.Self.ID, Beat: envelope.GetBeat()}
-		if err := stream.Send(answer); err != nil {
-			return fmt.Errorf("answer heartbeat: %w", err)
-		}
-	}
-}
+// managerOptions bound the messages of both sides.
+var managerOptions = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: messageBytes}}
 
 func (links *Links) deliver(from string, envelope *peerpb.Envelope) {
 	for _, receiver := range links.receivers {
@@ -127,174 +134,38 @@
 	}
 }
 
-// link returns the running link to a host, nil before Run and after its end.
+// link returns the running link to a host, nil for a host that is not known,
+// before Run and after its end.
 func (links *Links) link(host string) *link {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if links.ctx == nil || links.ctx.Err() != nil {
 		return nil
 	}
-	if links.links == nil {
-		links.links = map[string]*link{}
-	}
-	found := links.links[host]
-	if found == nil {
-		found = &link{links: links, host: host, outbox: make(chan *peerpb.Envelope, outbox)}
-		links.links[host] = found
-		links.group.Go(func() { found.run(links.ctx) })
+	if found := links.links[host]; found != nil {
+		return found
 	}
-	return found
-}
-
-// link is the sending side towards one host.
-type link struct {
-	links  *Links
-	host   string
-	outbox chan *peerpb.Envelope
-}
-
-func (link *link) run(ctx context.Context) {
-	if link.host == link.links.Members.Self.ID {
-		link.loop(ctx)
-		return
-	}
-	for ctx.Err() == nil {
-		err := link.connect(ctx)
-		if err != nil && ctx.Err() == nil {
-			event := timeline.Event{Peer: link.host, Detail: err.Error()}
-			link.links.Events.Record(eventLinkDown, event)
-		}
-		pause(ctx, redial)
-	}
-}
-
-// loop passes envelopes of the host to itself.
-func (link *link) loop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case envelope := <-link.outbox:
-			link.links.deliver(link.host, envelope)
-		}
-	}
-}
-
-func (link *link) connect(ctx context.Context) error {
-	host, ok := link.links.Members.View().Find(link.host)
-	if !ok {
+	if _, known := links.Members.View().Find(host); !known && host != links.Members.Self.ID {
 		return nil
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dialing, stop := context.WithTimeout(ctx, silence)
-	transport, err := link.links.Dial(dialing, host.Address)
-	stop()
-	if err != nil {
-		return fmt.Errorf("dial: %w", err)
-	}
-	conn := drpcconn.New(transport)
-	defer func() { _ = conn.Close() }()
-	stream, err := peerpb.NewDRPCLinksClient(conn).Exchange(ctx)
-	if err != nil {
-		return fmt.Errorf("open exchange: %w", err)
-	}
-	link.links.Events.Record(eventLinkUp, timeline.Event{Peer: link.host})
-	for _, listener := range link.links.connected {
-		go listener(link.host)
-	}
-	answers := make(chan uint64, 1)
-	go receiveBeats(ctx, stream, answers)
-	return link.pump(ctx, stream, answers)
-}
-
-func receiveBeats(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers chan<- uint64) {
-	defer close(answers)
-	for {
-		envelope, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		select {
-		case answers <- envelope.GetBeat():
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (link *link) pump(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers <-chan uint64) error {
-	self := link.links.Members.Self
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
-	heard := time.Now()
-	var beat uint64
-	for {
-		var envelope *peerpb.Envelope
-		select {
-		case <-ctx.Done():
-			return nil
-		case _, ok := <-answers:
-			if !ok {
-				return fmt.Errorf("link closed by %s", link.host)
-			}
-			heard = time.Now()
-			continue
-		case <-ticker.C:
-			if time.Since(heard) > silence {
-				return fmt.Errorf("link silent for %s", time.Since(heard))
-			}
-			beat++
-			envelope = &peerpb.Envelope{Beat: beat}
-		case first := <-link.outbox:
-			envelope = link.merge(first)
-		}
-		envelope.From = self.ID
-		envelope.Zone = self.Zone
-		envelope.Incarnation = self.Incarnation
-		if err := stream.Send(envelope); err != nil {
-			return fmt.Errorf("send envelope: %w", err)
-		}
+	if links.links == nil {
+		links.links = map[string]*link{}
 	}
+	ctx, cancel := context.WithCancel(links.ctx)
+	made := &link{links: links, host: host, cancel: cancel, outbox: make(chan *peerpb.Envelope, outbox)}
+	links.links[host] = made
+	links.group.Go(func() { made.run(ctx) })
+	return made
 }
 
-// merge joins what already waits into one envelope.
-func (link *link) merge(first *peerpb.Envelope) *peerpb.Envelope {
-	merged := &peerpb.Envelope{}
-	join(merged, first)
-	for range batch {
-		select {
-		case next := <-link.outbox:
-			join(merged, next)
-		default:
-			return merged
+// follow closes the links of hosts that left the view.
+func (links *Links) follow(view *View) {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	for host, link := range links.links {
+		if _, known := view.Find(host); !known && host != links.Members.Self.ID {
+			link.cancel()
+			delete(links.links, host)
 		}
 	}
-	return merged
-}
-
-func join(into, from *peerpb.Envelope) {
-	into.Tickets = append(into.Tickets, from.Tickets...)
-	into.Cancels = append(into.Cancels, from.Cancels...)
-	into.Releases = append(into.Releases, from.Releases...)
-	into.Progress = append(into.Progress, from.Progress...)
-	into.Grants = append(into.Grants, from.Grants...)
-	into.Refusals = append(into.Refusals, from.Refusals...)
-	into.Targets = append(into.Targets, from.Targets...)
-	into.Suspects = append(into.Suspects, from.Suspects...)
-	into.Configurations = append(into.Configurations, from.Configurations...)
-	into.Floors = append(into.Floors, from.Floors...)
-	into.RecordCalls = append(into.RecordCalls, from.RecordCalls...)
-	into.RecordReplies = append(into.RecordReplies, from.RecordReplies...)
-	into.Handovers = append(into.Handovers, from.Handovers...)
-	into.Holdings = append(into.Holdings, from.Holdings...)
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
 }
--- /dev/null
+++ b/peer/links_bench_test.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/request"
+	"nutmegfield.example/timeline"
+)
+
+// benchHosts are two linked hosts that count the envelopes' messages.
+type benchHosts struct {
+	a, b *Links
+	got  chan int
+}
+
+func startBench(b *testing.B) *benchHosts {
+	ctx, stop := context.WithCancel(b.Context())
+	pipes := &pipes{listeners: map[string]*pipeListener{}}
+	hosts := &benchHosts{got: make(chan int, 4096)}
+	var group sync.WaitGroup
+	start := func(id string) *Links {
+		listener := &pipeListener{accepted: make(chan net.Conn, 16), ended: make(chan struct{})}
+		pipes.listeners[id] = listener
+		links := &Links{
+			Members:  &Members{Self: Host{ID: id, Zone: "kagoshima-1", Address: id, Incarnation: 1764792000000000}},
+			Events:   &timeline.Recorder{Host: id},
+			Listener: listener,
+			Dial:     pipes.dial,
+		}
+		links.Members.Replace(listed("entry-host-1", "entry-host-2"))
+		links.Receive(func(_ string, envelope *peerpb.Envelope) {
+			count := len(envelope.GetTickets()) + len(envelope.GetGrants()) + len(envelope.GetProgress()) + len(envelope.GetReleases())
+			if count > 0 {
+				hosts.got <- count
+			}
+		})
+		group.Go(func() { _ = links.Run(ctx) })
+		return links
+	}
+	hosts.a, hosts.b = start("entry-host-1"), start("entry-host-2")
+	b.Cleanup(func() {
+		stop()
+		group.Wait()
+	})
+	return hosts
+}
+
+// link returns when both links stand: an envelope sent before is dropped.
+func (hosts *benchHosts) link() {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for _, way := range []struct {
+		from *Links
+		to   string
+	}{{hosts.a, "entry-host-2"}, {hosts.b, "entry-host-1"}} {
+		for linked := false; !linked; {
+			way.from.Send(way.to, &peerpb.Envelope{Progress: []*peerpb.Progress{{}}})
+			select {
+			case <-hosts.got:
+				linked = true
+			case <-ticker.C:
+			}
+		}
+	}
+	for range 2 {
+		<-ticker.C
+	}
+	for len(hosts.got) > 0 {
+		<-hosts.got
+	}
+}
+
+// wait returns when so many messages have come.
+func (hosts *benchHosts) wait(count int) {
+	for count > 0 {
+		count -= <-hosts.got
+	}
+}
+
+// benchTicket is a ticket of a long prompt.
+func benchTicket(prefixes int) *request.Ticket {
+	ticket := &request.Ticket{
+		ID: request.NewID(), Pool: "design-model", Workspace: "workshop-web", Tier: 1, Sheddable: true,
+		Deadline: time.Now().Add(30 * time.Second), Size: request.Size{PromptTokens: 4000, OutputTokens: 256},
+		Fingerprint: 0x9e3779b97f4a7c15, Round: 1,
+	}
+	for i := range prefixes {
+		ticket.Prefixes = append(ticket.Prefixes, request.Prefix{Hash: 0x9e3779b97f4a7c15 * uint64(i+1), Tokens: 64 * (i + 1)})
+	}
+	return ticket
+}
+
+// BenchmarkRequest reports the bytes and envelopes that the ticket, grant,
+// progress and release of a request cost between two hosts, heartbeats
+// included; with batching, a burst of 64 requests goes together.
+func BenchmarkRequest(b *testing.B) {
+	for _, prefixes := range []int{0, 4, 16} {
+		for _, burst := range []int{1, 64} {
+			b.Run(fmt.Sprintf("prefixes=%d/burst=%d", prefixes, burst), func(b *testing.B) {
+				benchRequests(b, prefixes, burst)
+			})
+		}
+	}
+}
+
+func benchRequests(b *testing.B, prefixes, burst int) {
+	hosts := startBench(b)
+	ticket := benchTicket(prefixes)
+	grant := &request.Grant{
+		Ticket: ticket.ID, Round: 1, Pool: ticket.Pool, Target: "design-model-07",
+		Scheduler: "entry-host-2", Number: 123456, CachedTokens: 1024, Lifetime: 2 * time.Second,
+	}
+	progress := &request.Progress{Ticket: ticket.ID, Pool: grant.Pool, Target: grant.Target, Number: grant.Number, FirstToken: 180 * time.Millisecond}
+	release := &request.Release{
+		Ticket: ticket.ID, Pool: grant.Pool, Target: grant.Target, Number: grant.Number, Scheduler: grant.Scheduler,
+		End: request.EndDone, Usage: request.Usage{PromptTokens: 4000, CachedTokens: 1024, OutputTokens: 250},
+		FirstToken: 180 * time.Millisecond, Total: 9 * time.Second, Fingerprint: ticket.Fingerprint,
+	}
+	round := func() {
+		for range burst {
+			hosts.a.Send("entry-host-2", &peerpb.Envelope{Tickets: []*peerpb.Ticket{TicketMessage(ticket)}})
+		}
+		hosts.wait(burst)
+		for range burst {
+			hosts.b.Send("entry-host-1", &peerpb.Envelope{Grants: []*peerpb.Grant{GrantMessage(grant)}})
+		}
+		hosts.wait(burst)
+		for range burst {
+			hosts.a.Send("entry-host-2", &peerpb.Envelope{Progress: []*peerpb.Progress{ProgressMessage(progress)}})
+		}
+		hosts.wait(burst)
+		for range burst {
+			hosts.a.Send("entry-host-2", &peerpb.Envelope{Releases: []*peerpb.Release{ReleaseMessage(release)}})
+		}
+		hosts.wait(burst)
+	}
+	hosts.link()
+	round()
+	bytes, envelopes := counted("bytesSent"), counted("sent")
+	requests := 0
+	for b.Loop() {
+		round()
+		requests += burst
+	}
+	b.ReportMetric(float64(counted("bytesSent")-bytes)/float64(requests), "bytes/request")
+	b.ReportMetric(float64(counted("sent")-envelopes)/float64(requests), "envelopes/request")
+}
