scheduler, entry: hand pools over and reconcile held grants

Cause: any host opened a pool for any ticket; a pool that fell to another host kept its tickets; a lost release or grant kept its slot for good; and a grant of another scheduler that was returned unused freed this one's grant of the same number.

Change: a pool is opened only where the membership says so; when that moves, its tickets are forgotten without refusal, the new host is told and grants stay counted. Entry hosts list what they hold every 5 s, for a minute after the last ticket also that it is nothing.

--- a/entry/tickets.go
+++ b/entry/tickets.go
@@ -34,6 +34,8 @@
 
 	mutex   sync.Mutex
 	entries map[request.ID]*ticketEntry
+	// places holds when a scheduler was last sent a ticket of a pool.
+	places map[place]time.Time
 }
 
 type ticketEntry struct {
@@ -48,6 +50,7 @@
 // Run sends tickets again that had no answer for long, until the context
 // ends.
 func (tickets *Tickets) Run(ctx context.Context) error {
+	go tickets.tellHoldings(ctx)
 	ticker := time.NewTicker(resendFirst / 4)
 	defer ticker.Stop()
 	for {
@@ -169,6 +172,7 @@
 	if scheduler == "" {
 		return
 	}
+	tickets.remember(scheduler, entry.ticket.Pool)
 	tickets.Send(scheduler, &peerpb.Envelope{Tickets: []*peerpb.Ticket{peer.TicketMessage(entry.ticket)}})
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -198,7 +198,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	held := pool.held[release.Ticket]
-	if held == nil || held.grant.Number != release.Number {
+	if held == nil || held.grant.Number != release.Number || held.grant.Scheduler != release.Scheduler {
 		return
 	}
 	if release.End == request.EndLeaving {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,11 +45,19 @@
 	Events *timeline.Recorder
 	// Send passes an envelope to a host.
 	Send func(host string, envelope *peerpb.Envelope)
+	// Responsible names the host that schedules a pool in this zone now;
+	// empty if there is none.
+	Responsible func(pool string) string
+	// Hosts lists the ids of the known hosts.
+	Hosts func() []string
 
 	mutex sync.Mutex
 	pools map[string]*pool.Pool
-	ctx   context.Context
-	group sync.WaitGroup
+	// handed names the pools that fell to another host since they were opened
+	// here.
+	handed map[string]bool
+	ctx    context.Context
+	group  sync.WaitGroup
 }
 
 // Run works until the context ends.
@@ -83,9 +91,16 @@
 			found.Release(peer.Release(message))
 		}
 	}
+	scheduler.receiveHoldings(from, envelope)
+	scheduler.receiveHandovers(envelope)
 }
 
+// submit drops a ticket that falls to another host: its entry host sends it
+// there as soon as it knows, or here again.
 func (scheduler *Scheduler) submit(ticket *request.Ticket) {
+	if scheduler.Responsible(ticket.Pool) != scheduler.Host {
+		return
+	}
 	found := scheduler.open(ticket.Pool)
 	if found == nil {
 		return
@@ -108,6 +123,7 @@
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	if found := scheduler.pools[name]; found != nil {
+		delete(scheduler.handed, name)
 		return found
 	}
 	if scheduler.ctx == nil || scheduler.ctx.Err() != nil {
