scheduler: poll targets and spread that one is leaving

Cause: a target's own report was never read, so that a leaving one got work until it refused.

Change: the scheduler of a pool asks each target of its zone once a second, spread over the second, bounded and counted (expvar "polls"). A report, or a refusal as leaving, becomes a word with a sequence number that goes to the zone's hosts and, on a new link, again; a configuration does not undo it.

TestOwnReport: no grant 3 s after the first word; TestWords: an older word undoes nothing. Bytes of polling: not measured.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/pool"
 	"nutmegfield.example/timeline"
@@ -33,8 +35,14 @@
 	}
 }
 
-// Reconnected sends an entry host the grants again that it may not have got.
+// Reconnected sends a host the words and grants again that it may not have
+// got.
 func (scheduler *Scheduler) Reconnected(host string) {
+	if slices.Contains(scheduler.ZoneHosts(), host) {
+		if told := scheduler.words.messages(); len(told) > 0 {
+			scheduler.Send(host, &peerpb.Envelope{Targets: told})
+		}
+	}
 	for _, running := range scheduler.running() {
 		running.Resend(host)
 	}
--- a/scheduler/part.go
+++ b/scheduler/part.go
@@ -4,6 +4,7 @@
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/target"
 )
 
 func init() {
@@ -19,6 +20,10 @@
 	if err != nil {
 		return nil, err
 	}
+	clients, err := kernel.Need[target.Clients](host)
+	if err != nil {
+		return nil, err
+	}
 	members := links.Members
 	scheduler := &Scheduler{
 		Host:   host.Settings.Host.ID,
@@ -30,7 +35,9 @@
 			responsible, _ := members.View().Responsible(members.Self.Zone, pool)
 			return responsible.ID
 		},
-		Hosts: func() []string { return hostIDs(members.View()) },
+		Hosts:     func() []string { return hostIDs(members.View().Hosts) },
+		ZoneHosts: func() []string { return hostIDs(members.View().Zone(members.Self.Zone)) },
+		Client:    clients.Client,
 	}
 	links.Receive(scheduler.Receive)
 	links.Connected(scheduler.Reconnected)
@@ -39,9 +46,9 @@
 	return &kernel.Part{Run: scheduler.Run}, nil
 }
 
-func hostIDs(view *peer.View) []string {
-	ids := make([]string, 0, len(view.Hosts))
-	for _, host := range view.Hosts {
+func hostIDs(hosts []peer.Host) []string {
+	ids := make([]string, 0, len(hosts))
+	for _, host := range hosts {
 		ids = append(ids, host.ID)
 	}
 	return ids
--- /dev/null
+++ b/scheduler/poll.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"nutmegfield.example/pool"
+	"nutmegfield.example/profile"
+)
+
+const (
+	// pollInterval is the interval at which each target is asked for its load.
+	pollInterval = time.Second
+	// pollTimeout bounds each question.
+	pollTimeout = time.Second
+)
+
+// pollCounts counts the questions to targets and those that failed.
+var pollCounts = expvar.NewMap("polls")
+
+// poll asks the targets of the pools that are scheduled here, spread over the
+// interval, until the context ends. A target that does not answer is asked
+// again only when its question has ended.
+func (scheduler *Scheduler) poll(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	asked := map[place]*sync.Mutex{}
+	for ctx.Err() == nil {
+		targets := scheduler.polled()
+		wait := pollInterval / time.Duration(len(targets)+1)
+		for _, target := range targets {
+			busy := asked[target.place]
+			if busy == nil {
+				busy = &sync.Mutex{}
+				asked[target.place] = busy
+			}
+			if busy.TryLock() {
+				group.Go(func() {
+					defer busy.Unlock()
+					scheduler.ask(ctx, target)
+				})
+			}
+			sleep(ctx, wait)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// polledTarget is a target of a pool that is scheduled here.
+type polledTarget struct {
+	place
+	target *profile.Target
+	pool   *pool.Pool
+}
+
+func (scheduler *Scheduler) polled() []polledTarget {
+	snapshot := scheduler.Store.Current()
+	if snapshot == nil {
+		return nil
+	}
+	var targets []polledTarget
+	for name, running := range scheduler.running() {
+		described := snapshot.Pool(name)
+		if described == nil || scheduler.Responsible(name) != scheduler.Host {
+			continue
+		}
+		for i := range described.Targets {
+			target := &described.Targets[i]
+			if target.Zone == scheduler.Zone {
+				targets = append(targets, polledTarget{place{name, target.Name}, target, running})
+			}
+		}
+	}
+	return targets
+}
+
+func (scheduler *Scheduler) ask(ctx context.Context, polled polledTarget) {
+	client := scheduler.Client(polled.target.Protocol)
+	if client == nil || client.Load == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	pollCounts.Add("asked", 1)
+	load, err := client.Load(ctx, polled.target.Address)
+	if err != nil {
+		pollCounts.Add("failed", 1)
+		return
+	}
+	polled.pool.Observe(polled.place.target, pool.Load{Running: load.Running, Waiting: load.Waiting, At: load.At})
+	scheduler.reported(polled.place, load.Leaving)
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"nutmegfield.example/prefix"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
+	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -48,14 +49,18 @@
 	// Responsible names the host that schedules a pool in this zone now;
 	// empty if there is none.
 	Responsible func(pool string) string
-	// Hosts lists the ids of the known hosts.
-	Hosts func() []string
+	// Hosts lists the ids of the known hosts, ZoneHosts those of this zone.
+	Hosts     func() []string
+	ZoneHosts func() []string
+	// Client returns the client of a protocol, nil if there is none.
+	Client func(protocol string) *target.Client
 
 	mutex sync.Mutex
 	pools map[string]*pool.Pool
 	// handed names the pools that fell to another host since they were opened
 	// here.
 	handed map[string]bool
+	words  words
 	ctx    context.Context
 	group  sync.WaitGroup
 }
@@ -66,6 +71,7 @@
 	scheduler.ctx = ctx
 	scheduler.mutex.Unlock()
 	scheduler.Store.Listen(scheduler.configure)
+	scheduler.group.Go(func() { scheduler.poll(ctx) })
 	<-ctx.Done()
 	scheduler.group.Wait()
 	return nil
@@ -90,7 +96,11 @@
 		if found := scheduler.find(message.GetPool()); found != nil {
 			found.Release(peer.Release(message))
 		}
+		if request.End(message.GetEnd()) == request.EndLeaving {
+			scheduler.reported(place{message.GetPool(), message.GetTarget()}, true)
+		}
 	}
+	scheduler.receiveWords(envelope)
 	scheduler.receiveHoldings(from, envelope)
 	scheduler.receiveHandovers(envelope)
 }
@@ -151,7 +161,7 @@
 		started.Prefixes = &prefix.Index{}
 	}
 	started.Start()
-	started.Configure(configuration(snapshot, described, scheduler.Zone))
+	started.Configure(scheduler.withWords(name, configuration(snapshot, described, scheduler.Zone)))
 	scheduler.group.Go(func() { started.Run(scheduler.ctx) })
 	scheduler.Events.Record(eventTakeover, timeline.Event{Pool: name})
 	return started
@@ -162,7 +172,7 @@
 	defer scheduler.mutex.Unlock()
 	for name, running := range scheduler.pools {
 		if described := snapshot.Pool(name); described != nil {
-			running.Configure(configuration(snapshot, described, scheduler.Zone))
+			running.Configure(scheduler.withWords(name, configuration(snapshot, described, scheduler.Zone)))
 		} else {
 			running.Configure(pool.Configuration{})
 		}
@@ -172,12 +182,12 @@
 // configuration picks what concerns one pool in one zone.
 func configuration(snapshot *profile.Snapshot, described *profile.Pool, zone string) pool.Configuration {
 	result := pool.Configuration{Waiting: described.Waiting, Weights: map[string]int{}}
-	for _, target := range described.Targets {
-		if target.Zone == zone {
+	for _, told := range described.Targets {
+		if told.Zone == zone {
 			result.Targets = append(result.Targets, pool.Target{
-				Name:    target.Name,
-				Slots:   target.Slots,
-				Leaving: target.Leaving,
+				Name:    told.Name,
+				Slots:   told.Slots,
+				Leaving: told.Leaving,
 			})
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
+	"nutmegfield.example/target"
 )
 
 // sent keeps what a scheduler says to each host.
@@ -21,12 +23,16 @@
 	grants    []*peerpb.Grant
 	refusals  int
 	handovers []string
+	// leaving is what the target reports.
+	leaving atomic.Bool
+	words   []*peerpb.TargetWord
 }
 
 func (sent *sent) send(host string, envelope *peerpb.Envelope) {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
 	sent.grants = append(sent.grants, envelope.GetGrants()...)
+	sent.words = append(sent.words, envelope.GetTargets()...)
 	sent.refusals += len(envelope.GetRefusals())
 	for _, message := range envelope.GetHandovers() {
 		sent.handovers = append(sent.handovers, host+" "+message.GetPool())
@@ -55,6 +61,12 @@
 			Host: "a", Zone: "z", Store: store, Send: sent.send,
 			Responsible: func(string) string { return responsible },
 			Hosts:       func() []string { return []string{"a", "b"} },
+			ZoneHosts:   func() []string { return []string{"a", "b"} },
+			Client: func(string) *target.Client {
+				return &target.Client{Load: func(context.Context, string) (target.Load, error) {
+					return target.Load{Leaving: sent.leaving.Load()}, nil
+				}}
+			},
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		var group sync.WaitGroup
@@ -153,3 +165,59 @@
 		qt.Check(t, sent.granted(), qt.Equals, 1)
 	})
 }
+
+func (sent *sent) told() []*peerpb.TargetWord {
+	synctest.Wait()
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	return sent.words
+}
+
+// leavingBound is how long after its first word a target may get work.
+const leavingBound = 3 * time.Second
+
+// TestOwnReport: a target that reports it is leaving gets no grant, and the
+// zone is told, within the stated time; and once more when it is back.
+func TestOwnReport(t *testing.T) {
+	inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
+		scheduler.open("orders")
+		time.Sleep(time.Minute)
+		sent.leaving.Store(true)
+		time.Sleep(leavingBound)
+		submit(scheduler, 1)
+		time.Sleep(time.Minute)
+		qt.Check(t, sent.granted(), qt.Equals, 0)
+		qt.Check(t, sent.told(), qt.HasLen, 1)
+		qt.Check(t, sent.told()[0].GetLeaving(), qt.IsTrue)
+		scheduler.Store.Offer(profile.NewSnapshot(2, scheduler.Store.Current().Configuration))
+		time.Sleep(time.Minute)
+		qt.Check(t, sent.granted(), qt.Equals, 0)
+		sent.leaving.Store(false)
+		time.Sleep(leavingBound)
+		qt.Check(t, sent.granted(), qt.Equals, 1)
+		qt.Check(t, sent.told()[1].GetSequence() > sent.told()[0].GetSequence(), qt.IsTrue)
+	})
+}
+
+// TestWords: a peer's word counts at once, also for a pool opened later, and
+// an older one undoes nothing.
+func TestWords(t *testing.T) {
+	inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
+		sent.leaving.Store(true)
+		say := func(leaving bool, sequence uint64) {
+			told := message(place{"orders", "t"}, leaving, sequence)
+			scheduler.Receive("b", &peerpb.Envelope{Targets: []*peerpb.TargetWord{told}})
+		}
+		say(true, 5)
+		say(false, 4)
+		say(false, 5)
+		submit(scheduler, 1)
+		time.Sleep(time.Minute)
+		qt.Check(t, sent.granted(), qt.Equals, 0)
+		qt.Check(t, scheduler.Leaving("orders", "t"), qt.IsTrue)
+		scheduler.Reconnected("b")
+		qt.Check(t, sent.told(), qt.HasLen, 1)
+		say(false, 6)
+		qt.Check(t, sent.granted(), qt.Equals, 1)
+	})
+}
