scheduler: free the slots of dead entry hosts

Cause: the grants of an entry host that died kept their slots for good.

Change: where the membership says that the host is dead, its tickets are forgotten, and each of its grants is freed once the engine says that the request ended, or that nobody has read it for longer than a resume may take (target.ResumeSpan), and took the cancel. A broken link cancels nothing.

Not done: services, which can't be asked; a host that comes back under its id before its grants were looked at.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -61,8 +61,10 @@
 	// here.
 	handed map[string]bool
 	words  words
-	ctx    context.Context
-	group  sync.WaitGroup
+	// entries names the hosts that may hold grants.
+	entries map[string]struct{}
+	ctx     context.Context
+	group   sync.WaitGroup
 }
 
 // Run works until the context ends.
@@ -72,6 +74,7 @@
 	scheduler.mutex.Unlock()
 	scheduler.Store.Listen(scheduler.configure)
 	scheduler.group.Go(func() { scheduler.poll(ctx) })
+	scheduler.group.Go(func() { scheduler.reap(ctx) })
 	<-ctx.Done()
 	scheduler.group.Wait()
 	return nil
@@ -79,6 +82,9 @@
 
 // Receive takes the envelopes of the entry hosts.
 func (scheduler *Scheduler) Receive(from string, envelope *peerpb.Envelope) {
+	if len(envelope.GetTickets()) > 0 {
+		scheduler.heardFrom(from)
+	}
 	for _, message := range envelope.GetTickets() {
 		scheduler.submit(peer.Ticket(from, message))
 	}
--- a/target/clients.go
+++ b/target/clients.go
@@ -15,6 +15,10 @@
 	streamResumes = 8
 )
 
+// ResumeSpan is how long an entry host may take to resume a stream, with all
+// its tries; a stream that nobody has read for longer has been given up.
+const ResumeSpan = (streamResumes + 1) * (answerSilence + dialTimeout)
+
 // Clients holds one client of each protocol.
 type Clients struct {
 	byProtocol map[string]*Client
