entry: wait at another zone's scheduler where the own can't serve

Cause: a ticket waited in its own zone also where every target there was leaving or no host could schedule.

Change: the own zone first, then those with a target that takes work, by rendezvous hashing for this host and pool, from the configuration, the words on leaving targets and the membership. A ticket that moves is cancelled where it was, so that it waits in one queue at a time; one that waits already moves with its next resend (1 to 8 s). Cut off, a zone serves alone.

Not done: a refusal noTarget does not yet lead to another zone.

--- a/entry/part.go
+++ b/entry/part.go
@@ -13,6 +13,7 @@
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/scheduler"
 	"nutmegfield.example/target"
 )
 
@@ -42,13 +43,12 @@
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	members := links.Members
-	tickets := &Tickets{
-		Scheduler: func(pool string) string {
-			responsible, _ := members.View().Responsible(members.Self.Zone, pool)
-			return responsible.ID
-		},
-		Send: links.Send,
+	schedulers, err := kernel.Need[scheduler.Scheduler](host)
+	if err != nil {
+		return nil, err
 	}
+	zones := &Zones{Self: members.Self, Store: store, View: members.View, Leaving: schedulers.Leaving}
+	tickets := &Tickets{Scheduler: zones.Scheduler, Send: links.Send}
 	links.Receive(tickets.Receive)
 	links.Connected(tickets.Reconnected)
 	members.Listen(func(*peer.View) { tickets.Moved() })
