scheduler: spread suspicions over the zone

Cause: a suspicion stayed on the host whose pool had it, so that a scheduler that took over ran the request on the next target.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,8 +63,10 @@
 	words  words
 	// entries names the hosts that may hold grants.
 	entries map[string]struct{}
-	ctx     context.Context
-	group   sync.WaitGroup
+	// suspicions were heard from other hosts, the oldest first.
+	suspicions []suspicion
+	ctx        context.Context
+	group      sync.WaitGroup
 }
 
 // Run works until the context ends.
@@ -107,6 +109,7 @@
 		}
 	}
 	scheduler.receiveWords(envelope)
+	scheduler.receiveSuspects(envelope)
 	scheduler.receiveHoldings(from, envelope)
 	scheduler.receiveHandovers(envelope)
 }
@@ -156,18 +159,20 @@
 func (scheduler *Scheduler) start(snapshot *profile.Snapshot, name string) *pool.Pool {
 	described := snapshot.Pool(name)
 	started := &pool.Pool{
-		Name:    name,
-		Host:    scheduler.Host,
-		Settle:  settle,
-		Policy:  policy.New(described.Policy, rand.Uint64()),
-		Granted: scheduler.granted,
-		Refused: scheduler.refused,
+		Name:      name,
+		Host:      scheduler.Host,
+		Settle:    settle,
+		Policy:    policy.New(described.Policy, rand.Uint64()),
+		Granted:   scheduler.granted,
+		Refused:   scheduler.refused,
+		Suspected: func(suspect pool.Suspect) { scheduler.suspected(name, suspect) },
 	}
 	if described.Kind == profile.KindModel {
 		started.Prefixes = &prefix.Index{}
 	}
 	started.Start()
 	started.Configure(scheduler.withWords(name, configuration(snapshot, described, scheduler.Zone)))
+	scheduler.recall(name, started)
 	scheduler.group.Go(func() { started.Run(scheduler.ctx) })
 	scheduler.Events.Record(eventTakeover, timeline.Event{Pool: name})
 	return started
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -12,6 +12,7 @@
 
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/pool"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 	"nutmegfield.example/target"
@@ -24,14 +25,16 @@
 	refusals  int
 	handovers []string
 	// leaving is what the target reports.
-	leaving atomic.Bool
-	words   []*peerpb.TargetWord
+	leaving  atomic.Bool
+	words    []*peerpb.TargetWord
+	suspects []*peerpb.Suspect
 }
 
 func (sent *sent) send(host string, envelope *peerpb.Envelope) {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
 	sent.grants = append(sent.grants, envelope.GetGrants()...)
+	sent.suspects = append(sent.suspects, envelope.GetSuspects()...)
 	sent.words = append(sent.words, envelope.GetTargets()...)
 	sent.refusals += len(envelope.GetRefusals())
 	for _, message := range envelope.GetHandovers() {
@@ -221,3 +224,21 @@
 		qt.Check(t, sent.granted(), qt.Equals, 1)
 	})
 }
+
+// TestSuspicions: a suspicion goes to the other hosts of the zone with the time
+// that it still holds, and is kept for a pool that opens later.
+func TestSuspicions(t *testing.T) {
+	inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
+		scheduler.suspected("orders", pool.Suspect{Fingerprint: 7, Crashes: 2, Quarantined: true, Until: time.Now().Add(time.Minute)})
+		qt.Assert(t, sent.suspects, qt.HasLen, 1)
+		qt.Check(t, sent.suspects[0].GetRemaining(), qt.Equals, time.Minute.Microseconds())
+		for range 2 * suspectsKept {
+			scheduler.Receive("b", &peerpb.Envelope{Suspects: sent.suspects})
+		}
+		qt.Assert(t, scheduler.suspicions, qt.HasLen, suspectsKept)
+		qt.Check(t, scheduler.suspicions[0].suspect, qt.Equals, pool.Suspect{
+			Fingerprint: 7, Crashes: 2, Quarantined: true, Until: time.Now().Add(time.Minute),
+		})
+		qt.Check(t, scheduler.open("orders"), qt.IsNotNil)
+	})
+}
