--- a/kernel/network.go
+++ b/kernel/network.go
@@ -19,10 +19,14 @@
 	return Network{
 		Listen:       net.Listen,
 		ListenPacket: net.ListenPacket,
-		Dial:         new(net.Dialer).DialContext,
+		Dial:         (&net.Dialer{KeepAlive: keepAlive}).DialContext,
 	}
 }
 
+// keepAlive is the interval of the probes by which the system finds a dead
+// connection.
+const keepAlive = 5 * time.Second
+
 // dialTimeout bounds each dial: net/http goes on dialling when the request
 // that wanted the connection has ended.
 const dialTimeout = 2 * time.Second
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/platform"
 	"nutmegfield.example/timeline"
@@ -55,13 +53,6 @@
 	farewells = 16
 )
 
-// Errors of this package.
-var (
-	Errors = errorx.NewNamespace("peer")
-	// Replaced: a newer host runs under the same id.
-	Replaced = Errors.NewType("replaced")
-)
-
 // Events of the membership.
 var (
 	eventHostJoined = timeline.Define(timeline.Kind{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"nutmegfield.example/prefix"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
+	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -45,11 +46,27 @@
 	Events *timeline.Recorder
 	// Send passes an envelope to a host.
 	Send func(host string, envelope *peerpb.Envelope)
+	// Responsible names the host that schedules a pool in this zone now;
+	// empty if there is none.
+	Responsible func(pool string) string
+	// Hosts lists the ids of the known hosts, ZoneHosts those of this zone.
+	Hosts     func() []string
+	ZoneHosts func() []string
+	// Client returns the client of a protocol, nil if there is none.
+	Client func(protocol string) *target.Client
 
 	mutex sync.Mutex
 	pools map[string]*pool.Pool
-	ctx   context.Context
-	group sync.WaitGroup
+	// handed names the pools that fell to another host since they were opened
+	// here.
+	handed map[string]bool
+	words  words
+	// entries names the hosts that may hold grants.
+	entries map[string]struct{}
+	// suspicions were heard from other hosts, the oldest first.
+	suspicions []suspicion
+	ctx        context.Context
+	group      sync.WaitGroup
 }
 
 // Run works until the context ends.
@@ -58,6 +75,8 @@
 	scheduler.ctx = ctx
 	scheduler.mutex.Unlock()
 	scheduler.Store.Listen(scheduler.configure)
+	scheduler.group.Go(func() { scheduler.poll(ctx) })
+	scheduler.group.Go(func() { scheduler.reap(ctx) })
 	<-ctx.Done()
 	scheduler.group.Wait()
 	return nil
@@ -65,6 +84,9 @@
 
 // Receive takes the envelopes of the entry hosts.
 func (scheduler *Scheduler) Receive(from string, envelope *peerpb.Envelope) {
+	if len(envelope.GetTickets()) > 0 {
+		scheduler.heardFrom(from)
+	}
 	for _, message := range envelope.GetTickets() {
 		scheduler.submit(peer.Ticket(from, message))
 	}
@@ -82,10 +104,22 @@
 		if found := scheduler.find(message.GetPool()); found != nil {
 			found.Release(peer.Release(message))
 		}
+		if request.End(message.GetEnd()) == request.EndLeaving {
+			scheduler.reported(place{message.GetPool(), message.GetTarget()}, true)
+		}
 	}
+	scheduler.receiveWords(envelope)
+	scheduler.receiveSuspects(envelope)
+	scheduler.receiveHoldings(from, envelope)
+	scheduler.receiveHandovers(envelope)
 }
 
+// submit drops a ticket that falls to another host: its entry host sends it
+// there as soon as it knows, or here again.
 func (scheduler *Scheduler) submit(ticket *request.Ticket) {
+	if scheduler.Responsible(ticket.Pool) != scheduler.Host {
+		return
+	}
 	found := scheduler.open(ticket.Pool)
 	if found == nil {
 		return
@@ -108,6 +142,7 @@
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	if found := scheduler.pools[name]; found != nil {
+		delete(scheduler.handed, name)
 		return found
 	}
 	if scheduler.ctx == nil || scheduler.ctx.Err() != nil {
@@ -124,18 +159,20 @@
 func (scheduler *Scheduler) start(snapshot *profile.Snapshot, name string) *pool.Pool {
 	described := snapshot.Pool(name)
 	started := &pool.Pool{
-		Name:    name,
-		Host:    scheduler.Host,
-		Settle:  settle,
-		Policy:  policy.New(described.Policy, rand.Uint64()),
-		Granted: scheduler.granted,
-		Refused: scheduler.refused,
+		Name:      name,
+		Host:      scheduler.Host,
+		Settle:    settle,
+		Policy:    policy.New(described.Policy, rand.Uint64()),
+		Granted:   scheduler.granted,
+		Refused:   scheduler.refused,
+		Suspected: func(suspect pool.Suspect) { scheduler.suspected(name, suspect) },
 	}
 	if described.Kind == profile.KindModel {
 		started.Prefixes = &prefix.Index{}
 	}
 	started.Start()
-	started.Configure(configuration(snapshot, described, scheduler.Zone))
+	started.Configure(scheduler.withWords(name, configuration(snapshot, described, scheduler.Zone)))
+	scheduler.recall(name, started)
 	scheduler.group.Go(func() { started.Run(scheduler.ctx) })
 	scheduler.Events.Record(eventTakeover, timeline.Event{Pool: name})
 	return started
@@ -146,7 +183,7 @@
 	defer scheduler.mutex.Unlock()
 	for name, running := range scheduler.pools {
 		if described := snapshot.Pool(name); described != nil {
-			running.Configure(configuration(snapshot, described, scheduler.Zone))
+			running.Configure(scheduler.withWords(name, configuration(snapshot, described, scheduler.Zone)))
 		} else {
 			running.Configure(pool.Configuration{})
 		}
@@ -156,12 +193,12 @@
 // configuration picks what concerns one pool in one zone.
 func configuration(snapshot *profile.Snapshot, described *profile.Pool, zone string) pool.Configuration {
 	result := pool.Configuration{Waiting: described.Waiting, Weights: map[string]int{}}
-	for _, target := range described.Targets {
-		if target.Zone == zone {
+	for _, told := range described.Targets {
+		if told.Zone == zone {
 			result.Targets = append(result.Targets, pool.Target{
-				Name:    target.Name,
-				Slots:   target.Slots,
-				Leaving: target.Leaving,
+				Name:    told.Name,
+				Slots:   told.Slots,
+				Leaving: told.Leaving,
 			})
 		}
 	}
--- a/target/clients.go
+++ b/target/clients.go
@@ -6,12 +6,19 @@
 	"nutmegfield.example/kernel"
 )
 
-// answerBytes and silence bound what a target may send back.
+// What a target may send back.
 const (
-	answerBytes = 16 << 20
-	silence     = 30 * time.Second
+	answerBytes   = 16 << 20
+	eventBytes    = 1 << 20
+	answerWait    = 10 * time.Minute
+	answerSilence = 10 * time.Second
+	streamResumes = 8
 )
 
+// ResumeSpan is how long an entry host may take to resume a stream, with all
+// its tries; a stream that nobody has read for longer has been given up.
+const ResumeSpan = (streamResumes + 1) * (answerSilence + dialTimeout)
+
 // Clients holds one client of each protocol.
 type Clients struct {
 	byProtocol map[string]*Client
@@ -34,6 +41,13 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	kernel.Provide(host, NewClients(Limits{Bytes: answerBytes, Silence: silence, Dial: host.Dial}))
+	kernel.Provide(host, NewClients(Limits{
+		Bytes:   answerBytes,
+		Event:   eventBytes,
+		Wait:    answerWait,
+		Silence: answerSilence,
+		Resumes: streamResumes,
+		Dial:    host.Dial,
+	}))
 	return &kernel.Part{}, nil
 }
