kernel, trial: end connections that lost their path within eleven seconds

A request to a plain service on a connection that something between the two ends had forgotten kept its slot until its answer's long wait was over; four of them closed the pool.

--- a/kernel/network.go
+++ b/kernel/network.go
@@ -17,15 +17,25 @@
 // SystemNetwork is the machine's own.
 func SystemNetwork() Network {
 	return Network{
-		Listen:       net.Listen,
+		Listen:       listen,
 		ListenPacket: net.ListenPacket,
-		Dial:         (&net.Dialer{KeepAlive: keepAlive}).DialContext,
+		Dial:         (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
 	}
 }
 
-// keepAlive is the interval of the probes by which the system finds a dead
-// connection.
-const keepAlive = 5 * time.Second
+func listen(network, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	return config.Listen(context.Background(), network, address)
+}
+
+// keepAlive has the system end a connection within eleven seconds when
+// something between the two ends has lost track of it.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     5 * time.Second,
+	Interval: 2 * time.Second,
+	Count:    3,
+}
 
 // dialTimeout bounds each dial: net/http goes on dialling when the request
 // that wanted the connection has ended.
--- a/peer/links.go
+++ b/peer/links.go
@@ -48,7 +48,7 @@
 		Meaning: "A link to another host broke, went silent or could not be opened; it is dialled anew.",
 	})
 	eventLinkRefused = timeline.Define(timeline.Kind{
-		Number: 6010, Name: "link refused", Level: timeline.Warn,
+		Number: 6003, Name: "link refused", Level: timeline.Warn,
 		Meaning: "Envelopes came from a host that is not known, or under another host's name; logged once for each name.",
 		Action:  "if it goes on, look for a host with wrong settings",
 	})
