scheduler: follow the targets' cache events

Cause: the prefix index heard nothing of what targets store and remove.

Change: with each load question an engine is asked for its cache events after the last one; a number that jumps is a gap (prefix.Index.Gap). An engine whose numbers begin anew is not noticed yet.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -26,20 +26,21 @@
 func (scheduler *Scheduler) poll(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	asked := map[place]*sync.Mutex{}
+	asked := map[place]*questions{}
 	for ctx.Err() == nil {
 		targets := scheduler.polled()
 		wait := pollInterval / time.Duration(len(targets)+1)
 		for _, target := range targets {
 			busy := asked[target.place]
 			if busy == nil {
-				busy = &sync.Mutex{}
+				busy = &questions{}
 				asked[target.place] = busy
 			}
 			if busy.TryLock() {
 				group.Go(func() {
 					defer busy.Unlock()
 					scheduler.ask(ctx, target)
+					scheduler.askCache(ctx, target, busy)
 				})
 			}
 			sleep(ctx, wait)
@@ -48,6 +49,14 @@
 	}
 }
 
+// questions are those to one target, one at a time.
+type questions struct {
+	sync.Mutex
+	// pool is the one that was told the cache events up to sequence.
+	pool     *pool.Pool
+	sequence uint64
+}
+
 // polledTarget is a target of a pool that is scheduled here.
 type polledTarget struct {
 	place
@@ -93,6 +102,35 @@
 	scheduler.reported(polled.place, load.Leaving)
 }
 
+// askCache tells the pool's index which prefixes the target stored and removed
+// since it was asked last, and of events that it missed.
+func (scheduler *Scheduler) askCache(ctx context.Context, polled polledTarget, questions *questions) {
+	client := scheduler.Client(polled.target.Protocol)
+	index := polled.pool.Prefixes
+	if client == nil || client.CacheEvents == nil || index == nil {
+		return
+	}
+	if questions.pool != polled.pool {
+		questions.pool, questions.sequence = polled.pool, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	pollCounts.Add("asked", 1)
+	events, err := client.CacheEvents(ctx, polled.target.Address, questions.sequence)
+	if err != nil {
+		pollCounts.Add("failed", 1)
+		return
+	}
+	for _, event := range events {
+		if event.Sequence > questions.sequence+1 {
+			pollCounts.Add("gaps", 1)
+			index.Gap(polled.place.target)
+		}
+		index.Event(polled.place.target, event.Stored, event.Removed)
+		questions.sequence = event.Sequence
+	}
+}
+
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- /dev/null
+++ b/scheduler/poll_test.go
@@ -0,0 +1,53 @@
+package scheduler
+
+import (
+	"context"
+	"expvar"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/pool"
+	"nutmegfield.example/prefix"
+	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
+	"nutmegfield.example/target"
+)
+
+// TestCacheEvents: each event reaches the index once, and a gap is seen.
+func TestCacheEvents(t *testing.T) {
+	batches := [][]target.CacheEvent{
+		{{Sequence: 1, Stored: []uint64{10}}, {Sequence: 2, Stored: []uint64{20}}},
+		{},
+		{{Sequence: 4, Removed: []uint64{10}}},
+	}
+	var asked []uint64
+	scheduler := &Scheduler{Client: func(string) *target.Client {
+		return &target.Client{CacheEvents: func(_ context.Context, _ string, after uint64) ([]target.CacheEvent, error) {
+			asked = append(asked, after)
+			next := batches[0]
+			batches = batches[1:]
+			return next, nil
+		}}
+	}}
+	polled := polledTarget{place{"p", "t"}, &profile.Target{}, &pool.Pool{Prefixes: &prefix.Index{}}}
+	questions := &questions{}
+	gaps := func() int64 {
+		if count, ok := pollCounts.Get("gaps").(*expvar.Int); ok {
+			return count.Value()
+		}
+		return 0
+	}
+	cached := func(hash uint64) int {
+		return polled.pool.Prefixes.Cached("t", []request.Prefix{{Hash: hash, Tokens: 64}})
+	}
+	before := gaps()
+	scheduler.askCache(t.Context(), polled, questions)
+	qt.Check(t, cached(10), qt.Equals, 64)
+	qt.Check(t, gaps()-before, qt.Equals, int64(0))
+	scheduler.askCache(t.Context(), polled, questions)
+	scheduler.askCache(t.Context(), polled, questions)
+	qt.Check(t, asked, qt.DeepEquals, []uint64{0, 2, 2})
+	qt.Check(t, cached(10), qt.Equals, 0)
+	qt.Check(t, gaps()-before, qt.Equals, int64(1))
+}
