scheduler: let a target that is back take work again

Cause: a configuration put in force while a target was leaving carried that word as the operators' own, so that the target's later word that it is back was not enough for a pool that keeps the two apart; and a target's word undid the operators' in one that does not.

Change: with a word that a target is back the configuration is put in force anew without the old word, and the pool is told only where the operators let the target work.

TestOwnReport and TestWords send a new ticket at their end: a pool may refuse the waiting one with noTarget in place of keeping it.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -197,6 +198,7 @@
 		qt.Check(t, sent.granted(), qt.Equals, 0)
 		sent.leaving.Store(false)
 		time.Sleep(leavingBound)
+		submit(scheduler, 2)
 		qt.Check(t, sent.granted(), qt.Equals, 1)
 		qt.Check(t, sent.told()[1].GetSequence() > sent.told()[0].GetSequence(), qt.IsTrue)
 	})
@@ -221,6 +223,7 @@
 		scheduler.Reconnected("b")
 		qt.Check(t, sent.told(), qt.HasLen, 1)
 		say(false, 6)
+		submit(scheduler, 2)
 		qt.Check(t, sent.granted(), qt.Equals, 1)
 	})
 }
@@ -242,3 +245,23 @@
 		qt.Check(t, scheduler.open("orders"), qt.IsNotNil)
 	})
 }
+
+// TestOperatorsWord: a target that says it is back stays out of work where the
+// operators say that it leaves.
+func TestOperatorsWord(t *testing.T) {
+	inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
+		configuration := scheduler.Store.Current().Configuration
+		configuration.Pools = slices.Clone(configuration.Pools)
+		configuration.Pools[0].Targets = []profile.Target{{Name: "t", Zone: "z", Slots: 1, Leaving: true}}
+		scheduler.Store.Offer(profile.NewSnapshot(2, configuration))
+		scheduler.open("orders")
+		sent.leaving.Store(true)
+		time.Sleep(time.Minute)
+		sent.leaving.Store(false)
+		time.Sleep(time.Minute)
+		qt.Check(t, sent.told(), qt.HasLen, 2)
+		submit(scheduler, 1)
+		time.Sleep(time.Minute)
+		qt.Check(t, sent.granted(), qt.Equals, 0)
+	})
+}
--- a/scheduler/words.go
+++ b/scheduler/words.go
@@ -129,11 +129,31 @@
 		event.Detail = "back"
 	}
 	scheduler.Events.Record(eventLeaving, event)
-	if found := scheduler.find(place.pool); found != nil {
-		found.Leave(place.target, leaving)
+	found := scheduler.find(place.pool)
+	switch {
+	case found == nil:
+	case leaving:
+		found.Leave(place.target, true)
+	case scheduler.reconfigure(place, found):
+		found.Leave(place.target, false)
 	}
 }
 
+// reconfigure puts a pool's configuration in force anew, without a word that
+// no longer holds. It reports whether the operators let the target work.
+func (scheduler *Scheduler) reconfigure(place place, running *pool.Pool) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	snapshot := scheduler.Store.Current()
+	described := snapshot.Pool(place.pool)
+	if described == nil {
+		return false
+	}
+	running.Configure(scheduler.withWords(place.pool, configuration(snapshot, described, scheduler.Zone)))
+	told := described.Target(place.target)
+	return told != nil && !told.Leaving
+}
+
 // withWords marks the targets of a configuration that said they are leaving.
 func (scheduler *Scheduler) withWords(name string, configuration pool.Configuration) pool.Configuration {
 	for i := range configuration.Targets {
