standin: give the engine continuous batching, a cache and faults

The decisions can only be measured against an engine that makes them matter: slots and KV memory that run out, prefill that holds decoding up, a cache that forgets, reports and cache events that are late. EngineModel has no HTTP and no goroutine: between two events all goes on at even speed, so that a token costs nothing, and the paused clock drives it as well as the real one. The HTTP stand-in is a thin layer over it and now resumes, cancels, exports, imports and takes orders as docs/ENGINE.md says.

--- a/standin/command.go
+++ b/standin/command.go
@@ -45,12 +45,39 @@
 	listen
 	Name        string  `long:"name" default:"engine" description:"its name"`
 	PrefillRate float64 `long:"prefill-rate" default:"4000" description:"prompt tokens a second"`
-	DecodeRate  float64 `long:"decode-rate" default:"100" description:"output tokens a second for each request"`
+	DecodeRate  float64 `long:"decode-rate" default:"100" description:"output tokens a second of a request alone"`
+
+	Slots        int           `long:"slots" default:"16" description:"requests it runs at once"`
+	BatchSlope   float64       `long:"batch-slope" default:"0.02" description:"share by which each further request lengthens a decode step"`
+	Chunk        int           `long:"chunk" default:"512" description:"prompt tokens computed in one step"`
+	Memory       int           `long:"memory" default:"400000" description:"KV memory in tokens"`
+	EventLag     time.Duration `long:"event-lag" default:"2s" description:"how late cache events are"`
+	EventLoss    float64       `long:"event-loss" default:"0.02" description:"share of cache events that is lost"`
+	ReportLag    time.Duration `long:"report-lag" default:"2s" description:"how old the load report is"`
+	StreamKeep   time.Duration `long:"stream-keep" default:"30s" description:"how long an unread stream is kept"`
+	TransferRate float64       `long:"transfer-rate" default:"100000" description:"tokens a second of KV export and import"`
+	Fenced       bool          `long:"fenced" description:"refuse orders with an old fencing number"`
 }
 
 // Execute runs the stand-in.
 func (engine *engineCommand) Execute([]string) error {
-	standin := &Engine{Name: engine.Name, PrefillRate: engine.PrefillRate, DecodeRate: engine.DecodeRate}
+	standin := &Engine{
+		Name:        engine.Name,
+		PrefillRate: engine.PrefillRate,
+		DecodeRate:  engine.DecodeRate,
+		Options: EngineOptions{
+			Slots:        engine.Slots,
+			BatchSlope:   engine.BatchSlope,
+			Chunk:        engine.Chunk,
+			Memory:       engine.Memory,
+			EventLag:     engine.EventLag,
+			EventLoss:    engine.EventLoss,
+			ReportLag:    engine.ReportLag,
+			StreamKeep:   engine.StreamKeep,
+			TransferRate: engine.TransferRate,
+			Fenced:       engine.Fenced,
+		},
+	}
 	return engine.serve(standin.Handler())
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,27 +1,32 @@
 package standin
 
 import (
+	"crypto/rand"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"nutmegfield.example/prefix"
-	"nutmegfield.example/target"
 )
 
-// Engine is a stand-in of a model engine: it takes time by tokens and answers
-// with a text that names the request.
+// Engine is a stand-in of a model engine: an EngineModel behind the HTTP
+// interface of docs/ENGINE.md, which answers with a text that names the
+// request. Fields are set before Handler.
 type Engine struct {
 	Name string
 	// PrefillRate and DecodeRate are tokens a second.
 	PrefillRate float64
 	DecodeRate  float64
+	Options     EngineOptions
 
 	mutex    sync.Mutex
-	running  int
+	model    *EngineModel
+	timer    *time.Timer
+	streams  map[string]*stream
+	state    engineState
+	faults   EngineFaults
 	received []Received
 }
 
@@ -38,23 +43,68 @@
 // defaultOutput is the number of tokens where the caller sets no limit.
 const defaultOutput = 16
 
-// Handler returns the engine's API and, at /standin/received, what it got.
+// Poison in a prompt crashes an engine whose faults say so.
+const Poison = "nutmegfield-standin-poison"
+
+// Handler returns the engine's API and, under /standin/, its switches and
+// what it got.
 func (standin *Engine) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", standin.chat)
-	mux.HandleFunc("GET /engine/load", standin.load)
-	mux.HandleFunc("GET /standin/received", func(writer http.ResponseWriter, _ *http.Request) {
-		standin.mutex.Lock()
-		defer standin.mutex.Unlock()
-		_ = json.NewEncoder(writer).Encode(standin.received)
-	})
-	return mux
+	standin.model = &EngineModel{
+		Name:        standin.Name,
+		PrefillRate: standin.PrefillRate,
+		DecodeRate:  standin.DecodeRate,
+		Options:     standin.Options,
+	}
+	standin.model.Advance()
+	standin.streams = map[string]*stream{}
+	engine := http.NewServeMux()
+	engine.HandleFunc("POST /v1/chat/completions", standin.chat)
+	engine.HandleFunc("GET /engine/streams", standin.listStreams)
+	engine.HandleFunc("GET /engine/streams/{request}", standin.resume)
+	engine.HandleFunc("DELETE /engine/streams/{request}", standin.cancel)
+	engine.HandleFunc("GET /engine/load", standin.load)
+	engine.HandleFunc("GET /engine/cache", standin.cacheEvents)
+	engine.HandleFunc("GET /engine/kv/{prefix}", standin.exportKV)
+	engine.HandleFunc("PUT /engine/kv/{prefix}", standin.importKV)
+	engine.HandleFunc("POST /engine/orders", standin.order)
+	engine.HandleFunc("GET /engine/state", standin.readState)
+	outer := http.NewServeMux()
+	outer.HandleFunc("PUT /standin/faults", standin.setFaults)
+	outer.HandleFunc("GET /standin/received", standin.listReceived)
+	outer.Handle("/", standin.faulty(engine))
+	return outer
 }
 
-func (standin *Engine) load(writer http.ResponseWriter, _ *http.Request) {
+// use runs a function on the model, brought to the present, and sees that it
+// is woken in time.
+func (standin *Engine) use(do func(model *EngineModel)) {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	_ = json.NewEncoder(writer).Encode(target.Load{Running: standin.running, At: time.Now()})
+	standin.model.Advance()
+	do(standin.model)
+	standin.arm()
+}
+
+func (standin *Engine) arm() {
+	next, ok := standin.model.Next()
+	if !ok {
+		return
+	}
+	if standin.timer != nil {
+		standin.timer.Reset(time.Until(next))
+		return
+	}
+	standin.timer = time.AfterFunc(time.Until(next), func() { standin.use(func(*EngineModel) {}) })
+}
+
+func (standin *Engine) listReceived(writer http.ResponseWriter, _ *http.Request) {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	_ = json.NewEncoder(writer).Encode(standin.received)
+}
+
+func (standin *Engine) load(writer http.ResponseWriter, _ *http.Request) {
+	standin.use(func(model *EngineModel) { _ = json.NewEncoder(writer).Encode(model.Load()) })
 }
 
 func (standin *Engine) chat(writer http.ResponseWriter, request *http.Request) {
@@ -63,81 +113,74 @@
 		return
 	}
 	id := request.Header.Get("Nutmegfield-Request")
-	standin.enter(request, id)
-	defer standin.leave()
-	var prompt strings.Builder
-	for _, message := range body.Messages {
-		fmt.Fprintf(&prompt, "%s\n%s\n", message.Role, message.Content)
+	if id == "" {
+		id = rand.Text()
 	}
-	promptTokens := prefix.Tokens(prompt.Len())
-	outputTokens := body.MaxTokens
-	if outputTokens <= 0 {
-		outputTokens = defaultOutput
+	prompt := body.prompt()
+	job := &Job{
+		ID:     id,
+		Prompt: max(1, prefix.Tokens(len(prompt))),
+		Output: body.MaxTokens,
+		Blocks: prefix.Chain([]byte(prompt)),
+		Poison: strings.Contains(prompt, Poison),
 	}
-	answer := &engineAnswer{
-		engine: standin, id: id, model: body.Model,
-		usage: fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d,"prompt_tokens_details":{"cached_tokens":0}}`,
-			promptTokens, outputTokens, promptTokens+outputTokens),
+	if job.Output <= 0 {
+		job.Output = defaultOutput
+	}
+	if standin.running(id) {
+		http.Error(writer, "request "+id+" runs already", http.StatusConflict)
+		return
+	}
+	opened := standin.open(job, body.Model, request)
+	if opened == nil {
+		writer.Header().Set("Nutmegfield-Leaving", "true")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
-	time.Sleep(span(promptTokens, standin.PrefillRate))
 	if body.Stream {
-		answer.stream(writer, request, outputTokens)
+		opened.serve(writer, request, 0)
 		return
 	}
-	time.Sleep(span(outputTokens, standin.DecodeRate))
-	answer.whole(writer, outputTokens)
-}
-
-func (standin *Engine) enter(request *http.Request, id string) {
-	standin.mutex.Lock()
-	defer standin.mutex.Unlock()
-	standin.running++
-	standin.received = append(standin.received, Received{
-		Request: id, Method: request.Method, Path: request.URL.Path, At: time.Now(),
-	})
+	opened.whole(writer, request)
 }
 
-func (standin *Engine) leave() {
+func (standin *Engine) running(id string) bool {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	standin.running--
+	return standin.model.jobs[id] != nil
 }
 
-func span(tokens int, rate float64) time.Duration {
-	return time.Duration(float64(tokens) / rate * float64(time.Second))
-}
-
-type engineAnswer struct {
-	engine *Engine
-	id     string
-	model  string
-	usage  string
-}
-
-func (answer *engineAnswer) token(i int) string { return fmt.Sprintf("%s/%d ", answer.id, i) }
-
-func (answer *engineAnswer) whole(writer http.ResponseWriter, tokens int) {
-	var text strings.Builder
-	for i := range tokens {
-		text.WriteString(answer.token(i))
+func (body *chatBody) prompt() string {
+	var prompt strings.Builder
+	for _, message := range body.Messages {
+		prompt.WriteString(message.Role)
+		prompt.WriteByte('\n')
+		prompt.Write(message.Content)
+		prompt.WriteByte('\n')
 	}
-	writer.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(writer, `{"id":%q,"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":%s}`,
-		answer.id, answer.model, text.String(), answer.usage)
+	return prompt.String()
 }
 
-func (answer *engineAnswer) stream(writer http.ResponseWriter, request *http.Request, tokens int) {
-	writer.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(writer)
-	for i := range tokens {
-		time.Sleep(span(1, answer.engine.DecodeRate))
-		if request.Context().Err() != nil {
-			return
+// open starts a job, nil if the engine refuses it.
+func (standin *Engine) open(job *Job, name string, call *http.Request) *stream {
+	opened := &stream{engine: standin, job: job, model: name, ended: make(chan struct{}), read: time.Now()}
+	job.Ended = func(end JobEnd) {
+		opened.end = end
+		close(opened.ended)
+	}
+	var accepted bool
+	standin.use(func(model *EngineModel) {
+		standin.received = append(standin.received, Received{
+			Request: job.ID, Method: call.Method, Path: call.URL.Path, At: time.Now(),
+		})
+		job.Poison = job.Poison && standin.faults.Poison
+		accepted = model.Submit(job)
+		if accepted {
+			standin.streams[job.ID] = opened
 		}
-		_, _ = fmt.Fprintf(writer, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
-			i, answer.id, answer.model, answer.token(i))
-		_ = control.Flush()
+	})
+	if !accepted {
+		return nil
 	}
-	_, _ = fmt.Fprintf(writer, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":%s}\n\ndata: [DONE]\n\n",
-		answer.id, answer.model, answer.usage)
+	return opened
 }
--- /dev/null
+++ b/standin/enginereport.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"time"
+
+	"nutmegfield.example/target"
+)
+
+// maxEvents bounds the cache events that are kept to be read.
+const maxEvents = 4096
+
+// eventLog keeps an engine's cache events until they are old.
+type eventLog struct {
+	sequence uint64
+	events   []timedEvent
+}
+
+type timedEvent struct {
+	event target.CacheEvent
+	at    time.Time
+}
+
+func (model *EngineModel) cacheChanged(stored, removed []uint64) {
+	model.events.sequence++
+	if model.random.Float64() < model.Options.EventLoss {
+		return
+	}
+	event := target.CacheEvent{Sequence: model.events.sequence, Stored: stored, Removed: removed}
+	model.events.events = append(model.events.events, timedEvent{event, time.Now()})
+	if extra := len(model.events.events) - maxEvents; extra > 0 {
+		model.events.events = model.events.events[extra:]
+	}
+}
+
+// Events returns the cache events after a sequence number that can be read
+// by now: late, and some are missing.
+func (model *EngineModel) Events(after uint64) []target.CacheEvent {
+	model.Advance()
+	readable := time.Now().Add(-model.Options.EventLag)
+	events := []target.CacheEvent{}
+	for _, kept := range model.events.events {
+		if kept.event.Sequence > after && !kept.at.After(readable) {
+			events = append(events, kept.event)
+		}
+	}
+	return events
+}
+
+// report notes the load as it is now, to be read when the lag has passed.
+func (model *EngineModel) report() {
+	model.reports = append(model.reports, target.Load{
+		Running: len(model.prefills) + len(model.decoding),
+		Waiting: len(model.waiting),
+		Leaving: model.leaving,
+		At:      time.Now(),
+	})
+	model.forgetReports()
+}
+
+// Load returns the load as it was when the report was made.
+func (model *EngineModel) Load() target.Load {
+	model.Advance()
+	model.forgetReports()
+	made := time.Now().Add(-model.Options.ReportLag)
+	if len(model.reports) == 0 || model.reports[0].At.After(made) {
+		return target.Load{At: made}
+	}
+	load := model.reports[0]
+	load.At = made
+	return load
+}
+
+// forgetReports keeps the last report that can be read and those after it.
+func (model *EngineModel) forgetReports() {
+	made := time.Now().Add(-model.Options.ReportLag)
+	old := 0
+	for old+1 < len(model.reports) && !model.reports[old+1].At.After(made) {
+		old++
+	}
+	model.reports = model.reports[old:]
+}
