--- /dev/null
+++ b/policy/random.go
@@ -0,0 +1,58 @@
+package policy
+
+import (
+	"math/rand/v2"
+
+	"nutmegfield.example/request"
+)
+
+func init() {
+	Register("leastReported", func(seed uint64) *Policy {
+		random := rand.New(rand.NewPCG(seed, 0))
+		return &Policy{Choose: func(_ *request.Ticket, candidates []Candidate) Choice {
+			return leastReported(random, candidates)
+		}}
+	})
+	Register("twoChoices", func(seed uint64) *Policy {
+		random := rand.New(rand.NewPCG(seed, 0))
+		return &Policy{Choose: func(_ *request.Ticket, candidates []Candidate) Choice {
+			return twoChoices(random, candidates)
+		}}
+	})
+}
+
+// reported is the load of a target's last report, for its size.
+func reported(candidate *Candidate) float64 {
+	return candidate.Reported / float64(max(1, candidate.Slots))
+}
+
+// leastReported takes the least load as last reported, one at random of
+// equal ones.
+func leastReported(random *rand.Rand, candidates []Candidate) Choice {
+	best := Choice(0)
+	equal := 1
+	for i := 1; i < len(candidates); i++ {
+		one, other := reported(&candidates[i]), reported(&candidates[best])
+		switch {
+		case one < other:
+			best, equal = Choice(i), 1
+		case one == other:
+			equal++
+			if random.IntN(equal) == 0 {
+				best = Choice(i)
+			}
+		}
+	}
+	return best
+}
+
+// twoChoices takes the less loaded of two at random. See Mitzenmacher, "The
+// Power of Two Choices in Randomized Load Balancing", 2001.
+func twoChoices(random *rand.Rand, candidates []Candidate) Choice {
+	one := random.IntN(len(candidates))
+	other := random.IntN(len(candidates))
+	if reported(&candidates[other]) < reported(&candidates[one]) {
+		one = other
+	}
+	return Choice(one)
+}
