--- a/pool/pool.go
+++ b/pool/pool.go
@@ -60,6 +60,9 @@
 	Refused func(entry string, refusal request.Refusal)
 	// Suspected passes a new suspicion to the other schedulers; nil for none.
 	Suspected func(suspect Suspect)
+	// Spread draws a time below the limit by which a retry is put off; nil
+	// for a random one.
+	Spread func(limit time.Duration) time.Duration
 
 	mutex         sync.Mutex
 	started       time.Time
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -43,5 +43,8 @@
 	}
 	wait := minRetryAfter + time.Duration(pool.queue.len()/slots)*retryPerWaiting
 	wait = min(wait, maxRetryAfter)
+	if pool.Spread != nil {
+		return wait + pool.Spread(wait)
+	}
 	return wait + rand.N(wait)
 }
