load: play seeded load against hosts and against the scheduler itself

A scenario in YAML becomes a schedule: Poisson arrivals with waves and bursts, uneven workspaces, lengths a hundredfold apart, shared prompt heads, turns. load.Hosts plays it over HTTP; load/simulation plays it against the real pool, policies and prefix index with the engine models, in one goroutine on the paused clock, so that a seed repeats. It is a package of its own, driven by go test, since the paused clock needs a test and the product must not carry the stand-ins.

--- /dev/null
+++ b/command/load.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"nutmegfield.example/load"
+)
+
+type playLoad struct {
+	Scenario string   `long:"scenario" required:"true" value-name:"FILE" description:"a scenario's file, or the name of one that comes with the program"`
+	Hosts    []string `long:"host" required:"true" value-name:"URL" description:"base address of an entry host; may be given several times"`
+	Factor   float64  `long:"factor" default:"1" description:"multiple of the scenario's rate"`
+	Seed     uint64   `long:"seed" default:"1" description:"seed of the schedule"`
+	JSON     string   `long:"json" value-name:"FILE" description:"write the report as JSON too"`
+	Plot     string   `long:"plot" value-name:"FILE" description:"draw goodput over time; .svg or .png"`
+}
+
+func init() {
+	Register(Command{
+		Name:  "load",
+		Short: "drive load and print a report",
+		Long:  "Send a scenario's requests to running hosts, each at its time whatever became of those before, and print what came of them.",
+		Data:  &playLoad{},
+	})
+}
+
+// Execute sends the load until it has ended or SIGINT comes.
+func (play *playLoad) Execute([]string) error {
+	scenario, err := load.Load(play.Scenario)
+	if err != nil {
+		return fmt.Errorf("load scenario: %w", err)
+	}
+	scenario.Factor = play.Factor
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hosts := &load.Hosts{Scenario: scenario, Seed: play.Seed, URLs: play.Hosts}
+	return play.write(hosts.Run(ctx))
+}
+
+func (play *playLoad) write(report *load.Report) error {
+	if err := report.WriteText(os.Stdout); err != nil {
+		return fmt.Errorf("print report: %w", err)
+	}
+	if play.JSON != "" {
+		if err := writeJSON(report, play.JSON); err != nil {
+			return err
+		}
+	}
+	if play.Plot == "" {
+		return nil
+	}
+	if err := report.WritePlot(play.Plot); err != nil {
+		return fmt.Errorf("write plot: %w", err)
+	}
+	return nil
+}
+
+func writeJSON(report *load.Report, name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	defer file.Close()
+	return report.WriteJSON(file)
+}
--- /dev/null
+++ b/load/simulation/simulation_test.go
@@ -0,0 +1,95 @@
+package simulation
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/load"
+	"nutmegfield.example/policy"
+	"nutmegfield.example/request"
+)
+
+// variant is a way to decide that is measured.
+type variant struct {
+	name       string
+	policy     string
+	hostsAlone bool
+	oracle     bool
+}
+
+// own is what the product does, the rest is what it is compared with.
+var (
+	own       = variant{name: "expectedFinish", policy: "expectedFinish"}
+	oracle    = variant{name: "oracle", policy: "expectedFinish", oracle: true}
+	baselines = []variant{
+		{name: "roundRobin", policy: "roundRobin"},
+		{name: "leastReported", policy: "leastReported"},
+		{name: "twoChoices", policy: "twoChoices"},
+		{name: "hostsAlone/roundRobin", policy: "roundRobin", hostsAlone: true},
+		{name: "hostsAlone/leastReported", policy: "leastReported", hostsAlone: true},
+		{name: "hostsAlone/twoChoices", policy: "twoChoices", hostsAlone: true},
+	}
+)
+
+// run plays a scenario on the paused clock.
+func run(t *testing.T, scenario *load.Scenario, variant variant, seed uint64) *load.Report {
+	t.Helper()
+	var report *load.Report
+	synctest.Test(t, func(*testing.T) {
+		simulation := &Simulation{
+			Scenario: scenario, Seed: seed, HostsAlone: variant.hostsAlone,
+			Policy: func(seed uint64, held Held) *policy.Policy { return variant.newPolicy(seed, held) },
+		}
+		report = simulation.Run()
+	})
+	report.Variant = variant.name
+	return report
+}
+
+// newPolicy makes the variant's policy; the oracle sees each cache as it is.
+func (variant variant) newPolicy(seed uint64, held Held) *policy.Policy {
+	made := policy.New(variant.policy, seed)
+	if !variant.oracle {
+		return made
+	}
+	choose := made.Choose
+	made.Choose = func(ticket *request.Ticket, candidates []policy.Candidate) policy.Choice {
+		for i := range candidates {
+			candidates[i].CachedTokens = held(ticket, candidates[i].Name)
+		}
+		return choose(ticket, candidates)
+	}
+	return made
+}
+
+func scenario(t *testing.T, name string, factor float64, duration time.Duration) *load.Scenario {
+	t.Helper()
+	scenario, err := load.Load(name)
+	qt.Assert(t, err, qt.IsNil)
+	scenario.Factor = factor
+	scenario.Duration = duration
+	scenario.WarmUp = min(scenario.WarmUp, duration/3)
+	return scenario
+}
+
+func TestSimulationRepeats(t *testing.T) {
+	texts := make([]string, 2)
+	for i := range texts {
+		var text bytes.Buffer
+		report := run(t, scenario(t, "tourSeason", 1.5, time.Minute), own, 3)
+		qt.Assert(t, report.WriteJSON(&text), qt.IsNil)
+		for _, result := range report.Results {
+			result.Request = nil
+			line, err := json.Marshal(result)
+			qt.Assert(t, err, qt.IsNil)
+			text.Write(line)
+		}
+		texts[i] = text.String()
+	}
+	qt.Assert(t, texts[0] == texts[1], qt.IsTrue)
+}
