load: forget what was on its way in a zone that is lost

A request between caller and host when the zone went was accepted by no host; the table with faults showed it as a nil host. The test with a lost zone, a crash and a slow engine failed so before.

--- a/load/simulation/flight.go
+++ b/load/simulation/flight.go
@@ -48,7 +48,12 @@
 	flight.result.Attempts++
 	flight.ticket = simulation.newTicket(flight)
 	simulation.flights[flight.ticket.ID] = flight
-	simulation.after(simulation.Scenario.Delays.Caller, func() { simulation.accept(flight) })
+	ticket := flight.ticket
+	simulation.after(simulation.Scenario.Delays.Caller, func() {
+		if simulation.flights[ticket.ID] == flight {
+			simulation.accept(flight)
+		}
+	})
 }
 
 // balance picks one host at random; a zone that was just lost is not known
@@ -110,7 +115,7 @@
 	place := simulation.placeOf(flight)
 	ticket := flight.ticket
 	simulation.after(simulation.Scenario.Delays.Message, func() {
-		if simulation.placeOf(flight) == place && flight.ticket == ticket && !simulation.lost[place.key.zone] {
+		if simulation.flights[ticket.ID] == flight && simulation.placeOf(flight) == place {
 			place.scheduler.Submit(ticket)
 		}
 	})
@@ -214,8 +219,9 @@
 	chooser := simulation.chooserOf(flight.host, flight.request.Class.Pool)
 	choice := chooser.policy.Choose(flight.ticket, chooser.candidates)
 	target := chooser.targets[max(0, int(choice))]
+	ticket := flight.ticket
 	simulation.after(simulation.Scenario.Delays.Message, func() {
-		if simulation.flights[flight.ticket.ID] != flight {
+		if simulation.flights[ticket.ID] != flight {
 			return
 		}
 		if target.down() {
--- a/load/simulation/simulation_test.go
+++ b/load/simulation/simulation_test.go
@@ -93,3 +93,24 @@
 	}
 	qt.Assert(t, texts[0] == texts[1], qt.IsTrue)
 }
+
+// TestSimulationFaults sees that each request has one result when zones and
+// targets fail on the way, in both ways to decide.
+func TestSimulationFaults(t *testing.T) {
+	for _, variant := range []variant{own, baselines[len(baselines)-1]} {
+		failing := scenario(t, "tourSeason", 1.0, 40*time.Second)
+		failing.Faults = []load.Fault{
+			{At: 10 * time.Second, For: 10 * time.Second, Zone: "heredia"},
+			{At: 15 * time.Second, For: 10 * time.Second, Crash: "sanJose1"},
+			{At: 15 * time.Second, For: 10 * time.Second, Crash: "orders1"},
+			{At: 20 * time.Second, For: 10 * time.Second, Slow: "cartago1", Times: 10},
+		}
+		report := run(t, failing, variant, 1)
+		planned := failing.Schedule(1)
+		qt.Assert(t, report.Results, qt.HasLen, len(planned))
+		for i, result := range report.Results {
+			qt.Assert(t, result.Request.Number, qt.Equals, i)
+			qt.Assert(t, result.Outcome, qt.Not(qt.Equals), request.Outcome(""))
+		}
+	}
+}
