--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,12 @@
 .PHONY: soak
 soak:
 	go test ./trial -seeds $(or $(SEEDS),200) -timeout 2h
+
+# The long tables of docs/MEASUREMENTS.md; reports and plots go to bin/measure.
+.PHONY: measure
+measure:
+	mkdir -p bin/measure
+	go test ./load/simulation -run '^TestMeasure$$' -v -timeout 60m -args \
+		-measure.seeds 3 -measure.duration 5m -measure.factors 0.7,1.0,1.5,2.0 \
+		-measure.faults none,slow,zone -measure.variants "" -measure.out $(CURDIR)/bin/measure
+	go test ./load/simulation -run '^TestTarget' -v -timeout 60m -args -target.length 5m
--- a/command/command.go
+++ b/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -50,7 +51,7 @@
 			return exitFailed
 		}
 	}
-	if name := repeated(arguments); name != "" {
+	if name := repeated(parser, arguments); name != "" {
 		fmt.Fprintf(os.Stderr, "the flag %s stands more than once\n", name)
 		return exitUsage
 	}
@@ -60,7 +61,8 @@
 
 // repeated returns a flag that stands more than once, empty if there is none:
 // the parser would take the last without a word.
-func repeated(arguments []string) string {
+// Flags that take several values may be repeated.
+func repeated(parser *flags.Parser, arguments []string) string {
 	seen := map[string]bool{}
 	for _, argument := range arguments {
 		if argument == "--" {
@@ -70,7 +72,7 @@
 		if !strings.HasPrefix(name, "--") {
 			continue
 		}
-		if seen[name] {
+		if seen[name] && !listed(parser, strings.TrimPrefix(name, "--")) {
 			return name
 		}
 		seen[name] = true
@@ -78,6 +80,17 @@
 	return ""
 }
 
+// listed reports whether a flag of any command takes several values.
+func listed(parser *flags.Parser, name string) bool {
+	for _, command := range parser.Commands() {
+		option := command.FindOptionByLongName(name)
+		if option != nil && option.Field().Type.Kind() == reflect.Slice {
+			return true
+		}
+	}
+	return false
+}
+
 func exitCode(err error) int {
 	if err == nil {
 		return exitOK
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -89,5 +89,8 @@
 	seconds := pool.drain.interval * float64(pool.queue.len())
 	wait := time.Duration(seconds * float64(time.Second))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	if pool.Spread != nil {
+		return wait + pool.Spread(wait)
+	}
 	return wait + rand.N(wait)
 }
