--- a/command/command.go
+++ b/command/command.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"sort"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -49,10 +51,46 @@
 			return exitFailed
 		}
 	}
+	if name := repeated(parser, arguments); name != "" {
+		fmt.Fprintf(os.Stderr, "the flag %s stands more than once\n", name)
+		return exitUsage
+	}
 	_, err := parser.ParseArgs(arguments)
 	return exitCode(err)
 }
 
+// repeated returns a flag that stands more than once, empty if there is none:
+// the parser would take the last without a word.
+// Flags that take several values may be repeated.
+func repeated(parser *flags.Parser, arguments []string) string {
+	seen := map[string]bool{}
+	for _, argument := range arguments {
+		if argument == "--" {
+			break
+		}
+		name, _, _ := strings.Cut(argument, "=")
+		if !strings.HasPrefix(name, "--") {
+			continue
+		}
+		if seen[name] && !listed(parser, strings.TrimPrefix(name, "--")) {
+			return name
+		}
+		seen[name] = true
+	}
+	return ""
+}
+
+// listed reports whether a flag of any command takes several values.
+func listed(parser *flags.Parser, name string) bool {
+	for _, command := range parser.Commands() {
+		option := command.FindOptionByLongName(name)
+		if option != nil && option.Field().Type.Kind() == reflect.Slice {
+			return true
+		}
+	}
+	return false
+}
+
 func exitCode(err error) int {
 	if err == nil {
 		return exitOK
--- /dev/null
+++ b/load/simulation/simulation_test.go
@@ -0,0 +1,116 @@
+package simulation
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/load"
+	"nutmegfield.example/policy"
+	"nutmegfield.example/request"
+)
+
+// variant is a way to decide that is measured.
+type variant struct {
+	name       string
+	policy     string
+	hostsAlone bool
+	oracle     bool
+}
+
+// own is what the product does, the rest is what it is compared with.
+var (
+	own       = variant{name: "expectedFinish", policy: "expectedFinish"}
+	oracle    = variant{name: "oracle", policy: "expectedFinish", oracle: true}
+	baselines = []variant{
+		{name: "roundRobin", policy: "roundRobin"},
+		{name: "leastReported", policy: "leastReported"},
+		{name: "twoChoices", policy: "twoChoices"},
+		{name: "hostsAlone/roundRobin", policy: "roundRobin", hostsAlone: true},
+		{name: "hostsAlone/leastReported", policy: "leastReported", hostsAlone: true},
+		{name: "hostsAlone/twoChoices", policy: "twoChoices", hostsAlone: true},
+	}
+)
+
+// run plays a scenario on the paused clock.
+func run(t *testing.T, scenario *load.Scenario, variant variant, seed uint64) *load.Report {
+	t.Helper()
+	var report *load.Report
+	synctest.Test(t, func(*testing.T) {
+		simulation := &Simulation{
+			Scenario: scenario, Seed: seed, HostsAlone: variant.hostsAlone,
+			Policy: func(seed uint64, held Held) *policy.Policy { return variant.newPolicy(seed, held) },
+		}
+		report = simulation.Run()
+	})
+	report.Variant = variant.name
+	return report
+}
+
+// newPolicy makes the variant's policy; the oracle sees each cache as it is.
+func (variant variant) newPolicy(seed uint64, held Held) *policy.Policy {
+	made := policy.New(variant.policy, seed)
+	if !variant.oracle {
+		return made
+	}
+	choose := made.Choose
+	made.Choose = func(ticket *request.Ticket, candidates []policy.Candidate) policy.Choice {
+		for i := range candidates {
+			candidates[i].CachedTokens = held(ticket, candidates[i].Name)
+		}
+		return choose(ticket, candidates)
+	}
+	return made
+}
+
+func scenario(t *testing.T, name string, factor float64, duration time.Duration) *load.Scenario {
+	t.Helper()
+	scenario, err := load.Load(name)
+	qt.Assert(t, err, qt.IsNil)
+	scenario.Factor = factor
+	scenario.Duration = duration
+	scenario.WarmUp = min(scenario.WarmUp, duration/3)
+	return scenario
+}
+
+func TestSimulationRepeats(t *testing.T) {
+	texts := make([]string, 2)
+	for i := range texts {
+		var text bytes.Buffer
+		report := run(t, scenario(t, "tourSeason", 1.5, 20*time.Second), own, 3)
+		qt.Assert(t, report.WriteJSON(&text), qt.IsNil)
+		for _, result := range report.Results {
+			result.Request = nil
+			line, err := json.Marshal(result)
+			qt.Assert(t, err, qt.IsNil)
+			text.Write(line)
+		}
+		texts[i] = text.String()
+	}
+	qt.Assert(t, texts[0] == texts[1], qt.IsTrue)
+}
+
+// TestSimulationFaults sees that each request has one result when zones and
+// targets fail on the way, in both ways to decide.
+func TestSimulationFaults(t *testing.T) {
+	for _, variant := range []variant{own, baselines[len(baselines)-1]} {
+		failing := scenario(t, "tourSeason", 1.0, 35*time.Second)
+		failing.Faults = []load.Fault{
+			{At: 10 * time.Second, For: 10 * time.Second, Zone: "heredia"},
+			{At: 15 * time.Second, For: 10 * time.Second, Crash: "sanJose1"},
+			{At: 15 * time.Second, For: 10 * time.Second, Crash: "orders1"},
+			{At: 20 * time.Second, For: 10 * time.Second, Slow: "cartago1", Times: 10},
+		}
+		report := run(t, failing, variant, 1)
+		planned := failing.Schedule(1)
+		qt.Assert(t, report.Results, qt.HasLen, len(planned))
+		for i, result := range report.Results {
+			qt.Assert(t, result.Request.Number, qt.Equals, i)
+			qt.Assert(t, result.Outcome, qt.Not(qt.Equals), request.Outcome(""))
+		}
+	}
+}
--- a/operator/part.go
+++ b/operator/part.go
@@ -18,13 +18,19 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
 )
 
-const readTimeout = 5 * time.Second
+const (
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = time.Minute
+	stopTimeout  = time.Second
+)
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "operators", Rank: kernel.RankOperators, New: newPart})
@@ -60,7 +66,12 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", host.Settings.Operators.Listen)
+	listener, err := host.Network.Listen("tcp", host.Settings.Operators.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	side := &certificate.Side{Files: host.Settings.Operators.TLS, Events: host.Events}
+	listener, err = side.Listen(listener)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
@@ -75,14 +86,21 @@
 
 func (operator *Operator) serve(listener net.Listener) func(context.Context) error {
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server.ReadHeaderTimeout = readTimeout
 	server.ReadTimeout = readTimeout
+	server.WriteTimeout = writeTimeout
+	server.IdleTimeout = idleTimeout
 	server.HandlePrefix("/", operator.Handler())
 	return func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
-			_ = server.Stop(context.Background())
+			stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			defer cancel()
+			if server.Stop(stopping) != nil {
+				_ = server.Close()
+			}
 		}()
-		if err := server.Start(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Start(context.WithoutCancel(ctx)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve operators: %w", err)
 		}
 		return nil
@@ -100,10 +118,12 @@
 
 func (operator *Operator) authorised(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		token := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+		token, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
 		given := hex.EncodeToString(sum[:])
-		if operator.TokenHash != "" && subtle.ConstantTimeCompare([]byte(given), []byte(operator.TokenHash)) != 1 {
+		same := subtle.ConstantTimeCompare([]byte(given), []byte(operator.TokenHash)) == 1
+		if operator.TokenHash != "" && (!bearer || !same) {
+			writer.Header().Set("WWW-Authenticate", "Bearer")
 			http.Error(writer, "the operators' token is needed", http.StatusUnauthorized)
 			return
 		}
@@ -124,8 +144,24 @@
 	writeJSON(writer, status)
 }
 
-func (operator *Operator) timeline(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, operator.Events.Events())
+// timeline answers with the events that the query asks for: request is an id,
+// since a duration before now.
+func (operator *Operator) timeline(writer http.ResponseWriter, asked *http.Request) {
+	now := time.Now()
+	selection := timeline.Selection{Request: asked.FormValue("request")}
+	if text := asked.FormValue("since"); text != "" {
+		since, err := time.ParseDuration(text)
+		if err != nil {
+			http.Error(writer, "since is no duration such as 10m", http.StatusBadRequest)
+			return
+		}
+		selection.Since = now.Add(-since)
+	}
+	writeJSON(writer, timeline.Page{
+		Host:   operator.Events.Host,
+		Now:    now,
+		Events: selection.Select(operator.Events.Events()),
+	})
 }
 
 func writeJSON(writer http.ResponseWriter, value any) {
--- a/peer/part.go
+++ b/peer/part.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/platform"
 )
@@ -44,11 +45,16 @@
 		return nil, err
 	}
 	settings := host.Settings
-	listener, err := net.Listen("tcp", settings.Peers.Listen)
+	side := &certificate.Side{Files: settings.Peers.TLS, Events: host.Events, Connect: host.Dial}
+	listener, err := host.Network.Listen("tcp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	datagrams, err := net.ListenPacket("udp", settings.Peers.Listen)
+	listener, err = side.Listen(listener)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	datagrams, err := host.Network.ListenPacket("udp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for probes: %w", err)
 	}
@@ -58,14 +64,11 @@
 		Address:     settings.Peers.Listen,
 		Incarnation: uint64(time.Now().UnixMicro()),
 	}}
-	dialer := &net.Dialer{}
 	links := &Links{
 		Members:  members,
 		Events:   host.Events,
 		Listener: listener,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
+		Dial:     side.Dial,
 	}
 	prober := &Prober{
 		Members: members,
--- a/scheduler/part.go
+++ b/scheduler/part.go
@@ -4,6 +4,7 @@
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/target"
 )
 
 func init() {
@@ -19,14 +20,36 @@
 	if err != nil {
 		return nil, err
 	}
+	clients, err := kernel.Need[target.Clients](host)
+	if err != nil {
+		return nil, err
+	}
+	members := links.Members
 	scheduler := &Scheduler{
 		Host:   host.Settings.Host.ID,
 		Zone:   host.Settings.Host.Zone,
 		Store:  store,
 		Events: host.Events,
 		Send:   links.Send,
+		Responsible: func(pool string) string {
+			responsible, _ := members.View().Responsible(members.Self.Zone, pool)
+			return responsible.ID
+		},
+		Hosts:     func() []string { return hostIDs(members.View().Hosts) },
+		ZoneHosts: func() []string { return hostIDs(members.View().Zone(members.Self.Zone)) },
+		Client:    clients.Client,
 	}
 	links.Receive(scheduler.Receive)
+	links.Connected(scheduler.Reconnected)
+	members.Listen(func(*peer.View) { scheduler.Moved() })
 	kernel.Provide(host, scheduler)
 	return &kernel.Part{Run: scheduler.Run}, nil
 }
+
+func hostIDs(hosts []peer.Host) []string {
+	ids := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		ids = append(ids, host.ID)
+	}
+	return ids
+}
