--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -1,7 +1,9 @@
 package trial_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -28,6 +30,13 @@
 	{"platform down", (*world).platformDown},
 	{"platform slow", (*world).platformSlow},
 	{"platform loses answers", (*world).platformLoses},
+	{"platform answers old reads", (*world).platformOld},
+	{"platform keeps changes from watches", (*world).platformGaps},
+	{"list of hosts wrong", (*world).wrongList},
+	{"engine crashed", (*world).crashEngine},
+	{"engine slowed tenfold", (*world).slowEngine},
+	{"engine silent", (*world).silenceEngine},
+	{"burst", (*world).burst},
 	{"zone cut from the others", (*world).cutZone},
 	{"zone cut from all", (*world).cutZoneFromAll},
 }
@@ -120,6 +129,49 @@
 func (world *world) platformDown()  { world.platformFault(standin.PlatformFaults{Down: true}) }
 func (world *world) platformLoses() { world.platformFault(standin.PlatformFaults{LoseWrites: true}) }
 
+func (world *world) platformOld()  { world.platformFault(standin.PlatformFaults{OldReads: true}) }
+func (world *world) platformGaps() { world.platformFault(standin.PlatformFaults{WatchGaps: true}) }
+
+// wrongList takes a host that lives off the platform's list for a while.
+func (world *world) wrongList() {
+	missing := world.anyHost()
+	world.listBut(missing)
+	time.Sleep(world.span())
+	world.list()
+}
+
+func (world *world) engineFault(faults standin.EngineFaults) {
+	var engines []*target
+	for _, name := range world.targetNames() {
+		if world.targets[name].protocol == "engine" {
+			engines = append(engines, world.targets[name])
+		}
+	}
+	chosen := engines[world.intn(len(engines))]
+	world.switchEngine(chosen, faults)
+	time.Sleep(world.span())
+	world.switchEngine(chosen, standin.EngineFaults{})
+}
+
+func (world *world) switchEngine(engine *target, faults standin.EngineFaults) {
+	body, err := json.Marshal(faults)
+	world.c.Assert(err, qt.IsNil)
+	world.control(engine.place+":8000", "/standin/faults", body)
+}
+
+func (world *world) crashEngine()   { world.engineFault(standin.EngineFaults{Crashed: true}) }
+func (world *world) slowEngine()    { world.engineFault(standin.EngineFaults{Slow: 10}) }
+func (world *world) silenceEngine() { world.engineFault(standin.EngineFaults{Silent: true}) }
+
+// burst sends many requests at once.
+func (world *world) burst() {
+	var asking sync.WaitGroup
+	for i := range 60 {
+		asking.Go(func() { world.askSomething(world.ledger, fmt.Sprint("b", time.Now().UnixNano(), "x", i)) })
+	}
+	asking.Wait()
+}
+
 func (world *world) platformSlow() {
 	world.platformFault(standin.PlatformFaults{Delay: time.Duration(world.intn(3000)) * time.Millisecond})
 }
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -6,6 +6,7 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -70,6 +71,33 @@
 	}
 }
 
+// breaches collects the broken invariants of all runs; those that run at the
+// same time share them.
+type breaches struct {
+	mutex    sync.Mutex
+	messages []string
+}
+
+func (breaches *breaches) add(message string) {
+	breaches.mutex.Lock()
+	defer breaches.mutex.Unlock()
+	breaches.messages = append(breaches.messages, message)
+}
+
+func (breaches *breaches) since(count int) []string {
+	breaches.mutex.Lock()
+	defer breaches.mutex.Unlock()
+	return breaches.messages[count:]
+}
+
+var broken breaches
+
+func TestMain(m *testing.M) {
+	invariant.Watch(broken.add)
+	os.Exit(m.Run())
+}
+
+// runSeeds runs a trial for each seed, several at a time.
 func runSeeds(t *testing.T, run func(world *world)) {
 	first, last := uint64(1), *seedsFlag
 	if *seedFlag > 0 {
@@ -77,22 +105,26 @@
 	}
 	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				restore := invariant.Watch(func(message string) { t.Error(message) })
-				defer restore()
-				world := newWorld(c, seed)
-				defer world.close()
-				run(world)
-				if t.Failed() {
-					t.Log(strings.Join(world.notes, "\n"))
-					t.Logf("replay: go test ./trial -run '%s' -seed %d", t.Name(), seed)
-				}
-			})
+			t.Parallel()
+			before := len(broken.since(0))
+			synctest.Test(t, func(t *testing.T) { runSeed(t, seed, run) })
+			for _, message := range broken.since(before) {
+				t.Errorf("broken while it ran: %s", message)
+			}
 		})
 	}
 }
 
+func runSeed(t *testing.T, seed uint64, run func(world *world)) {
+	world := newWorld(qt.New(t), seed)
+	defer world.close()
+	run(world)
+	if t.Failed() {
+		t.Log(strings.Join(world.notes, "\n"))
+		t.Logf("replay: go test ./trial -run '%s' -seed %d", t.Name(), seed)
+	}
+}
+
 func TestQuietSystemAnswersEverything(t *testing.T) {
 	runSeeds(t, func(world *world) {
 		world.addTarget("e1", "engine", 0, 0)
@@ -146,6 +178,7 @@
 func (world *world) underFaults(atOnce int, chosen ...fault) {
 	world.twoZones()
 	ledger := &ledger{}
+	world.ledger = ledger
 	until := time.Now().Add(faultSpan)
 	asking := world.callers(ledger, 8, until)
 	var plagues sync.WaitGroup
--- a/trial/world_test.go
+++ b/trial/world_test.go
@@ -42,6 +42,8 @@
 	hosts   map[string]*host
 	targets map[string]*target
 	notes   []string
+	// ledger is where faults put what they ask.
+	ledger *ledger
 }
 
 // host is one process of the system.
@@ -122,9 +124,15 @@
 }
 
 // list puts the hosts on the platform's list.
-func (world *world) list() {
+func (world *world) list() { world.listBut("") }
+
+// listBut leaves one host out.
+func (world *world) listBut(missing string) {
 	var listed []platform.ListedHost
 	for _, host := range world.hosts {
+		if host.id == missing {
+			continue
+		}
 		listed = append(listed, platform.ListedHost{ID: host.id, Zone: host.zone, Address: host.place + ":7000"})
 	}
 	body, err := json.Marshal(listed)
