peer: send names and ids once a stream, times in milliseconds

Names now go once a stream and then as numbers; an id is in its ticket, and a reference to the ticket stands for the id, pool and fingerprint after it; the sender names itself in the first envelope only, beside the number of the format, which a receiver of another format refuses.

--- /dev/null
+++ b/peer/compact.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"time"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/request"
+)
+
+// The compact form of a stream: names are sent once and then as numbers, a
+// request's id is in its ticket and a reference to the ticket stands for it in
+// what follows, and times are in milliseconds. All state ends with the stream.
+
+const (
+	// wireFormat is the number of this form; a host refuses any other.
+	wireFormat = 1
+	// streamNames bounds the dictionary of a stream, nameBytes a name in it.
+	streamNames = 4096
+	nameBytes   = 256
+	// streamTickets is how many tickets of a stream can be referred to.
+	streamTickets = 1024
+)
+
+// sentTicket is what a reference stands for.
+type sentTicket struct {
+	id          request.ID
+	pool        string
+	fingerprint uint64
+}
+
+// sentTickets are the last tickets of a stream, counted from 1.
+type sentTickets struct {
+	count   uint64
+	ring    []sentTicket
+	numbers map[request.ID]uint64
+}
+
+func (tickets *sentTickets) add(ticket sentTicket) {
+	if tickets.numbers == nil {
+		tickets.numbers = map[request.ID]uint64{}
+	}
+	tickets.count++
+	if len(tickets.ring) < streamTickets {
+		tickets.ring = append(tickets.ring, ticket)
+	} else {
+		at := (tickets.count - 1) % streamTickets
+		if old := tickets.ring[at]; tickets.numbers[old.id] == tickets.count-streamTickets {
+			delete(tickets.numbers, old.id)
+		}
+		tickets.ring[at] = ticket
+	}
+	tickets.numbers[ticket.id] = tickets.count
+}
+
+// at returns the ticket of a number, if it is among the last.
+func (tickets *sentTickets) at(number uint64) (sentTicket, bool) {
+	if number == 0 || number > tickets.count || tickets.count-number >= streamTickets {
+		return sentTicket{}, false
+	}
+	return tickets.ring[(number-1)%streamTickets], true
+}
+
+// find returns the number of a request's last ticket, 0 for none.
+func (tickets *sentTickets) find(raw []byte) uint64 {
+	if len(raw) != len(request.ID{}) {
+		return 0
+	}
+	return tickets.numbers[requestID(raw)]
+}
+
+// turnRound swaps rounds 0 and 1, 2 and 3 and so on: the first round of a
+// request, the commonest, becomes the value that takes no bytes.
+func turnRound(round uint32) uint32 { return round ^ 1 }
+
+// toMillis turns microseconds into milliseconds, what is not zero into at
+// least 1.
+func toMillis(count int64) int64 {
+	const unit = int64(time.Millisecond / time.Microsecond)
+	if count > 0 && count < unit {
+		return 1
+	}
+	return count / unit
+}
+
+// fromMillis turns milliseconds into microseconds; more than any request
+// takes is cut, so that no sum overflows.
+func fromMillis(count int64) int64 {
+	const most = int64(365 * 24 * time.Hour / time.Millisecond)
+	return min(max(count, -most), most) * int64(time.Millisecond/time.Microsecond)
+}
+
+func ticketOf(message *peerpb.Ticket) sentTicket {
+	return sentTicket{requestID(message.GetId()), message.GetPool(), message.GetFingerprint()}
+}
--- /dev/null
+++ b/peer/compact_in.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"sync"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/request"
+)
+
+// inward reads the envelopes of one stream.
+type inward struct {
+	// stream is the number that the sender gave its stream.
+	stream uint64
+	// from is the sender, self this host.
+	from string
+	self string
+	// sent returns what this host last opened to the sender, nil before any.
+	sent func() *outward
+
+	names   []string
+	answers uint64
+
+	// mutex keeps the tickets, which grants to the sender refer to.
+	mutex   sync.Mutex
+	tickets sentTickets
+}
+
+// envelope turns the compact form back, in place. An error means that the
+// sender does not keep to the form.
+func (inward *inward) envelope(compact *peerpb.Envelope) error {
+	if err := inward.learn(compact); err != nil {
+		return err
+	}
+	for _, ticket := range compact.GetTickets() {
+		if err := inward.ticket(ticket); err != nil {
+			return err
+		}
+	}
+	if err := inward.grants(compact); err != nil {
+		return err
+	}
+	for _, progress := range compact.GetProgress() {
+		if err := inward.progress(progress); err != nil {
+			return err
+		}
+	}
+	for _, release := range compact.GetReleases() {
+		if err := inward.release(release); err != nil {
+			return err
+		}
+	}
+	for _, holdings := range compact.GetHoldings() {
+		if err := inward.name(&holdings.Pool, &holdings.PoolNumber); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// learn takes what the envelope says of the stream itself.
+func (inward *inward) learn(compact *peerpb.Envelope) error {
+	if compact.GetForget() {
+		inward.names = nil
+	}
+	if len(inward.names)+len(compact.GetNames()) > streamNames {
+		return Garbled.New("more than %d names", streamNames)
+	}
+	for _, name := range compact.GetNames() {
+		if name == "" || len(name) > nameBytes {
+			return Garbled.New("a name of %d bytes", len(name))
+		}
+	}
+	inward.names = append(inward.names, compact.GetNames()...)
+	if compact.GetAnswers() != 0 {
+		inward.answers = compact.GetAnswers()
+	}
+	compact.Names = nil
+	return nil
+}
+
+// name replaces a number by its name.
+func (inward *inward) name(name *string, number *uint32) error {
+	if *number == 0 {
+		return nil
+	}
+	if *name != "" || uint64(*number) > uint64(len(inward.names)) {
+		return Garbled.New("name %d of %d", *number, len(inward.names))
+	}
+	*name = inward.names[*number-1]
+	*number = 0
+	return nil
+}
+
+// scheduler is like name; without either it is the host that both know.
+func (inward *inward) scheduler(name *string, number *uint32, otherwise string) error {
+	if *number == 0 && *name == "" {
+		*name = otherwise
+		return nil
+	}
+	return inward.name(name, number)
+}
+
+func (inward *inward) ticket(ticket *peerpb.Ticket) error {
+	if err := checkID(ticket.GetId()); err != nil {
+		return err
+	}
+	if err := inward.name(&ticket.Pool, &ticket.PoolNumber); err != nil {
+		return err
+	}
+	if err := inward.name(&ticket.Workspace, &ticket.WorkspaceNumber); err != nil {
+		return err
+	}
+	ticket.Remaining = fromMillis(ticket.GetRemaining())
+	ticket.Round = turnRound(ticket.GetRound())
+	if held := ticket.GetHeld(); held != nil {
+		if held.GetReference() != 0 {
+			return Garbled.New("a held grant with a reference")
+		}
+		if err := inward.grant(held); err != nil {
+			return err
+		}
+	}
+	inward.mutex.Lock()
+	defer inward.mutex.Unlock()
+	inward.tickets.add(ticketOf(ticket))
+	return nil
+}
+
+// grants reads the grants; those for tickets of an older stream of this host,
+// or for too old ones, are left out: such tickets are sent again.
+func (inward *inward) grants(compact *peerpb.Envelope) error {
+	kept := compact.GetGrants()[:0]
+	for _, grant := range compact.GetGrants() {
+		if err := inward.grant(grant); err != nil {
+			return err
+		}
+		if grant.GetReference() == 0 || inward.resolve(grant) {
+			kept = append(kept, grant)
+		} else {
+			linkCounts.Add("stale", 1)
+		}
+	}
+	compact.Grants = kept
+	return nil
+}
+
+func (inward *inward) grant(grant *peerpb.Grant) error {
+	if grant.GetReference() == 0 {
+		if err := checkID(grant.GetId()); err != nil {
+			return err
+		}
+	}
+	if err := inward.name(&grant.Pool, &grant.PoolNumber); err != nil {
+		return err
+	}
+	if err := inward.name(&grant.Target, &grant.TargetNumber); err != nil {
+		return err
+	}
+	grant.Round = turnRound(grant.GetRound())
+	grant.Lifetime = fromMillis(grant.GetLifetime())
+	return inward.scheduler(&grant.Scheduler, &grant.SchedulerNumber, inward.from)
+}
+
+// resolve looks a grant's ticket up among those that this host sent.
+func (inward *inward) resolve(grant *peerpb.Grant) bool {
+	sent := inward.sent()
+	if sent == nil || sent.stream != inward.answers {
+		return false
+	}
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	ticket, ok := sent.tickets.at(grant.GetReference())
+	grant.Id = ticket.id[:]
+	grant.Pool = ticket.pool
+	grant.Reference = 0
+	return ok
+}
+
+// refer returns the ticket that a reference of the sender means.
+func (inward *inward) refer(reference uint64) (sentTicket, error) {
+	inward.mutex.Lock()
+	defer inward.mutex.Unlock()
+	if reference <= inward.tickets.count {
+		if ticket, ok := inward.tickets.at(inward.tickets.count - reference + 1); ok {
+			return ticket, nil
+		}
+	}
+	return sentTicket{}, Garbled.New("reference %d of %d tickets", reference, inward.tickets.count)
+}
+
+func (inward *inward) progress(progress *peerpb.Progress) error {
+	if reference := progress.GetReference(); reference != 0 {
+		ticket, err := inward.refer(reference)
+		if err != nil {
+			return err
+		}
+		progress.Id, progress.Pool, progress.PoolNumber = ticket.id[:], ticket.pool, 0
+		progress.Reference = 0
+	} else if err := checkID(progress.GetId()); err != nil {
+		return err
+	}
+	if err := inward.name(&progress.Pool, &progress.PoolNumber); err != nil {
+		return err
+	}
+	progress.FirstToken = fromMillis(progress.GetFirstToken())
+	return inward.name(&progress.Target, &progress.TargetNumber)
+}
+
+func (inward *inward) release(release *peerpb.Release) error {
+	if reference := release.GetReference(); reference != 0 {
+		ticket, err := inward.refer(reference)
+		if err != nil {
+			return err
+		}
+		release.Id, release.Pool, release.PoolNumber = ticket.id[:], ticket.pool, 0
+		release.Fingerprint, release.Reference = ticket.fingerprint, 0
+	} else if err := checkID(release.GetId()); err != nil {
+		return err
+	}
+	if err := inward.name(&release.Pool, &release.PoolNumber); err != nil {
+		return err
+	}
+	if err := inward.name(&release.Target, &release.TargetNumber); err != nil {
+		return err
+	}
+	release.FirstToken = fromMillis(release.GetFirstToken())
+	release.Total = fromMillis(release.GetTotal())
+	return inward.scheduler(&release.Scheduler, &release.SchedulerNumber, inward.self)
+}
+
+// checkID refuses an id of a wrong length.
+func checkID(raw []byte) error {
+	if len(raw) != len(request.ID{}) {
+		return Garbled.New("an id of %d bytes", len(raw))
+	}
+	return nil
+}
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -11,4 +11,6 @@
 	Superseded = Errors.NewType("superseded")
 	// Replaced: a newer host runs under the same id.
 	Replaced = Errors.NewType("replaced")
+	// Garbled: an envelope that no host of this format sends.
+	Garbled = Errors.NewType("garbled")
 )
--- a/peer/link.go
+++ b/peer/link.go
@@ -76,14 +76,15 @@
 	if err != nil {
 		return fmt.Errorf("open exchange: %w", err)
 	}
+	outward := link.links.open(link.host)
 	// The stream opens with its first message, sent before anything waits for
 	// an answer.
-	if err := link.send(stream, &peerpb.Envelope{Beat: 1}); err != nil {
+	if err := link.send(stream, outward, &peerpb.Envelope{Beat: 1}); err != nil {
 		return err
 	}
 	answers := make(chan uint64, 1)
 	go receiveBeats(ctx, stream, answers)
-	return link.pump(ctx, stream, answers)
+	return link.pump(ctx, stream, outward, answers)
 }
 
 func receiveBeats(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers chan<- uint64) {
@@ -102,7 +103,7 @@
 }
 
 // pump sends heartbeats and, once one was answered, what waits.
-func (link *link) pump(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, answers <-chan uint64) error {
+func (link *link) pump(ctx context.Context, stream peerpb.DRPCLinks_ExchangeClient, outward *outward, answers <-chan uint64) error {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	beat := uint64(1)
@@ -127,7 +128,7 @@
 		case first := <-waiting:
 			envelope = link.merge(first)
 		}
-		if err := link.send(stream, envelope); err != nil {
+		if err := link.send(stream, outward, envelope); err != nil {
 			return err
 		}
 	}
@@ -141,16 +142,12 @@
 	}
 }
 
-func (link *link) send(stream peerpb.DRPCLinks_ExchangeClient, envelope *peerpb.Envelope) error {
-	self := link.links.Members.Self
-	envelope.From = self.ID
-	envelope.Zone = self.Zone
-	envelope.Incarnation = self.Incarnation
+func (link *link) send(stream peerpb.DRPCLinks_ExchangeClient, outward *outward, envelope *peerpb.Envelope) error {
 	if proto.Size(envelope) > messageBytes {
 		linkCounts.Add("dropped", 1)
 		return nil
 	}
-	if err := stream.Send(envelope); err != nil {
+	if err := stream.Send(outward.envelope(envelope)); err != nil {
 		return fmt.Errorf("send envelope: %w", err)
 	}
 	linkCounts.Add("sent", 1)
--- a/peer/link_accept.go
+++ b/peer/link_accept.go
@@ -11,20 +11,27 @@
 const refusedNames = 1024
 
 // Exchange serves one link from another host: it delivers its envelopes and
-// answers its heartbeats. It ends when the sender is not known, changes its
-// name, or opened a newer stream, so that its envelopes stay in order.
+// answers its heartbeats. It ends when the sender is not known, speaks another
+// format, changes its name, or opened a newer stream, so that its envelopes
+// stay in order.
 func (links *Links) Exchange(stream peerpb.DRPCLinks_ExchangeStream) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return fmt.Errorf("receive envelope: %w", err)
 	}
 	from := first.GetFrom()
-	number := links.begin(from)
+	if first.GetFormat() != wireFormat {
+		return links.refuse(from, fmt.Sprintf("it speaks format %d, this host %d", first.GetFormat(), wireFormat))
+	}
+	number, inward := links.begin(from, first.GetStream())
 	for envelope := first; ; {
 		if err := links.admit(from, number, envelope); err != nil {
 			return err
 		}
 		linkCounts.Add("received", 1)
+		if err := inward.envelope(envelope); err != nil {
+			return links.refuse(from, err.Error())
+		}
 		links.deliver(from, envelope)
 		if err := links.answer(stream, envelope.GetBeat()); err != nil {
 			return err
@@ -39,30 +46,40 @@
 	if beat == 0 {
 		return nil
 	}
-	answer := &peerpb.Envelope{From: links.Members.Self.ID, Beat: beat}
-	if err := stream.Send(answer); err != nil {
+	if err := stream.Send(&peerpb.Envelope{Beat: beat}); err != nil {
 		return fmt.Errorf("answer heartbeat: %w", err)
 	}
 	return nil
 }
 
 // begin counts the streams of a known host; 0 for an unknown one.
-func (links *Links) begin(from string) uint64 {
+func (links *Links) begin(from string, stream uint64) (uint64, *inward) {
 	if _, known := links.Members.View().Find(from); !known {
-		return 0
+		return 0, nil
+	}
+	made := &inward{
+		stream: stream,
+		from:   from,
+		self:   links.Members.Self.ID,
+		sent:   func() *outward { return links.sent(from) },
 	}
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if links.streams == nil {
 		links.streams = map[string]uint64{}
+
 	}
 	links.streams[from]++
-	return links.streams[from]
+	if links.inwards == nil {
+		links.inwards = map[string]*inward{}
+	}
+	links.inwards[from] = made
+	return links.streams[from], made
 }
 
 // admit refuses an envelope that is not its stream's host's.
 func (links *Links) admit(from string, number uint64, envelope *peerpb.Envelope) error {
-	if envelope.GetFrom() != from {
+	if name := envelope.GetFrom(); name != from && name != "" {
 		return links.refuse(envelope.GetFrom(), "it came on the link of "+from)
 	}
 	if _, known := links.Members.View().Find(from); !known || number == 0 {
--- a/peer/links.go
+++ b/peer/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -49,8 +50,8 @@
 	})
 	eventLinkRefused = timeline.Define(timeline.Kind{
 		Number: 6003, Name: "link refused", Level: timeline.Warn,
-		Meaning: "Envelopes came from a host that is not known, or under another host's name; logged once for each name.",
-		Action:  "if it goes on, look for a host with wrong settings",
+		Meaning: "Envelopes came from a host that is not known, under another host's name, or in a form that this host does not read; logged once for each name.",
+		Action:  "if it goes on, look for a host with wrong settings or of another release",
 	})
 )
 
@@ -68,9 +69,12 @@
 	// Dial opens a connection to a host's address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mutex     sync.Mutex
-	links     map[string]*link
-	streams   map[string]uint64
+	mutex   sync.Mutex
+	links   map[string]*link
+	streams map[string]uint64
+	// inwards are the newest streams from other hosts, outwards to them.
+	inwards   map[string]*inward
+	outwards  map[string]*outward
 	refused   map[string]struct{}
 	receivers []func(from string, envelope *peerpb.Envelope)
 	connected []func(host string)
@@ -162,10 +166,46 @@
 func (links *Links) follow(view *View) {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
+	for host := range links.inwards {
+		if _, known := view.Find(host); !known {
+			delete(links.inwards, host)
+		}
+	}
 	for host, link := range links.links {
 		if _, known := view.Find(host); !known && host != links.Members.Self.ID {
 			link.cancel()
 			delete(links.links, host)
+			delete(links.outwards, host)
 		}
 	}
 }
+
+// open begins the compact form of a new stream to a host. Its number is
+// random, so that no earlier run of this host had the same.
+func (links *Links) open(host string) *outward {
+	made := &outward{
+		stream:   rand.Uint64() | 1,
+		self:     links.Members.Self,
+		receiver: host,
+		heard:    func() *inward { return links.heard(host) },
+	}
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	if links.outwards == nil {
+		links.outwards = map[string]*outward{}
+	}
+	links.outwards[host] = made
+	return made
+}
+
+func (links *Links) sent(host string) *outward {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	return links.outwards[host]
+}
+
+func (links *Links) heard(host string) *inward {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	return links.inwards[host]
+}
--- a/peer/links_bench_test.go
+++ b/peer/links_bench_test.go
@@ -60,7 +60,7 @@
 		to   string
 	}{{hosts.a, "entry-host-2"}, {hosts.b, "entry-host-1"}} {
 		for linked := false; !linked; {
-			way.from.Send(way.to, &peerpb.Envelope{Progress: []*peerpb.Progress{{}}})
+			way.from.Send(way.to, &peerpb.Envelope{Progress: []*peerpb.Progress{{Id: make([]byte, 16)}}})
 			select {
 			case <-hosts.got:
 				linked = true
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -268,6 +268,7 @@
 func named(from, text string) *peerpb.Envelope {
 	envelope := word(text)
 	envelope.From = from
+	envelope.Format = wireFormat
 	return envelope
 }
 
