peer, prefix: send the low 32 bits of prefix hashes, and no lengths of the grid

Each prefix cost 10.4 bytes in a ticket: 8 of hash and 2 of length. The index now goes by the low 32 bits, of tickets and of the engines' events alike; at 131,072 entries one look-up in 32,768 of a hash that is not there finds another's, a wrong guess that the answer's usage corrects. The lengths follow from the whole's and the grid, and are written out only where they don't.

Weighed and left: 3 bytes (one look-up in 128 wrong); hashes sent earlier on the stream by number, as 1,700 workspaces over 66 hosts repeat too seldom on one link.

--- a/peer/compact.go
+++ b/peer/compact.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/prefix"
 	"nutmegfield.example/request"
 )
 
@@ -19,6 +21,8 @@
 	nameBytes   = 256
 	// streamTickets is how many tickets of a stream can be referred to.
 	streamTickets = 1024
+	// streamPrefixes bounds the prefixes of a ticket.
+	streamPrefixes = 64
 )
 
 // sentTicket is what a reference stands for.
@@ -92,3 +96,43 @@
 func ticketOf(message *peerpb.Ticket) sentTicket {
 	return sentTicket{requestID(message.GetId()), message.GetPool(), message.GetFingerprint()}
 }
+
+// gridTokens returns the tokens of the grid's lengths up to the given one.
+func gridTokens(last uint32, count int) []uint32 {
+	if last%prefix.BlockTokens != 0 {
+		return nil
+	}
+	lengths := prefix.Grid(int(last/prefix.BlockTokens), count)
+	tokens := make([]uint32, 0, len(lengths))
+	for _, length := range lengths {
+		tokens = append(tokens, uint32(length*prefix.BlockTokens))
+	}
+	return tokens
+}
+
+// thinTokens leaves out what follows from the last of them.
+func thinTokens(tokens []uint32) []uint32 {
+	if len(tokens) < 2 {
+		return tokens
+	}
+	last := tokens[len(tokens)-1:]
+	if slices.Equal(tokens, gridTokens(last[0], len(tokens))) {
+		return last
+	}
+	return tokens
+}
+
+// fullTokens undoes thinTokens.
+func fullTokens(tokens []uint32, hashes int) ([]uint32, error) {
+	if hashes > streamPrefixes {
+		return nil, Garbled.New("%d prefixes", hashes)
+	}
+	full := tokens
+	if len(tokens) == 1 && hashes > 1 {
+		full = gridTokens(tokens[0], hashes)
+	}
+	if len(full) != hashes {
+		return nil, Garbled.New("%d lengths of %d prefixes", len(tokens), hashes)
+	}
+	return full, nil
+}
--- a/peer/compact_in.go
+++ b/peer/compact_in.go
@@ -110,6 +110,11 @@
 	if err := inward.name(&ticket.Workspace, &ticket.WorkspaceNumber); err != nil {
 		return err
 	}
+	tokens, err := fullTokens(ticket.GetPrefixTokens(), len(ticket.GetPrefixHashes()))
+	if err != nil {
+		return err
+	}
+	ticket.PrefixTokens = tokens
 	ticket.Remaining = fromMillis(ticket.GetRemaining())
 	ticket.Round = turnRound(ticket.GetRound())
 	if held := ticket.GetHeld(); held != nil {
--- a/peer/compact_out.go
+++ b/peer/compact_out.go
@@ -97,7 +97,7 @@
 		Id: plain.GetId(), Tier: plain.GetTier(), Sheddable: plain.GetSheddable(),
 		Remaining: plain.GetRemaining() / 1000, PromptTokens: plain.GetPromptTokens(),
 		OutputTokens: plain.GetOutputTokens(), PrefixHashes: plain.GetPrefixHashes(),
-		PrefixTokens: plain.GetPrefixTokens(), Fingerprint: plain.GetFingerprint(),
+		PrefixTokens: thinTokens(plain.GetPrefixTokens()), Fingerprint: plain.GetFingerprint(),
 		Round: turnRound(plain.GetRound()),
 	}
 	written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -8,7 +8,8 @@
 )
 
 // TicketMessage writes a ticket for the wire; the deadline becomes the time
-// that remains.
+// that remains, and of a prefix's hash go the low 32 bits, by which the index
+// of prefixes goes.
 func TicketMessage(ticket *request.Ticket) *peerpb.Ticket {
 	message := &peerpb.Ticket{
 		Id:           ticket.ID[:],
@@ -23,7 +24,7 @@
 		Round:        ticket.Round,
 	}
 	for _, prefix := range ticket.Prefixes {
-		message.PrefixHashes = append(message.PrefixHashes, prefix.Hash)
+		message.PrefixHashes = append(message.PrefixHashes, uint32(prefix.Hash))
 		message.PrefixTokens = append(message.PrefixTokens, uint32(prefix.Tokens))
 	}
 	if ticket.Held != nil {
@@ -52,7 +53,7 @@
 	tokens := message.GetPrefixTokens()
 	for i, hash := range message.GetPrefixHashes() {
 		if i < len(tokens) {
-			ticket.Prefixes = append(ticket.Prefixes, request.Prefix{Hash: hash, Tokens: int(tokens[i])})
+			ticket.Prefixes = append(ticket.Prefixes, request.Prefix{Hash: uint64(hash), Tokens: int(tokens[i])})
 		}
 	}
 	if message.GetHeld() != nil {
--- a/peer/links_bench_test.go
+++ b/peer/links_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/prefix"
 	"nutmegfield.example/request"
 	"nutmegfield.example/timeline"
 )
@@ -83,6 +84,9 @@
 	}
 }
 
+// blocksOf gives the length of a prompt with so many prefixes, in blocks.
+var blocksOf = map[int]int{4: 4, 16: 64}
+
 // benchTicket is a ticket of a long prompt.
 func benchTicket(prefixes int) *request.Ticket {
 	ticket := &request.Ticket{
@@ -90,8 +94,8 @@
 		Deadline: time.Now().Add(30 * time.Second), Size: request.Size{PromptTokens: 4000, OutputTokens: 256},
 		Fingerprint: 0x9e3779b97f4a7c15, Round: 1,
 	}
-	for i := range prefixes {
-		ticket.Prefixes = append(ticket.Prefixes, request.Prefix{Hash: 0x9e3779b97f4a7c15 * uint64(i+1), Tokens: 64 * (i + 1)})
+	if prefixes > 0 {
+		ticket.Prefixes = prefix.Thin(prefix.Chain(make([]byte, blocksOf[prefixes]*prefix.BlockBytes)))
 	}
 	return ticket
 }
--- a/prefix/chain.go
+++ b/prefix/chain.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,19 +49,25 @@
 // it of a grid that all prompts share. Its steps are at most a third, so that a
 // shared head is met to within a quarter, down to a 32nd of the whole.
 func Thin(chain []uint64) []request.Prefix {
-	lengths := make([]int, 0, maxPrefixes)
-	for length := len(chain); length > 0 && len(lengths) < maxPrefixes; {
-		lengths = append(lengths, length)
-		length = gridBelow(length)
-	}
+	lengths := Grid(len(chain), maxPrefixes)
 	prefixes := make([]request.Prefix, 0, len(lengths))
-	for i := len(lengths) - 1; i >= 0; i-- {
-		length := lengths[i]
+	for _, length := range lengths {
 		prefixes = append(prefixes, request.Prefix{Hash: chain[length-1], Tokens: length * BlockTokens})
 	}
 	return prefixes
 }
 
+// Grid returns at most so many lengths, the given one and those of the grid
+// below it, from the shortest; all in blocks.
+func Grid(length, most int) []int {
+	lengths := make([]int, 0, min(max(most, 0), maxPrefixes))
+	for ; length > 0 && len(lengths) < most; length = gridBelow(length) {
+		lengths = append(lengths, length)
+	}
+	slices.Reverse(lengths)
+	return lengths
+}
+
 // gridBelow returns the largest length of the grid below the given one, 0 for
 // none: 1, 2, 3, and 4, 5 and 6 times each power of two.
 func gridBelow(length int) int {
--- a/prefix/index.go
+++ b/prefix/index.go
@@ -1,6 +1,7 @@
 package prefix
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -194,7 +195,7 @@
 	now := index.now()
 	most := len(buffer) + maxHolders
 	for i := len(prefixes) - 1; i >= 0; i-- {
-		next, ok := index.heads[prefixes[i].Hash]
+		next, ok := index.heads[short(prefixes[i].Hash)]
 		for ok && next != none && len(buffer) < most {
 			slot := &index.slots[next]
 			held := index.targets[slot.target]
@@ -252,7 +253,13 @@
 	return number
 }
 
+// short is the part of a hash that the index goes by: a ticket brings no more
+// of it. Of 131,072 entries one in 32,768 look-ups of a hash that is not there
+// finds another's; that is a wrong guess, corrected by the answer's usage.
+func short(hash uint64) uint64 { return hash & math.MaxUint32 }
+
 func (index *Index) find(number uint16, hash uint64) int32 {
+	hash = short(hash)
 	at, ok := index.places[place(number, hash)]
 	if !ok || index.slots[at].target != number || index.slots[at].hash != hash {
 		return none
@@ -269,6 +276,7 @@
 
 // note adds an entry, or makes it the newest.
 func (index *Index) note(number uint16, hash uint64) {
+	hash = short(hash)
 	held := index.targets[number]
 	at := index.find(number, hash)
 	if at == none {
