peer: send heartbeats by what is awaited on a link

An idle link sent 2 heartbeats a second, 44 bytes and 22 for the answer in the old form. A heartbeat now goes a second after something that is awaited, 5 s after reports alone, and every 15 s on an idle link. What is silent while something is awaited is noticed within 2 s as before, also after long idling; a lost report within 6 s, an idle link within 16 s. The receiving end, which awaits nothing, drops a silent link after 32 s.

--- a/peer/link_conn.go
+++ b/peer/link_conn.go
@@ -6,15 +6,16 @@
 	"time"
 )
 
-// watchedConn is a connection that ends when nothing is heard on it, or a
-// write does not end, for the time of silence. Heartbeats and their answers
-// keep a good one alive from both sides. Something between the two ends may
-// have lost track of it, so that neither end would be told.
+// watchedConn is a connection that ends when a write does not end for the time
+// of silence, or nothing is heard for that of an idle link. Heartbeats and
+// their answers keep a good one alive from both sides. Something between the
+// two ends may have lost track of it, so that neither end would be told; the
+// sender learns of it sooner, from a heartbeat without an answer.
 type watchedConn struct{ net.Conn }
 
-// Read fails after the time of silence.
+// Read fails after the time of silence of an idle link.
 func (conn *watchedConn) Read(into []byte) (int, error) {
-	if err := conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(idleSilence)); err != nil {
 		return 0, fmt.Errorf("set read deadline: %w", err)
 	}
 	n, err := conn.Conn.Read(into)
--- a/peer/links.go
+++ b/peer/links.go
@@ -19,11 +19,20 @@
 )
 
 const (
-	// heartbeat is the interval at which an idle link is used.
-	heartbeat = 500 * time.Millisecond
-	// silence is how long a connection may go with nothing heard, or with a
-	// write that does not end, before it is dropped and dialled anew.
+	// silence is how long a link over which something is awaited may go
+	// without an answer, or any write without an end, before it is dropped and
+	// dialled anew.
 	silence = 2 * time.Second
+	// urgentBeat is how long after sending what is awaited a heartbeat asks
+	// whether it arrived, and answerWait how long its answer may take.
+	urgentBeat = time.Second
+	answerWait = silence - urgentBeat
+	// reportBeat is the same after reports that nobody waits for.
+	reportBeat = 5 * time.Second
+	// idleBeat is the interval between the heartbeats of an idle link, and
+	// idleSilence how long the receiving end keeps a link that is silent.
+	idleBeat    = 15 * time.Second
+	idleSilence = 2*idleBeat + silence
 	// redialFirst and redialMost bound the pause after a failed dial.
 	redialFirst = 200 * time.Millisecond
 	redialMost  = 2 * time.Second
