peer: send the numbers of grants as steps

A pool numbers its grants from the time of its start in microseconds, 8 bytes in each grant, progress, release and entry of the holdings; the benchmark's 123456 had hidden that. A number now goes as the step from the last of the same target on the stream, and the holdings as sorted steps. The benchmark takes numbers like a pool's, with a step of 66.

--- a/peer/compact_in.go
+++ b/peer/compact_in.go
@@ -18,6 +18,7 @@
 	sent func() *outward
 
 	names   []string
+	steps   steps
 	answers uint64
 
 	// mutex keeps the tickets, which grants to the sender refer to.
@@ -53,6 +54,7 @@
 		if err := inward.name(&holdings.Pool, &holdings.PoolNumber); err != nil {
 			return err
 		}
+		sums(holdings.GetNumbers())
 	}
 	return nil
 }
@@ -61,6 +63,7 @@
 func (inward *inward) learn(compact *peerpb.Envelope) error {
 	if compact.GetForget() {
 		inward.names = nil
+		inward.steps = steps{}
 	}
 	if len(inward.names)+len(compact.GetNames()) > streamNames {
 		return Garbled.New("more than %d names", streamNames)
@@ -91,6 +94,17 @@
 	return nil
 }
 
+// target is like name; the number of a grant is counted from the last of the
+// same target.
+func (inward *inward) target(name *string, number *uint32, grant *uint64) error {
+	place := *number
+	if err := inward.name(name, number); err != nil {
+		return err
+	}
+	*grant = inward.steps.read(place, *grant)
+	return nil
+}
+
 // scheduler is like name; without either it is the host that both know.
 func (inward *inward) scheduler(name *string, number *uint32, otherwise string) error {
 	if *number == 0 && *name == "" {
@@ -158,7 +172,7 @@
 	if err := inward.name(&grant.Pool, &grant.PoolNumber); err != nil {
 		return err
 	}
-	if err := inward.name(&grant.Target, &grant.TargetNumber); err != nil {
+	if err := inward.target(&grant.Target, &grant.TargetNumber, &grant.Number); err != nil {
 		return err
 	}
 	grant.Round = turnRound(grant.GetRound())
@@ -208,7 +222,7 @@
 		return err
 	}
 	progress.FirstToken = fromMillis(progress.GetFirstToken())
-	return inward.name(&progress.Target, &progress.TargetNumber)
+	return inward.target(&progress.Target, &progress.TargetNumber, &progress.Number)
 }
 
 func (inward *inward) release(release *peerpb.Release) error {
@@ -225,7 +239,7 @@
 	if err := inward.name(&release.Pool, &release.PoolNumber); err != nil {
 		return err
 	}
-	if err := inward.name(&release.Target, &release.TargetNumber); err != nil {
+	if err := inward.target(&release.Target, &release.TargetNumber, &release.Number); err != nil {
 		return err
 	}
 	release.FirstToken = fromMillis(release.GetFirstToken())
--- a/peer/compact_out.go
+++ b/peer/compact_out.go
@@ -16,8 +16,10 @@
 	// before any.
 	heard func() *inward
 
-	mutex    sync.Mutex
-	names    map[string]uint32
+	mutex sync.Mutex
+	names map[string]uint32
+	// steps counts grants from the last of the same target.
+	steps    steps
 	tickets  sentTickets
 	begun    bool
 	answered uint64
@@ -33,6 +35,7 @@
 	outward.begin(compact)
 	if len(outward.names) >= streamNames-batch {
 		outward.names = nil
+		outward.steps = steps{}
 		compact.Forget = true
 	}
 	for i, ticket := range compact.GetTickets() {
@@ -48,8 +51,11 @@
 	for i, holdings := range compact.GetHoldings() {
 		number := outward.name(compact, holdings.GetPool())
 		if number != 0 {
-			compact.Holdings[i] = &peerpb.Holdings{Numbers: holdings.GetNumbers(), PoolNumber: number}
+			compact.Holdings[i] = &peerpb.Holdings{PoolNumber: number}
+		} else {
+			compact.Holdings[i] = &peerpb.Holdings{Pool: holdings.GetPool()}
 		}
+		compact.Holdings[i].Numbers = differences(holdings.GetNumbers())
 	}
 	return compact
 }
@@ -130,7 +136,7 @@
 
 func (outward *outward) grant(compact *peerpb.Envelope, plain *peerpb.Grant, heard *inward) *peerpb.Grant {
 	written := &peerpb.Grant{
-		Round: turnRound(plain.GetRound()), Number: plain.GetNumber(),
+		Round:        turnRound(plain.GetRound()),
 		CachedTokens: plain.GetCachedTokens(), Lifetime: plain.GetLifetime() / 1000,
 	}
 	if heard != nil {
@@ -144,6 +150,7 @@
 		written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
 	}
 	written.TargetNumber, written.Target = outward.named(compact, plain.GetTarget())
+	written.Number = outward.steps.write(written.GetTargetNumber(), plain.GetNumber())
 	if plain.GetScheduler() != outward.self.ID {
 		written.SchedulerNumber, written.Scheduler = outward.named(compact, plain.GetScheduler())
 	}
@@ -161,19 +168,20 @@
 }
 
 func (outward *outward) progress(compact *peerpb.Envelope, plain *peerpb.Progress) *peerpb.Progress {
-	written := &peerpb.Progress{Number: plain.GetNumber(), FirstToken: toMillis(plain.GetFirstToken())}
+	written := &peerpb.Progress{FirstToken: toMillis(plain.GetFirstToken())}
 	written.Reference, _ = outward.refer(plain.GetId(), plain.GetPool())
 	if written.Reference == 0 {
 		written.Id = plain.GetId()
 		written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
 	}
 	written.TargetNumber, written.Target = outward.named(compact, plain.GetTarget())
+	written.Number = outward.steps.write(written.GetTargetNumber(), plain.GetNumber())
 	return written
 }
 
 func (outward *outward) release(compact *peerpb.Envelope, plain *peerpb.Release) *peerpb.Release {
 	written := &peerpb.Release{
-		Number: plain.GetNumber(), End: plain.GetEnd(),
+		End:          plain.GetEnd(),
 		PromptTokens: plain.GetPromptTokens(), CachedTokens: plain.GetCachedTokens(),
 		OutputTokens: plain.GetOutputTokens(),
 		FirstToken:   toMillis(plain.GetFirstToken()), Total: toMillis(plain.GetTotal()),
@@ -187,6 +195,7 @@
 		written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
 	}
 	written.TargetNumber, written.Target = outward.named(compact, plain.GetTarget())
+	written.Number = outward.steps.write(written.GetTargetNumber(), plain.GetNumber())
 	if plain.GetScheduler() != outward.receiver {
 		written.SchedulerNumber, written.Scheduler = outward.named(compact, plain.GetScheduler())
 	}
--- a/peer/links_bench_test.go
+++ b/peer/links_bench_test.go
@@ -118,7 +118,7 @@
 	ticket := benchTicket(prefixes)
 	grant := &request.Grant{
 		Ticket: ticket.ID, Round: 1, Pool: ticket.Pool, Target: "design-model-07",
-		Scheduler: "entry-host-2", Number: 123456, CachedTokens: 1024, Lifetime: 2 * time.Second,
+		Scheduler: "entry-host-2", Number: uint64(time.Now().UnixMicro()), CachedTokens: 1024, Lifetime: 2 * time.Second,
 	}
 	progress := &request.Progress{Ticket: ticket.ID, Pool: grant.Pool, Target: grant.Target, Number: grant.Number, FirstToken: 180 * time.Millisecond}
 	release := &request.Release{
@@ -126,7 +126,11 @@
 		End: request.EndDone, Usage: request.Usage{PromptTokens: 4000, CachedTokens: 1024, OutputTokens: 250},
 		FirstToken: 180 * time.Millisecond, Total: 9 * time.Second, Fingerprint: ticket.Fingerprint,
 	}
+	// The scheduler's other grants for the zone's hosts come in between.
+	const others = 66
 	round := func() {
+		grant.Number += others
+		progress.Number, release.Number = grant.Number, grant.Number
 		for range burst {
 			hosts.a.Send("entry-host-2", &peerpb.Envelope{Tickets: []*peerpb.Ticket{TicketMessage(ticket)}})
 		}
