--- /dev/null
+++ b/peer/export_test.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/request"
+)
+
+// LinkLoad is what one entry host asks of one pool's scheduler.
+type LinkLoad struct {
+	// Requests is a mean rate a second, of requests with so many prefixes.
+	Requests float64
+	Prefixes int
+	// Granted, FirstToken and Total are times after a ticket, on the average.
+	Granted, FirstToken, Total time.Duration
+	// Others is how many grants a scheduler gives for each that comes here.
+	Others uint64
+	// Holdings is the interval of the lists of held grants, 0 for none.
+	Holdings time.Duration
+}
+
+// LinkUse is what both directions between the two hosts took, a second.
+type LinkUse struct{ Bytes, Envelopes, Writes float64 }
+
+// UseLink measures a load between two hosts over a time on the paused clock.
+func UseLink(t *testing.T, load LinkLoad, over time.Duration) LinkUse {
+	t.Helper()
+	var use LinkUse
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		pipes := &pipes{listeners: map[string]*pipeListener{}}
+		var group sync.WaitGroup
+		entry, scheduler := pipes.start(ctx, "entry-host-1", &group), pipes.start(ctx, "entry-host-2", &group)
+		synctest.Wait()
+		entry.Members.Replace(listed("entry-host-1", "entry-host-2"))
+		scheduler.Members.Replace(listed("entry-host-1", "entry-host-2"))
+		run := &loadRun{load: load, entry: entry, scheduler: scheduler, random: rand.New(rand.NewPCG(1, 1)), number: uint64(time.Now().UnixMicro())}
+		entry.Send("entry-host-2", word("open"))
+		scheduler.Send("entry-host-1", word("open"))
+		// The first minute's names and growing holdings are left out.
+		run.pass(time.Minute)
+		before := LinkUse{float64(counted("bytesSent")), float64(counted("sent")), float64(counted("writes"))}
+		run.pass(over)
+		use = LinkUse{
+			Bytes:     (float64(counted("bytesSent")) - before.Bytes) / over.Seconds(),
+			Envelopes: (float64(counted("sent")) - before.Envelopes) / over.Seconds(),
+			Writes:    (float64(counted("writes")) - before.Writes) / over.Seconds(),
+		}
+		time.Sleep(2 * load.Total)
+		stop()
+		group.Wait()
+	})
+	return use
+}
+
+type loadRun struct {
+	load             LinkLoad
+	entry, scheduler *peerHost
+	random           *rand.Rand
+	number           uint64
+	mutex            sync.Mutex
+	held             map[uint64]bool
+}
+
+// pass lets requests come for a time.
+func (run *loadRun) pass(over time.Duration) {
+	end := time.Now().Add(over)
+	holdings := time.Now()
+	next := time.Now().Add(run.gap())
+	for time.Now().Before(end) {
+		if run.load.Holdings > 0 && !time.Now().Before(holdings) {
+			holdings = holdings.Add(run.load.Holdings)
+			run.tell()
+		}
+		if !time.Now().Before(next) {
+			next = next.Add(run.gap())
+			ticket := benchTicket(run.load.Prefixes)
+			ticket.Deadline = time.Now().Add(30 * time.Second)
+			ticket.Workspace = "workspace-" + string(rune('a'+run.random.IntN(26))) + string(rune('a'+run.random.IntN(26)))
+			run.number += 1 + uint64(run.random.Int64N(int64(2*run.load.Others+1)))
+			go run.request(ticket, run.number, "design-model-"+string(rune('a'+run.random.IntN(15))), 0.5+run.random.Float64())
+		}
+		wake := next
+		if run.load.Holdings > 0 && holdings.Before(wake) {
+			wake = holdings
+		}
+		if end.Before(wake) {
+			wake = end
+		}
+		time.Sleep(time.Until(wake))
+	}
+}
+
+// gap is the time to the next request.
+func (run *loadRun) gap() time.Duration {
+	if run.load.Requests == 0 {
+		return 24 * time.Hour
+	}
+	return time.Duration(run.random.ExpFloat64() / run.load.Requests * float64(time.Second))
+}
+
+func (run *loadRun) tell() {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	message := &peerpb.Holdings{Pool: "design-model"}
+	for number := range run.held {
+		message.Numbers = append(message.Numbers, number)
+	}
+	run.entry.Send("entry-host-2", &peerpb.Envelope{Holdings: []*peerpb.Holdings{message}})
+}
+
+func (run *loadRun) request(ticket *request.Ticket, number uint64, target string, length float64) {
+	times := func(mean time.Duration) time.Duration { return time.Duration(length * float64(mean)) }
+	begun := time.Now()
+	run.entry.Send("entry-host-2", &peerpb.Envelope{Tickets: []*peerpb.Ticket{TicketMessage(ticket)}})
+	time.Sleep(times(run.load.Granted))
+	grant := &request.Grant{
+		Ticket: ticket.ID, Round: 1, Pool: ticket.Pool, Target: target,
+		Scheduler: "entry-host-2", Number: number, CachedTokens: 1024, Lifetime: 2 * time.Second,
+	}
+	run.scheduler.Send("entry-host-1", &peerpb.Envelope{Grants: []*peerpb.Grant{GrantMessage(grant)}})
+	run.mutex.Lock()
+	if run.held == nil {
+		run.held = map[uint64]bool{}
+	}
+	run.held[number] = true
+	run.mutex.Unlock()
+	time.Sleep(times(run.load.FirstToken) - time.Since(begun))
+	first := time.Since(begun)
+	progress := &request.Progress{Ticket: ticket.ID, Pool: grant.Pool, Target: target, Number: number, FirstToken: first}
+	run.entry.Send("entry-host-2", &peerpb.Envelope{Progress: []*peerpb.Progress{ProgressMessage(progress)}})
+	time.Sleep(times(run.load.Total) - time.Since(begun))
+	run.mutex.Lock()
+	delete(run.held, number)
+	run.mutex.Unlock()
+	release := &request.Release{
+		Ticket: ticket.ID, Pool: grant.Pool, Target: target, Number: number, Scheduler: grant.Scheduler,
+		End: request.EndDone, Usage: request.Usage{PromptTokens: 4000, CachedTokens: 1024, OutputTokens: 300},
+		FirstToken: first, Total: time.Since(begun), Fingerprint: ticket.Fingerprint,
+	}
+	run.entry.Send("entry-host-2", &peerpb.Envelope{Releases: []*peerpb.Release{ReleaseMessage(release)}})
+}
--- a/peer/link_conn.go
+++ b/peer/link_conn.go
@@ -30,6 +30,7 @@
 	}
 	n, err := conn.Conn.Write(part)
 	linkCounts.Add("bytesSent", int64(n))
+	linkCounts.Add("writes", 1)
 	return n, err
 }
 
--- a/peer/links.go
+++ b/peer/links.go
@@ -65,7 +65,8 @@
 )
 
 // linkCounts are the metrics of the links: envelopes sent, received, dropped
-// and refused, and the bytes of the connections.
+// and refused, grants left out as stale, and the bytes and writes of the
+// connections.
 var linkCounts = expvar.NewMap("links")
 
 // Links sends envelopes to other hosts and receives theirs. Fields are set
