peer: name a request's grant by its ticket in progress and release

Target, number and time to the first token of a release are known to both ends from the first grant that referred to the ticket, and from the progress. What is of another grant is still written out, so that a release can't be taken for another grant's (TestSecondGrant).

--- a/peer/compact.go
+++ b/peer/compact.go
@@ -10,8 +10,9 @@
 )
 
 // The compact form of a stream: names are sent once and then as numbers, a
-// request's id is in its ticket and a reference to the ticket stands for it in
-// what follows, and times are in milliseconds. All state ends with the stream.
+// request's id is in its ticket and a reference to the ticket stands for it and
+// for the grant that it got in what follows, and times are in milliseconds. All
+// state ends with the stream.
 
 const (
 	// wireFormat is the number of this form; a host refuses any other.
@@ -30,6 +31,35 @@
 	id          request.ID
 	pool        string
 	fingerprint uint64
+	// sequence is the envelope of the stream that the ticket went in.
+	sequence uint64
+	// grant is the first one that referred to the ticket. Both ends know it
+	// before anything of the ticket can go without naming its grant.
+	grant sentGrant
+	// firstToken was reported, in milliseconds.
+	firstToken int64
+}
+
+// sentGrant is a grant of the receiver of the ticket.
+type sentGrant struct {
+	target string
+	number uint64
+	// stream and sequence are the envelope that it went in last, kept by its
+	// sender.
+	stream   uint64
+	sequence uint64
+}
+
+func (grant *sentGrant) is(target string, number uint64) bool {
+	return grant.target != "" && grant.target == target && grant.number == number
+}
+
+// take keeps the first grant; false for another one.
+func (grant *sentGrant) take(target string, number uint64) bool {
+	if grant.target == "" {
+		grant.target, grant.number = target, number
+	}
+	return grant.is(target, number)
 }
 
 // sentTickets are the last tickets of a stream, counted from 1.
@@ -56,12 +86,12 @@
 	tickets.numbers[ticket.id] = tickets.count
 }
 
-// at returns the ticket of a number, if it is among the last.
-func (tickets *sentTickets) at(number uint64) (sentTicket, bool) {
+// at returns the ticket of a number, nil if it is not among the last.
+func (tickets *sentTickets) at(number uint64) *sentTicket {
 	if number == 0 || number > tickets.count || tickets.count-number >= streamTickets {
-		return sentTicket{}, false
+		return nil
 	}
-	return tickets.ring[(number-1)%streamTickets], true
+	return &tickets.ring[(number-1)%streamTickets]
 }
 
 // find returns the number of a request's last ticket, 0 for none.
@@ -94,7 +124,7 @@
 }
 
 func ticketOf(message *peerpb.Ticket) sentTicket {
-	return sentTicket{requestID(message.GetId()), message.GetPool(), message.GetFingerprint()}
+	return sentTicket{id: requestID(message.GetId()), pool: message.GetPool(), fingerprint: message.GetFingerprint()}
 }
 
 // gridTokens returns the tokens of the grid's lengths up to the given one.
--- a/peer/compact_in.go
+++ b/peer/compact_in.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"sync"
 
 	"nutmegfield.example/peer/peerpb"
@@ -188,52 +189,87 @@
 	}
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
-	ticket, ok := sent.tickets.at(grant.GetReference())
-	grant.Id = ticket.id[:]
+	ticket := sent.tickets.at(grant.GetReference())
+	if ticket == nil || !ticket.grant.take(grant.GetTarget(), grant.GetNumber()) {
+		return false
+	}
+	sent.confirm(ticket.sequence)
+	grant.Id = bytes.Clone(ticket.id[:])
 	grant.Pool = ticket.pool
 	grant.Reference = 0
-	return ok
+	return true
 }
 
-// refer returns the ticket that a reference of the sender means.
-func (inward *inward) refer(reference uint64) (sentTicket, error) {
-	inward.mutex.Lock()
-	defer inward.mutex.Unlock()
+// refer returns the ticket that a reference of the sender means, with its
+// grant, which the sender has had.
+func (inward *inward) refer(reference uint64) (*sentTicket, error) {
+	var ticket *sentTicket
 	if reference <= inward.tickets.count {
-		if ticket, ok := inward.tickets.at(inward.tickets.count - reference + 1); ok {
-			return ticket, nil
-		}
+		ticket = inward.tickets.at(inward.tickets.count - reference + 1)
+	}
+	if ticket == nil {
+		return nil, Garbled.New("reference %d of %d tickets", reference, inward.tickets.count)
+	}
+	if ticket.grant.target == "" {
+		return nil, Garbled.New("reference %d to a ticket without a grant", reference)
+	}
+	if sent := inward.sent(); sent != nil && sent.stream == ticket.grant.stream {
+		sent.confirm(ticket.grant.sequence)
 	}
-	return sentTicket{}, Garbled.New("reference %d of %d tickets", reference, inward.tickets.count)
+	return ticket, nil
 }
 
 func (inward *inward) progress(progress *peerpb.Progress) error {
-	if reference := progress.GetReference(); reference != 0 {
-		ticket, err := inward.refer(reference)
-		if err != nil {
+	millis := progress.GetFirstToken()
+	progress.FirstToken = fromMillis(millis)
+	reference := progress.GetReference()
+	if reference == 0 {
+		if err := checkID(progress.GetId()); err != nil {
 			return err
 		}
-		progress.Id, progress.Pool, progress.PoolNumber = ticket.id[:], ticket.pool, 0
-		progress.Reference = 0
-	} else if err := checkID(progress.GetId()); err != nil {
-		return err
+		if err := inward.name(&progress.Pool, &progress.PoolNumber); err != nil {
+			return err
+		}
+		return inward.target(&progress.Target, &progress.TargetNumber, &progress.Number)
 	}
-	if err := inward.name(&progress.Pool, &progress.PoolNumber); err != nil {
+	inward.mutex.Lock()
+	defer inward.mutex.Unlock()
+	ticket, err := inward.refer(reference)
+	if err != nil {
 		return err
 	}
-	progress.FirstToken = fromMillis(progress.GetFirstToken())
-	return inward.target(&progress.Target, &progress.TargetNumber, &progress.Number)
+	ticket.firstToken = millis
+	progress.Id, progress.Pool, progress.PoolNumber = bytes.Clone(ticket.id[:]), ticket.pool, 0
+	progress.Target, progress.TargetNumber, progress.Number = ticket.grant.target, 0, ticket.grant.number
+	progress.Reference = 0
+	return nil
 }
 
 func (inward *inward) release(release *peerpb.Release) error {
-	if reference := release.GetReference(); reference != 0 {
-		ticket, err := inward.refer(reference)
-		if err != nil {
-			return err
-		}
-		release.Id, release.Pool, release.PoolNumber = ticket.id[:], ticket.pool, 0
-		release.Fingerprint, release.Reference = ticket.fingerprint, 0
-	} else if err := checkID(release.GetId()); err != nil {
+	release.FirstToken = fromMillis(release.GetFirstToken())
+	release.Total = fromMillis(release.GetTotal())
+	reference := release.GetReference()
+	if reference == 0 {
+		return inward.fullRelease(release)
+	}
+	inward.mutex.Lock()
+	defer inward.mutex.Unlock()
+	ticket, err := inward.refer(reference)
+	if err != nil {
+		return err
+	}
+	release.Id, release.Pool, release.PoolNumber = bytes.Clone(ticket.id[:]), ticket.pool, 0
+	release.Target, release.TargetNumber, release.Number = ticket.grant.target, 0, ticket.grant.number
+	release.Scheduler, release.SchedulerNumber = inward.self, 0
+	release.Fingerprint, release.Reference = ticket.fingerprint, 0
+	if release.GetFirstToken() == 0 {
+		release.FirstToken = fromMillis(ticket.firstToken)
+	}
+	return nil
+}
+
+func (inward *inward) fullRelease(release *peerpb.Release) error {
+	if err := checkID(release.GetId()); err != nil {
 		return err
 	}
 	if err := inward.name(&release.Pool, &release.PoolNumber); err != nil {
@@ -242,8 +278,6 @@
 	if err := inward.target(&release.Target, &release.TargetNumber, &release.Number); err != nil {
 		return err
 	}
-	release.FirstToken = fromMillis(release.GetFirstToken())
-	release.Total = fromMillis(release.GetTotal())
 	return inward.scheduler(&release.Scheduler, &release.SchedulerNumber, inward.self)
 }
 
--- a/peer/compact_out.go
+++ b/peer/compact_out.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"nutmegfield.example/peer/peerpb"
 )
@@ -23,12 +24,28 @@
 	tickets  sentTickets
 	begun    bool
 	answered uint64
+	// sequence counts the envelopes.
+	sequence uint64
+	// confirmed is the last envelope that is known to have arrived by what the
+	// receiver sent in answer.
+	confirmed atomic.Uint64
+}
+
+// confirm notes that an envelope and all before it have arrived.
+func (outward *outward) confirm(sequence uint64) {
+	for {
+		old := outward.confirmed.Load()
+		if sequence <= old || outward.confirmed.CompareAndSwap(old, sequence) {
+			return
+		}
+	}
 }
 
 // envelope returns the compact form; what it is given stays as it is.
 func (outward *outward) envelope(plain *peerpb.Envelope) *peerpb.Envelope {
 	outward.mutex.Lock()
 	defer outward.mutex.Unlock()
+	outward.sequence++
 	compact := &peerpb.Envelope{}
 	join(compact, plain)
 	compact.Beat = plain.GetBeat()
@@ -111,7 +128,9 @@
 	if held := plain.GetHeld(); held != nil {
 		written.Held = outward.grant(compact, held, nil)
 	}
-	outward.tickets.add(ticketOf(plain))
+	sent := ticketOf(plain)
+	sent.sequence = outward.sequence
+	outward.tickets.add(sent)
 	return written
 }
 
@@ -139,11 +158,8 @@
 		Round:        turnRound(plain.GetRound()),
 		CachedTokens: plain.GetCachedTokens(), Lifetime: plain.GetLifetime() / 1000,
 	}
-	if heard != nil {
-		number := heard.tickets.find(plain.GetId())
-		if told, ok := heard.tickets.at(number); ok && told.pool == plain.GetPool() {
-			written.Reference = number
-		}
+	if heard != nil && plain.GetScheduler() == outward.self.ID {
+		written.Reference = outward.answer(plain, heard)
 	}
 	if written.Reference == 0 {
 		written.Id = plain.GetId()
@@ -157,23 +173,40 @@
 	return written
 }
 
-// refer returns the reference to a request's ticket, 0 where the id and the
-// pool must be written out.
-func (outward *outward) refer(id []byte, pool string) (uint64, sentTicket) {
+// answer returns the number of the ticket that a grant is for, 0 if the grant
+// must be written out, as one that is not the first for the ticket.
+func (outward *outward) answer(plain *peerpb.Grant, heard *inward) uint64 {
+	number := heard.tickets.find(plain.GetId())
+	ticket := heard.tickets.at(number)
+	if ticket == nil || ticket.pool != plain.GetPool() || !ticket.grant.take(plain.GetTarget(), plain.GetNumber()) {
+		return 0
+	}
+	ticket.grant.stream = outward.stream
+	ticket.grant.sequence = outward.sequence
+	return number
+}
+
+// refer returns the reference to a request's ticket, 0 and nil where all must
+// be written out. What is not of the ticket's first grant is written out too.
+func (outward *outward) refer(id []byte, pool, target string, grant uint64) (uint64, *sentTicket) {
 	number := outward.tickets.find(id)
-	if ticket, ok := outward.tickets.at(number); ok && ticket.pool == pool {
-		return outward.tickets.count - number + 1, ticket
+	ticket := outward.tickets.at(number)
+	if ticket == nil || ticket.pool != pool || !ticket.grant.is(target, grant) {
+		return 0, nil
 	}
-	return 0, sentTicket{}
+	return outward.tickets.count - number + 1, ticket
 }
 
 func (outward *outward) progress(compact *peerpb.Envelope, plain *peerpb.Progress) *peerpb.Progress {
 	written := &peerpb.Progress{FirstToken: toMillis(plain.GetFirstToken())}
-	written.Reference, _ = outward.refer(plain.GetId(), plain.GetPool())
-	if written.Reference == 0 {
-		written.Id = plain.GetId()
-		written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
+	reference, ticket := outward.refer(plain.GetId(), plain.GetPool(), plain.GetTarget(), plain.GetNumber())
+	if ticket != nil {
+		written.Reference = reference
+		ticket.firstToken = written.GetFirstToken()
+		return written
 	}
+	written.Id = plain.GetId()
+	written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
 	written.TargetNumber, written.Target = outward.named(compact, plain.GetTarget())
 	written.Number = outward.steps.write(written.GetTargetNumber(), plain.GetNumber())
 	return written
@@ -186,14 +219,18 @@
 		OutputTokens: plain.GetOutputTokens(),
 		FirstToken:   toMillis(plain.GetFirstToken()), Total: toMillis(plain.GetTotal()),
 	}
-	reference, ticket := outward.refer(plain.GetId(), plain.GetPool())
-	if reference != 0 && ticket.fingerprint == plain.GetFingerprint() {
+	reference, ticket := outward.refer(plain.GetId(), plain.GetPool(), plain.GetTarget(), plain.GetNumber())
+	if ticket != nil && plain.GetScheduler() == outward.receiver && ticket.fingerprint == plain.GetFingerprint() &&
+		(written.GetFirstToken() != 0 || ticket.firstToken == 0) {
 		written.Reference = reference
-	} else {
-		written.Id = plain.GetId()
-		written.Fingerprint = plain.GetFingerprint()
-		written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
+		if written.GetFirstToken() == ticket.firstToken {
+			written.FirstToken = 0
+		}
+		return written
 	}
+	written.Id = plain.GetId()
+	written.Fingerprint = plain.GetFingerprint()
+	written.PoolNumber, written.Pool = outward.named(compact, plain.GetPool())
 	written.TargetNumber, written.Target = outward.named(compact, plain.GetTarget())
 	written.Number = outward.steps.write(written.GetTargetNumber(), plain.GetNumber())
 	if plain.GetScheduler() != outward.receiver {
--- a/peer/compact_test.go
+++ b/peer/compact_test.go
@@ -58,25 +58,27 @@
 type messages struct{ t *rapid.T }
 
 func (draw messages) id() []byte {
-	return append(make([]byte, 15), rapid.Byte().Draw(draw.t, "id"))
+	return append(make([]byte, 15), rapid.ByteRange(1, 4).Draw(draw.t, "id"))
 }
 
 func (draw messages) name() string {
-	return rapid.SampledFrom([]string{"", "a", "b", "design-model", "pool-2", string(make([]byte, nameBytes+1))}).Draw(draw.t, "name")
+	return rapid.SampledFrom([]string{"", "a", "design-model", "design-model", "design-model", string(make([]byte, nameBytes+1))}).Draw(draw.t, "name")
 }
 
 func (draw messages) count() uint32 { return rapid.Uint32().Draw(draw.t, "count") }
 
+func (draw messages) number() uint64 { return 1<<50 + rapid.Uint64Range(0, 2).Draw(draw.t, "number") }
+
 // span is a number of whole milliseconds, in microseconds.
 func (draw messages) span() int64 {
-	return 1000 * rapid.Int64Range(0, int64(time.Hour/time.Millisecond)).Draw(draw.t, "span")
+	return 1000 * rapid.OneOf(rapid.Just(int64(0)), rapid.Just(int64(7)), rapid.Int64Range(0, int64(time.Hour/time.Millisecond))).Draw(draw.t, "span")
 }
 
 func (draw messages) grant() *peerpb.Grant {
 	return &peerpb.Grant{
 		Id: draw.id(), Pool: draw.name(), Round: draw.count(), Target: draw.name(),
 		Scheduler: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(draw.t, "scheduler"),
-		Number:    uint64(draw.count()), CachedTokens: draw.count(), Lifetime: draw.span(),
+		Number:    draw.number(), CachedTokens: draw.count(), Lifetime: draw.span(),
 	}
 }
 
@@ -99,7 +101,7 @@
 
 func (draw messages) release() *peerpb.Release {
 	return &peerpb.Release{
-		Id: draw.id(), Pool: draw.name(), Target: draw.name(), Number: uint64(draw.count()),
+		Id: draw.id(), Pool: draw.name(), Target: draw.name(), Number: draw.number(),
 		Scheduler: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(draw.t, "scheduler"),
 		End:       draw.count(), PromptTokens: draw.count(), CachedTokens: draw.count(), OutputTokens: draw.count(),
 		FirstToken: draw.span(), Total: draw.span(), Fingerprint: uint64(draw.count() % 3),
@@ -116,7 +118,7 @@
 			envelope.Grants = append(envelope.Grants, draw.grant())
 		case 2:
 			envelope.Progress = append(envelope.Progress, &peerpb.Progress{
-				Id: draw.id(), Pool: draw.name(), Target: draw.name(), Number: uint64(draw.count()), FirstToken: draw.span(),
+				Id: draw.id(), Pool: draw.name(), Target: draw.name(), Number: draw.number(), FirstToken: draw.span(),
 			})
 		case 3:
 			envelope.Releases = append(envelope.Releases, draw.release())
@@ -159,16 +161,41 @@
 		_, err := wired.pass("a", &peerpb.Envelope{Tickets: []*peerpb.Ticket{{Id: numbered(number), Pool: "p"}}})
 		c.Assert(err, qt.IsNil)
 		old := max(0, number-streamTickets-1+number%3)
-		read, err := wired.pass("a", &peerpb.Envelope{Releases: []*peerpb.Release{{Id: numbered(old), Pool: "p"}}})
+		read, err := wired.pass("a", &peerpb.Envelope{Releases: []*peerpb.Release{{Id: numbered(old), Pool: "p", Target: "t", Number: uint64(old), Scheduler: "b"}}})
 		c.Assert(err, qt.IsNil)
 		c.Assert(string(read.GetReleases()[0].GetId()), qt.Equals, string(numbered(old)))
-		read, err = wired.pass("b", &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(old), Pool: "p"}}})
+		read, err = wired.pass("b", &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(old), Pool: "p", Target: "t", Number: uint64(old), Scheduler: "b"}}})
 		c.Assert(err, qt.IsNil)
 		c.Assert(string(read.GetGrants()[0].GetId()), qt.Equals, string(numbered(old)))
 	}
 	c.Check(len(wired.out["a"].tickets.numbers), qt.Equals, streamTickets)
 }
 
+// TestSecondGrant: what is said of another grant than the ticket's first names
+// it, so that the two are not mixed up on the way.
+func TestSecondGrant(t *testing.T) {
+	c := qt.New(t)
+	wired := newWired()
+	grants := func(number uint64) *peerpb.Envelope {
+		return &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(1), Pool: "p", Target: "t", Scheduler: "b", Number: number}}}
+	}
+	release := func(number uint64) {
+		read, err := wired.pass("a", &peerpb.Envelope{Releases: []*peerpb.Release{{Id: numbered(1), Pool: "p", Target: "t", Scheduler: "b", Number: number}}})
+		c.Assert(err, qt.IsNil)
+		c.Check(read.GetReleases()[0].GetNumber(), qt.Equals, number)
+	}
+	_, err := wired.pass("a", &peerpb.Envelope{Tickets: []*peerpb.Ticket{{Id: numbered(1), Pool: "p"}}})
+	c.Assert(err, qt.IsNil)
+	first, second := wired.out["b"].envelope(grants(7)), wired.out["b"].envelope(grants(8))
+	c.Check(first.GetGrants()[0].GetReference(), qt.Equals, uint64(1))
+	c.Check(second.GetGrants()[0].GetReference(), qt.Equals, uint64(0))
+	release(7)
+	c.Assert(wired.ins["b"].envelope(first), qt.IsNil)
+	c.Assert(wired.ins["b"].envelope(second), qt.IsNil)
+	release(7)
+	release(8)
+}
+
 // TestManyNames: the dictionary stays within its bound.
 func TestManyNames(t *testing.T) {
 	c := qt.New(t)
@@ -190,14 +217,14 @@
 	wired := newWired()
 	_, err := wired.pass("a", &peerpb.Envelope{Tickets: []*peerpb.Ticket{{Id: numbered(1), Pool: "p"}}})
 	c.Assert(err, qt.IsNil)
-	grant := &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(1), Pool: "p"}}}
+	grant := &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(1), Pool: "p", Target: "t", Scheduler: "b"}}}
 	late := wired.out["b"].envelope(grant)
 	wired.renew("a", "b", 2)
 	_, err = wired.pass("a", &peerpb.Envelope{Tickets: []*peerpb.Ticket{{Id: numbered(2), Pool: "p"}}})
 	c.Assert(err, qt.IsNil)
 	c.Assert(wired.ins["b"].envelope(late), qt.IsNil)
 	c.Check(late.GetGrants(), qt.HasLen, 0)
-	read, err := wired.pass("b", &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(2), Pool: "p"}, {Id: numbered(1), Pool: "p"}}})
+	read, err := wired.pass("b", &peerpb.Envelope{Grants: []*peerpb.Grant{{Id: numbered(2), Pool: "p", Target: "t", Scheduler: "b"}, {Id: numbered(1), Pool: "p", Target: "t", Scheduler: "b"}}})
 	c.Assert(err, qt.IsNil)
 	c.Check(string(read.GetGrants()[0].GetId()), qt.Equals, string(numbered(2)))
 	c.Check(string(read.GetGrants()[1].GetId()), qt.Equals, string(numbered(1)))
@@ -211,19 +238,20 @@
 		long[i] = "n"
 	}
 	for want, envelope := range map[string]*peerpb.Envelope{
-		"a name of 0 bytes":             {Names: []string{""}},
-		"a name of 257 bytes":           {Names: []string{string(make([]byte, 257))}},
-		"more than 4096 names":          {Names: long},
-		"name 1 of 0":                   {Tickets: []*peerpb.Ticket{{Id: id, PoolNumber: 1}}},
-		"name 2 of 1":                   {Names: []string{"n"}, Grants: []*peerpb.Grant{{Id: id, TargetNumber: 2}}},
-		"name 9 of 0":                   {Holdings: []*peerpb.Holdings{{PoolNumber: 9}}},
-		"reference 1 of 0 tickets":      {Progress: []*peerpb.Progress{{Reference: 1}}},
-		"reference 2 of 1 tickets":      {Tickets: []*peerpb.Ticket{{Id: id}}, Releases: []*peerpb.Release{{Reference: 2}}},
-		"an id of 15 bytes":             {Tickets: []*peerpb.Ticket{{Id: id[1:]}}},
-		"an id of 0 bytes":              {Releases: []*peerpb.Release{{}}},
-		"a held grant with a reference": {Tickets: []*peerpb.Ticket{{Id: id, Held: &peerpb.Grant{Reference: 1}}}},
-		"65 prefixes":                   {Tickets: []*peerpb.Ticket{{Id: id, PrefixHashes: make([]uint32, 65), PrefixTokens: []uint32{64}}}},
-		"1 lengths of 2 prefixes":       {Tickets: []*peerpb.Ticket{{Id: id, PrefixHashes: make([]uint32, 2), PrefixTokens: []uint32{65}}}},
+		"a name of 0 bytes":                       {Names: []string{""}},
+		"a name of 257 bytes":                     {Names: []string{string(make([]byte, 257))}},
+		"more than 4096 names":                    {Names: long},
+		"name 1 of 0":                             {Tickets: []*peerpb.Ticket{{Id: id, PoolNumber: 1}}},
+		"name 2 of 1":                             {Names: []string{"n"}, Grants: []*peerpb.Grant{{Id: id, TargetNumber: 2}}},
+		"name 9 of 0":                             {Holdings: []*peerpb.Holdings{{PoolNumber: 9}}},
+		"reference 1 of 0 tickets":                {Progress: []*peerpb.Progress{{Reference: 1}}},
+		"reference 2 of 1 tickets":                {Tickets: []*peerpb.Ticket{{Id: id}}, Releases: []*peerpb.Release{{Reference: 2}}},
+		"an id of 15 bytes":                       {Tickets: []*peerpb.Ticket{{Id: id[1:]}}},
+		"an id of 0 bytes":                        {Releases: []*peerpb.Release{{}}},
+		"reference 1 to a ticket without a grant": {Tickets: []*peerpb.Ticket{{Id: id}}, Releases: []*peerpb.Release{{Reference: 1}}},
+		"a held grant with a reference":           {Tickets: []*peerpb.Ticket{{Id: id, Held: &peerpb.Grant{Reference: 1}}}},
+		"65 prefixes":                             {Tickets: []*peerpb.Ticket{{Id: id, PrefixHashes: make([]uint32, 65), PrefixTokens: []uint32{64}}}},
+		"1 lengths of 2 prefixes":                 {Tickets: []*peerpb.Ticket{{Id: id, PrefixHashes: make([]uint32, 2), PrefixTokens: []uint32{65}}}},
 	} {
 		err := newWired().ins["a"].envelope(envelope)
 		qt.Check(t, err, qt.ErrorMatches, "peer.garbled: "+want)
