peer, settings: refuse datagrams without the hash of a shared secret

Any datagram could add a host, which then could open links, also where TLS secures those. The hash does not show that a datagram is new: one sent again is held off only by the incarnations in it. Without the setting all is as before.

--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -42,16 +42,24 @@
 		// Only text that is no UTF-8 can't be written; settings may hold it.
 		return
 	}
+	datagram = prober.seal(datagram)
 	datagramsSent.Add(1)
 	datagramBytesSent.Add(int64(len(datagram)))
 	prober.Send(letter.address, datagram)
 }
 
-// Receive handles a datagram. One that is no probe, or comes from a host that
+// Receive handles a datagram. One without the right keyed hash, that is no
+// probe, or comes from a host that
 // does not say who it is, is refused and counted.
-func (prober *Prober) Receive(datagram []byte) {
+func (prober *Prober) Receive(sealed []byte) {
+	datagram, ok := prober.open(sealed)
+	if !ok {
+		prober.refuse()
+		return
+	}
 	probe := &peerpb.Probe{}
-	sender, ok := record{}, false
+	sender := record{}
+	ok = false
 	if err := proto.Unmarshal(datagram, probe); err == nil && len(probe.GetHosts()) > 0 {
 		sender, ok = readRecord(probe.GetHosts()[0])
 	}
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -11,6 +11,8 @@
 	Superseded = Errors.NewType("superseded")
 	// Replaced: a newer host runs under the same id.
 	Replaced = Errors.NewType("replaced")
+	// ShortSecret: the secret of the datagrams is too short.
+	ShortSecret = Errors.NewType("shortSecret")
 	// Garbled: an envelope that no host of this format sends.
 	Garbled = Errors.NewType("garbled")
 )
--- a/peer/part.go
+++ b/peer/part.go
@@ -19,7 +19,7 @@
 const leaveRank = kernel.RankOperators + 1
 
 // largestDatagram is more than any host sends.
-const largestDatagram = 2 * datagramBytes
+const largestDatagram = 2*datagramBytes + tagBytes
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "peers", Rank: kernel.RankPeers, New: newPart})
@@ -54,6 +54,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	secret, err := readSecret(settings.Peers.Secret)
+	if err != nil {
+		return nil, err
+	}
 	datagrams, err := host.Network.ListenPacket("udp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for probes: %w", err)
@@ -72,6 +76,7 @@
 	}
 	prober := &Prober{
 		Members: members,
+		Secret:  secret,
 		Events:  host.Events,
 		Send:    sender(datagrams),
 		Hosts:   api.Hosts,
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -112,6 +112,9 @@
 	Hosts func(ctx context.Context) ([]platform.ListedHost, error)
 	// Seeds are addresses to try while no other host is known.
 	Seeds []string
+	// Secret is shared by all hosts: datagrams without a hash keyed by it are
+	// refused. Empty for none.
+	Secret []byte
 
 	mutex  sync.Mutex
 	self   record
--- /dev/null
+++ b/peer/seal.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"fmt"
+	"os"
+)
+
+const (
+	// tagBytes is the length of the keyed hash at the end of a datagram.
+	tagBytes = 8
+	// leastSecret is the length of the shortest secret, in bytes.
+	leastSecret = 32
+)
+
+// seal adds the keyed hash of a datagram, if there is a secret.
+func (prober *Prober) seal(datagram []byte) []byte {
+	if len(prober.Secret) == 0 {
+		return datagram
+	}
+	return append(datagram, prober.tag(datagram)...)
+}
+
+// open checks and takes off what seal added. It does not show that a datagram
+// is new: the incarnations in it do.
+func (prober *Prober) open(sealed []byte) ([]byte, bool) {
+	if len(prober.Secret) == 0 {
+		return sealed, true
+	}
+	if len(sealed) < tagBytes {
+		return nil, false
+	}
+	datagram, tag := sealed[:len(sealed)-tagBytes], sealed[len(sealed)-tagBytes:]
+	return datagram, hmac.Equal(tag, prober.tag(datagram))
+}
+
+func (prober *Prober) tag(datagram []byte) []byte {
+	hash := hmac.New(sha256.New, prober.Secret)
+	// A hash's Write never fails.
+	_, _ = hash.Write(datagram)
+	return hash.Sum(nil)[:tagBytes]
+}
+
+// readSecret reads the file of the secret; no file, no secret.
+func readSecret(file string) ([]byte, error) {
+	if file == "" {
+		return nil, nil
+	}
+	secret, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read the peers' secret: %w", err)
+	}
+	if len(secret) < leastSecret {
+		return nil, fmt.Errorf("read the peers' secret: %w", ShortSecret.New("%d bytes, at least %d are needed", len(secret), leastSecret))
+	}
+	return secret, nil
+}
--- a/settings/peers.go
+++ b/settings/peers.go
@@ -9,7 +9,10 @@
 	// Seeds are addresses of hosts to ask first while the platform's list
 	// can't be had.
 	Seeds []string `yaml:"seeds"`
-	// TLS encrypts this side.
+	// Secret is a file that all hosts share, of at least 32 bytes; with it
+	// datagrams are only taken from hosts that have it.
+	Secret string `yaml:"secret"`
+	// TLS encrypts the links; datagrams go in clear.
 	TLS TLS `yaml:"tls"`
 }
 
