--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -114,6 +114,14 @@
 	scheduler.receiveHandovers(envelope)
 }
 
+// Waiting returns the number of requests that wait here for a pool.
+func (scheduler *Scheduler) Waiting(name string) int {
+	if found := scheduler.find(name); found != nil {
+		return found.Waiting()
+	}
+	return 0
+}
+
 // submit drops a ticket that falls to another host: its entry host sends it
 // there as soon as it knows, or here again.
 func (scheduler *Scheduler) submit(ticket *request.Ticket) {
