yamlfile, settings, profile: read files by one checker

settings had a checker beside yamlfile's. Both now use yamlfile.Read: unknown keys with what is allowed, keys that stand twice, fractions for whole numbers, and values of a wrong type are named with file, line and key, in lists too. Defaults are set for absent keys alone, so that a 0 that an operator wrote is checked in a configuration as it was in settings (weight: 0 was taken for 1). A fault whose key can't be told is reported with its line; it was dropped.

--- a/profile/check.go
+++ b/profile/check.go
@@ -24,7 +24,7 @@
 )
 
 type checker struct {
-	yamlfile.Checker
+	*yamlfile.Checker
 	known Known
 }
 
--- a/profile/decode.go
+++ b/profile/decode.go
@@ -45,19 +45,22 @@
 	if len(text) > MaxBytes {
 		return nil, BadFile.New("%s: %d bytes, at most %d", file, len(text), MaxBytes)
 	}
-	root, err := yamlfile.Parse(text)
+	root, err := yamlfile.Parse(file, text)
 	if err != nil {
-		return nil, BadFile.Wrap(err, "%s", file)
+		return nil, BadFile.Wrap(err, "read configuration")
 	}
 	if format := formatOf(root); format > Format {
 		return nil, NewerFormat.New("%s: format is %d, this program reads %d", file, format, Format)
 	}
 	configuration := &Configuration{}
-	if err := yamlfile.Decode(text, configuration); err != nil {
-		return nil, BadFile.Wrap(err, "%s", file)
+	read, err := yamlfile.ReadNode(file, root, configuration, BadValue)
+	if err != nil {
+		return nil, BadFile.Wrap(err, "read configuration")
+	}
+	checker := &checker{Checker: read, known: known}
+	if checker.Sound() {
+		checker.check(configuration)
 	}
-	checker := &checker{Checker: yamlfile.Checker{File: file, Root: root, Type: BadValue}, known: known}
-	checker.check(configuration)
 	if err := checker.Err(); err != nil {
 		return nil, fmt.Errorf("check configuration: %w", err)
 	}
--- a/settings/peers.go
+++ b/settings/peers.go
@@ -1,6 +1,6 @@
 package settings
 
-import "strconv"
+import "nutmegfield.example/yamlfile"
 
 // Peers is the side that the other hosts reach.
 type Peers struct {
@@ -20,6 +20,6 @@
 		checker.fault("peers.tls", "needs an authority: hosts prove themselves to each other")
 	}
 	for i, seed := range peers.Seeds {
-		checker.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
+		checker.addressAt(yamlfile.Path{"peers", "seeds", i}, seed)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,16 +4,12 @@
 package settings
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"os"
-	"reflect"
 
-	"github.com/creasty/defaults"
 	"github.com/joomcode/errorx"
-	"go.yaml.in/yaml/v3"
+
+	"nutmegfield.example/yamlfile"
 )
 
 // Errors of this package.
@@ -48,45 +44,19 @@
 // Decode reads settings from YAML over the defaults and checks them. The
 // error names every fault with file, line and key.
 func Decode(file string, text []byte) (*Settings, error) {
-	root, err := parse(file, text)
-	if err != nil {
-		return nil, err
-	}
 	settings := &Settings{}
-	// The defaults come first, so that a key that is set to 0 or "" is checked
-	// and not taken for an absent one.
-	if err := defaults.Set(settings); err != nil {
-		return nil, fmt.Errorf("set defaults of %s: %w", file, err)
-	}
-	checker := &checker{name: file, root: root}
-	checker.known(root, reflect.TypeFor[Settings](), "")
-	if err := root.Decode(settings); err != nil {
-		checker.mistyped(err)
+	read, err := yamlfile.Read(file, text, settings, BadValue)
+	if err != nil {
+		return nil, BadFile.Wrap(err, "read settings")
 	}
-	if len(checker.faults) == 0 {
+	checker := &checker{Checker: read}
+	if checker.Sound() {
 		settings.check(checker)
 	}
-	return settings, checker.err()
-}
-
-// parse reads the one YAML document of a file and returns its mapping.
-func parse(file string, text []byte) (*yaml.Node, error) {
-	decoder := yaml.NewDecoder(bytes.NewReader(text))
-	var document yaml.Node
-	if err := decoder.Decode(&document); err != nil {
-		if errors.Is(err, io.EOF) {
-			return nil, BadFile.New("%s: the file is empty", file)
-		}
-		return nil, BadFile.Wrap(err, "%s", file)
-	}
-	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
-		return nil, BadFile.New("%s: more than one YAML document", file)
-	}
-	root := document.Content[0]
-	if root.Kind != yaml.MappingNode {
-		return nil, BadFile.New("%s:%d: the file is no mapping of keys to values", file, root.Line)
+	if err := checker.Err(); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	return root, nil
+	return settings, nil
 }
 
 func (settings *Settings) check(checker *checker) {
--- a/yamlfile/checker.go
+++ b/yamlfile/checker.go
@@ -47,8 +47,12 @@
 
 // Fault adds a fault of the value at a path.
 func (checker *Checker) Fault(path Path, format string, arguments ...any) {
+	checker.faultAt(checker.line(path), path, format, arguments...)
+}
+
+func (checker *Checker) faultAt(line int, path Path, format string, arguments ...any) {
 	message := fmt.Sprintf(format, arguments...)
-	checker.faults = append(checker.faults, checker.Type.New("%s:%d: %s: %s", checker.File, checker.line(path), path, message))
+	checker.faults = append(checker.faults, checker.Type.New("%s:%d: %s: %s", checker.File, line, path, message))
 }
 
 // Err joins the faults, nil if there is none.
@@ -79,14 +83,22 @@
 			return node.Content[step].Line, node.Content[step]
 		}
 	case string:
-		if node.Kind != yaml.MappingNode {
-			return 0, nil
-		}
-		for i := 0; i+1 < len(node.Content); i += 2 {
-			if node.Content[i].Value == step {
-				return node.Content[i].Line, node.Content[i+1]
-			}
+		if i := child(node, step); i >= 0 {
+			return node.Content[i].Line, node.Content[i+1]
 		}
 	}
 	return 0, nil
 }
+
+// child returns the index of a key in a mapping, -1 if there is none.
+func child(node *yaml.Node, name string) int {
+	if node.Kind != yaml.MappingNode {
+		return -1
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == name {
+			return i
+		}
+	}
+	return -1
+}
