--- a/command/errors.go
+++ b/command/errors.go
@@ -15,6 +15,11 @@
 	Behind = Errors.NewType("behind")
 	// NoEvents: there is nothing to draw.
 	NoEvents = Errors.NewType("noEvents")
+	// Unmet: a stated outcome was not met.
+	Unmet = Errors.NewType("unmet")
+	// Interrupted: a signal came before the end.
+	Interrupted = Errors.NewType("interrupted")
 
+	errNoOperators    = Usage.New("the trace states the order of tiers: name the hosts' operators' addresses with --operators")
 	errNothingToCheck = Usage.New("name a file with --settings or --configuration")
 )
--- a/command/hosts.go
+++ b/command/hosts.go
@@ -68,18 +68,19 @@
 	return nil
 }
 
-// ask gets the page of every host; the error joins those that failed.
-func (command *timelineCommand) ask(ctx context.Context) ([]timeline.Answer, error) {
+// timeline gets the page of every host, of one request unless the id is empty;
+// the error joins those that failed.
+func (options *hostOptions) timeline(ctx context.Context, request string, since time.Duration) ([]timeline.Answer, error) {
 	query := url.Values{}
-	query.Set("since", command.Since.String())
-	if command.Request != "" {
-		query.Set("request", command.Request)
+	query.Set("since", since.String())
+	if request != "" {
+		query.Set("request", request)
 	}
-	answers := make([]timeline.Answer, len(command.Hosts))
-	failures := make([]error, len(command.Hosts))
-	command.each(func(i int, address string) {
+	answers := make([]timeline.Answer, len(options.Hosts))
+	failures := make([]error, len(options.Hosts))
+	options.each(func(i int, address string) {
 		answer := timeline.Answer{Asked: time.Now()}
-		failures[i] = command.get(ctx, address+"/timeline?"+query.Encode(), &answer.Page)
+		failures[i] = options.get(ctx, address+"/timeline?"+query.Encode(), &answer.Page)
 		answer.Answered = time.Now()
 		answers[i] = answer
 	})
--- a/command/script_test.go
+++ b/command/script_test.go
@@ -51,6 +51,11 @@
 	serve("HOST1", host("a1", 7))
 	serve("HOST2", host("a2", 6))
 	serve("HOST3", host("a3", 7))
+	for _, name := range []string{"ACTOR1", "ACTOR2"} {
+		actor := newActor()
+		serve(name, actor)
+		serve(name+"_OPERATORS", actor.operators())
+	}
 	env.Setenv("NOWHERE", "http://127.0.0.1:1")
 	return nil
 }
--- a/command/timeline.go
+++ b/command/timeline.go
@@ -31,7 +31,7 @@
 
 // Execute asks the hosts and writes the merged events.
 func (command *timelineCommand) Execute([]string) error {
-	answers, failures := command.ask(context.Background())
+	answers, failures := command.timeline(context.Background(), command.Request, command.Since)
 	events := timeline.Merge(answers)
 	if err := command.write(events); err != nil {
 		return fmt.Errorf("timeline: %w", err)
--- a/request/request.go
+++ b/request/request.go
@@ -101,6 +101,16 @@
 	ReasonHostStopped       Reason = "hostStopped"
 )
 
+// Reasons lists every reason.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonDeadline, ReasonShed, ReasonLimited, ReasonQuarantined,
+		ReasonNoTarget, ReasonDraining, ReasonCallerGone, ReasonNoScheduler,
+		ReasonRecordUnavailable, ReasonRecordHeld, ReasonKeyReused, ReasonNoConfiguration,
+		ReasonTargetError, ReasonTargetSilent, ReasonTargetGarbled, ReasonHostStopped,
+	}
+}
+
 // Size estimates the work of a request. Both counts are tokens; a call of a
 // plain service has none.
 type Size struct {
