configuration, profile: move the relay out of the operators' objects

profile is imported by all, by users' own programs too, and brought peers, drpc and the platform with it.

--- a/command/serve.go
+++ b/command/serve.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	// The parts of a host register themselves.
+	_ "nutmegfield.example/configuration"
 	_ "nutmegfield.example/entry"
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/kernel"
@@ -19,7 +20,6 @@
 	_ "nutmegfield.example/order"
 	_ "nutmegfield.example/peer"
 	_ "nutmegfield.example/platform"
-	_ "nutmegfield.example/profile"
 	_ "nutmegfield.example/record"
 	_ "nutmegfield.example/scheduler"
 	"nutmegfield.example/settings"
--- a/profile/part.go
+++ b/configuration/part.go
@@ -1,16 +1,10 @@
-package profile
+package configuration
 
 import (
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/platform"
-)
-
-const (
-	// ObjectKind is the kind of the configuration in the platform.
-	ObjectKind = "configuration"
-	// ObjectName is its name.
-	ObjectName = "current"
+	"nutmegfield.example/profile"
 )
 
 func init() {
@@ -19,12 +13,12 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	kernel.Provide(host, &Store{Events: host.Events})
+	kernel.Provide(host, &profile.Store{Events: host.Events})
 	return &kernel.Part{}, nil
 }
 
 func newRelayPart(host *kernel.Host) (*kernel.Part, error) {
-	store, err := kernel.Need[Store](host)
+	store, err := kernel.Need[profile.Store](host)
 	if err != nil {
 		return nil, err
 	}
@@ -49,11 +43,11 @@
 		Events: host.Events,
 	}
 	// Names are checked where the program says which it has.
-	if known, err := kernel.Need[Known](host); err == nil {
+	if known, err := kernel.Need[profile.Known](host); err == nil {
 		relay.Known = *known
 	}
 	links.Receive(relay.Receive)
 	members.ListenVersions(relay.Heard)
-	store.Listen(func(snapshot *Snapshot) { members.SetVersion(snapshot.Version) })
+	store.Listen(func(snapshot *profile.Snapshot) { members.SetVersion(snapshot.Version) })
 	return &kernel.Part{Run: relay.Run}, nil
 }
--- a/profile/relay.go
+++ b/configuration/relay.go
@@ -1,15 +1,19 @@
-package profile
+// Package configuration keeps a host at the newest version of the operators'
+// configuration: by a watch of the platform, and from host to host.
+package configuration
 
 import (
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/platform"
+	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
 )
 
@@ -58,8 +62,8 @@
 // before use.
 type Relay struct {
 	Self   peer.Host
-	Store  *Store
-	Known  Known
+	Store  *profile.Store
+	Known  profile.Known
 	API    platform.API
 	View   func() *peer.View
 	Send   func(host string, envelope *peerpb.Envelope)
@@ -69,7 +73,7 @@
 	// started is set when the first configuration may be put in force.
 	started bool
 	// candidate is the highest configuration read before that.
-	candidate *Snapshot
+	candidate *profile.Snapshot
 	// refused is the highest version that can't be read.
 	refused int64
 	// wanted is the highest version that peers told, wantedFrom the one that
@@ -155,7 +159,7 @@
 // watchOnce waits for a change and reports whether the platform answered as
 // it should.
 func (relay *Relay) watchOnce(ctx context.Context) bool {
-	object, changed, err := relay.API.Watch(ctx, ObjectKind, ObjectName, relay.seen(), watchWait)
+	object, changed, err := relay.API.Watch(ctx, profile.ObjectKind, profile.ObjectName, relay.seen(), watchWait)
 	if err != nil {
 		return false
 	}
@@ -180,7 +184,7 @@
 
 // get reads the object and reports whether it could.
 func (relay *Relay) get(ctx context.Context) bool {
-	object, err := relay.API.Get(ctx, ObjectKind, ObjectName)
+	object, err := relay.API.Get(ctx, profile.ObjectKind, profile.ObjectName)
 	if platform.Is(err, platform.NotFound) {
 		return true
 	}
@@ -261,12 +265,12 @@
 		}
 		return version == seen
 	}
-	configuration, err := relay.Known.Decode(ObjectKind+"/"+ObjectName, text)
+	configuration, err := relay.Known.Decode(profile.ObjectKind+"/"+profile.ObjectName, text)
 	if err != nil {
 		relay.refuse(version, err)
 		return false
 	}
-	snapshot := NewSnapshot(version, *configuration)
+	snapshot := profile.NewSnapshot(version, *configuration)
 	snapshot.Text = text
 	relay.accept(snapshot, fromPlatform)
 	return true
@@ -274,7 +278,7 @@
 
 // accept puts a snapshot in force, or keeps it until the start is over. What
 // a peer works by may come in force at once.
-func (relay *Relay) accept(snapshot *Snapshot, fromPlatform bool) {
+func (relay *Relay) accept(snapshot *profile.Snapshot, fromPlatform bool) {
 	relay.mutex.Lock()
 	if fromPlatform && !relay.started {
 		if relay.candidate == nil || relay.candidate.Version < snapshot.Version {
@@ -326,7 +330,7 @@
 	relay.refused = max(relay.refused, version)
 	relay.mutex.Unlock()
 	if first {
-		relay.Events.Record(eventUnreadable, timeline.Event{Detail: versionText(version) + ": " + err.Error()})
+		relay.Events.Record(eventUnreadable, timeline.Event{Detail: "version " + strconv.FormatInt(version, 10) + ": " + err.Error()})
 	}
 }
 
--- a/profile/relay_test.go
+++ b/configuration/relay_test.go
@@ -1,4 +1,4 @@
-package profile_test
+package configuration_test
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/configuration"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/platform"
@@ -46,7 +47,7 @@
 }
 
 type host struct {
-	relay  *profile.Relay
+	relay  *configuration.Relay
 	events *timeline.Recorder
 	stop   context.CancelFunc
 }
@@ -68,7 +69,7 @@
 
 func (fleet *fleet) start(self peer.Host) *host {
 	events := &timeline.Recorder{Host: self.ID}
-	relay := &profile.Relay{
+	relay := &configuration.Relay{
 		Self:   self,
 		Store:  &profile.Store{Events: events},
 		API:    standin.CutOff(fleet.standin.API(), func() bool { return fleet.isCut(self.Zone) }),
@@ -110,7 +111,7 @@
 }
 
 // probe tells the versions of random hosts.
-func (fleet *fleet) probe(ctx context.Context, relay *profile.Relay) {
+func (fleet *fleet) probe(ctx context.Context, relay *configuration.Relay) {
 	for ctx.Err() == nil {
 		sleep(ctx, platform.Jitter(time.Second))
 		fleet.mutex.Lock()
@@ -340,23 +341,3 @@
 		})
 	}
 }
-
-// TestSnapshotStandsForWhatItClassified: a change of profile touches no
-// snapshot that a waiting request holds.
-func TestSnapshotStandsForWhatItClassified(t *testing.T) {
-	c := qt.New(t)
-	store := &profile.Store{}
-	offer := func(version int64, weight int) {
-		configuration, err := profile.Decode("test.yaml", []byte(fmt.Sprintf(text, weight)))
-		c.Assert(err, qt.IsNil)
-		store.Offer(profile.NewSnapshot(version, *configuration))
-	}
-	offer(1, 1)
-	held := store.Current()
-	offer(2, 7)
-	c.Assert(held.Version, qt.Equals, int64(1))
-	c.Assert(held.Workspace("clubs").Weight, qt.Equals, 1)
-	c.Assert(store.Current().Workspace("clubs").Weight, qt.Equals, 7)
-	offer(1, 3)
-	c.Assert(store.Current().Workspace("clubs").Weight, qt.Equals, 7)
-}
--- a/profile/tree.go
+++ b/configuration/tree.go
@@ -1,4 +1,4 @@
-package profile
+package configuration
 
 import (
 	"sort"
--- /dev/null
+++ b/profile/store_test.go
@@ -0,0 +1,33 @@
+package profile_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/profile"
+)
+
+// TestSnapshotStandsForWhatItClassified: a change of profile touches no
+// snapshot that a waiting request holds.
+func TestSnapshotStandsForWhatItClassified(t *testing.T) {
+	c := qt.New(t)
+	store := &profile.Store{}
+	offer := func(version int64, weight int) {
+		configuration, err := profile.Decode("test.yaml", []byte(fmt.Sprintf(`tiers: [draft]
+profiles: [{name: draft, tier: draft}]
+workspaces: [{name: clubs, weight: %d}]
+`, weight)))
+		c.Assert(err, qt.IsNil)
+		store.Offer(profile.NewSnapshot(version, *configuration))
+	}
+	offer(1, 1)
+	held := store.Current()
+	offer(2, 7)
+	c.Assert(held.Version, qt.Equals, int64(1))
+	c.Assert(held.Workspace("clubs").Weight, qt.Equals, 1)
+	c.Assert(store.Current().Workspace("clubs").Weight, qt.Equals, 7)
+	offer(1, 3)
+	c.Assert(store.Current().Workspace("clubs").Weight, qt.Equals, 7)
+}
