--- /dev/null
+++ b/command/manual_test.go
@@ -0,0 +1,151 @@
+package command
+
+import (
+	"expvar"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/profile"
+	"nutmegfield.example/replay"
+	"nutmegfield.example/settings"
+	"nutmegfield.example/yamlfile"
+)
+
+// TestFileFormatsAreInTheManual holds the tables of the manual's pages of our
+// file formats equal to the keys and defaults of the types.
+func TestFileFormatsAreInTheManual(t *testing.T) {
+	pages := map[string]reflect.Type{
+		"host.yaml.5.md":     reflect.TypeFor[settings.Settings](),
+		"configuration.5.md": reflect.TypeFor[profile.Configuration](),
+		"trace.5.md":         reflect.TypeFor[replay.Trace](),
+	}
+	for page, kind := range pages {
+		t.Run(page, func(t *testing.T) {
+			c := qt.New(t)
+			want := map[string]string{}
+			keys(kind, "", want)
+			c.Assert(documented(c, "manual/"+page), qt.DeepEquals, want)
+		})
+	}
+}
+
+// keys collects the keys of a struct with their defaults, as a page writes
+// them.
+func keys(kind reflect.Type, section string, into map[string]string) {
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		key := section + yamlfile.Key(field)
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			key, inner = key+"[]", inner.Elem()
+		}
+		if inner.Kind() != reflect.Struct {
+			into[key] = field.Tag.Get("default")
+			continue
+		}
+		keys(inner, key+".", into)
+	}
+}
+
+var quoted = regexp.MustCompile("`([^`]*)`")
+
+// documented collects the first column of a page's tables and what stands
+// quoted in the second.
+func documented(c *qt.C, page string) map[string]string {
+	text, err := os.ReadFile(filepath.Join("../docs", page))
+	c.Assert(err, qt.IsNil)
+	found := map[string]string{}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		cells := strings.Split(line, "|")
+		if len(cells) < 4 {
+			continue
+		}
+		usual := ""
+		if match := quoted.FindStringSubmatch(cells[2]); match != nil {
+			usual = match[1]
+		}
+		for _, match := range quoted.FindAllStringSubmatch(cells[1], -1) {
+			found[match[1]] = usual
+		}
+	}
+	return found
+}
+
+// TestCommandsAreInTheManual sees that each command has a page with each of
+// its flags, and that the page of the program names each command.
+func TestCommandsAreInTheManual(t *testing.T) {
+	c := qt.New(t)
+	program, err := os.ReadFile("../docs/manual/nutmegfield.1.md")
+	c.Assert(err, qt.IsNil)
+	for _, command := range commands {
+		page := "nutmegfield-" + command.Name + ".1.md"
+		c.Assert(strings.Contains(string(program), "("+page+")"), qt.IsTrue, qt.Commentf("%s", page))
+		text, err := os.ReadFile("../docs/manual/" + page)
+		c.Assert(err, qt.IsNil)
+		for _, flag := range flagsOf(reflect.TypeOf(command.Data).Elem()) {
+			c.Assert(strings.Contains(string(text), "--"+flag), qt.IsTrue, qt.Commentf("--%s in %s", flag, page))
+		}
+	}
+}
+
+func flagsOf(kind reflect.Type) []string {
+	var names []string
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		if name := field.Tag.Get("long"); name != "" {
+			names = append(names, name)
+		}
+		if field.Anonymous && field.Type.Kind() == reflect.Struct {
+			names = append(names, flagsOf(field.Type)...)
+		}
+	}
+	return names
+}
+
+// TestCountersAreOnTheOperatorsPage holds the table of the counters equal to
+// what a host publishes.
+func TestCountersAreOnTheOperatorsPage(t *testing.T) {
+	c := qt.New(t)
+	var published []string
+	expvar.Do(func(variable expvar.KeyValue) { published = append(published, variable.Key) })
+	c.Assert(slices.Sorted(maps.Keys(documented(c, "operators/README.md"))), qt.DeepEquals, slices.Sorted(slices.Values(published)))
+}
+
+// TestExamplesAreGood checks the example files, and that the two systems have
+// the sizes that they stand for.
+func TestExamplesAreGood(t *testing.T) {
+	sizes := map[string]struct{ zones, engines, services, workspaces int }{
+		"bootShop":        {zones: 4, engines: 12, services: 4, workspaces: 5},
+		"tourMerchandise": {zones: 3, engines: 12, services: 3, workspaces: 5},
+	}
+	for name, size := range sizes {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			file := "../example/" + name + ".yaml"
+			// What check does.
+			text, err := readConfiguration(file)
+			c.Assert(err, qt.IsNil)
+			configuration, err := profile.Decode(file, text)
+			c.Assert(err, qt.IsNil)
+			zones, servers := map[string]struct{}{}, map[string]int{}
+			for _, pool := range configuration.Pools {
+				servers[pool.Kind] += len(pool.Targets)
+				for _, target := range pool.Targets {
+					zones[target.Zone] = struct{}{}
+				}
+			}
+			c.Assert(len(zones), qt.Equals, size.zones)
+			c.Assert(servers[profile.KindModel], qt.Equals, size.engines)
+			c.Assert(servers[profile.KindService], qt.Equals, size.services)
+			c.Assert(len(configuration.Workspaces), qt.Equals, size.workspaces)
+		})
+	}
+}
--- a/yamlfile/read.go
+++ b/yamlfile/read.go
@@ -151,7 +151,7 @@
 		return fmt.Errorf("set defaults: %w", err)
 	}
 	for i := range value.NumField() {
-		place := child(node, value.Type().Field(i).Tag.Get("yaml"))
+		place := child(node, Key(value.Type().Field(i)))
 		if place < 0 || node.Content[place+1].Tag == "!!null" {
 			value.Field(i).Set(usual.Elem().Field(i))
 			continue
@@ -169,18 +169,24 @@
 
 func fieldOf(kind reflect.Type, name string) (reflect.StructField, bool) {
 	for i := range kind.NumField() {
-		if kind.Field(i).Tag.Get("yaml") == name {
+		if Key(kind.Field(i)) == name {
 			return kind.Field(i), true
 		}
 	}
 	return reflect.StructField{}, false
 }
 
+// Key is the key of a field, from its yaml tag.
+func Key(field reflect.StructField) string {
+	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return key
+}
+
 // Keys lists the keys of a struct in their order.
 func Keys(kind reflect.Type) []string {
 	var keys []string
 	for i := range kind.NumField() {
-		keys = append(keys, kind.Field(i).Tag.Get("yaml"))
+		keys = append(keys, Key(kind.Field(i)))
 	}
 	return keys
 }
