--- a/command/command.go
+++ b/command/command.go
@@ -55,10 +55,22 @@
 		fmt.Fprintf(os.Stderr, "the flag %s stands more than once\n", name)
 		return exitUsage
 	}
+	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(arguments)
 	return exitCode(err)
 }
 
+// execute refuses arguments that the command does not take.
+func execute(command flags.Commander, left []string) error {
+	if len(left) > 0 {
+		return &flags.Error{Type: flags.ErrUnknown, Message: "unexpected argument " + left[0]}
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(left)
+}
+
 // repeated returns a flag that stands more than once, empty if there is none:
 // the parser would take the last without a word.
 // Flags that take several values may be repeated.
--- a/command/load.go
+++ b/command/load.go
@@ -19,6 +19,9 @@
 	Plot     string   `long:"plot" value-name:"FILE" description:"draw goodput over time; .svg or .png"`
 }
 
+// maxFactor keeps a schedule within the memory.
+const maxFactor = 100
+
 func init() {
 	Register(Command{
 		Name:  "load",
@@ -30,6 +33,9 @@
 
 // Execute sends the load until it has ended or SIGINT comes.
 func (play *playLoad) Execute([]string) error {
+	if !(play.Factor > 0 && play.Factor <= maxFactor) {
+		return Usage.New("--factor is %g, must be above 0 and at most %d", play.Factor, maxFactor)
+	}
 	scenario, err := load.Load(play.Scenario)
 	if err != nil {
 		return fmt.Errorf("load scenario: %w", err)
