--- a/load/client_capacity_test.go
+++ b/load/client_capacity_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os/signal"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"nutmegfield.example/standin"
 )
 
 // The addresses come from script/benchmark, which starts the processes. With
@@ -19,6 +25,7 @@
 	capacityHosts    = flag.String("capacity.hosts", "", "base addresses of running hosts, with commas")
 	capacityEngine   = flag.String("capacity.engine", "", "base address of the engine to ask directly")
 	capacityRate     = flag.Int("capacity.rate", 200, "requests a second")
+	capacityTargets  = flag.Int("capacity.targets", 0, "number of engines to serve until SIGTERM, each on a loopback address of its own")
 	capacityRequests = flag.Int("capacity.requests", 4000, "requests in all")
 )
 
@@ -242,3 +249,27 @@
 		return
 	}
 }
+
+const targetsOfSubnet = 250
+
+// BenchmarkTargetsServe is no measurement: it serves one idle engine on many
+// loopback addresses, 127.0.1.1 and so on, for a host to poll.
+func BenchmarkTargetsServe(b *testing.B) {
+	if *capacityTargets == 0 {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	engine := &standin.Engine{Name: "idle", PrefillRate: 1e6, DecodeRate: 1e6}
+	server := &http.Server{Handler: engine.Handler(), ReadHeaderTimeout: clientTimeout}
+	for i := range *capacityTargets {
+		address := fmt.Sprintf("127.0.%d.%d:25600", 1+i/targetsOfSubnet, 1+i%targetsOfSubnet)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		go func() { _ = server.Serve(listener) }()
+	}
+	<-ctx.Done()
+	_ = server.Close()
+}
