entry: let a resend wait for the answer on any host

A resend whose key a request on another host held heard unknown at once, and an answer was lost when the platform was silent for the five seconds after it. Now one resend of a key on each host looks at the record with a growing pause and gets the kept answer; it hears unknown when the membership says that the life of the holder's host, which the record now names with its incarnation, is over, and unknown with Retry-After at its own deadline. An end is tried again for ten minutes, and an end that was not seen is recorded as such. A truncated answer is told with its own reason, answerNotKept. The key lock let a waiter whose time had just ended go on to the platform; it no longer does.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -10,14 +10,14 @@
 	"nutmegfield.example/target"
 )
 
-// claim makes the record of a non-idempotent request. A resend waits on this
-// host for the request that holds the key. It returns false when the job has
-// its answer.
+// claim makes the record of a non-idempotent request. A resend waits for the
+// request that holds the key, on whichever host it runs. It returns false when
+// the job has its answer.
 func (entry *Entry) claim(ctx context.Context, writer *callerWriter, job *job) bool {
 	waiting, cancel := context.WithDeadline(ctx, job.deadline)
 	defer cancel()
 	if !entry.keys.lock(waiting, entry.drainSignal(), job.key) {
-		entry.answerProblem(writer, job, held("the request that holds the key still runs"))
+		entry.answerProblem(writer, job, heldYet("the request that holds the key still runs"))
 		return false
 	}
 	job.record = once.Record{
@@ -27,21 +27,26 @@
 		State:   once.Running,
 		Made:    time.Now(),
 	}
-	claim, err := entry.Records.Claim(waiting, job.key, job.record)
-	if err != nil {
-		// The write may have taken effect all the same.
-		job.claimed = true
-		entry.answerProblem(writer, job, notRun(request.ReasonRecordUnavailable, spread(retryNoRecord)))
-		entry.giveBack(job)
-		return false
-	}
-	if !claim.Mine {
-		entry.keys.unlock(job.key)
-		entry.answerRecorded(writer, job, claim.Record)
-		return false
+	for {
+		claim, err := entry.Records.Claim(waiting, job.key, job.record)
+		if err != nil {
+			// The write may have taken effect all the same.
+			job.claimed = true
+			entry.answerProblem(writer, job, notRun(request.ReasonRecordUnavailable, spread(retryNoRecord)))
+			entry.giveBack(job)
+			return false
+		}
+		if claim.Mine {
+			job.claimed = true
+			return true
+		}
+		present, problem := entry.follow(waiting, job, claim.Record)
+		if problem != nil || present.State == once.Ended {
+			entry.keys.unlock(job.key)
+			entry.answerHeld(writer, job, present, problem)
+			return false
+		}
 	}
-	job.claimed = true
-	return true
 }
 
 // held says that another request has the key, so that this one may not run.
@@ -52,25 +57,29 @@
 	return problem
 }
 
-// answerRecorded turns another request's record into the answer for this
-// one.
-func (entry *Entry) answerRecorded(writer *callerWriter, job *job, present once.Record) {
+// answerHeld answers a job whose key belongs to another request.
+func (entry *Entry) answerHeld(writer *callerWriter, job *job, present once.Record, problem *Problem) {
 	switch {
-	case present.Body != job.record.Body:
-		problem := badRequest(http.StatusUnprocessableEntity, "the key was used with another request")
-		problem.Reason = request.ReasonKeyReused
-		entry.answerProblem(writer, job, problem)
-	case present.State == once.Ended && !present.Truncated:
-		entry.replay(writer, job, present)
-	case present.State == once.Ended:
-		problem := held("request " + present.Request.String() + " ran; its answer was too large to keep")
-		problem.Outcome = present.Outcome
+	case problem != nil:
 		entry.answerProblem(writer, job, problem)
+	case present.Outcome == request.Unknown:
+		entry.answerProblem(writer, job, held("request "+present.Request.String()+" was dispatched and its end was not seen"))
+	case present.Truncated:
+		entry.answerProblem(writer, job, notKept(present))
 	default:
-		entry.answerProblem(writer, job, held("request "+present.Request.String()+" holds the key"))
+		entry.replay(writer, job, present)
 	}
 }
 
+// notKept says that the request ran and how it ended, and that there is no
+// answer to give again.
+func notKept(present once.Record) *Problem {
+	problem := held("request " + present.Request.String() + " ran; its answer was too large to keep")
+	problem.Outcome = present.Outcome
+	problem.Reason = request.ReasonNotKept
+	return problem
+}
+
 func (entry *Entry) replay(writer *callerWriter, job *job, present once.Record) {
 	job.machine.Answer()
 	entry.record(eventAnswered, job, string(present.Outcome)+" recorded")
@@ -105,31 +114,45 @@
 }
 
 // keep stores how a non-idempotent request ended; nil when its end was not
-// seen.
+// seen, which its resends are told at once.
 func (entry *Entry) keep(job *job, answer *target.Answer, outcome request.Outcome, kept *keptAnswer) {
 	if !job.claimed {
 		return
 	}
 	job.claimed = false
-	if answer == nil {
-		entry.keys.unlock(job.key)
-		return
-	}
 	record := job.record
 	record.State = once.Ended
-	record.Status = answer.Status
-	record.Type = answer.Header.Get("Content-Type")
 	record.Outcome = outcome
-	record.Answer = kept.bytes
-	record.Truncated = kept.dropped
+	record.Truncated = true
+	if answer != nil {
+		record.Status = answer.Status
+		record.Type = answer.Header.Get("Content-Type")
+		record.Answer = kept.bytes
+		record.Truncated = kept.dropped
+	}
 	entry.background(func() {
 		defer entry.keys.unlock(job.key)
+		entry.endRecord(job, record)
+	})
+}
+
+// endRecord tries to end a record until it is kept, a cut drain ends the host,
+// or endSpan has passed: an outage of the platform shall not lose the answer.
+func (entry *Entry) endRecord(job *job, record once.Record) {
+	until := time.Now().Add(endSpan)
+	for wait := endFirst; ; wait = min(2*wait, endMost) {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		defer cancel()
-		if err := entry.Records.End(ctx, job.key, record); err != nil {
+		err := entry.Records.End(ctx, job.key, record)
+		cancel()
+		if err == nil {
+			return
+		}
+		if entry.forced.Load() || time.Now().Add(wait).After(until) {
 			entry.record(eventRecordLeft, job, err.Error())
+			return
 		}
-	})
+		time.Sleep(spread(wait))
+	}
 }
 
 // keptAnswer collects an answer for its record, up to a limit in bytes.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,11 @@
 	retryDeadline        = 2 * time.Second
 	retryLimited         = time.Second
 
+	// endFirst and endMost bound the pause before a record that could not be
+	// ended is tried again, endSpan for how long.
+	endFirst = time.Second
+	endMost  = 30 * time.Second
+	endSpan  = 10 * time.Minute
 	// recordTimeout bounds the calls that end a record or give it back.
 	recordTimeout = 5 * time.Second
 	// cancelTimeout bounds the call that cancels a request on its target.
@@ -78,7 +83,11 @@
 	Store   *profile.Store
 	Records *once.Store
 	Events  *timeline.Recorder
-	Host    string
+	// Host names this life of the host in the records.
+	Host string
+	// Dead reports whether a life of a host that a record names is over; nil
+	// for never.
+	Dead func(life string) bool
 	// Client returns the client of a protocol, nil if there is none.
 	Client func(protocol string) *target.Client
 	// Submit sends a ticket and returns the channel of its decision, Withdraw
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"nutmegfield.example/once"
 )
@@ -29,9 +30,19 @@
 		case <-stop:
 			return false
 		}
+		// Both may have ended at once.
+		if over(ctx) {
+			return false
+		}
 	}
 }
 
+// over reports whether a context has ended or is to end now.
+func over(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || limited && !time.Now().Before(deadline)
+}
+
 // take returns the channel that is closed when the present holder ends, or
 // true when the key is now the caller's.
 func (locks *keyLocks) take(key once.Key) (<-chan struct{}, bool) {
--- a/request/request.go
+++ b/request/request.go
@@ -93,6 +93,7 @@
 	ReasonNoScheduler       Reason = "noScheduler"
 	ReasonRecordUnavailable Reason = "recordUnavailable"
 	ReasonRecordHeld        Reason = "recordHeld"
+	ReasonNotKept           Reason = "answerNotKept"
 	ReasonKeyReused         Reason = "keyReused"
 	ReasonNoConfiguration   Reason = "noConfiguration"
 	ReasonTargetError       Reason = "targetError"
--- a/trial/world_test.go
+++ b/trial/world_test.go
@@ -35,8 +35,10 @@
 	platform *standin.Platform
 	random   *rand.Rand
 	client   *http.Client
-	servers  []*http.Server
-	group    sync.WaitGroup
+	// serviceDelay is how long the services added from now on take for a call.
+	serviceDelay time.Duration
+	servers      []*http.Server
+	group        sync.WaitGroup
 
 	mutex   sync.Mutex
 	hosts   map[string]*host
@@ -72,6 +74,8 @@
 		random:   rand.New(rand.NewPCG(seed, 7)),
 		hosts:    map[string]*host{},
 		targets:  map[string]*target{},
+
+		serviceDelay: 20 * time.Millisecond,
 	}
 	world.client = &http.Client{Transport: &http.Transport{
 		DialContext:         world.network.dialer(callerPlace),
@@ -219,7 +223,7 @@
 	var handler http.Handler
 	switch protocol {
 	case "service":
-		service := &standin.Service{Name: name, Delay: 20 * time.Millisecond}
+		service := &standin.Service{Name: name, Delay: world.serviceDelay}
 		made.received = service.Received
 		handler = service.Handler()
 	default:
