entry: use no grant of a target known to be leaving

An entry host dispatched by a grant although the target's own word, or the configuration, had told it meanwhile that the target is leaving: the scheduler may hear later than the entry host. It now looks before it opens the connection and again before the first byte; the grant goes back unused and the ticket waits again.

With either look taken out TestLeavingTargetIsNotUsed or TestTargetLeavesBeforeTheFirstByte failed.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -37,7 +37,7 @@
 	}
 	defer attempt.release()
 	described := entry.describe(job, grant.Target)
-	if described == nil {
+	if described == nil || entry.leaves(job, described) {
 		return false
 	}
 	client := entry.Client(described.Protocol)
@@ -71,6 +71,12 @@
 	return job.pool.Target(name)
 }
 
+// leaves reports whether a target is known to take no new work, by its
+// configuration or by its own word that came with the hosts' messages.
+func (entry *Entry) leaves(job *job, described *profile.Target) bool {
+	return described.Leaving || entry.Leaving != nil && entry.Leaving(job.pool.Name, described.Name)
+}
+
 func (attempt *attempt) release() {
 	attempt.ending.Fingerprint = attempt.job.fingerprint
 	attempt.ending.Total = time.Since(attempt.begun)
@@ -121,14 +127,17 @@
 }
 
 // sending takes the right to dispatch, unless the grant is too old, the
-// deadline has passed or the caller is gone: this host may have been paused.
+// deadline has passed, the caller is gone or the target has begun to leave:
+// this host may have been paused.
 func (attempt *attempt) sending() bool {
 	attempt.mutex.Lock()
 	defer attempt.mutex.Unlock()
 	job := attempt.job
 	now := time.Now()
 	late := now.Sub(attempt.begun) > attempt.grant.Lifetime || now.After(job.deadline)
-	if attempt.refused || late || attempt.caller.Err() != nil || !job.machine.Dispatch() {
+	described := attempt.entry.describe(job, attempt.grant.Target)
+	leaves := described == nil || attempt.entry.leaves(job, described)
+	if attempt.refused || late || leaves || attempt.caller.Err() != nil || !job.machine.Dispatch() {
 		attempt.refused = true
 		return false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,6 +90,9 @@
 	Dead func(life string) bool
 	// Client returns the client of a protocol, nil if there is none.
 	Client func(protocol string) *target.Client
+	// Leaving reports whether a target was last said to be leaving; nil for
+	// never.
+	Leaving func(pool, target string) bool
 	// Submit sends a ticket and returns the channel of its decision, Withdraw
 	// takes a waiting one back.
 	Submit   func(ticket *request.Ticket) <-chan Decision
--- a/entry/part.go
+++ b/entry/part.go
@@ -58,6 +58,7 @@
 		Host:     lifeOf(members.Self),
 		Dead:     func(life string) bool { return lifeDead(life, members.Self, members.View()) },
 		Client:   clients.Client,
+		Leaving:  schedulers.Leaving,
 		Submit:   tickets.Submit,
 		Withdraw: tickets.Withdraw,
 		Release:  tickets.Release,
