entry: move on to the next zone when a scheduler has no target

A refusal noTarget was the last word, though another zone had targets: the choice of the zone knew only what the configuration and the targets' words say, not that all targets of a zone are down. Now the ticket goes to the next zone's scheduler at once, and with it what else this host has waiting there, each cancelled in the one queue before it enters the other. A zone that said so is passed over for five seconds. The refusal of the last zone is the answer; a late one from a queue that was left is dropped.

--- a/entry/part.go
+++ b/entry/part.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	zones := &Zones{Self: members.Self, Store: store, View: members.View, Leaving: schedulers.Leaving}
-	tickets := &Tickets{Scheduler: zones.Scheduler, Send: links.Send}
+	tickets := &Tickets{Scheduler: zones.Scheduler, Unserved: zones.Unserved, Send: links.Send}
 	links.Receive(tickets.Receive)
 	links.Connected(tickets.Reconnected)
 	members.Listen(func(*peer.View) { tickets.Moved() })
--- a/entry/tickets.go
+++ b/entry/tickets.go
@@ -29,6 +29,9 @@
 	// Scheduler names the host that schedules a pool for this host now; empty
 	// if there is none.
 	Scheduler func(pool string) string
+	// Unserved notes that a scheduler's host has no target of a pool, and
+	// reports whether that is news; nil for no other scheduler to turn to.
+	Unserved func(pool, host string) bool
 	// Send passes an envelope to a host.
 	Send func(host string, envelope *peerpb.Envelope)
 
@@ -43,8 +46,10 @@
 	decision chan Decision
 	// sentTo is the host that has the ticket.
 	sentTo string
-	resend time.Duration
-	due    time.Time
+	// refusedBy are the hosts that had no target for it.
+	refusedBy []string
+	resend    time.Duration
+	due       time.Time
 }
 
 // Run sends tickets again that had no answer for long, until the context
@@ -115,13 +120,16 @@
 }
 
 // Receive takes the envelopes of the schedulers.
-func (tickets *Tickets) Receive(_ string, envelope *peerpb.Envelope) {
+func (tickets *Tickets) Receive(from string, envelope *peerpb.Envelope) {
 	for _, message := range envelope.GetGrants() {
 		grant := peer.Grant(message)
 		tickets.decide(grant.Ticket, grant.Round, Decision{Grant: &grant})
 	}
 	for _, message := range envelope.GetRefusals() {
 		refusal := peer.Refusal(message)
+		if refusal.Reason == request.ReasonNoTarget && tickets.moveOn(from, &refusal) {
+			continue
+		}
 		tickets.decide(refusal.Ticket, refusal.Round, Decision{Refusal: &refusal})
 	}
 }
--- a/entry/tickets_zones.go
+++ b/entry/tickets_zones.go
@@ -2,6 +2,8 @@
 
 import (
 	"sort"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +20,45 @@
 	View  func() *peer.View
 	// Leaving reports whether a target is known to be leaving.
 	Leaving func(pool, target string) bool
+
+	mutex sync.Mutex
+	// unserved holds until when a zone's scheduler is passed over.
+	unserved map[poolZone]time.Time
+}
+
+// poolZone is a pool in a zone.
+type poolZone struct {
+	pool string
+	zone string
+}
+
+// unservedSpan is how long a zone is passed over after its scheduler said that
+// no target of a pool is there.
+const unservedSpan = 5 * time.Second
+
+// Unserved notes that a scheduler's host said so, and reports whether that is
+// news.
+func (zones *Zones) Unserved(pool, host string) bool {
+	found, known := zones.View().Find(host)
+	if !known {
+		return false
+	}
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	if zones.unserved == nil {
+		zones.unserved = map[poolZone]time.Time{}
+	}
+	place := poolZone{pool, found.Zone}
+	now := time.Now()
+	news := !now.Before(zones.unserved[place])
+	zones.unserved[place] = now.Add(unservedSpan)
+	return news
+}
+
+func (zones *Zones) passedOver(pool, zone string) bool {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	return time.Now().Before(zones.unserved[poolZone{pool, zone}])
 }
 
 // Scheduler names the host that schedules a pool for this host now: that of
@@ -27,14 +68,19 @@
 // none.
 func (zones *Zones) Scheduler(pool string) string {
 	view := zones.View()
-	open := zones.open(pool)
-	for _, zone := range zones.order(pool, open) {
+	open := zones.order(pool, zones.open(pool))
+	for _, zone := range open {
+		responsible, found := view.Responsible(zone, pool)
+		if found && !zones.passedOver(pool, zone) {
+			return responsible.ID
+		}
+	}
+	for _, zone := range append([]string{zones.Self.Zone}, open...) {
 		if responsible, found := view.Responsible(zone, pool); found {
 			return responsible.ID
 		}
 	}
-	responsible, _ := view.Responsible(zones.Self.Zone, pool)
-	return responsible.ID
+	return ""
 }
 
 // open returns the zones with a target of the pool that takes work.
--- a/entry/tickets_zones_test.go
+++ b/entry/tickets_zones_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/peer"
+	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/request"
 )
 
 // zonesOf returns the choice of host a1 among zones a, b and c of one target
@@ -76,3 +80,49 @@
 		qt.Check(t, fake.take(), qt.Equals, "a1 cancel 1, c1 ticket 1 held=false")
 	})
 }
+
+func refusalOf(ticket byte, reason request.Reason) *peerpb.Envelope {
+	refusal := &request.Refusal{Ticket: request.ID{ticket}, Pool: "p", Round: 1, Reason: reason}
+	return &peerpb.Envelope{Refusals: []*peerpb.Refusal{peer.RefusalMessage(refusal)}}
+}
+
+// TestNoTargetMovesOn: a refusal for want of a target moves the ticket, and
+// the others that wait there, to the next zone at once. The last zone's
+// refusal is the answer, and one from a queue that was left is none.
+func TestNoTargetMovesOn(t *testing.T) {
+	inTicketsBubble(t, func(t *testing.T, tickets *Tickets, fake *fakeSchedulers) {
+		zones := zonesOf("a1", map[string]bool{"tb": true}, "a1", "b1", "c1")
+		tickets.Scheduler, tickets.Unserved = zones.Scheduler, zones.Unserved
+		first := tickets.Submit(waitingTicket(1))
+		second := *waitingTicket(1)
+		second.ID = request.ID{2}
+		waiting := tickets.Submit(&second)
+		fake.take()
+		tickets.Receive("a1", refusalOf(1, request.ReasonNoTarget))
+		qt.Check(t, fake.take(), qt.Equals, "a1 cancel 2, c1 ticket 1 held=false, c1 ticket 2 held=false")
+		tickets.Receive("a1", refusalOf(2, request.ReasonNoTarget))
+		qt.Check(t, fake.take(), qt.Equals, "")
+		tickets.Receive("c1", refusalOf(1, request.ReasonNoTarget))
+		qt.Check(t, (<-first).Refusal.Reason, qt.Equals, request.ReasonNoTarget)
+		tickets.Receive("c1", refusalOf(2, request.ReasonNoTarget))
+		qt.Check(t, fake.take(), qt.Equals, "a1 ticket 2 held=false")
+		tickets.Receive("a1", refusalOf(2, request.ReasonNoTarget))
+		qt.Check(t, (<-waiting).Refusal.Reason, qt.Equals, request.ReasonNoTarget)
+	})
+}
+
+// TestUnservedZoneIsAskedAgain: a zone without a target is passed over for a
+// while only.
+func TestUnservedZoneIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		zones := zonesOf("a1", map[string]bool{"tb": true}, "a1", "b1", "c1")
+		qt.Check(t, zones.Unserved("p", "a1"), qt.IsTrue)
+		qt.Check(t, zones.Unserved("p", "a1"), qt.IsFalse)
+		qt.Check(t, zones.Scheduler("p"), qt.Equals, "c1")
+		qt.Check(t, zones.Unserved("p", "c1"), qt.IsTrue)
+		qt.Check(t, zones.Scheduler("p"), qt.Equals, "a1")
+		time.Sleep(unservedSpan)
+		qt.Check(t, zones.Scheduler("p"), qt.Equals, "a1")
+		qt.Check(t, zones.Unserved("p", "a1"), qt.IsTrue)
+	})
+}
