scheduler: tell a cut connection from a crash

Each lost connection counted as a crash of its target, so that a body whose connection broke twice was quarantined though its engine had lived on. The scheduler now asks the target before it gives such a slot back, within a second; if it answers, the end is EndCut, which the pool treats as a failure without suspects. Asking on the entry host was ruled out: it may be the one that is cut off from the target. A grant under question is not freed by its entry host's list. An engine that is back within the time of a message passes for one that lived; a service, which has no such question, counts as lost.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -301,7 +301,7 @@
 	switch release.End {
 	case request.EndLeaving:
 		pool.tell(held.target.Name, true, now)
-	case request.EndUnreachable:
+	case request.EndUnreachable, request.EndCut:
 		held.target.fail(now)
 	case request.EndBroken:
 		held.target.fail(now)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -88,7 +88,7 @@
 func (scheduler *Scheduler) receiveHoldings(from string, envelope *peerpb.Envelope) {
 	for _, message := range envelope.GetHoldings() {
 		if found := scheduler.find(message.GetPool()); found != nil {
-			found.Reconcile(from, message.GetNumbers())
+			found.Reconcile(from, scheduler.withAsked(message.GetPool(), message.GetNumbers()))
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,8 +65,10 @@
 	entries map[string]struct{}
 	// suspicions were heard from other hosts, the oldest first.
 	suspicions []suspicion
-	ctx        context.Context
-	group      sync.WaitGroup
+	// asked are the releases that wait for a question to their target.
+	asked map[*request.Release]struct{}
+	ctx   context.Context
+	group sync.WaitGroup
 }
 
 // Run works until the context ends.
@@ -102,7 +104,7 @@
 	}
 	for _, message := range envelope.GetReleases() {
 		if found := scheduler.find(message.GetPool()); found != nil {
-			found.Release(peer.Release(message))
+			scheduler.release(found, peer.Release(message))
 		}
 		if request.End(message.GetEnd()) == request.EndLeaving {
 			scheduler.reported(place{message.GetPool(), message.GetTarget()}, true)
--- a/trial/network_test.go
+++ b/trial/network_test.go
@@ -108,6 +108,21 @@
 	network.setCut(one, other, false)
 }
 
+// resetAll breaks every open connection to a place that goes on living.
+func (network *network) resetAll(place string) {
+	network.mutex.Lock()
+	var open []*conn
+	for conn := range network.conns {
+		if conn.place == place {
+			open = append(open, conn)
+		}
+	}
+	network.mutex.Unlock()
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+}
+
 // drop closes whatever a place has open, as its end does.
 func (network *network) drop(place string) {
 	network.mutex.Lock()
