--- a/entry/part.go
+++ b/entry/part.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	zones := &Zones{Self: members.Self, Store: store, View: members.View, Leaving: schedulers.Leaving}
-	tickets := &Tickets{Scheduler: zones.Scheduler, Send: links.Send}
+	tickets := &Tickets{Scheduler: zones.Scheduler, Unserved: zones.Unserved, Send: links.Send}
 	links.Receive(tickets.Receive)
 	links.Connected(tickets.Reconnected)
 	members.Listen(func(*peer.View) { tickets.Moved() })
@@ -55,8 +55,10 @@
 		Store:    store,
 		Records:  records,
 		Events:   host.Events,
-		Host:     host.Settings.Host.ID,
+		Host:     lifeOf(members.Self),
+		Dead:     func(life string) bool { return lifeDead(life, members.Self, members.View()) },
 		Client:   clients.Client,
+		Leaving:  schedulers.Leaving,
 		Submit:   tickets.Submit,
 		Withdraw: tickets.Withdraw,
 		Release:  tickets.Release,
--- a/request/request.go
+++ b/request/request.go
@@ -93,6 +93,7 @@
 	ReasonNoScheduler       Reason = "noScheduler"
 	ReasonRecordUnavailable Reason = "recordUnavailable"
 	ReasonRecordHeld        Reason = "recordHeld"
+	ReasonNotKept           Reason = "answerNotKept"
 	ReasonKeyReused         Reason = "keyReused"
 	ReasonNoConfiguration   Reason = "noConfiguration"
 	ReasonTargetError       Reason = "targetError"
@@ -200,6 +201,8 @@
 	EndUnreachable
 	// EndLeaving: the target refused, unrun, as it is leaving.
 	EndLeaving
+	// EndCut: the connection was lost, or went silent, while the target lives.
+	EndCut
 )
 
 // Release gives the slot of a grant back and reports what was seen.
