pool: count a body once for each crash

A body in flight twice on an engine that went down once was held to have crashed it twice, and was quarantined.

--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -132,11 +132,19 @@
 	if pool.Prefixes != nil {
 		pool.Prefixes.Forget(broken.target.Name)
 	}
+	// A body that ran there twice at once crashed it once.
+	accused := map[uint64]struct{}{}
 	for _, held := range pool.held {
-		if held.target == broken.target && !held.crashed {
-			held.crashed = true
-			pool.accuse(held.ticket.Fingerprint, now)
+		if held.target != broken.target || held.crashed {
+			continue
+		}
+		held.crashed = true
+		fingerprint := held.ticket.Fingerprint
+		if _, ok := accused[fingerprint]; ok {
+			continue
 		}
+		accused[fingerprint] = struct{}{}
+		pool.accuse(fingerprint, now)
 	}
 }
 
--- a/trial/faults_test.go
+++ b/trial/faults_test.go
@@ -1,7 +1,6 @@
 package trial_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -140,7 +139,7 @@
 	world.list()
 }
 
-func (world *world) engineFault(faults standin.EngineFaults) {
+func (world *world) anyEngineFault(faults standin.EngineFaults) {
 	var engines []*target
 	for _, name := range world.targetNames() {
 		if world.targets[name].protocol == "engine" {
@@ -148,20 +147,14 @@
 		}
 	}
 	chosen := engines[world.intn(len(engines))]
-	world.switchEngine(chosen, faults)
+	world.engineFault(chosen.name, faults)
 	time.Sleep(world.span())
-	world.switchEngine(chosen, standin.EngineFaults{})
+	world.engineFault(chosen.name, standin.EngineFaults{})
 }
 
-func (world *world) switchEngine(engine *target, faults standin.EngineFaults) {
-	body, err := json.Marshal(faults)
-	world.c.Assert(err, qt.IsNil)
-	world.control(engine.place+":8000", "/standin/faults", body)
-}
-
-func (world *world) crashEngine()   { world.engineFault(standin.EngineFaults{Crashed: true}) }
-func (world *world) slowEngine()    { world.engineFault(standin.EngineFaults{Slow: 10}) }
-func (world *world) silenceEngine() { world.engineFault(standin.EngineFaults{Silent: true}) }
+func (world *world) crashEngine()   { world.anyEngineFault(standin.EngineFaults{Crashed: true}) }
+func (world *world) slowEngine()    { world.anyEngineFault(standin.EngineFaults{Slow: 10}) }
+func (world *world) silenceEngine() { world.anyEngineFault(standin.EngineFaults{Silent: true}) }
 
 // burst sends many requests at once.
 func (world *world) burst() {
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -6,6 +6,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	klog "github.com/go-kratos/kratos/v2/log"
 
 	"nutmegfield.example/invariant"
 )
@@ -93,6 +95,7 @@
 var broken breaches
 
 func TestMain(m *testing.M) {
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	invariant.Watch(broken.add)
 	os.Exit(m.Run())
 }
