policy, pool: wait for a holder of the prefix where that ends first

Cause: with all slots taken the next free target got the next ticket, whatever it held, so that perfect knowledge of the caches was worth nothing. Ruled out: the index's knowledge, as the oracle was no better.

Full targets are offered too, with when a slot should free; a ticket waits for the one where it ends first, and those passed over count for the ones behind.

--- /dev/null
+++ b/policy/expectedfinish_test.go
@@ -0,0 +1,53 @@
+package policy_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/policy"
+	"nutmegfield.example/request"
+)
+
+func TestExpectedFinish(t *testing.T) {
+	ticket := &request.Ticket{Size: request.Size{PromptTokens: 12_000, OutputTokens: 100}}
+	idle := policy.Candidate{Name: "idle", Slots: 8, PrefillRate: 6000, DecodeRate: 50}
+	change := func(candidate policy.Candidate, change func(candidate *policy.Candidate)) policy.Candidate {
+		change(&candidate)
+		return candidate
+	}
+	holder := change(idle, func(holder *policy.Candidate) { holder.CachedTokens = 11_900 })
+	for _, each := range []struct {
+		name       string
+		candidates []policy.Candidate
+		want       policy.Choice
+	}{
+		{"cached prefix", []policy.Candidate{idle, holder}, 1},
+		{"full holder soon free", []policy.Candidate{
+			idle, change(holder, func(full *policy.Candidate) { full.FreeIn = 1 }),
+		}, policy.WaitFor(1)},
+		{"full holder long busy", []policy.Candidate{
+			idle, change(holder, func(full *policy.Candidate) { full.FreeIn = 5 }),
+		}, 0},
+		{"delays those that run", []policy.Candidate{
+			change(idle, func(running *policy.Candidate) { running.Running = 4 }),
+			change(idle, func(slower *policy.Candidate) { slower.DecodeRate = 30 }),
+		}, 1},
+		{"too much prefill ahead", []policy.Candidate{
+			change(idle, func(backlog *policy.Candidate) { backlog.PendingPrefill = 6000 }),
+		}, policy.WaitFor(0)},
+		{"cached part past a backlog", []policy.Candidate{
+			change(holder, func(backlog *policy.Candidate) { backlog.PendingPrefill = 60_000 }),
+		}, 0},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			got := policy.New("expectedFinish", 1).Choose(ticket, each.candidates)
+			qt.Assert(t, got, qt.Equals, each.want)
+		})
+	}
+	awaited, ok := policy.WaitFor(3).Awaited()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, awaited, qt.Equals, 3)
+	_, ok = policy.Wait.Awaited()
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,12 +9,15 @@
 	"nutmegfield.example/request"
 )
 
-// Candidate is a target with room, as the scheduler sees it.
+// Candidate is a target with room, or a full one for a policy that asks for
+// those too, as the scheduler sees it.
 type Candidate struct {
 	Name string
 	// Slots is how many requests it may run now, Running how many it does.
 	Slots   int
 	Running int
+	// FreeIn is how long until a slot frees in seconds, 0 for one with room.
+	FreeIn float64
 	// CachedTokens is how much of the ticket's prompt it probably holds.
 	CachedTokens int
 	// PrefillRate and DecodeRate are tokens a second, as observed: a whole
@@ -29,15 +32,24 @@
 	ReportedAt time.Time
 }
 
-// Choice is a policy's decision: the index of a candidate, or Wait.
+// Choice is a policy's decision: the index of a candidate, Wait, or WaitFor one.
 type Choice int
 
 // Wait leaves the ticket in the queue though there is room.
 const Wait Choice = -1
 
+// WaitFor leaves the ticket in the queue to wait for a candidate.
+func WaitFor(index int) Choice { return Wait - 1 - Choice(index) }
+
+// Awaited returns the index of the candidate that is waited for, false if the
+// choice is none of WaitFor's.
+func (choice Choice) Awaited() (int, bool) { return int(Wait - 1 - choice), choice < Wait }
+
 // Policy chooses among candidates, of which there is at least one.
 type Policy struct {
-	Name   string
+	Name string
+	// Full offers targets without room too; they may only be waited for.
+	Full   bool
 	Choose func(ticket *request.Ticket, candidates []Candidate) Choice
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -90,6 +90,7 @@
 	candidates []policy.Candidate
 	chosen     []*target
 	aside      []*item
+	awaited    []*target
 	holders    []prefix.Holder
 	stamp      uint64
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -16,7 +16,7 @@
 	maxHolders = 12
 	// lookAhead is how many tickets that have to wait though there is room
 	// may be passed over.
-	lookAhead = 16
+	lookAhead = 64
 )
 
 // schedule grants as long as a ticket waits and a target has room.
@@ -38,6 +38,7 @@
 		pool.aside[i] = nil
 	}
 	pool.aside = pool.aside[:0]
+	pool.forgetAwaited()
 }
 
 func (pool *Pool) scheduleOne(next *item, now time.Time) {
@@ -72,12 +73,34 @@
 		return nil
 	}
 	choice := pool.Policy.Choose(ticket, pool.candidates)
-	if choice == policy.Wait {
+	if awaited, ok := choice.Awaited(); ok {
+		pool.await(pool.chosen[awaited], ticket)
+	}
+	if choice < 0 {
 		return nil
 	}
 	return pool.chosen[choice]
 }
 
+// await counts a ticket that waits for a target, for those whose turn is later.
+func (pool *Pool) await(target *target, ticket *request.Ticket) {
+	if target.awaited == 0 {
+		pool.awaited = append(pool.awaited, target)
+	}
+	target.awaited++
+	target.awaitedPrefill += max(0, ticket.Size.PromptTokens-target.cached)
+}
+
+// forgetAwaited ends the count.
+func (pool *Pool) forgetAwaited() {
+	for i, target := range pool.awaited {
+		target.awaited = 0
+		target.awaitedPrefill = 0
+		pool.awaited[i] = nil
+	}
+	pool.awaited = pool.awaited[:0]
+}
+
 // gather fills the candidates: all targets with room of a small pool, in their
 // configured order; else some that hold the prompt and the least busy.
 func (pool *Pool) gather(ticket *request.Ticket) {
@@ -87,7 +110,7 @@
 	pool.lookUp(ticket)
 	if len(pool.targets) <= maxCandidates {
 		for _, target := range pool.targets {
-			if target.place != absent {
+			if pool.offered(target) {
 				pool.add(target)
 			}
 		}
@@ -98,7 +121,7 @@
 			break
 		}
 		known := pool.byName[pool.holders[i].Target]
-		if known != nil && known.place != absent {
+		if known != nil && pool.offered(known) {
 			pool.add(known)
 		}
 	}
@@ -109,6 +132,11 @@
 	}
 }
 
+// offered reports whether a target may be among the candidates.
+func (pool *Pool) offered(target *target) bool {
+	return target.place != absent || pool.Policy.Full && target.slots > 0
+}
+
 // lookUp finds out what the targets hold of a prompt.
 func (pool *Pool) lookUp(ticket *request.Ticket) {
 	pool.holders = pool.holders[:0]
@@ -147,9 +175,10 @@
 		Slots:          target.slots,
 		Running:        target.running,
 		CachedTokens:   target.cached,
-		PrefillRate:    target.speed.prefill.rate(),
+		FreeIn:         target.freeIn(),
+		PrefillRate:    target.prefillRate(),
 		DecodeRate:     target.speed.decode.rate(),
-		PendingPrefill: target.pendingPrefill,
+		PendingPrefill: target.pendingPrefill + target.awaitedPrefill,
 		Reported:       float64(target.load.Running + target.load.Waiting),
 		ReportedAt:     target.load.At,
 	})
--- a/pool/slots_test.go
+++ b/pool/slots_test.go
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		even := &even{}
 		even.pool = &pool.Pool{
-			Policy:  policy.New("expectedFinish", 1),
+			Policy:  policy.New("leastReported", 1),
 			Granted: even.granted,
 			Refused: func(string, request.Refusal) {},
 		}
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -10,6 +10,7 @@
 func (pool *Pool) learn(held *holding, release request.Release, now time.Time) {
 	known := held.target
 	usage := release.Usage
+	known.speed.stay.add(release.Total.Seconds())
 	if usage.OutputTokens == 0 {
 		if usage.PromptTokens == 0 {
 			known.judge(known.speed.whole.add(release.Total.Seconds()), now)
--- a/pool/target.go
+++ b/pool/target.go
@@ -19,6 +19,8 @@
 	// bestDrift is how far a slower sample moves the best one, so that a
 	// target that stays slow is measured against its new self in the end.
 	bestDrift = 0.005
+	// minFreeIn is the least time, in seconds, that a slot is waited for.
+	minFreeIn = 0.001
 	// minPrefillTokens and minDecodeTokens bound the samples worth keeping.
 	minPrefillTokens = 64
 	minDecodeTokens  = 8
@@ -43,6 +45,10 @@
 	pendingPrefill int
 	// prefilled is all prompt tokens whose first output token was seen.
 	prefilled int
+	// awaited are the tickets passed over that wait for this target, and
+	// awaitedPrefill their prompt tokens.
+	awaited        int
+	awaitedPrefill int
 	// overdue is how many of the running requests are, while they are counted.
 	overdue        int
 	load           Load
@@ -69,12 +75,14 @@
 }
 
 // speed is what was seen of a target's speed. The times are seconds, of
-// prefill and decode for one token. prefilling and decoding are how many times
+// prefill and decode for one token, of whole a call of a service, of stay a
+// request's on the target. prefilling and decoding are how many times
 // longer than at its best under the same load they take now.
 type speed struct {
 	prefill    sample
 	decode     sample
 	whole      sample
+	stay       sample
 	prefilling float64
 	decoding   float64
 }
@@ -120,6 +128,23 @@
 	return 1 / sample.mean
 }
 
+// prefillRate is tokens a second at the target's present speed, 0 if not seen.
+func (target *target) prefillRate() float64 {
+	speed := &target.speed
+	if speed.prefill.best == 0 {
+		return 0
+	}
+	return 1 / (speed.prefill.best * max(1, speed.prefilling))
+}
+
+// freeIn is the seconds until a slot should free, 0 if one is free.
+func (target *target) freeIn() float64 {
+	if target.place != absent {
+		return 0
+	}
+	return max(minFreeIn, target.speed.stay.mean*float64(1+target.awaited)/float64(max(1, target.slots)))
+}
+
 // capacity is how many requests the target may run now.
 func (target *target) capacity(now time.Time) int {
 	if target.Leaving || target.told || target.removed || target.reserved || target.Slots <= 0 {
