policy, pool: refuse what would be late wherever it ran

Cause: in tourSeason at 1.0 a third of the interactive answers came late and took the capacity of those that could have been in time.

A target where the expected time with a margin of 1.3 is more than is left is passed over, and a ticket is refused for its deadline where that is so of all. An idle target is taken anyway, so that a wrong guess of its speed ends. A prefill is charged for each running request in full, 0.5 before.

--- a/policy/expectedfinish.go
+++ b/policy/expectedfinish.go
@@ -1,6 +1,10 @@
 package policy
 
-import "nutmegfield.example/request"
+import (
+	"time"
+
+	"nutmegfield.example/request"
+)
 
 // assumedPrefillRate and assumedDecodeRate, in tokens a second, stand for a
 // target that has not been observed yet.
@@ -13,9 +17,13 @@
 // waits where the order of the tiers still counts.
 const maxBacklog = 2.0
 
+// safeMargin is how many times the expected time must be left for a target to
+// be taken: an answer that comes late costs as much as one in time.
+const safeMargin = 1.3
+
 // delayWeight is what a second counts by which each request that runs on a
 // target is delayed by a prefill there.
-const delayWeight = 0.5
+const delayWeight = 1.0
 
 func init() {
 	Register("expectedFinish", func(uint64) *Policy {
@@ -25,32 +33,46 @@
 
 // chooseExpectedFinish takes the target whose answer should end first, with
 // what it delays there: the slot and the prefill to wait for, the uncached part
-// of this prompt, and decode. It waits where that is a full target.
+// of this prompt, and decode. It waits where that is a full target. It passes
+// over those where the answer may be late; one that runs nothing is taken anyway,
+// as nothing new would be learnt of its speed.
 func chooseExpectedFinish(ticket *request.Ticket, candidates []Candidate) Choice {
-	best := Wait
+	best := Late
 	var least float64
+	left := time.Until(ticket.Deadline).Seconds()
 	for i := range candidates {
 		candidate := &candidates[i]
-		prefillRate := orAssumed(candidate.PrefillRate, assumedPrefillRate)
-		own := float64(max(0, ticket.Size.PromptTokens-candidate.CachedTokens)) / prefillRate
-		cost := expectedFinish(ticket, candidate) + own*float64(candidate.Running)*delayWeight
-		if best == Wait || cost < least {
+		finish := expectedFinish(ticket, candidate)
+		if candidate.Running > 0 && finish*safeMargin > left {
+			continue
+		}
+		cost := finish + ownPrefill(ticket, candidate)*float64(candidate.Running)*delayWeight
+		if best == Late || cost < least {
 			best = Choice(i)
 			least = cost
 		}
 	}
+	if best == Late {
+		return Late
+	}
 	if candidates[best].FreeIn > 0 || overloaded(ticket, &candidates[best]) {
 		return WaitFor(int(best))
 	}
 	return best
 }
 
+// ownPrefill is the seconds that the uncached part of a prompt takes.
+func ownPrefill(ticket *request.Ticket, candidate *Candidate) float64 {
+	uncached := float64(max(0, ticket.Size.PromptTokens-candidate.CachedTokens))
+	return uncached / orAssumed(candidate.PrefillRate, assumedPrefillRate)
+}
+
 // overloaded reports whether a target has too much prefill ahead to be given
 // more of it.
 func overloaded(ticket *request.Ticket, candidate *Candidate) bool {
 	prefillRate := orAssumed(candidate.PrefillRate, assumedPrefillRate)
 	ahead := float64(candidate.PendingPrefill) / prefillRate
-	own := float64(max(0, ticket.Size.PromptTokens-candidate.CachedTokens)) / prefillRate
+	own := ownPrefill(ticket, candidate)
 	return ahead > 0 && own > ownBacklog && ahead+own > maxBacklog
 }
 
@@ -59,12 +81,9 @@
 
 // expectedFinish is in seconds.
 func expectedFinish(ticket *request.Ticket, candidate *Candidate) float64 {
-	prefillRate := orAssumed(candidate.PrefillRate, assumedPrefillRate)
-	decodeRate := orAssumed(candidate.DecodeRate, assumedDecodeRate)
-	uncached := max(0, ticket.Size.PromptTokens-candidate.CachedTokens)
-	prefill := float64(candidate.PendingPrefill+uncached) / prefillRate
-	decode := float64(ticket.Size.OutputTokens) / decodeRate
-	return candidate.FreeIn + prefill + decode
+	ahead := float64(candidate.PendingPrefill) / orAssumed(candidate.PrefillRate, assumedPrefillRate)
+	decode := float64(ticket.Size.OutputTokens) / orAssumed(candidate.DecodeRate, assumedDecodeRate)
+	return candidate.FreeIn + ahead + ownPrefill(ticket, candidate) + decode
 }
 
 func orAssumed(rate, assumed float64) float64 {
--- a/policy/expectedfinish_test.go
+++ b/policy/expectedfinish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -10,7 +11,7 @@
 )
 
 func TestExpectedFinish(t *testing.T) {
-	ticket := &request.Ticket{Size: request.Size{PromptTokens: 12_000, OutputTokens: 100}}
+	ticket := &request.Ticket{Deadline: time.Now().Add(time.Hour), Size: request.Size{PromptTokens: 12_000, OutputTokens: 100}}
 	idle := policy.Candidate{Name: "idle", Slots: 8, PrefillRate: 6000, DecodeRate: 50}
 	change := func(candidate policy.Candidate, change func(candidate *policy.Candidate)) policy.Candidate {
 		change(&candidate)
@@ -51,3 +52,20 @@
 	_, ok = policy.Wait.Awaited()
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// TestExpectedFinishLate passes over targets where the answer may be late, but
+// for one that runs nothing, of whose speed nothing new would be learnt.
+func TestExpectedFinishLate(t *testing.T) {
+	ticket := &request.Ticket{
+		Deadline: time.Now().Add(10 * time.Second),
+		Size:     request.Size{PromptTokens: 1000, OutputTokens: 200},
+	}
+	slow := policy.Candidate{Slots: 8, Running: 1, PrefillRate: 1000, DecodeRate: 10}
+	fast := policy.Candidate{Slots: 8, Running: 8, FreeIn: 2, PrefillRate: 6000, DecodeRate: 50}
+	idle := slow
+	idle.Running = 0
+	choose := policy.New("expectedFinish", 1).Choose
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow}), qt.Equals, policy.Late)
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow, fast}), qt.Equals, policy.WaitFor(1))
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow, idle}), qt.Equals, policy.Choice(1))
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,9 @@
 	"nutmegfield.example/request"
 )
 
+// Late says that no target can answer the ticket before its deadline.
+const Late Choice = -2
+
 // Candidate is a target with room, or a full one for a policy that asks for
 // those too, as the scheduler sees it.
 type Candidate struct {
@@ -32,18 +35,19 @@
 	ReportedAt time.Time
 }
 
-// Choice is a policy's decision: the index of a candidate, Wait, or WaitFor one.
+// Choice is a policy's decision: the index of a candidate, Wait, Late, or
+// WaitFor one.
 type Choice int
 
 // Wait leaves the ticket in the queue though there is room.
 const Wait Choice = -1
 
 // WaitFor leaves the ticket in the queue to wait for a candidate.
-func WaitFor(index int) Choice { return Wait - 1 - Choice(index) }
+func WaitFor(index int) Choice { return Late - 1 - Choice(index) }
 
 // Awaited returns the index of the candidate that is waited for, false if the
 // choice is none of WaitFor's.
-func (choice Choice) Awaited() (int, bool) { return int(Wait - 1 - choice), choice < Wait }
+func (choice Choice) Awaited() (int, bool) { return int(Late - 1 - choice), choice < Late }
 
 // Policy chooses among candidates, of which there is at least one.
 type Policy struct {
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -55,7 +55,12 @@
 		pool.refuse(ticket, request.ReasonDeadline)
 	case pool.holdBack(next):
 	default:
-		chosen := pool.choose(ticket)
+		chosen, late := pool.choose(ticket)
+		if late {
+			pool.queue.remove(ticket.ID)
+			pool.refuse(ticket, request.ReasonDeadline)
+			return
+		}
 		if chosen == nil {
 			pool.queue.setAside(next)
 			pool.aside = append(pool.aside, next)
@@ -66,20 +71,21 @@
 	}
 }
 
-// choose asks the policy; nil if the ticket should wait.
-func (pool *Pool) choose(ticket *request.Ticket) *target {
+// choose asks the policy; nil if the ticket should wait, and true if it would
+// be late wherever it ran.
+func (pool *Pool) choose(ticket *request.Ticket) (*target, bool) {
 	pool.gather(ticket)
 	if len(pool.candidates) == 0 {
-		return nil
+		return nil, false
 	}
 	choice := pool.Policy.Choose(ticket, pool.candidates)
 	if awaited, ok := choice.Awaited(); ok {
 		pool.await(pool.chosen[awaited], ticket)
 	}
 	if choice < 0 {
-		return nil
+		return nil, choice == policy.Late
 	}
-	return pool.chosen[choice]
+	return pool.chosen[choice], false
 }
 
 // await counts a ticket that waits for a target, for those whose turn is later.
