--- a/pool/pool.go
+++ b/pool/pool.go
@@ -183,7 +183,7 @@
 	}
 	pool.queue.forgetIdle(now)
 	pool.refuseUnserved(now)
-	pool.schedule(now)
+	pool.scheduleAhead(now, tickLookAhead)
 }
 
 // Submit takes a ticket, or one sent again.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -15,12 +15,17 @@
 	// maxHolders is how many of them may be there for what they hold.
 	maxHolders = 12
 	// lookAhead is how many tickets that have to wait though there is room
-	// may be passed over.
-	lookAhead = 64
+	// may be passed over at an event, tickLookAhead by the ticker, which is
+	// not on a request's path.
+	lookAhead     = 4
+	tickLookAhead = 64
 )
 
 // schedule grants as long as a ticket waits and a target has room.
-func (pool *Pool) schedule(now time.Time) {
+func (pool *Pool) schedule(now time.Time) { pool.scheduleAhead(now, lookAhead) }
+
+// scheduleAhead is schedule with a bound on the tickets passed over.
+func (pool *Pool) scheduleAhead(now time.Time, lookAhead int) {
 	if pool.settling(now) || pool.stopped {
 		return
 	}
