--- a/load/simulation/measure_test.go
+++ b/load/simulation/measure_test.go
@@ -19,6 +19,7 @@
 // works. `make measure` makes the long one.
 var (
 	measureSeeds     = flag.Int("measure.seeds", 1, "seeds of each figure")
+	measureFirst     = flag.Uint64("measure.first", 1, "first of the seeds")
 	measureDuration  = flag.Duration("measure.duration", 10*time.Second, "length of each run")
 	measureFactors   = flag.String("measure.factors", "1.0", "multiples of capacity")
 	measureScenarios = flag.String("measure.scenarios", "bootPersonalisation,tourSeason", "named scenarios")
@@ -57,7 +58,7 @@
 		for seed := range *measureSeeds {
 			measured := scenario(t, name, factor, *measureDuration)
 			addFault(measured, fault)
-			report := run(t, measured, variant, uint64(seed)+1)
+			report := run(t, measured, variant, *measureFirst+uint64(seed))
 			keep(t, report, fault)
 			reports = append(reports, report)
 		}
