--- a/command/serve.go
+++ b/command/serve.go
@@ -16,6 +16,7 @@
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/kernel"
 	_ "nutmegfield.example/operator"
+	_ "nutmegfield.example/order"
 	_ "nutmegfield.example/peer"
 	_ "nutmegfield.example/platform"
 	_ "nutmegfield.example/profile"
