--- /dev/null
+++ b/policy/expectedfinish_test.go
@@ -0,0 +1,71 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/policy"
+	"nutmegfield.example/request"
+)
+
+func TestExpectedFinish(t *testing.T) {
+	ticket := &request.Ticket{Deadline: time.Now().Add(time.Hour), Size: request.Size{PromptTokens: 12_000, OutputTokens: 100}}
+	idle := policy.Candidate{Name: "idle", Slots: 8, PrefillRate: 6000, DecodeRate: 50}
+	change := func(candidate policy.Candidate, change func(candidate *policy.Candidate)) policy.Candidate {
+		change(&candidate)
+		return candidate
+	}
+	holder := change(idle, func(holder *policy.Candidate) { holder.CachedTokens = 11_900 })
+	for _, each := range []struct {
+		name       string
+		candidates []policy.Candidate
+		want       policy.Choice
+	}{
+		{"cached prefix", []policy.Candidate{idle, holder}, 1},
+		{"full holder soon free", []policy.Candidate{
+			idle, change(holder, func(full *policy.Candidate) { full.FreeIn = 1 }),
+		}, policy.WaitFor(1)},
+		{"full holder long busy", []policy.Candidate{
+			idle, change(holder, func(full *policy.Candidate) { full.FreeIn = 5 }),
+		}, 0},
+		{"delays those that run", []policy.Candidate{
+			change(idle, func(running *policy.Candidate) { running.Running = 4 }),
+			change(idle, func(slower *policy.Candidate) { slower.DecodeRate = 30 }),
+		}, 1},
+		{"too much prefill ahead", []policy.Candidate{
+			change(idle, func(backlog *policy.Candidate) { backlog.PendingPrefill = 6000 }),
+		}, policy.WaitFor(0)},
+		{"cached part past a backlog", []policy.Candidate{
+			change(holder, func(backlog *policy.Candidate) { backlog.PendingPrefill = 60_000 }),
+		}, 0},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			got := policy.New("expectedFinish", 1).Choose(ticket, each.candidates)
+			qt.Assert(t, got, qt.Equals, each.want)
+		})
+	}
+	awaited, ok := policy.WaitFor(3).Awaited()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, awaited, qt.Equals, 3)
+	_, ok = policy.Wait.Awaited()
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestExpectedFinishLate passes over targets where the answer may be late, but
+// for one that runs nothing, of whose speed nothing new would be learnt.
+func TestExpectedFinishLate(t *testing.T) {
+	ticket := &request.Ticket{
+		Deadline: time.Now().Add(10 * time.Second),
+		Size:     request.Size{PromptTokens: 1000, OutputTokens: 200},
+	}
+	slow := policy.Candidate{Slots: 8, Running: 1, PrefillRate: 1000, DecodeRate: 10}
+	fast := policy.Candidate{Slots: 8, Running: 8, FreeIn: 2, PrefillRate: 6000, DecodeRate: 50}
+	idle := slow
+	idle.Running = 0
+	choose := policy.New("expectedFinish", 1).Choose
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow}), qt.Equals, policy.Late)
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow, fast}), qt.Equals, policy.WaitFor(1))
+	qt.Assert(t, choose(ticket, []policy.Candidate{slow, idle}), qt.Equals, policy.Choice(1))
+}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -15,12 +15,17 @@
 	// maxHolders is how many of them may be there for what they hold.
 	maxHolders = 12
 	// lookAhead is how many tickets that have to wait though there is room
-	// may be passed over.
-	lookAhead = 16
+	// may be passed over at an event, tickLookAhead by the ticker, which is
+	// not on a request's path.
+	lookAhead     = 4
+	tickLookAhead = 64
 )
 
 // schedule grants as long as a ticket waits and a target has room.
-func (pool *Pool) schedule(now time.Time) {
+func (pool *Pool) schedule(now time.Time) { pool.scheduleAhead(now, lookAhead) }
+
+// scheduleAhead is schedule with a bound on the tickets passed over.
+func (pool *Pool) scheduleAhead(now time.Time, lookAhead int) {
 	if pool.settling(now) || pool.stopped {
 		return
 	}
@@ -38,6 +43,7 @@
 		pool.aside[i] = nil
 	}
 	pool.aside = pool.aside[:0]
+	pool.forgetAwaited()
 }
 
 func (pool *Pool) scheduleOne(next *item, now time.Time) {
@@ -54,7 +60,12 @@
 		pool.refuse(ticket, request.ReasonDeadline)
 	case pool.holdBack(next):
 	default:
-		chosen := pool.choose(ticket)
+		chosen, late := pool.choose(ticket)
+		if late {
+			pool.queue.remove(ticket.ID)
+			pool.refuse(ticket, request.ReasonDeadline)
+			return
+		}
 		if chosen == nil {
 			pool.queue.setAside(next)
 			pool.aside = append(pool.aside, next)
@@ -65,17 +76,40 @@
 	}
 }
 
-// choose asks the policy; nil if the ticket should wait.
-func (pool *Pool) choose(ticket *request.Ticket) *target {
+// choose asks the policy; nil if the ticket should wait, and true if it would
+// be late wherever it ran.
+func (pool *Pool) choose(ticket *request.Ticket) (*target, bool) {
 	pool.gather(ticket)
 	if len(pool.candidates) == 0 {
-		return nil
+		return nil, false
 	}
 	choice := pool.Policy.Choose(ticket, pool.candidates)
-	if choice == policy.Wait {
-		return nil
+	if awaited, ok := choice.Awaited(); ok {
+		pool.await(pool.chosen[awaited], ticket)
 	}
-	return pool.chosen[choice]
+	if choice < 0 {
+		return nil, choice == policy.Late
+	}
+	return pool.chosen[choice], false
+}
+
+// await counts a ticket that waits for a target, for those whose turn is later.
+func (pool *Pool) await(target *target, ticket *request.Ticket) {
+	if target.awaited == 0 {
+		pool.awaited = append(pool.awaited, target)
+	}
+	target.awaited++
+	target.awaitedPrefill += max(0, ticket.Size.PromptTokens-target.cached)
+}
+
+// forgetAwaited ends the count.
+func (pool *Pool) forgetAwaited() {
+	for i, target := range pool.awaited {
+		target.awaited = 0
+		target.awaitedPrefill = 0
+		pool.awaited[i] = nil
+	}
+	pool.awaited = pool.awaited[:0]
 }
 
 // gather fills the candidates: all targets with room of a small pool, in their
@@ -87,7 +121,7 @@
 	pool.lookUp(ticket)
 	if len(pool.targets) <= maxCandidates {
 		for _, target := range pool.targets {
-			if target.place != absent {
+			if pool.offered(target) {
 				pool.add(target)
 			}
 		}
@@ -98,7 +132,7 @@
 			break
 		}
 		known := pool.byName[pool.holders[i].Target]
-		if known != nil && known.place != absent {
+		if known != nil && pool.offered(known) {
 			pool.add(known)
 		}
 	}
@@ -109,6 +143,11 @@
 	}
 }
 
+// offered reports whether a target may be among the candidates.
+func (pool *Pool) offered(target *target) bool {
+	return target.place != absent || pool.Policy.Full && target.slots > 0
+}
+
 // lookUp finds out what the targets hold of a prompt.
 func (pool *Pool) lookUp(ticket *request.Ticket) {
 	pool.holders = pool.holders[:0]
@@ -147,9 +186,10 @@
 		Slots:          target.slots,
 		Running:        target.running,
 		CachedTokens:   target.cached,
-		PrefillRate:    target.speed.prefill.rate(),
+		FreeIn:         target.freeIn(),
+		PrefillRate:    target.prefillRate(),
 		DecodeRate:     target.speed.decode.rate(),
-		PendingPrefill: target.pendingPrefill,
+		PendingPrefill: target.pendingPrefill + target.awaitedPrefill,
 		Reported:       float64(target.load.Running + target.load.Waiting),
 		ReportedAt:     target.load.At,
 	})
