policy, pool: try a target that was never observed, and keep suspects off one that is down

An engine that came back got no work although tickets waited: its speed had never been observed, so it counted as slow (40 tokens a second) beside engines seen at 97, and to wait for one of those always looked better. Ruled out first: stale slowness of an idle target (a change that forgot it after 5 s made no difference and was reverted). An unobserved target now counts as fast as the fastest observed one.

A prompt counted two crashes when it caused one: after the first, the suspect was the request that probed the engine, which was still down. A suspect now waits until the target has reported its load again.

--- a/policy/expectedfinish.go
+++ b/policy/expectedfinish.go
@@ -6,8 +6,8 @@
 	"nutmegfield.example/request"
 )
 
-// assumedPrefillRate and assumedDecodeRate, in tokens a second, stand for a
-// target that has not been observed yet.
+// assumedPrefillRate and assumedDecodeRate, in tokens a second, stand for the
+// targets where none has been observed yet.
 const (
 	assumedPrefillRate = 4000.0
 	assumedDecodeRate  = 40.0
@@ -40,6 +40,7 @@
 	best := Late
 	var least float64
 	left := time.Until(ticket.Deadline).Seconds()
+	assumeBest(candidates)
 	for i := range candidates {
 		candidate := &candidates[i]
 		finish := expectedFinish(ticket, candidate)
@@ -61,16 +62,30 @@
 	return best
 }
 
+// assumeBest lets a target that has not been observed count for as fast as the
+// fastest that has: held for slower it would never be tried.
+func assumeBest(candidates []Candidate) {
+	var prefill, decode float64
+	for i := range candidates {
+		prefill = max(prefill, candidates[i].PrefillRate)
+		decode = max(decode, candidates[i].DecodeRate)
+	}
+	for i := range candidates {
+		candidates[i].PrefillRate = orAssumed(candidates[i].PrefillRate, orAssumed(prefill, assumedPrefillRate))
+		candidates[i].DecodeRate = orAssumed(candidates[i].DecodeRate, orAssumed(decode, assumedDecodeRate))
+	}
+}
+
 // ownPrefill is the seconds that the uncached part of a prompt takes.
 func ownPrefill(ticket *request.Ticket, candidate *Candidate) float64 {
 	uncached := float64(max(0, ticket.Size.PromptTokens-candidate.CachedTokens))
-	return uncached / orAssumed(candidate.PrefillRate, assumedPrefillRate)
+	return uncached / candidate.PrefillRate
 }
 
 // overloaded reports whether a target has too much prefill ahead to be given
 // more of it.
 func overloaded(ticket *request.Ticket, candidate *Candidate) bool {
-	prefillRate := orAssumed(candidate.PrefillRate, assumedPrefillRate)
+	prefillRate := candidate.PrefillRate
 	ahead := float64(candidate.PendingPrefill) / prefillRate
 	own := ownPrefill(ticket, candidate)
 	return ahead > 0 && own > ownBacklog && ahead+own > maxBacklog
@@ -81,8 +96,8 @@
 
 // expectedFinish is in seconds.
 func expectedFinish(ticket *request.Ticket, candidate *Candidate) float64 {
-	ahead := float64(candidate.PendingPrefill) / orAssumed(candidate.PrefillRate, assumedPrefillRate)
-	decode := float64(ticket.Size.OutputTokens) / orAssumed(candidate.DecodeRate, assumedDecodeRate)
+	ahead := float64(candidate.PendingPrefill) / candidate.PrefillRate
+	decode := float64(ticket.Size.OutputTokens) / candidate.DecodeRate
 	return candidate.FreeIn + ahead + ownPrefill(ticket, candidate) + decode
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -354,6 +354,7 @@
 	defer pool.mutex.Unlock()
 	if known := pool.byName[name]; known != nil {
 		known.load = load
+		known.heard = time.Now()
 	}
 }
 
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -193,7 +193,7 @@
 	if alone.target == nil && !pool.reserveOne(now) {
 		return
 	}
-	if alone.target.running > 0 || now.Before(alone.target.backedOffUntil) {
+	if alone.target.running > 0 || now.Before(alone.target.backedOffUntil) || !alone.target.backAgain() {
 		return
 	}
 	pool.queue.take(suspect)
@@ -247,7 +247,9 @@
 	}
 	var least *target
 	for _, target := range pool.targets {
-		if !target.usable(now) || now.Before(target.backedOffUntil) {
+		// A suspect that met a target which is still down would be held to
+		// have crashed it.
+		if !target.usable(now) || now.Before(target.backedOffUntil) || !target.backAgain() {
 			continue
 		}
 		if least == nil || target.running < least.running {
--- a/pool/target.go
+++ b/pool/target.go
@@ -58,6 +58,9 @@
 	grown          time.Time
 	failures       int
 	backedOffUntil time.Time
+	// failed is when it failed last, heard when it last reported its load.
+	failed time.Time
+	heard  time.Time
 	// slots and busy are what refresh last found, place is that among the
 	// targets with room.
 	slots int
@@ -196,6 +199,7 @@
 
 // fail backs off from a target that could not be reached or broke.
 func (target *target) fail(now time.Time) {
+	target.failed = now
 	if now.Before(target.backedOffUntil) {
 		return
 	}
@@ -207,6 +211,13 @@
 	target.backedOffUntil = now.Add(backOff)
 }
 
+// backAgain reports whether a target that failed has shown since that it lives.
+// One that never reports its load can only show it by an answer, after its
+// back-off.
+func (target *target) backAgain() bool {
+	return target.failures == 0 || target.heard.IsZero() || target.heard.After(target.failed)
+}
+
 // answered ends the back-off.
 func (target *target) answered() { target.failures = 0 }
 
--- a/trial/poison_test.go
+++ b/trial/poison_test.go
@@ -68,6 +68,16 @@
 	return &group
 }
 
+// fill asks so much at once, each ask unlike the others, that every engine is
+// needed.
+func (world *world) fill(ledger *ledger, count int) {
+	var asking sync.WaitGroup
+	for i := range 4 * count {
+		asking.Go(func() { ledger.add(world.chat(world.anyHost(), "sizing", fmt.Sprint("filling ", i), true, 100)) })
+	}
+	asking.Wait()
+}
+
 // TestPoison: a prompt crashes the engine that it runs on. Its sender is
 // refused after the second crash; the others are served on and every engine
 // takes work again.
@@ -95,6 +105,7 @@
 		time.Sleep(5 * time.Second)
 		stop()
 		asking.Wait()
+		world.fill(served, 3)
 		crashes := 0
 		for _, count := range nursed() {
 			crashes += count
