--- a/once/once.go
+++ b/once/once.go
@@ -12,12 +12,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/errorkind"
 	"nutmegfield.example/request"
 )
 
@@ -104,15 +104,4 @@
 
 // Is reports whether an error, however wrapped with %w, is of one of the
 // types.
-func Is(err error, types ...*errorx.Type) bool {
-	var typed *errorx.Error
-	if !errors.As(err, &typed) {
-		return false
-	}
-	for _, kind := range types {
-		if typed.IsOfType(kind) {
-			return true
-		}
-	}
-	return false
-}
+func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -26,9 +26,6 @@
 // verdict is what the caller heard of it.
 type verdict struct {
 	mine bool
-	// unsure is set when the operation may or may not have taken effect, now
-	// or later.
-	unsure bool
 }
 
 // holder is the state of a key: whose it is.
@@ -114,7 +111,7 @@
 	defer trial.mutex.Unlock()
 	trial.operations[key] = append(trial.operations[key], porcupine.Operation{
 		ClientId: client, Input: call{action, record.Request}, Call: begun,
-		Output: verdict{mine: mine, unsure: err != nil}, Return: ended,
+		Output: verdict{mine: mine}, Return: ended,
 	})
 	return mine
 }
--- a/peer/part.go
+++ b/peer/part.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"nutmegfield.example/certificate"
+	"nutmegfield.example/errorkind"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/platform"
 )
@@ -134,7 +135,4 @@
 }
 
 // Is reports whether an error, however wrapped with %w, is of the type.
-func Is(err error, kind *errorx.Type) bool {
-	var typed *errorx.Error
-	return errors.As(err, &typed) && typed.IsOfType(kind)
-}
+func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
--- a/target/target.go
+++ b/target/target.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/errorkind"
 	"nutmegfield.example/request"
 )
 
@@ -172,15 +172,4 @@
 
 // Is reports whether an error, however wrapped with %w, is of one of the
 // types.
-func Is(err error, types ...*errorx.Type) bool {
-	var typed *errorx.Error
-	if !errors.As(err, &typed) {
-		return false
-	}
-	for _, kind := range types {
-		if typed.IsOfType(kind) {
-			return true
-		}
-	}
-	return false
-}
+func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
