--- a/command/apply.go
+++ b/command/apply.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/profile"
 )
 
@@ -17,8 +17,8 @@
 	Platform string `long:"platform" required:"true" value-name:"URL" description:"the platform's object API"`
 }
 
-func (options *platformOptions) client() *platform.Client {
-	return &platform.Client{Address: options.Platform, Timeout: platformTimeout, Do: new(http.Client).Do}
+func (options *platformOptions) client() *objects.Client {
+	return &objects.Client{Address: options.Platform, Timeout: platformTimeout, Do: new(http.Client).Do}
 }
 
 type apply struct {
@@ -49,13 +49,13 @@
 		return fmt.Errorf("apply: %w", err)
 	}
 	api := client.API()
-	written, err := api.PutKnown(ctx, platform.Object{
+	written, err := api.PutKnown(ctx, objects.Object{
 		Kind: profile.ObjectKind, Name: profile.ObjectName, Version: over, Value: text,
 	})
-	if platform.Is(err, platform.Conflict) {
+	if objects.Is(err, objects.Conflict) {
 		return conflict(ctx, client, over)
 	}
-	if platform.Is(err, platform.Lost) {
+	if objects.Is(err, objects.Lost) {
 		return fmt.Errorf("apply over version %d: it is not known whether the configuration was taken; see status: %w", over, err)
 	}
 	if err != nil {
@@ -66,9 +66,9 @@
 }
 
 // conflict names the version that another operator applied meanwhile.
-func conflict(ctx context.Context, client *platform.Client, over int64) error {
+func conflict(ctx context.Context, client *objects.Client, over int64) error {
 	other, err := client.Get(ctx, profile.ObjectKind, profile.ObjectName)
-	if platform.Is(err, platform.NotFound) {
+	if objects.Is(err, objects.NotFound) {
 		return Conflict.New("apply over version %d: the platform holds no configuration", over)
 	}
 	if err != nil {
@@ -82,12 +82,12 @@
 		over, other.Version, when, other.Version)
 }
 
-func (apply *apply) over(ctx context.Context, client *platform.Client) (int64, error) {
+func (apply *apply) over(ctx context.Context, client *objects.Client) (int64, error) {
 	if apply.Version >= 0 {
 		return apply.Version, nil
 	}
 	object, err := client.Get(ctx, profile.ObjectKind, profile.ObjectName)
-	if platform.Is(err, platform.NotFound) {
+	if objects.Is(err, objects.NotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/command/check.go
+++ b/command/check.go
@@ -6,8 +6,8 @@
 
 	"nutmegfield.example/policy"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/settings"
-	"nutmegfield.example/target"
 )
 
 type check struct {
@@ -56,5 +56,5 @@
 
 // known lists the names that this program has registered.
 func known() *profile.Known {
-	return &profile.Known{Policies: policy.Names(), Protocols: target.Protocols()}
+	return &profile.Known{Policies: policy.Names(), Protocols: protocol.Protocols()}
 }
--- a/command/script_test.go
+++ b/command/script_test.go
@@ -11,9 +11,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"nutmegfield.example/command"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/operator"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/standin"
 )
@@ -86,7 +86,7 @@
 	api := script.Value(standinKey{}).(*standin.Platform).API()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	_, err := api.Update(ctx, profile.ObjectKind, profile.ObjectName, func(platform.Object) ([]byte, error) {
+	_, err := api.Update(ctx, profile.ObjectKind, profile.ObjectName, func(objects.Object) ([]byte, error) {
 		return []byte(arguments[0]), nil
 	})
 	script.Check(err)
--- a/command/serve.go
+++ b/command/serve.go
@@ -14,22 +14,24 @@
 	// The parts of a host register themselves.
 	_ "nutmegfield.example/configuration"
 	_ "nutmegfield.example/entry"
+	_ "nutmegfield.example/gateway"
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/kernel"
+	_ "nutmegfield.example/objects"
 	_ "nutmegfield.example/operator"
 	_ "nutmegfield.example/order"
 	_ "nutmegfield.example/peer"
 	_ "nutmegfield.example/platform"
+	_ "nutmegfield.example/protocol"
 	_ "nutmegfield.example/record"
 	_ "nutmegfield.example/scheduler"
 	"nutmegfield.example/settings"
 	_ "nutmegfield.example/status"
-	_ "nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
 type serve struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"the host's settings"`
+	Settings string `long:"settings" env:"NUTMEGFIELD_CONFIG" required:"true" value-name:"FILE" description:"the host's settings"`
 }
 
 func init() {
@@ -54,7 +56,7 @@
 			Host: loaded.Host.ID,
 			Logger: &log.Logger{
 				Level:  log.ParseLevel(loaded.Log.Level),
-				Writer: &log.IOWriter{Writer: os.Stderr},
+				Writer: &log.IOWriter{Writer: os.Stdout},
 			},
 		},
 	}
--- a/command/serve_test.go
+++ b/command/serve_test.go
@@ -18,7 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/standin"
 )
@@ -44,10 +44,10 @@
 
 	engine := httptest.NewServer(http.HandlerFunc(process.engine))
 	c.Cleanup(engine.Close)
-	objects := httptest.NewServer((&standin.Platform{}).Handler())
-	c.Cleanup(objects.Close)
-	client := &platform.Client{Address: objects.URL, Timeout: 10 * time.Second, Do: new(http.Client).Do}
-	_, err = client.Put(context.Background(), platform.Object{Kind: profile.ObjectKind, Name: profile.ObjectName, Value: []byte(
+	store := httptest.NewServer((&standin.Platform{}).Handler())
+	c.Cleanup(store.Close)
+	client := &objects.Client{Address: store.URL, Timeout: 10 * time.Second, Do: new(http.Client).Do}
+	_, err = client.Put(context.Background(), objects.Object{Kind: profile.ObjectKind, Name: profile.ObjectName, Value: []byte(
 		"tiers: [draft]\nprofiles: [{name: draft, tier: draft, idempotent: true}]\nworkspaces: [{name: clubs}]\n" +
 			"pools: [{name: boots, kind: model, profile: draft, targets: [{name: e1, zone: a, protocol: engine, address: '" + engine.URL + "'}]}]\n")})
 	c.Assert(err, qt.IsNil)
@@ -56,9 +56,9 @@
 	file := filepath.Join(directory, "host.yaml")
 	c.Assert(os.WriteFile(file, []byte("host: {id: a1, zone: a}\ncallers: {listen: '"+process.address+"'}\n"+
 		"operators: {listen: '"+freeAddress(c)+"'}\npeers: {listen: '"+freeAddress(c)+"'}\n"+
-		"platform: {address: '"+objects.URL+"'}\ndrain: {notice: 0s}\n"), 0o600), qt.IsNil)
+		"platform: {address: '"+store.URL+"'}\ndrain: {notice: 0s}\n"), 0o600), qt.IsNil)
 	process.command = exec.Command(binary, "serve", "--settings", file)
-	pipe, err := process.command.StderrPipe()
+	pipe, err := process.command.StdoutPipe()
 	c.Assert(err, qt.IsNil)
 	process.log = bufio.NewScanner(pipe)
 	c.Assert(process.command.Start(), qt.IsNil)
--- a/configuration/part.go
+++ b/configuration/part.go
@@ -2,8 +2,8 @@
 
 import (
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 )
 
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api, err := kernel.Need[platform.API](host)
+	api, err := kernel.Need[objects.API](host)
 	if err != nil {
 		return nil, err
 	}
--- a/configuration/relay.go
+++ b/configuration/relay.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
 )
@@ -64,7 +64,7 @@
 	Self   peer.Host
 	Store  *profile.Store
 	Known  profile.Known
-	API    platform.API
+	API    objects.API
 	View   func() *peer.View
 	Send   func(host string, envelope *peerpb.Envelope)
 	Events *timeline.Recorder
@@ -147,11 +147,11 @@
 func (relay *Relay) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !relay.tree().watches(relay.Self.ID) {
-			pause(ctx, platform.Jitter(roleInterval))
+			pause(ctx, objects.Jitter(roleInterval))
 			continue
 		}
 		if !relay.watchOnce(ctx) {
-			pause(ctx, platform.Jitter(watchRetry))
+			pause(ctx, objects.Jitter(watchRetry))
 		}
 	}
 }
@@ -175,7 +175,7 @@
 	relay.get(ctx)
 	for ctx.Err() == nil {
 		hosts := max(1, len(relay.View().Zone(relay.Self.Zone)))
-		pause(ctx, platform.Jitter(pollInterval*time.Duration(hosts)))
+		pause(ctx, objects.Jitter(pollInterval*time.Duration(hosts)))
 		if ctx.Err() == nil {
 			relay.get(ctx)
 		}
@@ -185,7 +185,7 @@
 // get reads the object and reports whether it could.
 func (relay *Relay) get(ctx context.Context) bool {
 	object, err := relay.API.Get(ctx, profile.ObjectKind, profile.ObjectName)
-	if platform.Is(err, platform.NotFound) {
+	if objects.Is(err, objects.NotFound) {
 		return true
 	}
 	if err != nil {
@@ -215,7 +215,7 @@
 // wantAgain repeats the question for a text that does not come.
 func (relay *Relay) wantAgain(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, platform.Jitter(wantInterval))
+		pause(ctx, objects.Jitter(wantInterval))
 		seen := relay.seen()
 		relay.mutex.Lock()
 		if relay.wanted <= seen {
@@ -301,7 +301,7 @@
 
 func (relay *Relay) offerAgain(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, platform.Jitter(offerInterval))
+		pause(ctx, objects.Jitter(offerInterval))
 		relay.mutex.Lock()
 		again := relay.offersLeft > 0
 		if again {
--- a/configuration/relay_test.go
+++ b/configuration/relay_test.go
@@ -12,9 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/configuration"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/standin"
 	"nutmegfield.example/timeline"
@@ -113,7 +113,7 @@
 // probe tells the versions of random hosts.
 func (fleet *fleet) probe(ctx context.Context, relay *configuration.Relay) {
 	for ctx.Err() == nil {
-		sleep(ctx, platform.Jitter(time.Second))
+		sleep(ctx, objects.Jitter(time.Second))
 		fleet.mutex.Lock()
 		other := fleet.hosts[fleet.random.IntN(len(fleet.hosts))].ID
 		heard := fleet.relays[other]
@@ -165,7 +165,7 @@
 func (fleet *fleet) apply(text string) int64 {
 	api := fleet.standin.API()
 	written, err := api.Update(context.Background(), profile.ObjectKind, profile.ObjectName,
-		func(platform.Object) ([]byte, error) { return []byte(text), nil })
+		func(objects.Object) ([]byte, error) { return []byte(text), nil })
 	fleet.c.Assert(err, qt.IsNil)
 	return written.Version
 }
--- /dev/null
+++ b/discovery/follower.go
@@ -0,0 +1,320 @@
+// Package discovery keeps a host at the newest state of the platform's
+// objects: by a watch, by plain reads for what a watch did not tell, and from
+// other hosts while the platform does not serve this one.
+package discovery
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"nutmegfield.example/errorkind"
+	"nutmegfield.example/timeline"
+)
+
+// Errors of this package; a source returns them.
+var (
+	Errors = errorx.NewNamespace("discovery")
+	// Gone: the history that a watch asked for is not kept any more.
+	Gone = Errors.NewType("gone")
+	// Unavailable: the platform did not answer, or refused.
+	Unavailable = Errors.NewType("unavailable")
+)
+
+// Is reports whether an error, however wrapped with %w, is of one of the
+// types.
+func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
+
+const (
+	// watchWait is how long one watch waits for a change.
+	watchWait = 25 * time.Second
+	// readTimeout bounds a plain read. The platform answers in milliseconds;
+	// a slow one in up to half a second.
+	readTimeout = time.Second
+	// retryFirst and retryMost bound the pause after a call that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// pollInterval is the time between two plain reads by all hosts taken
+	// together: a part of the time in which a change must be in force.
+	pollInterval = 500 * time.Millisecond
+	// freshly is how long ago a plain read may lie for a refresh to be
+	// answered by it.
+	freshly = 150 * time.Millisecond
+)
+
+// Events of this package.
+var (
+	eventLost = timeline.Define(timeline.Kind{
+		Number: 8101, Name: "platform lost", Level: timeline.Warn,
+		Meaning: "The platform does not answer this host's reads; what was known stays in force.",
+	})
+	eventBack = timeline.Define(timeline.Kind{
+		Number: 8102, Name: "platform back", Level: timeline.Info,
+		Meaning: "The platform answers this host's reads again.",
+	})
+)
+
+// Object is one object of the platform, as it was read.
+type Object struct {
+	Name     string
+	Revision int64
+	Value    []byte
+}
+
+// Listing is all objects of a kind at a revision.
+type Listing struct {
+	Objects []Object
+	At      int64
+}
+
+// Change is one change of an object.
+type Change struct {
+	Object  Object
+	Removed bool
+}
+
+// Changes are the changes up to a revision.
+type Changes struct {
+	Changes []Change
+	At      int64
+}
+
+// Source reads the objects of one kind. Errors are those of this package.
+type Source struct {
+	List  func(ctx context.Context) (Listing, error)
+	Watch func(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+}
+
+// State is what a follower knows. It is never changed once made.
+type State struct {
+	Objects map[string]Object
+	// At is the revision up to which the state is whole.
+	At int64
+	// Changed is the revision of the last difference seen.
+	Changed int64
+}
+
+// Follower keeps the objects of one kind. Fields are set before Run.
+type Follower struct {
+	// Kind names the objects in events.
+	Kind   string
+	Source Source
+	Events *timeline.Recorder
+	// Hosts returns how many hosts share the plain reads.
+	Hosts func() int
+	// Apply gets each new state, one at a time.
+	Apply func(State)
+
+	mutex     sync.Mutex
+	state     State
+	confirmed time.Time
+	troubled  time.Time
+	lost      bool
+	reading   *reading
+}
+
+// reading is a plain read that is under way.
+type reading struct {
+	done chan struct{}
+	err  error
+}
+
+// Run follows the platform until the context ends.
+func (follower *Follower) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { follower.watch(ctx) })
+	group.Go(func() { follower.poll(ctx) })
+	group.Wait()
+	return nil
+}
+
+func (follower *Follower) watch(ctx context.Context) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		if err := follower.watchOnce(ctx); err != nil {
+			pause(ctx, jitter(retry))
+			retry = min(retryMost, 2*retry)
+			continue
+		}
+		retry = retryFirst
+	}
+}
+
+func (follower *Follower) watchOnce(ctx context.Context) error {
+	at := follower.State().At
+	if at == 0 {
+		return follower.Refresh(ctx)
+	}
+	waiting, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	defer cancel()
+	changes, err := follower.Source.Watch(waiting, at, watchWait)
+	if Is(err, Gone) {
+		return follower.read(ctx)
+	}
+	if err != nil {
+		follower.trouble(err)
+		return err
+	}
+	follower.confirm()
+	follower.change(changes)
+	return nil
+}
+
+// poll reads now and then, in turn with the other hosts.
+func (follower *Follower) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, jitter(pollInterval*time.Duration(max(1, follower.Hosts()))))
+		if ctx.Err() != nil {
+			return
+		}
+		// A failure is told by an event; the next read comes in time.
+		_ = follower.read(ctx)
+	}
+}
+
+// Refresh reads the present state, or takes that of a read just done.
+func (follower *Follower) Refresh(ctx context.Context) error {
+	follower.mutex.Lock()
+	fresh := time.Since(follower.confirmed) < freshly && follower.state.At > 0
+	follower.mutex.Unlock()
+	if fresh {
+		return nil
+	}
+	return follower.read(ctx)
+}
+
+// read lists all objects; calls at the same time share one read.
+func (follower *Follower) read(ctx context.Context) error {
+	follower.mutex.Lock()
+	shared := follower.reading
+	if shared == nil {
+		shared = &reading{done: make(chan struct{})}
+		follower.reading = shared
+		go follower.readOnce(context.WithoutCancel(ctx), shared)
+	}
+	follower.mutex.Unlock()
+	select {
+	case <-shared.done:
+		return shared.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (follower *Follower) readOnce(ctx context.Context, shared *reading) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	listing, err := follower.Source.List(ctx)
+	shared.err = err
+	if err != nil {
+		follower.trouble(err)
+	} else {
+		follower.confirm()
+		follower.Replace(listing)
+	}
+	follower.mutex.Lock()
+	follower.reading = nil
+	follower.mutex.Unlock()
+	close(shared.done)
+}
+
+// State returns what is known now.
+func (follower *Follower) State() State {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.state
+}
+
+// Troubled is when the platform last failed to answer this host.
+func (follower *Follower) Troubled() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.troubled
+}
+
+// Replace puts a whole state in force, unless a later one is.
+func (follower *Follower) Replace(listing Listing) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if listing.At < follower.state.At {
+		return
+	}
+	objects := make(map[string]Object, len(listing.Objects))
+	for _, object := range listing.Objects {
+		objects[object.Name] = object
+	}
+	follower.put(objects, listing.At)
+}
+
+// change applies what a watch told.
+func (follower *Follower) change(changes Changes) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if changes.At <= follower.state.At {
+		return
+	}
+	objects := maps.Clone(follower.state.Objects)
+	for _, change := range changes.Changes {
+		if change.Removed {
+			delete(objects, change.Object.Name)
+			continue
+		}
+		if known, ok := objects[change.Object.Name]; !ok || known.Revision < change.Object.Revision {
+			objects[change.Object.Name] = change.Object
+		}
+	}
+	follower.put(objects, changes.At)
+}
+
+func (follower *Follower) put(objects map[string]Object, at int64) {
+	same := follower.state.At > 0 && maps.EqualFunc(follower.state.Objects, objects, func(one, other Object) bool {
+		return one.Revision == other.Revision
+	})
+	follower.state.At = at
+	if same {
+		return
+	}
+	follower.state.Objects = objects
+	follower.state.Changed = at
+	follower.Apply(follower.state)
+}
+
+func (follower *Follower) confirm() {
+	follower.mutex.Lock()
+	follower.confirmed = time.Now()
+	back := follower.lost
+	follower.lost = false
+	follower.mutex.Unlock()
+	if back {
+		follower.Events.Record(eventBack, timeline.Event{Detail: follower.Kind})
+	}
+}
+
+func (follower *Follower) trouble(err error) {
+	follower.mutex.Lock()
+	follower.troubled = time.Now()
+	first := !follower.lost
+	follower.lost = true
+	follower.mutex.Unlock()
+	if first {
+		follower.Events.Record(eventLost, timeline.Event{Detail: follower.Kind + ": " + err.Error()})
+	}
+}
+
+// jitter spreads a pause over half to one and a half times its length.
+func jitter(wait time.Duration) time.Duration {
+	return wait/2 + rand.N(max(1, wait))
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // deadlineRecorder has the deadlines of a real connection.
@@ -28,8 +28,8 @@
 	} {
 		b.Run(kind.name, func(b *testing.B) {
 			fixture := newFixture(b)
-			fixture.entry.Client = func(string) *target.Client {
-				return &target.Client{Dispatch: func(_ context.Context, _ string, call *target.Call) (*target.Answer, error) {
+			fixture.entry.Client = func(string) *protocol.Client {
+				return &protocol.Client{Dispatch: func(_ context.Context, _ string, call *protocol.Call) (*protocol.Answer, error) {
 					call.Sending()
 					return answerOf(http.StatusOK, strings.NewReader(kind.answer)), nil
 				}}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"nutmegfield.example/once"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // claim makes the record of a non-idempotent request. A resend waits for the
@@ -115,7 +115,7 @@
 
 // keep stores how a non-idempotent request ended; nil when its end was not
 // seen, which its resends are told at once.
-func (entry *Entry) keep(job *job, answer *target.Answer, outcome request.Outcome, kept *keptAnswer) {
+func (entry *Entry) keep(job *job, answer *protocol.Answer, outcome request.Outcome, kept *keptAnswer) {
 	if !job.claimed {
 		return
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,8 +7,8 @@
 
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // attempt is the use of one grant.
@@ -47,7 +47,7 @@
 	calling, stop := attempt.context()
 	defer stop()
 	answer, err := client.Dispatch(calling, described.Address, attempt.call())
-	if err != nil && target.Is(err, target.NotSent) {
+	if err != nil && protocol.Is(err, protocol.NotSent) {
 		attempt.undo()
 		return false
 	}
@@ -113,9 +113,9 @@
 	}
 }
 
-func (attempt *attempt) call() *target.Call {
+func (attempt *attempt) call() *protocol.Call {
 	job := attempt.job
-	return &target.Call{
+	return &protocol.Call{
 		Request: job.id,
 		Method:  job.method,
 		Path:    job.path,
@@ -166,7 +166,7 @@
 
 // cancelOnTarget stops what may still run on the target for a caller that is
 // gone. A non-idempotent request runs on.
-func (attempt *attempt) cancelOnTarget(client *target.Client, address string) {
+func (attempt *attempt) cancelOnTarget(client *protocol.Client, address string) {
 	if client.Cancel == nil || attempt.caller.Err() == nil || !attempt.job.profile.Idempotent {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,9 +9,9 @@
 
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
 	"nutmegfield.example/settings"
-	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -89,7 +89,7 @@
 	// for never.
 	Dead func(life string) bool
 	// Client returns the client of a protocol, nil if there is none.
-	Client func(protocol string) *target.Client
+	Client func(protocol string) *protocol.Client
 	// Leaving reports whether a target was last said to be leaving; nil for
 	// never.
 	Leaving func(pool, target string) bool
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // streamBytes is the most that is passed on of a stream at once.
@@ -22,9 +22,9 @@
 var errCaller = Errors.NewType("caller").New("the caller takes no more of its answer")
 
 // finish brings the answer of a dispatched request to its caller.
-func (attempt *attempt) finish(writer *callerWriter, answer *target.Answer) {
+func (attempt *attempt) finish(writer *callerWriter, answer *protocol.Answer) {
 	if answer.Status < http.StatusOK || answer.Status > 599 {
-		attempt.broken(writer, target.Garbled.New("status %d", answer.Status))
+		attempt.broken(writer, protocol.Garbled.New("status %d", answer.Status))
 		return
 	}
 	body := &firstReader{Reader: answer.Body, first: attempt.firstByte}
@@ -55,9 +55,9 @@
 		return request.EndCancelled
 	case attempt.caller.Err() != nil && attempt.job.profile.Idempotent:
 		return request.EndCancelled
-	case target.Is(err, target.Leaving):
+	case protocol.Is(err, protocol.Leaving):
 		return request.EndLeaving
-	case target.Is(err, target.Garbled, target.TooMuch):
+	case protocol.Is(err, protocol.Garbled, protocol.TooMuch):
 		return request.EndFailed
 	default:
 		return request.EndBroken
@@ -69,7 +69,7 @@
 	job := attempt.job
 	attempt.ending.End = attempt.endOf(0, err)
 	attempt.entry.answerProblem(writer, job, brokenAnswer(err))
-	if target.Is(err, target.Leaving) {
+	if protocol.Is(err, protocol.Leaving) {
 		// The target says that it did not run: a resend may.
 		attempt.entry.giveBack(job)
 		return
@@ -79,11 +79,11 @@
 
 func brokenAnswer(err error) *Problem {
 	switch {
-	case target.Is(err, target.Leaving):
+	case protocol.Is(err, protocol.Leaving):
 		problem := ended(request.Failed, request.ReasonTargetError, "the target is leaving and refused")
 		problem.RetryAfter = wholeSeconds(spread(leastRetry))
 		return problem
-	case target.Is(err, target.Garbled, target.TooMuch):
+	case protocol.Is(err, protocol.Garbled, protocol.TooMuch):
 		return ended(request.Unknown, request.ReasonTargetGarbled, err.Error())
 	default:
 		return ended(request.Unknown, request.ReasonTargetSilent, err.Error())
@@ -92,7 +92,7 @@
 
 // whole reads an answer to its end before the caller gets any of it, so that
 // the outcome in the header is true.
-func (attempt *attempt) whole(writer *callerWriter, answer *target.Answer, body io.Reader) error {
+func (attempt *attempt) whole(writer *callerWriter, answer *protocol.Answer, body io.Reader) error {
 	var buffer bytes.Buffer
 	if _, err := buffer.ReadFrom(body); err != nil {
 		attempt.broken(writer, err)
@@ -122,7 +122,7 @@
 
 // setLength gives the length of the body that follows or, for a HEAD request,
 // would.
-func setLength(header http.Header, method string, answer *target.Answer, length int) {
+func setLength(header http.Header, method string, answer *protocol.Answer, length int) {
 	switch {
 	case method == http.MethodHead:
 		if value := answer.Header.Get("Content-Length"); value != "" {
@@ -135,7 +135,7 @@
 
 // setHeader passes on what a target's answer says of itself, and says where
 // it came from.
-func (attempt *attempt) setHeader(header http.Header, answer *target.Answer) {
+func (attempt *attempt) setHeader(header http.Header, answer *protocol.Answer) {
 	passed := endToEnd(answer.Header)
 	for _, name := range targetHeaders {
 		delete(passed, name)
@@ -161,7 +161,7 @@
 
 // stream passes events on as they come. The outcome follows as a trailer. A
 // stream that breaks is aborted, so that the caller can't take it for whole.
-func (attempt *attempt) stream(writer *callerWriter, answer *target.Answer, body io.Reader) error {
+func (attempt *attempt) stream(writer *callerWriter, answer *protocol.Answer, body io.Reader) error {
 	job := attempt.job
 	passing := &streamWriter{attempt: attempt, writer: writer, answer: answer, kept: attempt.newKept()}
 	err := passing.copy(body)
@@ -187,7 +187,7 @@
 type streamWriter struct {
 	attempt *attempt
 	writer  *callerWriter
-	answer  *target.Answer
+	answer  *protocol.Answer
 	kept    *keptAnswer
 	// callerGone: a non-idempotent stream is read to its end all the same.
 	callerGone bool
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -18,9 +18,9 @@
 	"nutmegfield.example/invariant"
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
 	"nutmegfield.example/settings"
-	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -103,13 +103,13 @@
 	// decide answers a ticket; nil grants at once, a nil decision never.
 	decide func(*request.Ticket) *Decision
 	// answer plays the target after the first byte.
-	answer func(ctx context.Context, call *target.Call) (*target.Answer, error)
+	answer func(ctx context.Context, call *protocol.Call) (*protocol.Answer, error)
 
 	// outage leaves the platform silent.
 	outage atomic.Bool
 
 	mutex     sync.Mutex
-	calls     []*target.Call
+	calls     []*protocol.Call
 	releases  []*request.Release
 	withdrawn int
 	cancelled int
@@ -131,8 +131,8 @@
 		Records:  fixture.records(),
 		Events:   &timeline.Recorder{Host: "a1"},
 		Host:     "a1",
-		Client: func(string) *target.Client {
-			return &target.Client{Dispatch: fixture.dispatch, Cancel: fixture.cancel}
+		Client: func(string) *protocol.Client {
+			return &protocol.Client{Dispatch: fixture.dispatch, Cancel: fixture.cancel}
 		},
 		Submit:   fixture.submit,
 		Withdraw: func(*request.Ticket) { fixture.locked(func() { fixture.withdrawn++ }) },
@@ -212,9 +212,9 @@
 
 func never(*request.Ticket) *Decision { return nil }
 
-func (fixture *fixture) dispatch(ctx context.Context, _ string, call *target.Call) (*target.Answer, error) {
+func (fixture *fixture) dispatch(ctx context.Context, _ string, call *protocol.Call) (*protocol.Answer, error) {
 	if !call.Sending() {
-		return nil, target.NotSent.New("refused")
+		return nil, protocol.NotSent.New("refused")
 	}
 	fixture.locked(func() { fixture.calls = append(fixture.calls, call) })
 	if fixture.answer == nil {
@@ -228,8 +228,8 @@
 	return nil
 }
 
-func answerOf(status int, body io.Reader) *target.Answer {
-	return &target.Answer{
+func answerOf(status int, body io.Reader) *protocol.Answer {
+	return &protocol.Answer{
 		Status: status,
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   io.NopCloser(body),
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -13,8 +13,8 @@
 
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 const otherLife = "b1#1690000000000000"
@@ -160,8 +160,8 @@
 // target was lost.
 func TestUnseenEndIsRecorded(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
-			return nil, target.Broken.Wrap(errLost, "ask")
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
+			return nil, protocol.Broken.Wrap(errLost, "ask")
 		}
 		fixture.wants(<-fixture.pay(fixture.Context()), http.StatusBadGateway, request.Unknown)
 		fixture.entry.running.Wait()
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // TestLeavingTargetIsNotUsed: a grant of a target that this host knows to be
@@ -44,8 +44,8 @@
 			configuration.Pools[0].Targets[0].Leaving = leaving
 			fixture.entry.Store.Offer(profile.NewSnapshot(version, *configuration))
 		}
-		fixture.entry.Client = func(string) *target.Client {
-			return &target.Client{Dispatch: func(ctx context.Context, address string, call *target.Call) (*target.Answer, error) {
+		fixture.entry.Client = func(string) *protocol.Client {
+			return &protocol.Client{Dispatch: func(ctx context.Context, address string, call *protocol.Call) (*protocol.Answer, error) {
 				configure(version == 1)
 				return dispatch(ctx, address, call)
 			}}
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -12,8 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 func (fixture *fixture) wants(got reply, status int, outcome request.Outcome) {
@@ -40,12 +40,12 @@
 // context that ends.
 func (fixture *fixture) blocked() (answer chan struct{}) {
 	answer = make(chan struct{})
-	fixture.answer = func(ctx context.Context, _ *target.Call) (*target.Answer, error) {
+	fixture.answer = func(ctx context.Context, _ *protocol.Call) (*protocol.Answer, error) {
 		select {
 		case <-answer:
 			return answerOf(http.StatusOK, strings.NewReader(`{"paid":true}`)), nil
 		case <-ctx.Done():
-			return nil, target.Broken.Wrap(ctx.Err(), "ask")
+			return nil, protocol.Broken.Wrap(ctx.Err(), "ask")
 		}
 	}
 	return answer
@@ -131,8 +131,8 @@
 
 func TestBrokenStreamIsAborted(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
-			return answerOf(http.StatusOK, &brokenReader{strings.NewReader("data: 1\n\n"), target.Broken.Wrap(errLost, "read")}), nil
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
+			return answerOf(http.StatusOK, &brokenReader{strings.NewReader("data: 1\n\n"), protocol.Broken.Wrap(errLost, "read")}), nil
 		}
 		got := fixture.send(fixture.Context(), http.MethodPost, chatPath, streamText)
 		fixture.Assert(got.err, qt.IsNotNil)
@@ -144,7 +144,7 @@
 
 func TestStreamEndsWithOutcome(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
 			return answerOf(http.StatusOK, strings.NewReader("data: 1\n\ndata: [DONE]\n\n")), nil
 		}
 		got := fixture.send(fixture.Context(), http.MethodPost, chatPath, streamText)
@@ -164,17 +164,17 @@
 		outcome request.Outcome
 		end     request.End
 	}{
-		{"lost before the header", target.Broken.Wrap(errLost, "ask"), false, request.Unknown, request.EndBroken},
-		{"lost in the body", target.Broken.Wrap(errLost, "read"), true, request.Unknown, request.EndBroken},
-		{"silent", target.Silent.New("30s"), true, request.Unknown, request.EndBroken},
-		{"too much", target.TooMuch.New("more"), true, request.Unknown, request.EndFailed},
-		{"garbled", target.Garbled.New("no JSON"), true, request.Unknown, request.EndFailed},
-		{"leaving", target.Leaving.New("leaving"), false, request.Failed, request.EndLeaving},
+		{"lost before the header", protocol.Broken.Wrap(errLost, "ask"), false, request.Unknown, request.EndBroken},
+		{"lost in the body", protocol.Broken.Wrap(errLost, "read"), true, request.Unknown, request.EndBroken},
+		{"silent", protocol.Silent.New("30s"), true, request.Unknown, request.EndBroken},
+		{"too much", protocol.TooMuch.New("more"), true, request.Unknown, request.EndFailed},
+		{"garbled", protocol.Garbled.New("no JSON"), true, request.Unknown, request.EndFailed},
+		{"leaving", protocol.Leaving.New("leaving"), false, request.Failed, request.EndLeaving},
 	}
 	for _, broken := range cases {
 		t.Run(broken.name, func(t *testing.T) {
 			play(t, func(fixture *fixture) {
-				fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
+				fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
 					if !broken.late {
 						return nil, broken.fault
 					}
@@ -199,11 +199,11 @@
 	play(t, func(fixture *fixture) {
 		tries := 0
 		dispatch := fixture.dispatch
-		fixture.entry.Client = func(string) *target.Client {
-			return &target.Client{Dispatch: func(ctx context.Context, address string, call *target.Call) (*target.Answer, error) {
+		fixture.entry.Client = func(string) *protocol.Client {
+			return &protocol.Client{Dispatch: func(ctx context.Context, address string, call *protocol.Call) (*protocol.Answer, error) {
 				tries++
 				if tries < 4 {
-					return nil, target.NotSent.New("refused")
+					return nil, protocol.NotSent.New("refused")
 				}
 				return dispatch(ctx, address, call)
 			}}
@@ -215,7 +215,7 @@
 
 func TestPanicAnswersAndReleases(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) { panic("broken part") }
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) { panic("broken part") }
 		fixture.wants(<-fixture.pay(fixture.Context()), http.StatusInternalServerError, request.Unknown)
 		fixture.ends(request.EndFailed)
 		fixture.answer = nil
@@ -226,12 +226,12 @@
 func TestBodylessAnswers(t *testing.T) {
 	play(t, func(fixture *fixture) {
 		for _, status := range []int{http.StatusNoContent, http.StatusNotModified} {
-			fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
+			fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
 				return answerOf(status, strings.NewReader("")), nil
 			}
 			fixture.wants(fixture.send(fixture.Context(), http.MethodGet, "/services/orders/status", ""), status, request.Done)
 		}
-		fixture.answer = func(_ context.Context, call *target.Call) (*target.Answer, error) {
+		fixture.answer = func(_ context.Context, call *protocol.Call) (*protocol.Answer, error) {
 			answer := answerOf(http.StatusOK, strings.NewReader(""))
 			answer.Header.Set("Content-Length", "42")
 			return answer, nil
@@ -244,7 +244,7 @@
 
 func TestServicePassesEndToEnd(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
 			answer := answerOf(http.StatusCreated, strings.NewReader("made"))
 			answer.Header = http.Header{"Location": {"/orders/1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, HeaderOutcome: {"forged"}}
 			return answer, nil
@@ -299,7 +299,7 @@
 // longer than the write timeout.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	play(t, func(fixture *fixture) {
-		fixture.answer = func(context.Context, *target.Call) (*target.Answer, error) {
+		fixture.answer = func(context.Context, *protocol.Call) (*protocol.Answer, error) {
 			return answerOf(http.StatusOK, strings.NewReader(strings.Repeat("data: 1\n\n", 10000))), nil
 		}
 		for _, text := range []string{chatText, streamText} {
--- a/entry/part.go
+++ b/entry/part.go
@@ -10,8 +10,8 @@
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/scheduler"
-	"nutmegfield.example/target"
 )
 
 func init() {
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, err := kernel.Need[target.Clients](host)
+	clients, err := kernel.Need[protocol.Clients](host)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/exchange/convert.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"math"
+	"time"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/quota"
+)
+
+func usesOut(uses []balance.Use) []*exchangepb.Use {
+	messages := make([]*exchangepb.Use, len(uses))
+	for i, use := range uses {
+		messages[i] = &exchangepb.Use{
+			Target:  use.Target,
+			Open:    uint32(max(0, use.Open)),
+			Backlog: uint32(max(0, use.Backlog)),
+			Cost:    uint32(min(use.Cost, math.MaxUint32)),
+		}
+	}
+	return messages
+}
+
+func usesIn(messages []*exchangepb.Use) []balance.Use {
+	uses := make([]balance.Use, len(messages))
+	for i, message := range messages {
+		uses[i] = balance.Use{
+			Target:  message.GetTarget(),
+			Open:    int(message.GetOpen()),
+			Backlog: int(message.GetBacklog()),
+			Cost:    time.Duration(message.GetCost()),
+		}
+	}
+	return uses
+}
+
+func queuesOut(queues []balance.Queue) []*exchangepb.Queue {
+	messages := make([]*exchangepb.Queue, len(queues))
+	for i, queue := range queues {
+		messages[i] = &exchangepb.Queue{Pool: queue.Pool}
+		for _, waiting := range queue.Waiting {
+			messages[i].Waiting = append(messages[i].Waiting, uint32(waiting))
+		}
+	}
+	return messages
+}
+
+func queuesIn(messages []*exchangepb.Queue) []balance.Queue {
+	queues := make([]balance.Queue, len(messages))
+	for i, message := range messages {
+		queues[i].Pool = message.GetPool()
+		for _, waiting := range message.GetWaiting() {
+			queues[i].Waiting = append(queues[i].Waiting, int(waiting))
+		}
+	}
+	return queues
+}
+
+func spendsOut(spends []quota.Spend) []*exchangepb.Spend {
+	messages := make([]*exchangepb.Spend, len(spends))
+	for i, spend := range spends {
+		messages[i] = &exchangepb.Spend{Workspace: spend.Workspace, Total: spend.Total, Level: spend.Level}
+	}
+	return messages
+}
+
+func spendsIn(messages []*exchangepb.Spend) []quota.Spend {
+	spends := make([]quota.Spend, len(messages))
+	for i, message := range messages {
+		spends[i] = quota.Spend{Workspace: message.GetWorkspace(), Total: message.GetTotal(), Level: message.GetLevel()}
+	}
+	return spends
+}
--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"nutmegfield.example/timeline"
+)
+
+const (
+	// leastRetry is the shortest time after which a caller is asked back.
+	leastRetry = 50 * time.Millisecond
+	// retrySpread is the part of that time over which returns are spread.
+	retrySpread = 0.5
+)
+
+var (
+	eventRefused = timeline.Define(timeline.Kind{
+		Number: 1101, Name: "request refused", Level: timeline.Info,
+		Meaning: "The gateway answered a request itself; the detail holds the status and the reason.",
+	})
+	eventBroken = timeline.Define(timeline.Kind{
+		Number: 1102, Name: "answer broken off", Level: timeline.Info,
+		Meaning: "An answer that had begun could not be given whole; its connection was closed.",
+	})
+)
+
+func draw() float64 { return rand.Float64() }
+
+// spread lengthens a time at random, so that callers don't return together.
+func spread(after time.Duration) time.Duration {
+	after = max(after, leastRetry)
+	return after + time.Duration(rand.Float64()*retrySpread*float64(after))
+}
+
+// refuse answers for the gateway itself. After is when the caller may come
+// back, 0 if it need not.
+func (forwarding *forwarding) refuse(status int, after time.Duration, reason string) {
+	gateway := forwarding.gateway
+	gateway.Events.Record(eventRefused, timeline.Event{
+		Request: forwarding.call.ID,
+		Detail:  strconv.Itoa(status) + " " + reason,
+	})
+	gateway.Protocol.Refusal(forwarding.writer.Header(), forwarding.call, after)
+	forwarding.writer.Header().Set("Content-Length", "0")
+	forwarding.writer.WriteHeader(status)
+}
+
+// giveUp answers a request that gets no answer from a target.
+func (forwarding *forwarding) giveUp(ctx context.Context, reason string) {
+	if forwarding.received.Context().Err() != nil {
+		// The caller has left.
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case forwarding.begun:
+		forwarding.breakOff(reason)
+	case forwarding.fallback != nil:
+		forwarding.writeWhole(forwarding.fallback)
+	case forwarding.mayHaveRun && ctx.Err() != nil:
+		forwarding.refuse(http.StatusGatewayTimeout, 0, reason)
+	case forwarding.mayHaveRun:
+		forwarding.refuse(http.StatusBadGateway, 0, reason)
+	default:
+		forwarding.refuse(http.StatusServiceUnavailable, spread(forwarding.comeBack()), reason)
+	}
+}
+
+// comeBack is when a refused request may find a free target.
+func (forwarding *forwarding) comeBack() time.Duration {
+	return max(leastRetry, forwarding.route.Objective/2)
+}
+
+// breakOff ends an answer that has begun so that it can't be taken for whole.
+func (forwarding *forwarding) breakOff(reason string) {
+	forwarding.gateway.Events.Record(eventBroken, timeline.Event{Request: forwarding.call.ID, Detail: reason})
+	panic(http.ErrAbortHandler)
+}
+
+// writeWhole passes on a target's answer that was read to its end.
+func (forwarding *forwarding) writeWhole(answer *whole) {
+	header := forwarding.writer.Header()
+	for name, values := range answer.header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	forwarding.writer.WriteHeader(answer.status)
+	// A caller that does not take its answer is gone.
+	_, _ = forwarding.writer.Write(answer.body)
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
+)
+
+const (
+	// mostSends bounds the targets that one request is sent to, also those
+	// that refused it.
+	mostSends = 4
+	// mostDials bounds the targets that are tried and can't be reached.
+	mostDials = 6
+	// wholeBytes is the longest answer that is read to its end before any of
+	// it is passed on.
+	wholeBytes = 1 << 20
+	// waitShare is the part of a route's objective that a request waits for a
+	// target.
+	waitShare = 0.75
+)
+
+var (
+	eventSent = timeline.Define(timeline.Kind{
+		Number: 1103, Name: "request sent", Level: timeline.Trace,
+		Meaning: "A request was sent to a target.",
+	})
+	eventAttemptFailed = timeline.Define(timeline.Kind{
+		Number: 1104, Name: "attempt failed", Level: timeline.Info,
+		Meaning: "A target did not answer a request as it should; the detail says how, and whether it is tried elsewhere.",
+	})
+)
+
+// verdict is what an attempt came to.
+type verdict int
+
+const (
+	// done: the caller has its answer.
+	done verdict = iota
+	// notRun: the target did not run the request.
+	notRun
+	// unreachable: the target read nothing.
+	unreachable
+	// failed: the target may have run the request and gave no whole answer.
+	failed
+	// refusedByTarget: the target ran it and answered with a failure.
+	failedWhole
+)
+
+// attempts sends the request to targets until one answers, none is left, or
+// no repeat is allowed.
+func (forwarding *forwarding) attempts(ctx context.Context) {
+	dials, runs := 0, 0
+	for {
+		grant, err := forwarding.take(ctx)
+		if err != nil {
+			forwarding.giveUp(ctx, err.Error())
+			return
+		}
+		forwarding.tried = append(forwarding.tried, grant.Target.ID)
+		verdict, reason := forwarding.attempt(ctx, grant)
+		if verdict == done {
+			return
+		}
+		switch verdict {
+		case unreachable:
+			dials++
+		case failed, failedWhole:
+			runs++
+		}
+		again := ctx.Err() == nil && dials < mostDials && forwarding.sent < mostSends && forwarding.repeatable(verdict, runs)
+		forwarding.tellFailed(grant, reason, again)
+		if !again {
+			forwarding.giveUp(ctx, reason)
+			return
+		}
+	}
+}
+
+func (forwarding *forwarding) tellFailed(grant *balance.Grant, reason string, again bool) {
+	if again {
+		reason += "; trying again"
+	}
+	forwarding.gateway.Events.Record(eventAttemptFailed, timeline.Event{
+		Request: forwarding.call.ID,
+		Pool:    grant.Target.Pool,
+		Target:  grant.Target.ID,
+		Detail:  reason,
+	})
+}
+
+// repeatable reports whether the request may be sent to another target.
+func (forwarding *forwarding) repeatable(verdict verdict, runs int) bool {
+	switch verdict {
+	case unreachable:
+		return true
+	case notRun:
+		return forwarding.gateway.Budget.Repeat(forwarding.pool.Name)
+	default:
+		return forwarding.route.Repeatable() && runs < forwarding.route.Attempts &&
+			forwarding.gateway.Budget.Repeat(forwarding.pool.Name)
+	}
+}
+
+// take waits for a target.
+func (forwarding *forwarding) take(ctx context.Context) (*balance.Grant, error) {
+	until := forwarding.deadline
+	if forwarding.route.Objective > 0 && !forwarding.begun {
+		until = forwarding.arrived.Add(time.Duration(waitShare * float64(forwarding.route.Objective)))
+	}
+	if until.After(forwarding.deadline) {
+		until = forwarding.deadline
+	}
+	return forwarding.gateway.Balancer.Take(ctx, &balance.Ticket{
+		Pool:         forwarding.pool.Name,
+		Tier:         forwarding.tier,
+		PromptTokens: forwarding.call.PromptTokens,
+		Until:        until,
+		Exclude:      forwarding.tried,
+		Repeat:       forwarding.sent > 0,
+	})
+}
+
+// attempt sends the request to one target and passes on its answer.
+func (forwarding *forwarding) attempt(ctx context.Context, grant *balance.Grant) (verdict, string) {
+	defer grant.Cancel()
+	gateway := forwarding.gateway
+	header := passedOn(forwarding.received.Header)
+	last := forwarding.call.LastEvent
+	if forwarding.lastEvent != "" {
+		last = forwarding.lastEvent
+	}
+	forward := Forward{Target: grant.Target.ID, Wait: time.Until(forwarding.deadline), LastEvent: last}
+	if forwarding.workspace != nil {
+		forward.Workspace = forwarding.workspace.Name
+	}
+	gateway.Protocol.Forward(header, forward)
+	gateway.Events.Record(eventSent, timeline.Event{Request: forwarding.call.ID, Pool: grant.Target.Pool, Target: grant.Target.ID})
+	answer, err := gateway.Connections.Exchange(ctx, grant.Target.Address, &upstream.Request{
+		Method: forwarding.received.Method,
+		Target: forwarding.path(),
+		Host:   forwarding.received.Host,
+		Header: header,
+		Body:   forwarding.body,
+		ID:     forwarding.call.ID,
+		Fresh:  !forwarding.route.Repeatable(),
+	})
+	if upstream.Is(err, upstream.NotSent) {
+		forwarding.endFailed(ctx, grant, balance.Unreachable)
+		return unreachable, err.Error()
+	}
+	forwarding.sent++
+	if err != nil {
+		forwarding.mayHaveRun = true
+		forwarding.endFailed(ctx, grant, balance.Failed)
+		return failed, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return forwarding.pass(ctx, grant, answer)
+}
+
+// endFailed ends a grant, without blame if the time was over or the caller
+// left.
+func (forwarding *forwarding) endFailed(ctx context.Context, grant *balance.Grant, outcome balance.Outcome) {
+	if ctx.Err() != nil {
+		outcome = balance.Cancelled
+	}
+	grant.End(outcome)
+}
+
+// pass passes a target's answer on.
+func (forwarding *forwarding) pass(ctx context.Context, grant *balance.Grant, answer *upstream.Answer) (verdict, string) {
+	reply := forwarding.gateway.Protocol.Reply(answer.Status, answer.Header)
+	if reply.NotRun {
+		// The connection serves on if this is read to its end.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeBytes))
+		outcome := balance.Full
+		if reply.Misdirected {
+			outcome = balance.Replaced
+		}
+		grant.End(outcome)
+		return notRun, "the target did not run it: " + http.StatusText(answer.Status)
+	}
+	forwarding.mayHaveRun = true
+	if forwarding.route.Streaming && answer.Status == http.StatusOK {
+		return forwarding.passStream(ctx, grant, answer, reply)
+	}
+	return forwarding.passWhole(ctx, grant, answer, reply)
+}
+
+// passWhole reads an answer to its end and passes it on.
+func (forwarding *forwarding) passWhole(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply) (verdict, string) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
+	switch {
+	case err != nil:
+		forwarding.endFailed(ctx, grant, balance.Failed)
+		return failed, "the answer broke off: " + err.Error()
+	case len(body) > wholeBytes:
+		grant.End(balance.Failed)
+		return failed, "the answer is too long"
+	case answer.Status < http.StatusMultipleChoices && !reply.Sealed:
+		grant.End(balance.Failed)
+		return failed, "the answer bears no signature"
+	}
+	grant.Started()
+	read := &whole{status: answer.Status, header: passedOn(answer.Header), body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		grant.End(balance.Failed)
+		forwarding.fallback = read
+		return failedWhole, "the target answered " + http.StatusText(answer.Status)
+	}
+	grant.End(balance.Served)
+	forwarding.writeWhole(read)
+	return done, ""
+}
+
+// passStream passes the events of a stream on as they come, whole ones only.
+func (forwarding *forwarding) passStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply) (verdict, string) {
+	if !reply.Sealed {
+		grant.End(balance.Failed)
+		return failed, "the answer bears no signature"
+	}
+	events := eventReader{reader: bufio.NewReader(answer.Body)}
+	first := true
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			grant.Started()
+			grant.End(balance.Served)
+			forwarding.begin(answer)
+			return done, ""
+		}
+		if err != nil {
+			forwarding.endFailed(ctx, grant, balance.Failed)
+			return failed, "the stream broke off: " + err.Error()
+		}
+		if first {
+			grant.Started()
+			first = false
+		}
+		if !follows(id, forwarding.lastEvent) {
+			grant.End(balance.Failed)
+			return failed, "the stream repeats an event"
+		}
+		forwarding.begin(answer)
+		if id != "" {
+			forwarding.lastEvent = id
+		}
+		if _, err := forwarding.writer.Write(event); err != nil {
+			grant.Cancel()
+			panic(http.ErrAbortHandler)
+		}
+		if err := http.NewResponseController(forwarding.writer).Flush(); err != nil {
+			grant.Cancel()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// begin writes the header of a stream's answer, that of its first target.
+func (forwarding *forwarding) begin(answer *upstream.Answer) {
+	if forwarding.begun {
+		return
+	}
+	forwarding.begun = true
+	header := forwarding.writer.Header()
+	for name, values := range passedOn(answer.Header) {
+		header[name] = values
+	}
+	if strings.EqualFold(forwarding.received.Method, http.MethodHead) {
+		header.Del("Content-Type")
+	}
+	forwarding.writer.WriteHeader(answer.Status)
+}
--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"nutmegfield.example/timeline"
+)
+
+// drainReserve is the part of the drain limit that is left for the end of the
+// process.
+const drainReserve = 300 * time.Millisecond
+
+var (
+	eventDraining = timeline.Define(timeline.Kind{
+		Number: 1106, Name: "gateway draining", Level: timeline.Info,
+		Meaning: "The host shuts down: it says that it is not ready and lets running requests end.",
+	})
+	eventDrained = timeline.Define(timeline.Kind{
+		Number: 1107, Name: "gateway drained", Level: timeline.Info,
+		Meaning: "The host answered what it had taken; the detail is how many requests were cut.",
+	})
+)
+
+// Drain lets callers move to other hosts and returns when running requests
+// have ended, or at the end of the context.
+func (gateway *Gateway) Drain(ctx context.Context) error {
+	gateway.Events.Record(eventDraining, timeline.Event{})
+	gateway.leaving.Store(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		limited, cancel := context.WithDeadline(ctx, deadline.Add(-drainReserve))
+		defer cancel()
+		ctx = limited
+	}
+	timer := time.NewTimer(gateway.Notice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	ended := make(chan struct{})
+	go func() {
+		gateway.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	gateway.Events.Record(eventDrained, timeline.Event{})
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,235 @@
+// Package gateway forwards callers' requests, whole and unchanged, to targets
+// of the pool that their route leads to, and passes on the targets' answers.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/budget"
+	"nutmegfield.example/quota"
+	"nutmegfield.example/route"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
+)
+
+const (
+	// bodyBytes is the longest body taken where the configuration has no limit.
+	bodyBytes = 4 << 20
+	// defaultWait is how long a request may take whose route and caller say
+	// nothing of it.
+	defaultWait = time.Minute
+	// checkWait is how long a request waits for the newest routes before it is
+	// denied.
+	checkWait = 500 * time.Millisecond
+	// retryNoRoutes is when callers may come back to a host that has no routes
+	// yet.
+	retryNoRoutes = 400 * time.Millisecond
+)
+
+// Gateway is the callers' side. Fields are set before use.
+type Gateway struct {
+	Protocol    Protocol
+	Connections *upstream.Connections
+	Balancer    *balance.Balancer
+	Ledger      *quota.Ledger
+	Budget      *budget.Budget
+	Events      *timeline.Recorder
+	// Table returns the routes in force, nil for none.
+	Table func() *route.Table
+	// Refresh makes sure that the routes in force are the newest.
+	Refresh func(ctx context.Context) error
+
+	// Notice is how long a host that shuts down goes on taking callers, so
+	// that the balancer sees it.
+	Notice time.Duration
+
+	leaving atomic.Bool
+	running sync.WaitGroup
+}
+
+// ServeHTTP answers one request.
+func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
+	gateway.running.Add(1)
+	defer gateway.running.Done()
+	forwarding := &forwarding{
+		gateway:  gateway,
+		writer:   writer,
+		received: received,
+		call:     gateway.Protocol.Call(received.Header),
+		arrived:  time.Now(),
+	}
+	if gateway.leaving.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	forwarding.run()
+}
+
+// forwarding is one request of a caller and its answer.
+type forwarding struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	received *http.Request
+	call     Call
+	arrived  time.Time
+
+	route     *route.Route
+	pool      *route.Pool
+	workspace *route.Workspace
+	tier      int
+	body      []byte
+	units     float64
+	deadline  time.Time
+
+	// sent counts the targets that may have read the request; mayHaveRun tells that
+	// one may have begun to run it.
+	sent       int
+	mayHaveRun bool
+	// tried are the targets that were tried.
+	tried []string
+	// begun tells that the answer's header is written; lastEvent is the id of
+	// the last event passed on.
+	begun     bool
+	lastEvent string
+	// fallback is a whole answer with a failure, given if no other comes.
+	fallback *whole
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (forwarding *forwarding) run() {
+	if !forwarding.admit() {
+		return
+	}
+	if !forwarding.readBody() {
+		return
+	}
+	if !forwarding.takeQuota() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(forwarding.received.Context(), forwarding.deadline)
+	defer cancel()
+	forwarding.gateway.Budget.Request(forwarding.pool.Name)
+	forwarding.attempts(ctx)
+	if forwarding.sent == 0 && forwarding.workspace != nil {
+		forwarding.gateway.Ledger.Return(forwarding.workspace.Name, forwarding.units)
+	}
+}
+
+// admit finds the route and the workspace. A request is denied by the newest
+// routes only.
+func (forwarding *forwarding) admit() bool {
+	gateway := forwarding.gateway
+	table := gateway.Table()
+	if table == nil {
+		forwarding.refuse(http.StatusServiceUnavailable, retryNoRoutes, "no routes yet")
+		return false
+	}
+	if forwarding.find(table) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(forwarding.received.Context(), checkWait)
+	defer cancel()
+	if err := gateway.Refresh(ctx); err != nil {
+		forwarding.refuse(http.StatusServiceUnavailable, retryNoRoutes, "the routes may be old: "+err.Error())
+		return false
+	}
+	status := forwarding.find(gateway.Table())
+	if status == 0 {
+		return true
+	}
+	forwarding.refuse(status, 0, "no such route or key")
+	return false
+}
+
+// find looks the request up and returns 0, or the status that denies it.
+func (forwarding *forwarding) find(table *route.Table) int {
+	forwarding.route = table.Find(forwarding.received.Host, forwarding.received.URL.EscapedPath())
+	if forwarding.route == nil {
+		return http.StatusNotFound
+	}
+	forwarding.tier = forwarding.route.Tier
+	forwarding.workspace = nil
+	if table.Keyed() && !forwarding.route.Anonymous {
+		forwarding.workspace = table.WorkspaceOf(forwarding.call.Key)
+		if forwarding.workspace == nil {
+			return http.StatusUnauthorized
+		}
+		if forwarding.workspace.Tier != nil {
+			forwarding.tier = *forwarding.workspace.Tier
+		}
+	}
+	forwarding.pool = table.Pool(forwarding.route.Choose(draw()))
+	if forwarding.pool == nil {
+		return http.StatusNotFound
+	}
+	wait := defaultWait
+	if forwarding.route.Timeout > 0 {
+		wait = forwarding.route.Timeout
+	}
+	if forwarding.call.Wait > 0 {
+		wait = min(wait, forwarding.call.Wait)
+	}
+	forwarding.deadline = forwarding.arrived.Add(wait)
+	return 0
+}
+
+// readBody takes the caller's body whole.
+func (forwarding *forwarding) readBody() bool {
+	limit := int64(bodyBytes)
+	if table := forwarding.gateway.Table(); table != nil && table.Configuration.Limits.BodyBytes > 0 {
+		limit = int64(table.Configuration.Limits.BodyBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(forwarding.writer, forwarding.received.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		forwarding.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
+		return false
+	case err != nil:
+		// The caller broke off; there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	forwarding.body = body
+	return true
+}
+
+// takeQuota uses the workspace's quota.
+func (forwarding *forwarding) takeQuota() bool {
+	if forwarding.workspace == nil || forwarding.workspace.Quota.Rate <= 0 {
+		return true
+	}
+	quota := forwarding.workspace.Quota
+	forwarding.units = 1
+	if quota.InTokens {
+		forwarding.units = float64(quota.PlainTokens)
+		if forwarding.call.Counted {
+			forwarding.units = float64(forwarding.call.PromptTokens + forwarding.call.OutputTokens)
+		}
+	}
+	allowed, after := forwarding.gateway.Ledger.Take(forwarding.workspace.Name, forwarding.units)
+	if !allowed {
+		forwarding.refuse(http.StatusTooManyRequests, spread(after), "over the quota of "+forwarding.workspace.Name)
+	}
+	return allowed
+}
+
+// path is the request target as the caller sent it.
+func (forwarding *forwarding) path() string {
+	if target := forwarding.received.RequestURI; strings.HasPrefix(target, "/") {
+		return target
+	}
+	return forwarding.received.URL.RequestURI()
+}
--- /dev/null
+++ b/gateway/part.go
@@ -0,0 +1,372 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/budget"
+	"nutmegfield.example/discovery"
+	"nutmegfield.example/exchange"
+	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/kernel"
+	"nutmegfield.example/quota"
+	"nutmegfield.example/route"
+	"nutmegfield.example/settings"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
+)
+
+const (
+	// dialTimeout bounds a dial to a target: a few times the round trip
+	// between zones, with one lost packet sent again after a second.
+	dialTimeout = 300 * time.Millisecond
+	// trimInterval is the time between two looks at idle connections.
+	trimInterval = time.Second
+	// headerTimeout bounds the reading of a caller's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection without a request stays
+	// open: above what configurations promise callers.
+	idleTimeout = 2 * time.Minute
+	// headerBytes is the largest header of a caller.
+	headerBytes = 64 << 10
+	// askInterval is the time between two questions to other hosts for what
+	// they know.
+	askInterval = 100 * time.Millisecond
+	// datagramBytes is the longest datagram taken.
+	datagramBytes = 64 << 10
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "gateway", Rank: kernel.RankEntry, Role: settings.RoleGateway, New: newPart})
+}
+
+// Sources is where a gateway learns its routes and targets.
+type Sources struct {
+	// Routes follows the kind of object that holds the routes, under a name.
+	Routes       discovery.Source
+	RoutesName   string
+	DecodeRoutes func(value []byte) (*route.Configuration, error)
+	// Targets follows the entries of targets.
+	Targets      discovery.Source
+	DecodeTarget func(name string, value []byte) (balance.Target, error)
+}
+
+// host is a gateway and what feeds it.
+type host struct {
+	gateway   *Gateway
+	balancer  *balance.Balancer
+	ledger    *quota.Ledger
+	exchange  *exchange.Exchange
+	snapshots *exchange.Snapshots
+	routes    *discovery.Routes
+	targets   *discovery.Targets
+	// routeFollower and targetFollower keep the platform's objects.
+	routeFollower  *discovery.Follower
+	targetFollower *discovery.Follower
+
+	mutex sync.Mutex
+	// known are the targets last told, engines the pools of model engines.
+	known   []balance.Target
+	engines map[string]bool
+	// asked is when another host was last asked for its snapshot.
+	asked time.Time
+}
+
+func newPart(kernelHost *kernel.Host) (*kernel.Part, error) {
+	protocol, err := kernel.Need[Protocol](kernelHost)
+	if err != nil {
+		return nil, err
+	}
+	sources, err := kernel.Need[Sources](kernelHost)
+	if err != nil {
+		return nil, err
+	}
+	given := kernelHost.Settings
+	datagrams, err := kernelHost.Network.ListenPacket("udp", given.Peers.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for reports: %w", err)
+	}
+	listeners := make([]net.Listener, 3)
+	for i, address := range []string{given.Peers.Listen, given.Gateway.Ready, given.Callers.Listen} {
+		if listeners[i], err = kernelHost.Network.Listen("tcp", address); err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+	}
+	host := newHost(kernelHost, *protocol, sources)
+	host.exchange.Send = sender(datagrams)
+	run := func(ctx context.Context) error {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { receive(datagrams, host.exchange) })
+		for _, part := range []func(context.Context) error{
+			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.trim,
+			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
+			func(ctx context.Context) error { return serve(ctx, listeners[1], http.HandlerFunc(host.ready)) },
+			func(ctx context.Context) error { return serve(ctx, listeners[2], host.gateway) },
+		} {
+			group.Go(func() { host.record(part(ctx)) })
+		}
+		host.record(host.exchange.Run(ctx))
+		_ = datagrams.Close()
+		group.Wait()
+		return nil
+	}
+	return &kernel.Part{Run: run, Drain: host.drain}, nil
+}
+
+func newHost(kernelHost *kernel.Host, protocol Protocol, sources *Sources) *host {
+	given := kernelHost.Settings
+	events := kernelHost.Events
+	host := &host{
+		balancer: &balance.Balancer{Zone: given.Host.Zone},
+		ledger:   &quota.Ledger{},
+	}
+	host.exchange = &exchange.Exchange{
+		Host:     given.Host.ID,
+		Life:     uint64(time.Now().UnixMicro()),
+		Address:  given.Peers.Listen,
+		Seeds:    seeds(&given.Peers),
+		Events:   events,
+		Balancer: host.balancer,
+		Ledger:   host.ledger,
+		Known:    host.knowledge,
+		Newer:    host.newer,
+	}
+	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
+	host.routes = &discovery.Routes{
+		Name:   sources.RoutesName,
+		Decode: sources.DecodeRoutes,
+		Events: events,
+		Set:    host.setRoutes,
+	}
+	host.routeFollower = &discovery.Follower{
+		Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, Apply: host.routes.Apply,
+	}
+	host.targets = &discovery.Targets{Decode: sources.DecodeTarget, Events: events, Set: host.setTargets}
+	host.targetFollower = &discovery.Follower{
+		Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, Apply: host.targets.Apply,
+	}
+	host.targets.Troubled = func() time.Time { return host.routeFollower.Troubled() }
+	host.gateway = &Gateway{
+		Protocol: protocol,
+		Connections: &upstream.Connections{
+			Dial:        kernelHost.Network.Dial,
+			DialTimeout: dialTimeout,
+			Own:         owner(protocol),
+		},
+		Balancer: host.balancer,
+		Ledger:   host.ledger,
+		Budget: &budget.Budget{
+			Ratio:  given.Gateway.Retries.Ratio,
+			Window: given.Gateway.Retries.Window,
+			Spare:  given.Gateway.Retries.Spare,
+			Hosts:  host.exchange.Hosts,
+		},
+		Events:  events,
+		Table:   host.routes.Table,
+		Refresh: host.routeFollower.Refresh,
+		Notice:  given.Drain.Notice,
+	}
+	return host
+}
+
+// owner tells answers apart by the id that targets repeat. A target that did
+// not run a request may not say its id.
+func owner(protocol Protocol) func(*upstream.Request, *http.Response) bool {
+	return func(request *upstream.Request, response *http.Response) bool {
+		reply := protocol.Reply(response.StatusCode, response.Header)
+		return reply.ID == request.ID || reply.ID == "" && reply.NotRun
+	}
+}
+
+func seeds(peers *settings.Peers) []string {
+	var addresses []string
+	for _, seed := range peers.Seeds {
+		if name, _, err := net.SplitHostPort(seed); err == nil && peers.SeedPort > 0 {
+			seed = net.JoinHostPort(name, strconv.Itoa(peers.SeedPort))
+		}
+		addresses = append(addresses, seed)
+	}
+	return addresses
+}
+
+var eventPartFailed = timeline.Define(timeline.Kind{
+	Number: 1105, Name: "part of the gateway failed", Level: timeline.Error,
+	Meaning: "A part of the gateway ended with an error while the host runs.",
+	Action:  "restart the host; report the error",
+})
+
+var eventAskFailed = timeline.Define(timeline.Kind{
+	Number: 6104, Name: "snapshot not had", Level: timeline.Info,
+	Meaning: "Another host knows newer routes or targets, and could not be asked for them.",
+})
+
+func (host *host) record(err error) {
+	if err != nil {
+		host.gateway.Events.Record(eventPartFailed, timeline.Event{Detail: err.Error()})
+	}
+}
+
+func (host *host) trim(ctx context.Context) error {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			host.gateway.Connections.Trim()
+		}
+	}
+}
+
+// knowledge is what the other hosts hear of this one's.
+func (host *host) knowledge() exchange.Known {
+	targets := host.targetFollower.State()
+	return exchange.Known{Configuration: host.routes.Version(), Changed: targets.Changed, At: targets.At}
+}
+
+// setRoutes puts new routes in force.
+func (host *host) setRoutes(table *route.Table) {
+	limits := map[string]quota.Limit{}
+	for _, workspace := range table.Configuration.Workspaces {
+		limits[workspace.Name] = quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst}
+	}
+	host.ledger.SetLimits(limits)
+	engines := map[string]bool{}
+	for _, pool := range table.Configuration.Pools {
+		engines[pool.Name] = pool.Engine != nil
+	}
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.engines = engines
+	host.balancer.SetTargets(host.known, engines)
+}
+
+func (host *host) setTargets(targets []balance.Target) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.known = targets
+	host.balancer.SetTargets(targets, host.engines)
+}
+
+// snapshot is what another host gets that asks.
+func (host *host) snapshot() *exchangepb.Snapshot {
+	routes, targets := host.routeFollower.State(), host.targetFollower.State()
+	snapshot := &exchangepb.Snapshot{Revision: targets.At}
+	if object, ok := routes.Objects[host.routes.Name]; ok {
+		snapshot.Version = object.Revision
+		snapshot.Configuration = object.Value
+	}
+	for _, object := range targets.Objects {
+		snapshot.Targets = append(snapshot.Targets, &exchangepb.TargetEntry{
+			Name: object.Name, Value: object.Value, Revision: object.Revision,
+		})
+	}
+	return snapshot
+}
+
+// newer asks a host that knows more than this one, one at a time.
+func (host *host) newer(address string) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	if time.Since(host.asked) < askInterval {
+		return
+	}
+	host.asked = time.Now()
+	go host.ask(address)
+}
+
+func (host *host) ask(address string) {
+	snapshot, err := host.snapshots.Ask(context.Background(), address)
+	if err == nil {
+		host.adopt(snapshot)
+	} else {
+		host.gateway.Events.Record(eventAskFailed, timeline.Event{Peer: address, Detail: err.Error()})
+	}
+}
+
+// adopt takes what another host knows.
+func (host *host) adopt(snapshot *exchangepb.Snapshot) {
+	if len(snapshot.GetConfiguration()) > 0 {
+		host.routeFollower.Replace(discovery.Listing{At: snapshot.GetVersion(), Objects: []discovery.Object{{
+			Name: host.routes.Name, Revision: snapshot.GetVersion(), Value: snapshot.GetConfiguration(),
+		}}})
+	}
+	listing := discovery.Listing{At: snapshot.GetRevision()}
+	for _, entry := range snapshot.GetTargets() {
+		listing.Objects = append(listing.Objects, discovery.Object{
+			Name: entry.GetName(), Revision: entry.GetRevision(), Value: entry.GetValue(),
+		})
+	}
+	host.targetFollower.Replace(listing)
+}
+
+// ready answers the balancer.
+func (host *host) ready(writer http.ResponseWriter, _ *http.Request) {
+	if host.gateway.leaving.Load() || host.gateway.Table() == nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// drain makes the host unready, lets callers move and waits for the running
+// requests.
+func (host *host) drain(ctx context.Context) error {
+	return host.gateway.Drain(ctx)
+}
+
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	// Without an endpoint the transport looks through the machine's interfaces,
+	// which not every machine shows.
+	endpoint := &url.URL{Scheme: "http", Host: listener.Addr().String()}
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0), khttp.Filter(
+		// The router of the transport would rewrite paths.
+		func(http.Handler) http.Handler { return handler },
+	))
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = headerBytes
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Start(context.WithoutCancel(ctx)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// sender sends datagrams; those that can't be sent are as good as lost.
+func sender(datagrams net.PacketConn) func(address string, datagram []byte) {
+	return func(address string, datagram []byte) {
+		resolved, err := net.ResolveUDPAddr("udp", address)
+		if err == nil {
+			_, _ = datagrams.WriteTo(datagram, resolved)
+		}
+	}
+}
+
+// receive passes datagrams on until the connection is closed.
+func receive(datagrams net.PacketConn, exchange *exchange.Exchange) {
+	buffer := make([]byte, datagramBytes)
+	for {
+		size, _, err := datagrams.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			exchange.Receive(buffer[:size])
+		}
+	}
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -3,6 +3,7 @@
 package kernel
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +52,8 @@
 type Plugin struct {
 	Name string
 	Rank int
+	// Role is the role of the hosts that have the part, entry if empty.
+	Role string
 	New  func(host *Host) (*Part, error)
 }
 
@@ -91,11 +94,14 @@
 	return value, nil
 }
 
-// Build constructs every registered part in order of rank.
+// Build constructs every registered part of the host's role in order of rank.
 func (host *Host) Build() error {
 	ordered := append([]Plugin(nil), plugins...)
 	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Rank < ordered[j].Rank })
 	for _, plugin := range ordered {
+		if cmp.Or(plugin.Role, settings.RoleEntry) != cmp.Or(host.Settings.Host.Role, settings.RoleEntry) {
+			continue
+		}
 		part, err := plugin.New(host)
 		if err != nil {
 			return fmt.Errorf("build %s: %w", plugin.Name, err)
--- a/platform/client.go
+++ b/objects/client.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's object API: objects with
+// Package objects speaks to the platform's object API: objects with
 // versions, conditional updates and watches, and the list of hosts.
-package platform
+package objects
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 
 // Errors of this package.
 var (
-	Errors = errorx.NewNamespace("platform")
+	Errors = errorx.NewNamespace("objects")
 	// Unavailable: the call certainly had no effect, or was a read.
 	Unavailable = Errors.NewType("unavailable")
 	// Old is an Unavailable: the platform answered with an older version than
--- a/platform/client_test.go
+++ b/objects/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -17,14 +17,14 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/time/rate"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/standin"
 )
 
 // script runs the commands of a file against a client of a stand-in.
 type script struct {
 	standin *standin.Platform
-	client  *platform.Client
+	client  *objects.Client
 	race    string
 }
 
@@ -41,7 +41,7 @@
 	text, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
 	fake := &standin.Platform{}
-	script := &script{standin: fake, client: &platform.Client{Address: "http://platform", Timeout: 2 * time.Second, Do: do(fake.Handler())}}
+	script := &script{standin: fake, client: &objects.Client{Address: "http://platform", Timeout: 2 * time.Second, Do: do(fake.Handler())}}
 	for i, line := range strings.Split(string(text), "\n") {
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
@@ -87,7 +87,7 @@
 		return script.put(ctx, version, []byte(words[2]))
 	case "putlarge":
 		version, _ := strconv.ParseInt(words[1], 10, 64)
-		return script.put(ctx, version, make([]byte, platform.MaxObjectBytes+1))
+		return script.put(ctx, version, make([]byte, objects.MaxObjectBytes+1))
 	case "get":
 		object, err := script.client.Get(ctx, "kind", "name")
 		return show(object, err)
@@ -101,7 +101,7 @@
 		return show(object, err)
 	case "update":
 		api := script.client.API()
-		object, err := api.Update(ctx, "kind", "name", func(platform.Object) ([]byte, error) {
+		object, err := api.Update(ctx, "kind", "name", func(objects.Object) ([]byte, error) {
 			if script.race != "" {
 				script.other(c, script.race)
 				script.race = ""
@@ -118,7 +118,7 @@
 }
 
 func (script *script) put(ctx context.Context, version int64, value []byte) string {
-	version, err := script.client.Put(ctx, platform.Object{Kind: "kind", Name: "name", Version: version, Value: value})
+	version, err := script.client.Put(ctx, objects.Object{Kind: "kind", Name: "name", Version: version, Value: value})
 	if err != nil {
 		return kind(err)
 	}
@@ -127,13 +127,13 @@
 
 func (script *script) other(c *qt.C, value string) {
 	api := script.standin.API()
-	_, err := api.Update(context.Background(), "kind", "name", func(platform.Object) ([]byte, error) {
+	_, err := api.Update(context.Background(), "kind", "name", func(objects.Object) ([]byte, error) {
 		return []byte(value), nil
 	})
 	c.Assert(err, qt.IsNil)
 }
 
-func show(object platform.Object, err error) string {
+func show(object objects.Object, err error) string {
 	if err != nil {
 		return kind(err)
 	}
@@ -142,17 +142,17 @@
 
 func kind(err error) string {
 	switch {
-	case platform.Is(err, platform.Old):
+	case objects.Is(err, objects.Old):
 		return "old"
-	case platform.Is(err, platform.Unavailable):
+	case objects.Is(err, objects.Unavailable):
 		return "unavailable"
-	case platform.Is(err, platform.Lost):
+	case objects.Is(err, objects.Lost):
 		return "lost"
-	case platform.Is(err, platform.Conflict):
+	case objects.Is(err, objects.Conflict):
 		return "conflict"
-	case platform.Is(err, platform.NotFound):
+	case objects.Is(err, objects.NotFound):
 		return "notFound"
-	case platform.Is(err, platform.Refused):
+	case objects.Is(err, objects.Refused):
 		return "refused"
 	default:
 		return err.Error()
@@ -163,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		fake := &standin.Platform{}
-		client := &platform.Client{
+		client := &objects.Client{
 			Address: "http://platform",
 			Timeout: time.Hour,
 			Limiter: rate.NewLimiter(10, 10),
@@ -184,7 +184,7 @@
 		c := qt.New(t)
 		fake := &standin.Platform{}
 		fake.SetFaults(standin.PlatformFaults{HostsLag: time.Minute})
-		fake.SetHosts([]platform.ListedHost{{ID: "a1"}})
+		fake.SetHosts([]objects.ListedHost{{ID: "a1"}})
 		hosts, err := fake.Hosts(context.Background())
 		c.Assert(err, qt.IsNil)
 		c.Assert(hosts, qt.HasLen, 0)
--- a/platform/lease.go
+++ b/objects/lease.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"context"
--- a/platform/lease_test.go
+++ b/objects/lease_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/standin"
 	"nutmegfield.example/timeline"
 )
@@ -27,7 +27,7 @@
 }
 
 type candidate struct {
-	lease  *platform.Lease
+	lease  *objects.Lease
 	events *timeline.Recorder
 	stop   context.CancelFunc
 	mutex  sync.Mutex
@@ -37,13 +37,13 @@
 
 func (leases *leases) start(holder string) *candidate {
 	candidate := &candidate{events: &timeline.Recorder{Host: holder}}
-	candidate.lease = &platform.Lease{
+	candidate.lease = &objects.Lease{
 		API:    candidate.api(leases.standin.API()),
 		Name:   "orders-a",
 		Zone:   "a",
 		Holder: holder,
-		Term:   platform.LeaseTerm,
-		Margin: platform.LeaseMargin,
+		Term:   objects.LeaseTerm,
+		Margin: objects.LeaseMargin,
 		Wanted: func() bool { return true },
 		Events: candidate.events,
 	}
@@ -55,19 +55,19 @@
 }
 
 // api stands still while the candidate does, before and after each call.
-func (candidate *candidate) api(api platform.API) platform.API {
+func (candidate *candidate) api(api objects.API) objects.API {
 	cut := standin.CutOff(api, func() bool {
 		candidate.mutex.Lock()
 		defer candidate.mutex.Unlock()
 		return candidate.cut
 	})
 	frozen := cut
-	frozen.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	frozen.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		candidate.stand()
 		defer candidate.stand()
 		return cut.Get(ctx, kind, name)
 	}
-	frozen.Put = func(ctx context.Context, object platform.Object) (int64, error) {
+	frozen.Put = func(ctx context.Context, object objects.Object) (int64, error) {
 		candidate.stand()
 		defer candidate.stand()
 		return cut.Put(ctx, object)
@@ -139,7 +139,7 @@
 		}
 		// Released when drained: the other does not wait for the term.
 		winner.stop()
-		time.Sleep(platform.LeaseTerm / 2)
+		time.Sleep(objects.LeaseTerm / 2)
 		holder, number = leases.now()
 		c.Assert(holder, qt.Equals, loser.lease.Holder)
 		c.Assert(number, qt.Equals, int64(2))
@@ -161,7 +161,7 @@
 		time.Sleep(time.Millisecond)
 		// The first thing after the freeze.
 		_, err := first.lease.Check()
-		c.Assert(platform.Is(err, platform.NotHeld), qt.IsTrue)
+		c.Assert(objects.Is(err, objects.NotHeld), qt.IsTrue)
 		time.Sleep(time.Minute)
 		holder, _ = leases.now()
 		c.Assert(holder, qt.Equals, "a2")
@@ -193,10 +193,10 @@
 		first, second := leases.start("a1"), leases.start("a2")
 		time.Sleep(time.Minute)
 		leases.standin.SetFaults(standin.PlatformFaults{Down: true})
-		time.Sleep(platform.LeaseTerm)
+		time.Sleep(objects.LeaseTerm)
 		for _, candidate := range []*candidate{first, second} {
 			_, err := candidate.lease.Check()
-			c.Assert(platform.Is(err, platform.NotHeld), qt.IsTrue)
+			c.Assert(objects.Is(err, objects.NotHeld), qt.IsTrue)
 		}
 		leases.standin.SetFaults(standin.PlatformFaults{})
 		time.Sleep(time.Minute)
@@ -231,13 +231,13 @@
 func TestForeignLeaseIsRefused(t *testing.T) {
 	for _, value := range []string{foreign(), "no JSON"} {
 		testLeases(t, func(c *qt.C, leases *leases) {
-			object := platform.Object{Kind: platform.LeaseKind, Name: "orders-a", Value: []byte(value)}
+			object := objects.Object{Kind: objects.LeaseKind, Name: "orders-a", Value: []byte(value)}
 			_, err := leases.standin.Put(context.Background(), object)
 			c.Assert(err, qt.IsNil)
 			first := leases.start("a1")
 			time.Sleep(time.Minute)
 			_, err = first.lease.Check()
-			c.Assert(platform.Is(err, platform.NotHeld), qt.IsTrue)
+			c.Assert(objects.Is(err, objects.NotHeld), qt.IsTrue)
 			c.Assert(first.events.Events(), qt.HasLen, 1)
 			kept, err := leases.standin.Get(context.Background(), object.Kind, object.Name)
 			c.Assert(err, qt.IsNil)
@@ -249,6 +249,6 @@
 
 // foreign is a lease of another zone.
 func foreign() string {
-	value, _ := json.Marshal(platform.LeaseRecord{Holder: "b1", Zone: "b", Number: 1, Released: true})
+	value, _ := json.Marshal(objects.LeaseRecord{Holder: "b1", Zone: "b", Number: 1, Released: true})
 	return string(value)
 }
--- /dev/null
+++ b/objects/part.go
@@ -0,0 +1,33 @@
+package objects
+
+import (
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"nutmegfield.example/kernel"
+)
+
+// idleTimeout is how long an idle connection to the platform is kept.
+const idleTimeout = 30 * time.Second
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "objects", Rank: kernel.RankPlatform, New: newPart})
+}
+
+func newPart(host *kernel.Host) (*kernel.Part, error) {
+	settings := host.Settings.Platform
+	caller := &http.Client{Transport: &http.Transport{DialContext: host.Dial, IdleConnTimeout: idleTimeout}}
+	burst := max(1, int(settings.Rate))
+	client := &Client{
+		Address: settings.Address,
+		Timeout: settings.Timeout,
+		Limiter: rate.NewLimiter(rate.Limit(settings.Rate), burst),
+		Do:      caller.Do,
+	}
+	api := client.API()
+	kernel.Provide(host, client)
+	kernel.Provide(host, &api)
+	return &kernel.Part{}, nil
+}
--- a/order/keeper.go
+++ b/order/keeper.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"nutmegfield.example/profile"
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/timeline"
 )
 
@@ -55,7 +55,7 @@
 	// numbers get no order from a new holder before.
 	Settled time.Duration
 	// Client returns the client of a protocol, nil if there is none.
-	Client func(protocol string) *target.Client
+	Client func(protocol string) *protocol.Client
 	// Waiting returns the number of requests that wait for a pool.
 	Waiting func(pool string) int
 	Events  *timeline.Recorder
@@ -156,7 +156,7 @@
 }
 
 // worth counts the requests that an order helps; to unload helps none.
-func (keeper *Keeper) worth(pool string, order target.Order) int {
+func (keeper *Keeper) worth(pool string, order protocol.Order) int {
 	if order.Action == actionUnload {
 		return -1
 	}
@@ -198,7 +198,7 @@
 	keeper.Events.Record(eventGiven, event)
 }
 
-func describe(order target.Order) string {
+func describe(order protocol.Order) string {
 	return fmt.Sprintf("%s model=%q adapter=%q version=%q role=%q fence=%d",
 		order.Action, order.Model, order.Adapter, order.Version, order.Role, order.Fence)
 }
--- a/order/keeper_test.go
+++ b/order/keeper_test.go
@@ -16,19 +16,19 @@
 	"github.com/rogpeppe/go-internal/txtar"
 	"go.yaml.in/yaml/v3"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/order"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/standin"
-	"nutmegfield.example/target"
 )
 
 // server is a target that keeps the orders it got.
 type server struct {
 	mutex  sync.Mutex
-	state  target.State
+	state  protocol.State
 	fenced bool
-	got    []target.Order
+	got    []protocol.Order
 	at     []time.Time
 	// lose is how many of the next orders take no effect and fail.
 	lose int
@@ -36,7 +36,7 @@
 
 var errLost = errors.New("no answer")
 
-func (server *server) order(_ context.Context, order target.Order) error {
+func (server *server) order(_ context.Context, order protocol.Order) error {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	if server.fenced && order.Fence < server.state.Fence {
@@ -53,7 +53,7 @@
 	return nil
 }
 
-func (server *server) act(order target.Order) {
+func (server *server) act(order protocol.Order) {
 	model := order.Model
 	if order.Version != "" {
 		model += "@" + order.Version
@@ -73,12 +73,12 @@
 }
 
 // client speaks to the servers by address.
-func client(servers map[string]*server) *target.Client {
-	return &target.Client{
-		Order: func(ctx context.Context, address string, order target.Order) error {
+func client(servers map[string]*server) *protocol.Client {
+	return &protocol.Client{
+		Order: func(ctx context.Context, address string, order protocol.Order) error {
 			return servers[address].order(ctx, order)
 		},
-		State: func(_ context.Context, address string) (target.State, error) {
+		State: func(_ context.Context, address string) (protocol.State, error) {
 			server := servers[address]
 			server.mutex.Lock()
 			defer server.mutex.Unlock()
@@ -109,7 +109,7 @@
 	for _, described := range script.Targets {
 		servers[described.Name] = &server{
 			fenced: described.Fenced, lose: described.Lose,
-			state: target.State{Role: described.Found.Role, Models: described.Found.Models, Adapters: described.Found.Adapters},
+			state: protocol.State{Role: described.Found.Role, Models: described.Found.Models, Adapters: described.Found.Adapters},
 		}
 		configuration.Pools = append(configuration.Pools, profile.Pool{Name: described.Pool, Targets: []profile.Target{{
 			Name: described.Name, Zone: "a", Address: described.Name, Fenced: described.Fenced, Wanted: described.Wanted,
@@ -146,7 +146,7 @@
 	keeper := &order.Keeper{
 		Zone: "a", Store: script.store(servers), Settled: 20 * time.Second,
 		Check:   func() (int64, error) { return 7, nil },
-		Client:  func(string) *target.Client { return client(servers) },
+		Client:  func(string) *protocol.Client { return client(servers) },
 		Waiting: func(pool string) int { return script.Waiting[pool] },
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(script.Seconds)*time.Second)
@@ -196,7 +196,7 @@
 
 // holder is a host that may hold the lease of its zone.
 type holder struct {
-	lease  *platform.Lease
+	lease  *objects.Lease
 	keeper *order.Keeper
 	mutex  sync.Mutex
 	until  time.Time
@@ -220,21 +220,21 @@
 	holder := &holder{}
 	api := shared.API()
 	get, put := api.Get, api.Put
-	api.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	api.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		holder.pause()
 		return get(ctx, kind, name)
 	}
-	api.Put = func(ctx context.Context, object platform.Object) (int64, error) {
+	api.Put = func(ctx context.Context, object objects.Object) (int64, error) {
 		holder.pause()
 		return put(ctx, object)
 	}
-	holder.lease = &platform.Lease{
+	holder.lease = &objects.Lease{
 		API: api, Name: "orders-a", Zone: "a", Holder: id,
-		Term: platform.LeaseTerm, Margin: platform.LeaseMargin, Wanted: func() bool { return true },
+		Term: objects.LeaseTerm, Margin: objects.LeaseMargin, Wanted: func() bool { return true },
 	}
 	speak := client(servers)
 	look := speak.State
-	speak.State = func(ctx context.Context, address string) (target.State, error) {
+	speak.State = func(ctx context.Context, address string) (protocol.State, error) {
 		state, err := look(ctx, address)
 		holder.pause()
 		return state, err
@@ -246,8 +246,8 @@
 	configuration.Pools = []profile.Pool{{Name: "design", Targets: []profile.Target{described}}}
 	store.Offer(profile.NewSnapshot(1, configuration))
 	holder.keeper = &order.Keeper{
-		Zone: "a", Store: store, Check: holder.lease.Check, Settled: platform.LeaseTerm + 10*time.Second,
-		Client: func(string) *target.Client { return speak }, Waiting: func(string) int { return 0 },
+		Zone: "a", Store: store, Check: holder.lease.Check, Settled: objects.LeaseTerm + 10*time.Second,
+		Client: func(string) *protocol.Client { return speak }, Waiting: func(string) int { return 0 },
 	}
 	return holder
 }
--- a/order/part.go
+++ b/order/part.go
@@ -5,11 +5,11 @@
 	"sync"
 
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/scheduler"
-	"nutmegfield.example/target"
 )
 
 // leaseName begins the names of the leases; the zone follows.
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api, err := kernel.Need[platform.API](host)
+	api, err := kernel.Need[objects.API](host)
 	if err != nil {
 		return nil, err
 	}
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, err := kernel.Need[target.Clients](host)
+	clients, err := kernel.Need[protocol.Clients](host)
 	if err != nil {
 		return nil, err
 	}
@@ -41,13 +41,13 @@
 		return nil, err
 	}
 	zone := members.Self.Zone
-	lease := &platform.Lease{
+	lease := &objects.Lease{
 		API:    *api,
 		Name:   leaseName + zone,
 		Zone:   zone,
 		Holder: members.Self.ID,
-		Term:   platform.LeaseTerm,
-		Margin: platform.LeaseMargin,
+		Term:   objects.LeaseTerm,
+		Margin: objects.LeaseMargin,
 		Events: host.Events,
 		Wanted: func() bool {
 			responsible, _ := members.View().Responsible(zone, leaseName+zone)
@@ -58,7 +58,7 @@
 		Zone:    zone,
 		Store:   store,
 		Check:   lease.Check,
-		Settled: platform.LeaseTerm + callTimeout,
+		Settled: objects.LeaseTerm + callTimeout,
 		Client:  clients.Client,
 		Waiting: schedulers.Waiting,
 		Events:  host.Events,
--- a/order/state.go
+++ b/order/state.go
@@ -8,7 +8,7 @@
 	"sort"
 
 	"nutmegfield.example/profile"
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 )
 
 // The actions of an order.
@@ -22,7 +22,7 @@
 type step struct {
 	target *profile.Target
 	pool   string
-	order  target.Order
+	order  protocol.Order
 	// worth orders the steps: the waiting requests it helps.
 	worth int
 }
@@ -30,11 +30,11 @@
 // missing returns the orders that bring a target from the state it says it
 // has to the wanted one: the role first, then what is missing, then what is
 // too much.
-func missing(described *profile.Target, found target.State) []target.Order {
+func missing(described *profile.Target, found protocol.State) []protocol.Order {
 	wanted := described.Wanted
-	var orders []target.Order
+	var orders []protocol.Order
 	if wanted.Role != "" && wanted.Role != found.Role {
-		orders = append(orders, target.Order{Action: actionRole, Role: wanted.Role})
+		orders = append(orders, protocol.Order{Action: actionRole, Role: wanted.Role})
 	}
 	for _, model := range wanted.Models {
 		if !slices.Contains(found.Models, model) {
@@ -43,7 +43,7 @@
 	}
 	for _, adapter := range wanted.Adapters {
 		if !slices.Contains(found.Adapters, adapter) {
-			orders = append(orders, target.Order{Action: actionLoad, Adapter: adapter})
+			orders = append(orders, protocol.Order{Action: actionLoad, Adapter: adapter})
 		}
 	}
 	return append(orders, surplus(&wanted, found)...)
@@ -51,25 +51,25 @@
 
 // surplus returns the orders that unload what is not wanted. A target of which
 // nothing is wanted is left as it is.
-func surplus(wanted *profile.Wanted, found target.State) []target.Order {
-	var orders []target.Order
+func surplus(wanted *profile.Wanted, found protocol.State) []protocol.Order {
+	var orders []protocol.Order
 	for _, model := range found.Models {
 		if len(wanted.Models) > 0 && !slices.Contains(wanted.Models, model) {
 			name, version := profile.SplitVersion(model)
-			orders = append(orders, target.Order{Action: actionUnload, Model: name, Version: version})
+			orders = append(orders, protocol.Order{Action: actionUnload, Model: name, Version: version})
 		}
 	}
 	for _, adapter := range found.Adapters {
 		if len(wanted.Adapters) > 0 && !slices.Contains(wanted.Adapters, adapter) {
-			orders = append(orders, target.Order{Action: actionUnload, Adapter: adapter})
+			orders = append(orders, protocol.Order{Action: actionUnload, Adapter: adapter})
 		}
 	}
 	return orders
 }
 
-func loadModel(model string) target.Order {
+func loadModel(model string) protocol.Order {
 	name, version := profile.SplitVersion(model)
-	return target.Order{Action: actionLoad, Model: name, Version: version}
+	return protocol.Order{Action: actionLoad, Model: name, Version: version}
 }
 
 // sortSteps puts the most useful first and else keeps the order of targets.
--- a/peer/list.go
+++ b/peer/list.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 )
 
 const (
@@ -37,7 +37,7 @@
 		if alone {
 			interval = firstListInterval
 		}
-		pause(ctx, platform.Jitter(interval))
+		pause(ctx, objects.Jitter(interval))
 	}
 }
 
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/timeline"
 )
 
@@ -69,14 +69,14 @@
 }
 
 // list is the platform's list: every host ever started.
-func (network *network) list(context.Context) ([]platform.ListedHost, error) {
+func (network *network) list(context.Context) ([]objects.ListedHost, error) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
 	network.calls++
-	var listed []platform.ListedHost
+	var listed []objects.ListedHost
 	for _, node := range network.nodes {
 		self := node.prober.Members.Self
-		listed = append(listed, platform.ListedHost{ID: self.ID, Zone: self.Zone, Address: self.Address})
+		listed = append(listed, objects.ListedHost{ID: self.ID, Zone: self.Zone, Address: self.Address})
 	}
 	return listed, nil
 }
--- a/peer/part.go
+++ b/peer/part.go
@@ -13,7 +13,7 @@
 	"nutmegfield.example/certificate"
 	"nutmegfield.example/errorkind"
 	"nutmegfield.example/kernel"
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 )
 
 // leaveRank drains first: the others hear of it before anything ends.
@@ -41,7 +41,7 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	api, err := kernel.Need[platform.API](host)
+	api, err := kernel.Need[objects.API](host)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer/peerpb"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/timeline"
 )
 
@@ -109,7 +109,7 @@
 	// Send sends a datagram; it may be lost.
 	Send func(address string, datagram []byte)
 	// Hosts reads the platform's list; nil for none.
-	Hosts func(ctx context.Context) ([]platform.ListedHost, error)
+	Hosts func(ctx context.Context) ([]objects.ListedHost, error)
 	// Seeds are addresses to try while no other host is known.
 	Seeds []string
 	// Secret is shared by all hosts: datagrams without a hash keyed by it are
--- a/target/events.go
+++ b/protocol/events.go
@@ -1,4 +1,4 @@
-package target
+package protocol
 
 import (
 	"bufio"
--- a/target/poll_capacity_test.go
+++ b/protocol/poll_capacity_test.go
@@ -1,4 +1,4 @@
-package target_test
+package protocol_test
 
 import (
 	"net"
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/standin"
-	"nutmegfield.example/target"
 )
 
 // BenchmarkPoll is one poll of an idle engine over loopback, as a scheduler
@@ -17,7 +17,7 @@
 	engine := &standin.Engine{Name: "idle", PrefillRate: 1e6, DecodeRate: 1e6}
 	server := httptest.NewServer(engine.Handler())
 	defer server.Close()
-	client := target.New("engine", target.Limits{
+	client := protocol.New("engine", protocol.Limits{
 		Bytes: 1 << 20, Event: 1 << 20, Wait: time.Minute, Silence: time.Minute, Resumes: 1,
 		Dial: (&net.Dialer{}).DialContext,
 	})
--- a/target/target.go
+++ b/protocol/target.go
@@ -1,6 +1,6 @@
-// Package target speaks to the servers behind the pools. Clients register by
+// Package protocol speaks to the servers behind the pools. Clients register by
 // the name of their protocol.
-package target
+package protocol
 
 import (
 	"context"
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,204 @@
+// Package quota keeps the quotas of workspaces over all hosts. Each host
+// tells the others what it has used in its life, so that every host keeps the
+// same bucket; for hosts that are silent, their even part is taken off.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// silence is how long a host may go unheard before it is taken to use its
+	// even part of each quota.
+	silence = 400 * time.Millisecond
+	// forget is how long a silent host counts; by then it has ended, or has
+	// only its even part, like every host that hears no other.
+	forget = time.Minute
+	// startShare is the part of its burst that a bucket holds at a host's
+	// start, until another host tells the level: the hosts that ran before
+	// may have used the rest.
+	startShare = 0.1
+)
+
+// Limit is a workspace's quota.
+type Limit struct {
+	// Rate is the units a second, 0 for no limit.
+	Rate float64
+	// Burst is the most units in the bucket.
+	Burst float64
+}
+
+// Spend is what a host says of a workspace.
+type Spend struct {
+	Workspace string
+	// Total is the units that it used in its life.
+	Total float64
+	// Level is what it believes to be left for all.
+	Level float64
+}
+
+// Ledger holds the buckets of all workspaces. Fields are set before use.
+type Ledger struct {
+	mutex   sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*account
+	adopted bool
+}
+
+// bucket is what is left of a workspace's quota, as this host knows it.
+type bucket struct {
+	limit   Limit
+	level   float64
+	total   float64
+	updated time.Time
+}
+
+// account is what is known of another host.
+type account struct {
+	life   uint64
+	heard  time.Time
+	totals map[string]float64
+}
+
+// SetLimits puts the quotas of a configuration in force.
+func (ledger *Ledger) SetLimits(limits map[string]Limit) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := time.Now()
+	ledger.advance(now)
+	if ledger.buckets == nil {
+		ledger.buckets = map[string]*bucket{}
+	}
+	for name, limit := range limits {
+		known := ledger.buckets[name]
+		if known == nil {
+			known = &bucket{level: startShare * limit.Burst, updated: now}
+			ledger.buckets[name] = known
+		}
+		if limit.Burst > known.limit.Burst && known.limit.Burst > 0 {
+			known.level += limit.Burst - known.limit.Burst
+		}
+		known.limit = limit
+		known.level = min(known.level, limit.Burst)
+	}
+}
+
+// Take uses units of a workspace's quota. Where there are too few it takes
+// none and returns when there may be enough.
+func (ledger *Ledger) Take(workspace string, units float64) (bool, time.Duration) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.advance(time.Now())
+	bucket := ledger.buckets[workspace]
+	if bucket == nil || bucket.limit.Rate <= 0 {
+		return true, 0
+	}
+	// A request above the burst is let through on a full bucket.
+	needed := min(units, bucket.limit.Burst)
+	if bucket.level < needed {
+		missing := needed - bucket.level
+		return false, time.Duration(missing / bucket.limit.Rate * float64(time.Second))
+	}
+	bucket.level -= units
+	bucket.total += units
+	return true, 0
+}
+
+// Return gives back what was taken for a request that did not run.
+func (ledger *Ledger) Return(workspace string, units float64) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if bucket := ledger.buckets[workspace]; bucket != nil && bucket.limit.Rate > 0 {
+		bucket.level = min(bucket.limit.Burst, bucket.level+units)
+		bucket.total -= units
+	}
+}
+
+// advance fills the buckets for the time passed, less the parts of silent
+// hosts.
+func (ledger *Ledger) advance(now time.Time) {
+	silent := 0
+	for host, account := range ledger.peers {
+		age := now.Sub(account.heard)
+		switch {
+		case age > forget:
+			delete(ledger.peers, host)
+		case age > silence:
+			silent++
+		}
+	}
+	own := 1 - float64(silent)/float64(1+len(ledger.peers))
+	for _, bucket := range ledger.buckets {
+		passed := now.Sub(bucket.updated).Seconds()
+		bucket.updated = now
+		bucket.level = min(bucket.limit.Burst, bucket.level+passed*bucket.limit.Rate*own)
+	}
+}
+
+// Heard takes what another host says of its use.
+func (ledger *Ledger) Heard(host string, life uint64, spends []Spend) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := time.Now()
+	ledger.advance(now)
+	if ledger.peers == nil {
+		ledger.peers = map[string]*account{}
+	}
+	known := ledger.peers[host]
+	first := known == nil
+	if first || known.life < life {
+		known = &account{life: life, totals: map[string]float64{}}
+		ledger.peers[host] = known
+	}
+	if known.life > life {
+		return
+	}
+	known.heard = now
+	for _, spend := range spends {
+		ledger.charge(known, spend, first)
+	}
+	ledger.adopted = ledger.adopted || first && len(spends) > 0
+}
+
+// charge takes off what a host used since its last report. The first report
+// of a host that was never heard says nothing of when it used that much; the
+// level of the first one is adopted.
+func (ledger *Ledger) charge(account *account, spend Spend, first bool) {
+	bucket := ledger.buckets[spend.Workspace]
+	if bucket == nil {
+		return
+	}
+	before := account.totals[spend.Workspace]
+	account.totals[spend.Workspace] = spend.Total
+	switch {
+	case first && !ledger.adopted:
+		bucket.level = min(bucket.limit.Burst, spend.Level)
+	case first:
+	default:
+		bucket.level -= spend.Total - before
+	}
+	bucket.level = min(bucket.level, bucket.limit.Burst)
+}
+
+// Ended tells that a host has left and uses nothing any more.
+func (ledger *Ledger) Ended(host string) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.advance(time.Now())
+	delete(ledger.peers, host)
+}
+
+// Report returns what this host tells the others.
+func (ledger *Ledger) Report() []Spend {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.advance(time.Now())
+	var spends []Spend
+	for name, bucket := range ledger.buckets {
+		if bucket.limit.Rate > 0 {
+			spends = append(spends, Spend{Workspace: name, Total: bucket.total, Level: bucket.level})
+		}
+	}
+	return spends
+}
--- a/record/objects.go
+++ b/record/objects.go
@@ -7,28 +7,28 @@
 	"context"
 	"fmt"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/once"
-	"nutmegfield.example/platform"
 )
 
-// objectKind is the kind of the records' objects in the platform.
+// objectKind is the kind of the records' keptObjects in the platform.
 const objectKind = "record"
 
-// objects gives a range its seams over the platform.
-type objects struct {
-	client *platform.Client
+// keptObjects gives a range its seams over the platform.
+type keptObjects struct {
+	client *objects.Client
 }
 
-func (objects *objects) read(ctx context.Context, name string) (once.Object, error) {
-	object, err := objects.client.Get(ctx, objectKind, name)
+func (keptObjects *keptObjects) read(ctx context.Context, name string) (once.Object, error) {
+	object, err := keptObjects.client.Get(ctx, objectKind, name)
 	if err != nil {
 		return once.Object{}, translate(err)
 	}
 	return once.Object{Name: name, Version: object.Version, Value: object.Value}, nil
 }
 
-func (objects *objects) write(ctx context.Context, object once.Object) (int64, error) {
-	version, err := objects.client.Put(ctx, platform.Object{
+func (keptObjects *keptObjects) write(ctx context.Context, object once.Object) (int64, error) {
+	version, err := keptObjects.client.Put(ctx, objects.Object{
 		Kind: objectKind, Name: object.Name, Version: object.Version, Value: object.Value,
 	})
 	if err != nil {
@@ -37,12 +37,12 @@
 	return version, nil
 }
 
-func (objects *objects) remove(ctx context.Context, name string) error {
-	object, err := objects.client.Get(ctx, objectKind, name)
+func (keptObjects *keptObjects) remove(ctx context.Context, name string) error {
+	object, err := keptObjects.client.Get(ctx, objectKind, name)
 	if err != nil {
 		return translate(err)
 	}
-	if err := objects.client.Delete(ctx, objectKind, name, object.Version); err != nil {
+	if err := keptObjects.client.Delete(ctx, objectKind, name, object.Version); err != nil {
 		return translate(err)
 	}
 	return nil
@@ -51,11 +51,11 @@
 // translate gives an error of the platform the type that once knows.
 func translate(err error) error {
 	switch {
-	case platform.Is(err, platform.NotFound):
+	case objects.Is(err, objects.NotFound):
 		return once.Missing.Wrap(err, "call the platform")
-	case platform.Is(err, platform.Conflict):
+	case objects.Is(err, objects.Conflict):
 		return once.Conflict.Wrap(err, "call the platform")
-	case platform.Is(err, platform.Lost):
+	case objects.Is(err, objects.Lost):
 		return once.Lost.Wrap(err, "call the platform")
 	default:
 		return fmt.Errorf("call the platform: %w", err)
--- a/record/part.go
+++ b/record/part.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 	"nutmegfield.example/profile"
 )
 
@@ -18,7 +18,7 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	client, err := kernel.Need[platform.Client](host)
+	client, err := kernel.Need[objects.Client](host)
 	if err != nil {
 		return nil, err
 	}
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := newStore(&objects{client: client}, func() time.Duration {
+	store := newStore(&keptObjects{client: client}, func() time.Duration {
 		if snapshot := profiles.Current(); snapshot != nil {
 			return snapshot.Configuration.Limits.RecordRetention
 		}
@@ -43,14 +43,14 @@
 	return &kernel.Part{}, nil
 }
 
-func newStore(objects *objects, retention func() time.Duration) *once.Store {
+func newStore(keptObjects *keptObjects, retention func() time.Duration) *once.Store {
 	store := &once.Store{}
 	for index := range once.Ranges {
 		store.Ranges = append(store.Ranges, &once.Range{
 			Name:      once.RangeName(index),
-			Read:      objects.read,
-			Write:     objects.write,
-			Remove:    objects.remove,
+			Read:      keptObjects.read,
+			Write:     keptObjects.write,
+			Remove:    keptObjects.remove,
 			Retention: retention,
 			Window:    once.GroupWindow,
 		})
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table finds the route of a request and the workspace of a key. It is never
+// changed once made.
+type Table struct {
+	Configuration *Configuration
+
+	hosts      map[string][]*Route
+	keys       map[string]*Workspace
+	workspaces map[string]*Workspace
+	pools      map[string]*Pool
+}
+
+// NewTable indexes a configuration.
+func NewTable(configuration *Configuration) *Table {
+	table := &Table{
+		Configuration: configuration,
+		hosts:         map[string][]*Route{},
+		keys:          map[string]*Workspace{},
+		workspaces:    map[string]*Workspace{},
+		pools:         map[string]*Pool{},
+	}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for _, routes := range table.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range configuration.Workspaces {
+		workspace := &configuration.Workspaces[i]
+		table.workspaces[workspace.Name] = workspace
+		for _, key := range workspace.Keys {
+			table.keys[key] = workspace
+		}
+	}
+	for i := range configuration.Pools {
+		table.pools[configuration.Pools[i].Name] = &configuration.Pools[i]
+	}
+	return table
+}
+
+// Find returns the route with the longest prefix of the path, nil if there is
+// none.
+func (table *Table) Find(host, path string) *Route {
+	for _, route := range table.hosts[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName is a Host header in lower case, without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Keyed reports whether requests need a key at all.
+func (table *Table) Keyed() bool { return len(table.workspaces) > 0 }
+
+// WorkspaceOf returns the workspace of a key, nil if there is none.
+func (table *Table) WorkspaceOf(key string) *Workspace { return table.keys[key] }
+
+// Workspace returns a workspace by name, nil if there is none.
+func (table *Table) Workspace(name string) *Workspace { return table.workspaces[name] }
+
+// Pool returns a pool by name, nil if there is none.
+func (table *Table) Pool(name string) *Pool { return table.pools[name] }
+
+// Choose returns the pool for a draw from 0 up to 1: each gets its weight.
+func (route *Route) Choose(draw float64) string {
+	total := 0
+	for _, share := range route.Pools {
+		total += max(0, share.Weight)
+	}
+	left := draw * float64(total)
+	for _, share := range route.Pools {
+		left -= float64(max(0, share.Weight))
+		if left < 0 {
+			return share.Pool
+		}
+	}
+	if len(route.Pools) == 0 {
+		return ""
+	}
+	return route.Pools[len(route.Pools)-1].Pool
+}
--- a/scheduler/broken_test.go
+++ b/scheduler/broken_test.go
@@ -9,8 +9,8 @@
 
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // TestBrokenConnection: what ran on a target whose connection was lost is
@@ -23,15 +23,15 @@
 		suspects int
 	}{
 		{"lives", nil, 0},
-		{"down", target.Broken.New("down"), 1},
+		{"down", protocol.Broken.New("down"), 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
 				scheduler.mutex.Lock()
-				scheduler.Client = func(string) *target.Client {
-					return &target.Client{Load: func(context.Context, string) (target.Load, error) {
+				scheduler.Client = func(string) *protocol.Client {
+					return &protocol.Client{Load: func(context.Context, string) (protocol.Load, error) {
 						time.Sleep(brokenTimeout / 2)
-						return target.Load{}, test.fault
+						return protocol.Load{}, test.fault
 					}}
 				}
 				scheduler.mutex.Unlock()
--- a/scheduler/orphans.go
+++ b/scheduler/orphans.go
@@ -7,8 +7,8 @@
 
 	"nutmegfield.example/pool"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -105,15 +105,15 @@
 	if err != nil {
 		return false
 	}
-	i := slices.IndexFunc(streams, func(stream target.Stream) bool { return stream.Request == grant.Ticket })
+	i := slices.IndexFunc(streams, func(stream protocol.Stream) bool { return stream.Request == grant.Ticket })
 	if i < 0 {
 		return true
 	}
 	unread := time.Duration(streams[i].Unread * float64(time.Second))
-	return unread > target.ResumeSpan && client.Cancel(ctx, described.Address, grant.Ticket) == nil
+	return unread > protocol.ResumeSpan && client.Cancel(ctx, described.Address, grant.Ticket) == nil
 }
 
-func (scheduler *Scheduler) lookup(name, targetName string) (*profile.Target, *target.Client) {
+func (scheduler *Scheduler) lookup(name, targetName string) (*profile.Target, *protocol.Client) {
 	snapshot := scheduler.Store.Current()
 	if snapshot == nil || snapshot.Pool(name) == nil {
 		return nil, nil
--- a/scheduler/orphans_test.go
+++ b/scheduler/orphans_test.go
@@ -7,34 +7,34 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // TestOrphans: a slot of an entry host that vanished is freed only where the
 // host is dead by the membership and the engine says that nobody reads.
 func TestOrphans(t *testing.T) {
-	long := target.ResumeSpan + time.Second
+	long := protocol.ResumeSpan + time.Second
 	for _, test := range []struct {
 		name      string
 		dead      bool
-		streams   []target.Stream
+		streams   []protocol.Stream
 		err       error
 		cancelled int
 		held      int
 	}{
 		{"alive", false, nil, nil, 0, 1},
-		{"alive and unread", false, []target.Stream{{Request: request.ID{1}, Unread: long.Seconds()}}, nil, 0, 1},
-		{"dead and read lately", true, []target.Stream{{Request: request.ID{1}, Unread: 3}}, nil, 0, 1},
-		{"dead and unread", true, []target.Stream{{Request: request.ID{1}, Unread: long.Seconds()}}, nil, 1, 0},
-		{"dead and ended", true, []target.Stream{{Request: request.ID{9}, Unread: 900}}, nil, 0, 0},
-		{"dead and silent engine", true, nil, target.Broken.New("down"), 0, 1},
+		{"alive and unread", false, []protocol.Stream{{Request: request.ID{1}, Unread: long.Seconds()}}, nil, 0, 1},
+		{"dead and read lately", true, []protocol.Stream{{Request: request.ID{1}, Unread: 3}}, nil, 0, 1},
+		{"dead and unread", true, []protocol.Stream{{Request: request.ID{1}, Unread: long.Seconds()}}, nil, 1, 0},
+		{"dead and ended", true, []protocol.Stream{{Request: request.ID{9}, Unread: 900}}, nil, 0, 0},
+		{"dead and silent engine", true, nil, protocol.Broken.New("down"), 0, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, scheduler *Scheduler, sent *sent, _ *string) {
 				cancelled := 0
-				client := &target.Client{
-					Streams: func(context.Context, string) ([]target.Stream, error) { return test.streams, test.err },
+				client := &protocol.Client{
+					Streams: func(context.Context, string) ([]protocol.Stream, error) { return test.streams, test.err },
 					Cancel: func(_ context.Context, _ string, id request.ID) error {
 						qt.Check(t, id, qt.Equals, request.ID{1})
 						cancelled++
@@ -42,7 +42,7 @@
 					},
 				}
 				scheduler.mutex.Lock()
-				scheduler.Client = func(string) *target.Client { return client }
+				scheduler.Client = func(string) *protocol.Client { return client }
 				if test.dead {
 					scheduler.Hosts = func() []string { return []string{"a"} }
 				}
--- a/scheduler/part.go
+++ b/scheduler/part.go
@@ -4,7 +4,7 @@
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 )
 
 func init() {
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, err := kernel.Need[target.Clients](host)
+	clients, err := kernel.Need[protocol.Clients](host)
 	if err != nil {
 		return nil, err
 	}
--- a/scheduler/poll_test.go
+++ b/scheduler/poll_test.go
@@ -10,20 +10,20 @@
 	"nutmegfield.example/pool"
 	"nutmegfield.example/prefix"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // TestCacheEvents: each event reaches the index once, and a gap is seen.
 func TestCacheEvents(t *testing.T) {
-	batches := [][]target.CacheEvent{
+	batches := [][]protocol.CacheEvent{
 		{{Sequence: 1, Stored: []uint64{10}}, {Sequence: 2, Stored: []uint64{20}}},
 		{},
 		{{Sequence: 4, Removed: []uint64{10}}},
 	}
 	var asked []uint64
-	scheduler := &Scheduler{Client: func(string) *target.Client {
-		return &target.Client{CacheEvents: func(_ context.Context, _ string, after uint64) ([]target.CacheEvent, error) {
+	scheduler := &Scheduler{Client: func(string) *protocol.Client {
+		return &protocol.Client{CacheEvents: func(_ context.Context, _ string, after uint64) ([]protocol.CacheEvent, error) {
 			asked = append(asked, after)
 			next := batches[0]
 			batches = batches[1:]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,8 +14,8 @@
 	"nutmegfield.example/pool"
 	"nutmegfield.example/prefix"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 	"nutmegfield.example/timeline"
 )
 
@@ -53,7 +53,7 @@
 	Hosts     func() []string
 	ZoneHosts func() []string
 	// Client returns the client of a protocol, nil if there is none.
-	Client func(protocol string) *target.Client
+	Client func(protocol string) *protocol.Client
 
 	mutex sync.Mutex
 	pools map[string]*pool.Pool
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -15,8 +15,8 @@
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/pool"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // sent keeps what a scheduler says to each host.
@@ -66,9 +66,9 @@
 			Responsible: func(string) string { return responsible },
 			Hosts:       func() []string { return []string{"a", "b"} },
 			ZoneHosts:   func() []string { return []string{"a", "b"} },
-			Client: func(string) *target.Client {
-				return &target.Client{Load: func(context.Context, string) (target.Load, error) {
-					return target.Load{Leaving: sent.leaving.Load()}, nil
+			Client: func(string) *protocol.Client {
+				return &protocol.Client{Load: func(context.Context, string) (protocol.Load, error) {
+					return protocol.Load{Leaving: sent.leaving.Load()}, nil
 				}}
 			},
 		}
--- a/settings/peers.go
+++ b/settings/peers.go
@@ -9,6 +9,8 @@
 	// Seeds are addresses of hosts to ask first while the platform's list
 	// can't be had.
 	Seeds []string `yaml:"seeds"`
+	// SeedPort, where it is set, goes before the ports of the seeds.
+	SeedPort int `yaml:"seedPort"`
 	// Secret is a file that all hosts share, of at least 32 bytes; with it
 	// datagrams are only taken from hosts that have it.
 	Secret string `yaml:"secret"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,7 @@
 	Platform  Platform  `yaml:"platform"`
 	Log       Log       `yaml:"log"`
 	Drain     Drain     `yaml:"drain"`
+	Gateway   Gateway   `yaml:"gateway"`
 }
 
 // Load reads and checks a file.
@@ -67,4 +68,5 @@
 	settings.Platform.check(checker)
 	settings.Log.check(checker)
 	settings.Drain.check(checker)
+	settings.Gateway.check(checker, settings.Host.Role)
 }
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 )
 
 // fastEngine serves an engine that takes next to no time.
@@ -62,7 +62,7 @@
 	call(t, http.MethodPost, from.URL+"/v1/chat/completions", body)
 
 	_, text := call(t, http.MethodGet, from.URL+"/engine/cache?after=0", "")
-	var events []target.CacheEvent
+	var events []protocol.CacheEvent
 	qt.Assert(t, json.Unmarshal([]byte(text), &events), qt.IsNil)
 	qt.Assert(t, events, qt.HasLen, 1)
 	stored := events[0].Stored
@@ -80,23 +80,23 @@
 func TestEngineOrders(t *testing.T) {
 	for _, fenced := range []bool{false, true} {
 		server := fastEngine(t, EngineOptions{Fenced: fenced})
-		give := func(order target.Order) int {
+		give := func(order protocol.Order) int {
 			text, err := json.Marshal(order)
 			qt.Assert(t, err, qt.IsNil)
 			status, _ := call(t, http.MethodPost, server.URL+"/engine/orders", string(text))
 			return status
 		}
-		qt.Assert(t, give(target.Order{Fence: 5, Action: "load", Model: "m", Version: "2"}), qt.Equals, http.StatusOK)
-		qt.Assert(t, give(target.Order{Fence: 5, Action: "load", Adapter: "lace"}), qt.Equals, http.StatusOK)
-		qt.Assert(t, give(target.Order{Fence: 6, Action: "dance"}), qt.Equals, http.StatusBadRequest)
-		old := give(target.Order{Fence: 4, Action: "role", Role: "prefill"})
-		want := target.State{Fence: 5, Role: "prefill", Models: []string{"m@2"}, Adapters: []string{"lace"}}
+		qt.Assert(t, give(protocol.Order{Fence: 5, Action: "load", Model: "m", Version: "2"}), qt.Equals, http.StatusOK)
+		qt.Assert(t, give(protocol.Order{Fence: 5, Action: "load", Adapter: "lace"}), qt.Equals, http.StatusOK)
+		qt.Assert(t, give(protocol.Order{Fence: 6, Action: "dance"}), qt.Equals, http.StatusBadRequest)
+		old := give(protocol.Order{Fence: 4, Action: "role", Role: "prefill"})
+		want := protocol.State{Fence: 5, Role: "prefill", Models: []string{"m@2"}, Adapters: []string{"lace"}}
 		if fenced {
 			want.Role = ""
 			qt.Assert(t, old, qt.Equals, http.StatusConflict)
 		}
 		_, text := call(t, http.MethodGet, server.URL+"/engine/state", "")
-		var state target.State
+		var state protocol.State
 		qt.Assert(t, json.NewDecoder(bytes.NewBufferString(text)).Decode(&state), qt.IsNil)
 		qt.Assert(t, state, qt.DeepEquals, want)
 	}
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 )
 
 // EngineFaults are what is wrong with an engine now.
@@ -118,11 +118,11 @@
 
 // engineState is what orders have made of the engine.
 type engineState struct {
-	target.State
+	protocol.State
 }
 
 func (standin *Engine) order(writer http.ResponseWriter, request *http.Request) {
-	var order target.Order
+	var order protocol.Order
 	if !decodeBody(writer, request, &order) {
 		return
 	}
@@ -138,7 +138,7 @@
 }
 
 // apply reports false for an unknown action.
-func (state *engineState) apply(order target.Order) bool {
+func (state *engineState) apply(order protocol.Order) bool {
 	switch order.Action {
 	case "load":
 		state.Models = with(state.Models, versioned(order.Model, order.Version))
--- a/standin/enginemodel.go
+++ b/standin/enginemodel.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"nutmegfield.example/prefix"
+	"nutmegfield.example/protocol"
 	"nutmegfield.example/request"
-	"nutmegfield.example/target"
 )
 
 // EngineOptions are the sizes and habits of an engine. A field that is zero
@@ -142,7 +142,7 @@
 	decoding jobHeap
 	cache    *blockCache
 	events   eventLog
-	reports  []target.Load
+	reports  []protocol.Load
 }
 
 // start readies the model at its first use.
--- a/standin/enginereport.go
+++ b/standin/enginereport.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"nutmegfield.example/target"
+	"nutmegfield.example/protocol"
 )
 
 // maxEvents bounds the cache events that are kept to be read.
@@ -16,7 +16,7 @@
 }
 
 type timedEvent struct {
-	event target.CacheEvent
+	event protocol.CacheEvent
 	at    time.Time
 }
 
@@ -25,7 +25,7 @@
 	if model.random.Float64() < model.Options.EventLoss {
 		return
 	}
-	event := target.CacheEvent{Sequence: model.events.sequence, Stored: stored, Removed: removed}
+	event := protocol.CacheEvent{Sequence: model.events.sequence, Stored: stored, Removed: removed}
 	model.events.events = append(model.events.events, timedEvent{event, time.Now()})
 	if extra := len(model.events.events) - maxEvents; extra > 0 {
 		model.events.events = model.events.events[extra:]
@@ -34,10 +34,10 @@
 
 // Events returns the cache events after a sequence number that can be read
 // by now: late, and some are missing.
-func (model *EngineModel) Events(after uint64) []target.CacheEvent {
+func (model *EngineModel) Events(after uint64) []protocol.CacheEvent {
 	model.Advance()
 	readable := time.Now().Add(-model.Options.EventLag)
-	events := []target.CacheEvent{}
+	events := []protocol.CacheEvent{}
 	for _, kept := range model.events.events {
 		if kept.event.Sequence > after && !kept.at.After(readable) {
 			events = append(events, kept.event)
@@ -48,7 +48,7 @@
 
 // report notes the load as it is now, to be read when the lag has passed.
 func (model *EngineModel) report() {
-	model.reports = append(model.reports, target.Load{
+	model.reports = append(model.reports, protocol.Load{
 		Running: len(model.prefills) + len(model.decoding),
 		Waiting: len(model.waiting),
 		Leaving: model.leaving,
@@ -58,12 +58,12 @@
 }
 
 // Load returns the load as it was when the report was made.
-func (model *EngineModel) Load() target.Load {
+func (model *EngineModel) Load() protocol.Load {
 	model.Advance()
 	model.forgetReports()
 	made := time.Now().Add(-model.Options.ReportLag)
 	if len(model.reports) == 0 || model.reports[0].At.After(made) {
-		return target.Load{At: made}
+		return protocol.Load{At: made}
 	}
 	load := model.reports[0]
 	load.At = made
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,11 +11,11 @@
 
 	"golang.org/x/time/rate"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 )
 
 // Platform is a stand-in of the platform's object API. Its methods are those
-// of platform.Client, for use in the same process; Handler serves them over
+// of objects.Client, for use in the same process; Handler serves them over
 // HTTP. The zero value is ready.
 type Platform struct {
 	mutex   sync.Mutex
@@ -56,16 +56,16 @@
 type objectKey struct{ kind, name string }
 
 // stored is an object and its version before; each may be missing.
-type stored struct{ present, before platform.Object }
+type stored struct{ present, before objects.Object }
 
 type hostList struct {
 	at    time.Time
-	hosts []platform.ListedHost
+	hosts []objects.ListedHost
 }
 
 // API returns the stand-in's calls.
-func (standin *Platform) API() platform.API {
-	return platform.API{
+func (standin *Platform) API() objects.API {
+	return objects.API{
 		Get:    standin.Get,
 		Put:    standin.Put,
 		Delete: standin.Delete,
@@ -77,21 +77,21 @@
 
 // CutOff returns calls that fail as from a place cut off from the platform
 // while cut reports true.
-func CutOff(api platform.API, cut func() bool) platform.API {
+func CutOff(api objects.API, cut func() bool) objects.API {
 	unreachable := func() error {
 		if cut() {
-			return platform.Unavailable.New("cut off")
+			return objects.Unavailable.New("cut off")
 		}
 		return nil
 	}
-	return platform.API{
-		Get: func(ctx context.Context, kind, name string) (platform.Object, error) {
+	return objects.API{
+		Get: func(ctx context.Context, kind, name string) (objects.Object, error) {
 			if err := unreachable(); err != nil {
-				return platform.Object{}, err
+				return objects.Object{}, err
 			}
 			return api.Get(ctx, kind, name)
 		},
-		Put: func(ctx context.Context, object platform.Object) (int64, error) {
+		Put: func(ctx context.Context, object objects.Object) (int64, error) {
 			if err := unreachable(); err != nil {
 				return 0, err
 			}
@@ -103,23 +103,23 @@
 			}
 			return api.Delete(ctx, kind, name, version)
 		},
-		Watch: func(ctx context.Context, kind, name string, after int64, wait time.Duration) (platform.Object, bool, error) {
+		Watch: func(ctx context.Context, kind, name string, after int64, wait time.Duration) (objects.Object, bool, error) {
 			if err := unreachable(); err != nil {
-				return platform.Object{}, false, err
+				return objects.Object{}, false, err
 			}
 			object, changed, err := api.Watch(ctx, kind, name, after, wait)
 			if lost := unreachable(); lost != nil {
-				return platform.Object{}, false, lost
+				return objects.Object{}, false, lost
 			}
 			return object, changed, err
 		},
-		List: func(ctx context.Context, kind string) ([]platform.Object, error) {
+		List: func(ctx context.Context, kind string) ([]objects.Object, error) {
 			if err := unreachable(); err != nil {
 				return nil, err
 			}
 			return api.List(ctx, kind)
 		},
-		Hosts: func(ctx context.Context) ([]platform.ListedHost, error) {
+		Hosts: func(ctx context.Context) ([]objects.ListedHost, error) {
 			if err := unreachable(); err != nil {
 				return nil, err
 			}
@@ -141,7 +141,7 @@
 }
 
 // SetHosts changes the list of hosts.
-func (standin *Platform) SetHosts(hosts []platform.ListedHost) {
+func (standin *Platform) SetHosts(hosts []objects.ListedHost) {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
 	standin.hosts = append(standin.hosts, hostList{time.Now(), hosts})
@@ -174,39 +174,39 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return platform.Unavailable.Wrap(ctx.Err(), "slow platform")
+			return objects.Unavailable.Wrap(ctx.Err(), "slow platform")
 		}
 	}
 	switch {
 	case ctx.Err() != nil:
-		return platform.Unavailable.Wrap(ctx.Err(), "call ended")
+		return objects.Unavailable.Wrap(ctx.Err(), "call ended")
 	case limited:
 		return overRate.New("too many calls")
 	case faults.Down:
-		return platform.Unavailable.New("platform down")
+		return objects.Unavailable.New("platform down")
 	}
 	return nil
 }
 
 // overRate tells the HTTP side which status to answer.
-var overRate = platform.Unavailable.NewSubtype("overRate")
+var overRate = objects.Unavailable.NewSubtype("overRate")
 
 // Get reads an object.
-func (standin *Platform) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (standin *Platform) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if err := standin.enter(ctx, "get"); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
 	object := standin.visible(objectKey{kind, name})
 	if object.Version == 0 {
-		return platform.Object{}, platform.NotFound.New("no such object")
+		return objects.Object{}, objects.NotFound.New("no such object")
 	}
 	return object, nil
 }
 
 // visible returns what a read sees of an object.
-func (standin *Platform) visible(key objectKey) platform.Object {
+func (standin *Platform) visible(key objectKey) objects.Object {
 	found := standin.objects[key]
 	if standin.faults.OldReads && found.before.Version != 0 {
 		return found.before
@@ -215,22 +215,22 @@
 }
 
 // Put writes an object on condition of its version.
-func (standin *Platform) Put(ctx context.Context, object platform.Object) (int64, error) {
+func (standin *Platform) Put(ctx context.Context, object objects.Object) (int64, error) {
 	if err := standin.enter(ctx, "put"); err != nil {
 		return 0, err
 	}
-	if len(object.Value) > platform.MaxObjectBytes {
-		return 0, platform.Refused.New("%d bytes, at most %d", len(object.Value), platform.MaxObjectBytes)
+	if len(object.Value) > objects.MaxObjectBytes {
+		return 0, objects.Refused.New("%d bytes, at most %d", len(object.Value), objects.MaxObjectBytes)
 	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
 	if standin.takeDrop() {
-		return 0, platform.Lost.New("no answer")
+		return 0, objects.Lost.New("no answer")
 	}
 	key := objectKey{object.Kind, object.Name}
 	before := standin.objects[key].present
 	if before.Version != object.Version {
-		return before.Version, platform.Conflict.New("version is %d", before.Version)
+		return before.Version, objects.Conflict.New("version is %d", before.Version)
 	}
 	standin.version++
 	object.Version = standin.version
@@ -242,7 +242,7 @@
 	standin.objects[key] = stored{present: object, before: before}
 	standin.wake()
 	if standin.takeLoss() {
-		return 0, platform.Lost.New("no answer")
+		return 0, objects.Lost.New("no answer")
 	}
 	return object.Version, nil
 }
@@ -255,21 +255,21 @@
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
 	if standin.takeDrop() {
-		return platform.Lost.New("no answer")
+		return objects.Lost.New("no answer")
 	}
 	key := objectKey{kind, name}
 	present := standin.objects[key].present
 	switch present.Version {
 	case 0:
-		return platform.NotFound.New("no such object")
+		return objects.NotFound.New("no such object")
 	case version:
 	default:
-		return platform.Conflict.New("version is %d", present.Version)
+		return objects.Conflict.New("version is %d", present.Version)
 	}
 	delete(standin.objects, key)
 	standin.wake()
 	if standin.takeLoss() {
-		return platform.Lost.New("no answer")
+		return objects.Lost.New("no answer")
 	}
 	return nil
 }
@@ -294,9 +294,9 @@
 }
 
 // Watch waits for a version above after.
-func (standin *Platform) Watch(ctx context.Context, kind, name string, after int64, wait time.Duration) (platform.Object, bool, error) {
+func (standin *Platform) Watch(ctx context.Context, kind, name string, after int64, wait time.Duration) (objects.Object, bool, error) {
 	if err := standin.enter(ctx, "watch"); err != nil {
-		return platform.Object{}, false, err
+		return objects.Object{}, false, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -308,14 +308,14 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return platform.Object{}, false, nil
+			return objects.Object{}, false, nil
 		case <-ctx.Done():
-			return platform.Object{}, false, platform.Unavailable.Wrap(ctx.Err(), "watch ended")
+			return objects.Object{}, false, objects.Unavailable.Wrap(ctx.Err(), "watch ended")
 		}
 	}
 }
 
-func (standin *Platform) poll(key objectKey, after int64) (platform.Object, <-chan struct{}, error) {
+func (standin *Platform) poll(key objectKey, after int64) (objects.Object, <-chan struct{}, error) {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
 	if standin.changed == nil {
@@ -324,9 +324,9 @@
 	object := standin.visible(key)
 	switch {
 	case standin.faults.Down:
-		return platform.Object{}, nil, platform.Unavailable.New("platform down")
+		return objects.Object{}, nil, objects.Unavailable.New("platform down")
 	case standin.faults.WatchGaps, object.Version <= after:
-		return platform.Object{}, standin.changed, nil
+		return objects.Object{}, standin.changed, nil
 	default:
 		return object, standin.changed, nil
 	}
@@ -340,13 +340,13 @@
 }
 
 // List reads all objects of a kind, by name.
-func (standin *Platform) List(ctx context.Context, kind string) ([]platform.Object, error) {
+func (standin *Platform) List(ctx context.Context, kind string) ([]objects.Object, error) {
 	if err := standin.enter(ctx, "list"); err != nil {
 		return nil, err
 	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	objects := []platform.Object{}
+	objects := []objects.Object{}
 	for key := range standin.objects {
 		if key.kind == kind {
 			objects = append(objects, standin.visible(key))
@@ -357,13 +357,13 @@
 }
 
 // Hosts reads the list of hosts as it was some time ago.
-func (standin *Platform) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+func (standin *Platform) Hosts(ctx context.Context) ([]objects.ListedHost, error) {
 	if err := standin.enter(ctx, "hosts"); err != nil {
 		return nil, err
 	}
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
-	shown := []platform.ListedHost{}
+	shown := []objects.ListedHost{}
 	limit := time.Now().Add(-standin.faults.HostsLag)
 	for _, list := range standin.hosts {
 		if !list.at.After(limit) {
--- a/standin/platformhttp.go
+++ b/standin/platformhttp.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 )
 
 // Handler returns the API and, under /standin/, the switches.
@@ -42,7 +42,7 @@
 	writeObject(writer, object, err)
 }
 
-func writeObject(writer http.ResponseWriter, object platform.Object, err error) {
+func writeObject(writer http.ResponseWriter, object objects.Object, err error) {
 	if err != nil {
 		writeError(writer, err)
 		return
@@ -54,18 +54,18 @@
 }
 
 func (standin *Platform) put(writer http.ResponseWriter, request *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, platform.MaxObjectBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, objects.MaxObjectBytes))
 	if err != nil {
 		writer.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	version, err := standin.Put(request.Context(), platform.Object{
+	version, err := standin.Put(request.Context(), objects.Object{
 		Kind:    request.PathValue("kind"),
 		Name:    request.PathValue("name"),
 		Version: expected(request),
 		Value:   value,
 	})
-	if err == nil || platform.Is(err, platform.Conflict) {
+	if err == nil || objects.Is(err, objects.Conflict) {
 		writer.Header().Set("ETag", etag(version))
 	}
 	writeError(writer, err)
@@ -87,7 +87,7 @@
 }
 
 func (standin *Platform) setHosts(writer http.ResponseWriter, request *http.Request) {
-	var hosts []platform.ListedHost
+	var hosts []objects.ListedHost
 	if decodeBody(writer, request, &hosts) {
 		standin.SetHosts(hosts)
 	}
@@ -116,15 +116,15 @@
 func writeError(writer http.ResponseWriter, err error) {
 	switch {
 	case err == nil:
-	case platform.Is(err, platform.Lost):
+	case objects.Is(err, objects.Lost):
 		panic(http.ErrAbortHandler)
-	case platform.Is(err, overRate):
+	case objects.Is(err, overRate):
 		writer.WriteHeader(http.StatusTooManyRequests)
-	case platform.Is(err, platform.NotFound):
+	case objects.Is(err, objects.NotFound):
 		writer.WriteHeader(http.StatusNotFound)
-	case platform.Is(err, platform.Conflict):
+	case objects.Is(err, objects.Conflict):
 		writer.WriteHeader(http.StatusPreconditionFailed)
-	case platform.Is(err, platform.Refused):
+	case objects.Is(err, objects.Refused):
 		writer.WriteHeader(http.StatusRequestEntityTooLarge)
 	default:
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/status/part.go
+++ b/status/part.go
@@ -2,8 +2,8 @@
 
 import (
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 )
 
 func init() {
@@ -11,7 +11,7 @@
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
-	api, err := kernel.Need[platform.API](host)
+	api, err := kernel.Need[objects.API](host)
 	if err != nil {
 		return nil, err
 	}
--- a/status/status.go
+++ b/status/status.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/objects"
 	"nutmegfield.example/peer"
-	"nutmegfield.example/platform"
 )
 
 const (
@@ -52,7 +52,7 @@
 // Writer writes a zone's summary while this host is responsible for it.
 // Fields are set before Run.
 type Writer struct {
-	API     platform.API
+	API     objects.API
 	Members *peer.Members
 
 	mutex sync.Mutex
@@ -78,7 +78,7 @@
 // Run writes until the context ends.
 func (writer *Writer) Run(ctx context.Context) error {
 	for {
-		timer := time.NewTimer(platform.Jitter(Interval))
+		timer := time.NewTimer(objects.Jitter(Interval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -101,7 +101,7 @@
 	if err != nil {
 		return fmt.Errorf("encode summary: %w", err)
 	}
-	change := func(platform.Object) ([]byte, error) { return value, nil }
+	change := func(objects.Object) ([]byte, error) { return value, nil }
 	if _, err := writer.API.Update(ctx, ObjectKind, writer.Members.Self.Zone, change); err != nil {
 		return fmt.Errorf("write summary: %w", err)
 	}
--- a/trial/promises_test.go
+++ b/trial/promises_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/kernel"
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 )
@@ -171,7 +171,7 @@
 				won++
 				continue
 			}
-			world.c.Check(platform.Is(err, platform.Conflict), qt.IsTrue, qt.Commentf("%v", err))
+			world.c.Check(objects.Is(err, objects.Conflict), qt.IsTrue, qt.Commentf("%v", err))
 		}
 		world.c.Check(won, qt.Equals, 1)
 	})
@@ -182,10 +182,10 @@
 	configuration.Workspaces[0].Weight = weight
 	text, err := profile.Encode(configuration)
 	world.c.Assert(err, qt.IsNil)
-	client := &platform.Client{
+	client := &objects.Client{
 		Address: "http://" + platformPlace + ":6000", Timeout: 5 * time.Second, Do: world.client.Do,
 	}
-	_, err = client.Put(context.Background(), platform.Object{
+	_, err = client.Put(context.Background(), objects.Object{
 		Kind: profile.ObjectKind, Name: profile.ObjectName, Version: version, Value: text,
 	})
 	return err
--- a/trial/world_test.go
+++ b/trial/world_test.go
@@ -15,7 +15,7 @@
 	// The commands bring the parts of a host.
 	_ "nutmegfield.example/command"
 	"nutmegfield.example/kernel"
-	"nutmegfield.example/platform"
+	"nutmegfield.example/objects"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/settings"
 	"nutmegfield.example/standin"
@@ -132,12 +132,12 @@
 
 // listBut leaves one host out.
 func (world *world) listBut(missing string) {
-	var listed []platform.ListedHost
+	var listed []objects.ListedHost
 	for _, host := range world.hosts {
 		if host.id == missing {
 			continue
 		}
-		listed = append(listed, platform.ListedHost{ID: host.id, Zone: host.zone, Address: host.place + ":7000"})
+		listed = append(listed, objects.ListedHost{ID: host.id, Zone: host.zone, Address: host.place + ":7000"})
 	}
 	body, err := json.Marshal(listed)
 	world.c.Assert(err, qt.IsNil)
@@ -264,15 +264,15 @@
 func (world *world) apply(configuration *profile.Configuration) int64 {
 	text, err := profile.Encode(configuration)
 	world.c.Assert(err, qt.IsNil)
-	client := &platform.Client{
+	client := &objects.Client{
 		Address: "http://" + platformPlace + ":6000", Timeout: 5 * time.Second, Do: world.client.Do,
 	}
 	ctx := context.Background()
 	present, err := client.Get(ctx, profile.ObjectKind, profile.ObjectName)
-	if !platform.Is(err, platform.NotFound) {
+	if !objects.Is(err, objects.NotFound) {
 		world.c.Assert(err, qt.IsNil)
 	}
-	version, err := client.Put(ctx, platform.Object{
+	version, err := client.Put(ctx, objects.Object{
 		Kind: profile.ObjectKind, Name: profile.ObjectName, Version: present.Version, Value: text,
 	})
 	world.c.Assert(err, qt.IsNil)
