gateway: end the callers' side after the notice of a drain

The server's shutdown now begins after the notice.

Held are only entries that vanish between two states with a failure between them, until 2.2 s after that failure.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -96,6 +96,33 @@
 	At int64
 	// Changed is the revision of the last difference seen.
 	Changed int64
+	// Outage is when the platform last failed to answer this host, where that
+	// was between the state before and this one.
+	Outage time.Time
+}
+
+// Outage is when the platform last failed to answer this host, whatever it
+// was asked. Followers of the same platform share one.
+type Outage struct {
+	mutex sync.Mutex
+	last  time.Time
+}
+
+func (outage *Outage) note() {
+	outage.mutex.Lock()
+	defer outage.mutex.Unlock()
+	outage.last = time.Now()
+}
+
+// since returns when the last failure was if it came after a time, and zero
+// otherwise.
+func (outage *Outage) since(then time.Time) time.Time {
+	outage.mutex.Lock()
+	defer outage.mutex.Unlock()
+	if !outage.last.After(then) {
+		return time.Time{}
+	}
+	return outage.last
 }
 
 // Follower keeps the objects of one kind. Fields are set before Run.
@@ -104,6 +131,7 @@
 	Kind   string
 	Source Source
 	Events *timeline.Recorder
+	Outage *Outage
 	// Hosts returns how many hosts share the plain reads.
 	Hosts func() int
 	// Apply gets each new state, one at a time.
@@ -112,7 +140,6 @@
 	mutex     sync.Mutex
 	state     State
 	confirmed time.Time
-	troubled  time.Time
 	lost      bool
 	reading   *reading
 }
@@ -159,8 +186,7 @@
 		follower.trouble(err)
 		return err
 	}
-	follower.confirm()
-	follower.change(changes)
+	follower.change(changes, follower.confirm())
 	return nil
 }
 
@@ -213,8 +239,7 @@
 	if err != nil {
 		follower.trouble(err)
 	} else {
-		follower.confirm()
-		follower.Replace(listing)
+		follower.replace(listing, follower.confirm())
 	}
 	follower.mutex.Lock()
 	follower.reading = nil
@@ -229,15 +254,11 @@
 	return follower.state
 }
 
-// Troubled is when the platform last failed to answer this host.
-func (follower *Follower) Troubled() time.Time {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	return follower.troubled
-}
+// Replace puts a whole state that another host read in force, unless a later
+// one is.
+func (follower *Follower) Replace(listing Listing) { follower.replace(listing, time.Time{}) }
 
-// Replace puts a whole state in force, unless a later one is.
-func (follower *Follower) Replace(listing Listing) {
+func (follower *Follower) replace(listing Listing, outage time.Time) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if listing.At < follower.state.At {
@@ -247,11 +268,11 @@
 	for _, object := range listing.Objects {
 		objects[object.Name] = object
 	}
-	follower.put(objects, listing.At)
+	follower.put(objects, listing.At, outage)
 }
 
 // change applies what a watch told.
-func (follower *Follower) change(changes Changes) {
+func (follower *Follower) change(changes Changes, outage time.Time) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if changes.At <= follower.state.At {
@@ -267,10 +288,10 @@
 			objects[change.Object.Name] = change.Object
 		}
 	}
-	follower.put(objects, changes.At)
+	follower.put(objects, changes.At, outage)
 }
 
-func (follower *Follower) put(objects map[string]Object, at int64) {
+func (follower *Follower) put(objects map[string]Object, at int64, outage time.Time) {
 	same := follower.state.At > 0 && maps.EqualFunc(follower.state.Objects, objects, func(one, other Object) bool {
 		return one.Revision == other.Revision
 	})
@@ -280,11 +301,15 @@
 	}
 	follower.state.Objects = objects
 	follower.state.Changed = at
+	follower.state.Outage = outage
 	follower.Apply(follower.state)
 }
 
-func (follower *Follower) confirm() {
+// confirm notes an answer and returns when the last failure since the answer
+// before was.
+func (follower *Follower) confirm() time.Time {
 	follower.mutex.Lock()
+	outage := follower.Outage.since(follower.confirmed)
 	follower.confirmed = time.Now()
 	back := follower.lost
 	follower.lost = false
@@ -292,11 +317,12 @@
 	if back {
 		follower.Events.Record(eventBack, timeline.Event{Detail: follower.Kind})
 	}
+	return outage
 }
 
 func (follower *Follower) trouble(err error) {
+	follower.Outage.note()
 	follower.mutex.Lock()
-	follower.troubled = time.Now()
 	first := !follower.lost
 	follower.lost = true
 	follower.mutex.Unlock()
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -11,11 +11,8 @@
 
 const (
 	// returnTime is how long after an outage of the platform the entries of
-	// live targets may be missing.
-	returnTime = 2500 * time.Millisecond
-	// outageMemory is how long after a failed call an entry that vanishes may
-	// have lapsed in the outage.
-	outageMemory = 4 * time.Second
+	// live targets may be missing: the platform says about two seconds.
+	returnTime = 2200 * time.Millisecond
 	// holdLook is the time between two looks at the entries that are held.
 	holdLook = 250 * time.Millisecond
 )
@@ -36,9 +33,7 @@
 type Targets struct {
 	// Decode reads an entry.
 	Decode func(name string, value []byte) (balance.Target, error)
-	// Troubled is when the platform last failed to answer this host.
-	Troubled func() time.Time
-	Events   *timeline.Recorder
+	Events *timeline.Recorder
 	// Set gets each new list.
 	Set func([]balance.Target)
 
@@ -72,16 +67,15 @@
 		}
 		next[name] = target
 	}
-	targets.hold(next)
+	targets.hold(next, state.Outage)
 	targets.tell(next)
 	targets.targets = next
 	targets.set()
 }
 
 // hold keeps targets whose entries vanished around an outage.
-func (targets *Targets) hold(next map[string]balance.Target) {
+func (targets *Targets) hold(next map[string]balance.Target, outage time.Time) {
 	now := time.Now()
-	troubled := targets.Troubled()
 	for name, target := range targets.targets {
 		if _, ok := next[name]; ok {
 			delete(targets.held, name)
@@ -89,10 +83,10 @@
 		}
 		until, held := targets.held[name]
 		if !held {
-			if target.Leaving || troubled.IsZero() || now.Sub(troubled) > outageMemory {
+			if target.Leaving || outage.IsZero() {
 				continue
 			}
-			until = now.Add(returnTime)
+			until = outage.Add(returnTime)
 		}
 		if now.Before(until) {
 			if targets.held == nil {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"nutmegfield.example/timeline"
@@ -38,15 +40,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	ended := make(chan struct{})
-	go func() {
-		gateway.running.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
+	// The end of the context cuts what still runs; it is counted.
+	err := gateway.Shutdown(ctx)
+	gateway.Events.Record(eventDrained, timeline.Event{Detail: strconv.FormatInt(gateway.running.Load(), 10)})
+	if err != nil {
+		return fmt.Errorf("wait for running requests: %w", err)
 	}
-	gateway.Events.Record(eventDrained, timeline.Event{})
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,15 +49,17 @@
 	// Notice is how long a host that shuts down goes on taking callers, so
 	// that the balancer sees it.
 	Notice time.Duration
+	// Shutdown takes no more requests and waits for the running ones.
+	Shutdown func(ctx context.Context) error
 
 	leaving atomic.Bool
-	running sync.WaitGroup
+	running atomic.Int64
 }
 
 // ServeHTTP answers one request.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
 	gateway.running.Add(1)
-	defer gateway.running.Done()
+	defer gateway.running.Add(-1)
 	forwarding := &forwarding{
 		gateway:  gateway,
 		writer:   writer,
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -104,6 +104,8 @@
 	}
 	host := newHost(kernelHost, *protocol, sources)
 	host.exchange.Send = sender(datagrams)
+	callers := newServer(listeners[2], host.gateway)
+	host.gateway.Shutdown = callers.Shutdown
 	run := func(ctx context.Context) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -112,8 +114,10 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.trim,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
-			func(ctx context.Context) error { return serve(ctx, listeners[1], http.HandlerFunc(host.ready)) },
-			func(ctx context.Context) error { return serve(ctx, listeners[2], host.gateway) },
+			func(ctx context.Context) error {
+				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.ready)))
+			},
+			func(ctx context.Context) error { return serve(ctx, callers) },
 		} {
 			group.Go(func() { host.record(part(ctx)) })
 		}
@@ -122,7 +126,7 @@
 		group.Wait()
 		return nil
 	}
-	return &kernel.Part{Run: run, Drain: host.drain}, nil
+	return &kernel.Part{Run: run, Drain: host.gateway.Drain}, nil
 }
 
 func newHost(kernelHost *kernel.Host, protocol Protocol, sources *Sources) *host {
@@ -150,14 +154,14 @@
 		Events: events,
 		Set:    host.setRoutes,
 	}
+	outage := &discovery.Outage{}
 	host.routeFollower = &discovery.Follower{
-		Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, Apply: host.routes.Apply,
+		Outage: outage, Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, Apply: host.routes.Apply,
 	}
 	host.targets = &discovery.Targets{Decode: sources.DecodeTarget, Events: events, Set: host.setTargets}
 	host.targetFollower = &discovery.Follower{
-		Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, Apply: host.targets.Apply,
+		Outage: outage, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, Apply: host.targets.Apply,
 	}
-	host.targets.Troubled = func() time.Time { return host.routeFollower.Troubled() }
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
@@ -322,13 +326,7 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// drain makes the host unready, lets callers move and waits for the running
-// requests.
-func (host *host) drain(ctx context.Context) error {
-	return host.gateway.Drain(ctx)
-}
-
-func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+func newServer(listener net.Listener, handler http.Handler) *khttp.Server {
 	// Without an endpoint the transport looks through the machine's interfaces,
 	// which not every machine shows.
 	endpoint := &url.URL{Scheme: "http", Host: listener.Addr().String()}
@@ -339,6 +337,10 @@
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = headerBytes
+	return server
+}
+
+func serve(ctx context.Context, server *khttp.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Start(context.WithoutCancel(ctx)); err != nil && !errors.Is(err, http.ErrServerClosed) {
