--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,9 @@
 const (
 	// crossZone is added to the estimate of a target in another zone.
 	crossZone = 3 * time.Millisecond
+	// crowding is added to the estimate of a full target, a part of it to that
+	// of one that is partly full: a batch gets slower with each request.
+	crowding = 20 * time.Millisecond
 	// failurePenalty is the factor on the estimate of a target all of whose
 	// requests fail, less one.
 	failurePenalty = 8
@@ -44,6 +47,14 @@
 	plainDepth = 2
 	// reportLife is how long a report of another host is held for true.
 	reportLife = 1500 * time.Millisecond
+	// marginFactor times its usual time to the first event, a request must
+	// still have when it leaves the queue: times vary about as much.
+	marginFactor = 2
+	// leastWait is the part of its objective that a request waits at least.
+	leastWait = 8
+	// lengthMargin is what an answer's expected length is multiplied with
+	// before it is held against the deadline.
+	lengthMargin = 1.1
 	// tick is the longest time between two looks at the waiting requests.
 	tick = 20 * time.Millisecond
 )
@@ -56,14 +67,21 @@
 	// PromptTokens is the prompt that a model engine has to read; 0 for plain
 	// services.
 	PromptTokens int
-	// Until is when it is refused if it still waits.
-	Until time.Time
+	// Events is the length of the answer to be expected, 0 if unknown.
+	Events int
+	// Due is when the answer, or a stream's first event, has to be there to be
+	// in time; zero if nothing is said of it.
+	Due time.Time
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
 	// Exclude are the targets that it was sent to already.
 	Exclude []string
 	// Repeat tickets were sent to a target before.
 	Repeat bool
 
 	arrived time.Time
+	// until is when it is refused if it still waits.
+	until   time.Time
 	granted chan *Grant
 	failed  chan error
 }
@@ -73,14 +91,23 @@
 	Target Target
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
+	// Open and OthersOpen are the requests that this host and the others had
+	// at the target, ReportAge the age of the oldest report of theirs.
+	Open       int
+	OthersOpen int
+	ReportAge  time.Duration
+	// Work is the work before the first event, in prompt tokens: the
+	// request's own and that of others that wait for theirs.
+	Work int
 
 	balancer *Balancer
-	work     int
-	backlog  int
+	prompt   int
 	begun    time.Time
-	started  bool
-	overdue  bool
-	ended    bool
+	// startedAt is when the first event came.
+	startedAt time.Time
+	started   bool
+	overdue   bool
+	ended     bool
 }
 
 // Report is what one host tells of its requests.
@@ -126,6 +153,11 @@
 	others []int
 	// engine pools run model engines.
 	engine bool
+	// start is the mean time to a first event besides that for the prompts,
+	// in nanoseconds.
+	start float64
+	// refused is the running share of tickets that were refused.
+	refused float64
 }
 
 // Run looks at the waiting requests now and then until the context ends.
@@ -211,6 +243,7 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	pool := balancer.pool(ticket.Pool)
+	ticket.until = pool.until(ticket)
 	at, _ := slices.BinarySearchFunc(pool.waiting, ticket, compareTickets)
 	pool.waiting = slices.Insert(pool.waiting, at, ticket)
 	balancer.pump(pool)
@@ -244,36 +277,85 @@
 }
 
 // pump grants targets to the waiting requests of a pool, the most important
-// first, and refuses those whose time is over.
+// first, and refuses those whose time is over. Requests that can't be in time
+// anywhere get what the others leave.
 func (balancer *Balancer) pump(pool *pool) {
 	if len(pool.waiting) == 0 {
 		return
 	}
 	now := time.Now()
-	free := pool.free(now)
-	ahead := 0
-	tier := -1
+	round := &round{pool: pool, now: now, free: pool.free(now)}
 	kept := pool.waiting[:0]
 	for _, ticket := range pool.waiting {
-		if ticket.Tier != tier {
-			ahead = pool.othersAhead(ticket.Tier)
-			tier = ticket.Tier
-		}
-		if free > ahead {
-			if grant := balancer.grant(pool, ticket, now); grant != nil {
-				free--
-				ticket.granted <- grant
-				continue
-			}
+		if !balancer.serve(round, ticket) {
+			kept = append(kept, ticket)
 		}
-		if !now.Before(ticket.Until) {
-			ticket.failed <- pool.refusal()
-			continue
-		}
-		kept = append(kept, ticket)
 	}
 	clear(pool.waiting[len(kept):])
 	pool.waiting = kept
+	for _, ticket := range round.late {
+		if round.free > 0 && balancer.grantLate(round, ticket) {
+			pool.waiting = slices.DeleteFunc(pool.waiting, func(other *Ticket) bool { return other == ticket })
+		}
+	}
+}
+
+// round is one look at the waiting requests of a pool.
+type round struct {
+	pool *pool
+	now  time.Time
+	free int
+	// late are the requests that can't be in time.
+	late []*Ticket
+}
+
+// serve grants or refuses a ticket, and reports whether it did.
+func (balancer *Balancer) serve(round *round, ticket *Ticket) bool {
+	pool := round.pool
+	if round.free > pool.othersAhead(ticket.Tier) {
+		best, hopeless := balancer.choose(pool, ticket, round.now, true)
+		if best.state != nil {
+			round.free--
+			ticket.granted <- balancer.grant(pool, ticket, best, round.now)
+			return true
+		}
+		if hopeless {
+			round.late = append(round.late, ticket)
+		}
+	}
+	if round.now.Before(ticket.until) {
+		return false
+	}
+	pool.refused += gain * (1 - pool.refused)
+	ticket.failed <- pool.refusal()
+	return true
+}
+
+// grantLate grants a target to a ticket that can't be in time.
+func (balancer *Balancer) grantLate(round *round, ticket *Ticket) bool {
+	best, _ := balancer.choose(round.pool, ticket, round.now, false)
+	if best.state == nil {
+		return false
+	}
+	round.free--
+	ticket.granted <- balancer.grant(round.pool, ticket, best, round.now)
+	return true
+}
+
+// until is when a ticket that waits is refused: when a usual target could not
+// be expected to answer in time any more.
+func (pool *pool) until(ticket *Ticket) time.Time {
+	if ticket.Due.IsZero() {
+		return ticket.Deadline
+	}
+	objective := ticket.Due.Sub(ticket.arrived)
+	usual := time.Duration(pool.start) + pool.typical().perToken*time.Duration(ticket.PromptTokens)
+	wait := max(objective-marginFactor*usual, objective/leastWait)
+	until := ticket.arrived.Add(wait)
+	if !ticket.Deadline.IsZero() && until.After(ticket.Deadline) {
+		return ticket.Deadline
+	}
+	return until
 }
 
 func (pool *pool) refusal() error {
@@ -316,75 +398,120 @@
 	return !state.Leaving && !state.gone && !now.Before(state.pausedUntil)
 }
 
-// grant chooses the target with the lowest estimate, nil if none has room.
-func (balancer *Balancer) grant(pool *pool, ticket *Ticket, now time.Time) *Grant {
-	typical, least := pool.typical()
-	var best *state
-	var lowest time.Duration
+// choice is a target, the estimate for it and what it is ordered by.
+type choice struct {
+	state    *state
+	expected time.Duration
+	order    time.Duration
+}
+
+// choose returns the target with the lowest estimate that has room. With
+// inTime only those that may answer in time count; hopeless reports that none
+// could even if it had room.
+func (balancer *Balancer) choose(pool *pool, ticket *Ticket, now time.Time, inTime bool) (best choice, hopeless bool) {
+	usual := pool.typical()
+	hopeless = true
 	for _, state := range pool.targets {
-		if !state.eligible(now) || state.total() >= pool.capacity(state) || slices.Contains(ticket.Exclude, state.ID) {
+		if !state.eligible(now) || slices.Contains(ticket.Exclude, state.ID) {
 			continue
 		}
-		if state.failing > least+failingShare && rand.Float64() >= trialShare {
+		estimate := balancer.estimate(pool, state, ticket, usual, now)
+		fits := ticket.fits(now, estimate)
+		hopeless = hopeless && !fits
+		if inTime && !fits || state.total() >= pool.capacity(state) {
 			continue
 		}
-		estimate := balancer.estimate(pool, state, ticket, typical, now)
-		if best == nil || estimate < lowest {
-			best, lowest = state, estimate
+		if state.failing > usual.failing+failingShare && rand.Float64() >= trialShare {
+			continue
+		}
+		order := estimate + ticket.overlong(state, usual, now, estimate)
+		if best.state == nil || order < best.order {
+			best = choice{state: state, expected: estimate, order: order}
 		}
 	}
-	if best == nil {
-		return nil
+	return best, hopeless
+}
+
+// fits reports whether a target may answer in time.
+func (ticket *Ticket) fits(now time.Time, estimate time.Duration) bool {
+	return ticket.Due.IsZero() || !now.Add(estimate).After(ticket.Due)
+}
+
+// overlong is how far beyond the deadline a target is expected to end its
+// answer.
+func (ticket *Ticket) overlong(state *state, usual usual, now time.Time, estimate time.Duration) time.Duration {
+	if ticket.Events == 0 || ticket.Deadline.IsZero() {
+		return 0
+	}
+	event := state.speed.event
+	if event == 0 {
+		event = usual.event
 	}
-	work := ticket.PromptTokens + startWork
+	length := time.Duration(lengthMargin * event * float64(ticket.Events))
+	return max(0, now.Add(estimate+length).Sub(ticket.Deadline))
+}
+
+// grant gives a target to a ticket.
+func (balancer *Balancer) grant(pool *pool, ticket *Ticket, best choice, now time.Time) *Grant {
+	pool.refused -= gain * pool.refused
+	state := best.state
 	grant := &Grant{
-		Target:   best.Target,
-		Expected: lowest,
-		balancer: balancer,
-		work:     work,
-		backlog:  work + best.backlog + best.peersBacklog,
-		begun:    now,
-	}
-	if !pool.engine {
-		grant.backlog = startWork
-	}
-	best.open++
-	best.backlog += work
+		Target:     state.Target,
+		Expected:   best.expected,
+		Open:       state.open,
+		OthersOpen: state.peersOpen,
+		ReportAge:  balancer.reportAge(now),
+		Work:       ticket.PromptTokens + int(backlogShare*float64(state.backlog+state.peersBacklog)),
+		balancer:   balancer,
+		prompt:     ticket.PromptTokens,
+		begun:      now,
+	}
+	state.open++
+	state.backlog += ticket.PromptTokens
 	return grant
 }
 
-// typical returns the mean cost of the pool's targets, for those that are not
-// known yet, and the least share of failures.
-func (pool *pool) typical() (cost time.Duration, failing float64) {
-	var sum time.Duration
-	known := 0
-	failing = 1
+// usual is what is known of a pool's targets together.
+type usual struct {
+	// perToken and event are means, failing is the least share of failures.
+	perToken time.Duration
+	event    float64
+	failing  float64
+}
+
+// typical returns what is usual among the pool's targets.
+func (pool *pool) typical() usual {
+	found := usual{failing: 1}
+	tokens, events := 0, 0
 	for _, state := range pool.targets {
-		if state.cost > 0 {
-			sum += state.cost
-			known++
+		if perToken := state.perToken(); perToken > 0 {
+			found.perToken += perToken
+			tokens++
 		}
-		failing = min(failing, state.failing)
-	}
-	if known == 0 {
-		return 0, failing
+		if state.speed.event > 0 {
+			found.event += state.speed.event
+			events++
+		}
+		found.failing = min(found.failing, state.failing)
 	}
-	return sum / time.Duration(known), failing
+	found.perToken /= time.Duration(max(1, tokens))
+	found.event /= float64(max(1, events))
+	return found
 }
 
 // estimate is the time to the first event of a request at a target.
-func (balancer *Balancer) estimate(pool *pool, state *state, ticket *Ticket, typical time.Duration, now time.Time) time.Duration {
-	cost := state.cost
-	if cost == 0 {
-		cost = max(typical, 1)
-	}
-	work := startWork
+func (balancer *Balancer) estimate(pool *pool, state *state, ticket *Ticket, usual usual, now time.Time) time.Duration {
+	estimate := time.Duration(pool.start)
 	if pool.engine {
-		work += ticket.PromptTokens + state.backlog + state.peersBacklog
+		perToken := state.perToken()
+		if perToken == 0 {
+			perToken = usual.perToken
+		}
+		work := float64(ticket.PromptTokens) + backlogShare*float64(state.backlog+state.peersBacklog)
+		estimate += time.Duration(float64(perToken) * work)
 	}
-	estimate := cost * time.Duration(work)
 	// Of equal targets the emptier one is taken.
-	estimate += estimate * time.Duration(state.total()) / time.Duration(4*max(1, state.Slots))
+	estimate += crowding * time.Duration(state.total()) / time.Duration(max(1, state.Slots))
 	estimate += time.Duration(failurePenalty * state.failing * float64(estimate))
 	if state.Zone != balancer.Zone {
 		estimate += crossZone
@@ -395,6 +522,13 @@
 	return estimate
 }
 
+// Pressure is the share of a pool's requests that this host refuses of late.
+func (balancer *Balancer) Pressure(name string) float64 {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	return balancer.pool(name).refused
+}
+
 // Started tells that the first event of the answer has come.
 func (grant *Grant) Started() {
 	balancer := grant.balancer
@@ -405,13 +539,28 @@
 	}
 	grant.started = true
 	if state := balancer.stateOf(grant); state != nil {
-		state.backlog -= grant.work
-		state.learn(time.Since(grant.begun), grant.backlog)
+		state.backlog -= grant.prompt
 		state.failures = 0
+		balancer.learn(state, grant)
 	}
 	balancer.pump(balancer.pool(grant.Target.Pool))
 }
 
+// learn takes the time to the first event of a request.
+func (balancer *Balancer) learn(state *state, grant *Grant) {
+	pool := balancer.pool(grant.Target.Pool)
+	took := time.Since(grant.begun)
+	grant.startedAt = grant.begun.Add(took)
+	rest := float64(took - state.perToken()*time.Duration(grant.Work))
+	if pool.start == 0 {
+		pool.start = max(0, rest)
+	}
+	pool.start = max(0, pool.start+gain*(rest-pool.start))
+	if pool.engine && grant.Work > 0 {
+		state.speed.learn(took-time.Duration(pool.start), float64(grant.Work))
+	}
+}
+
 // Outcome is how a request ended at its target.
 type Outcome int
 
@@ -434,6 +583,16 @@
 // Cancel gives back a grant that was not used.
 func (grant *Grant) Cancel() { grant.End(Cancelled) }
 
+// Streamed tells how many events a whole stream had.
+func (grant *Grant) Streamed(events int) {
+	balancer := grant.balancer
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	if state := balancer.stateOf(grant); state != nil && grant.started && events > 1 {
+		state.speed.learnEvents(time.Since(grant.startedAt), events-1)
+	}
+}
+
 // End tells how the request ended. Only the first call counts.
 func (grant *Grant) End(outcome Outcome) {
 	balancer := grant.balancer
@@ -446,7 +605,7 @@
 	if state := balancer.stateOf(grant); state != nil {
 		state.open--
 		if !grant.started {
-			state.backlog -= grant.work
+			state.backlog -= grant.prompt
 		}
 		state.end(outcome, grant)
 	}
--- a/balance/report.go
+++ b/balance/report.go
@@ -12,8 +12,8 @@
 	report.Arrived = time.Now()
 	balancer.reports[report.Host] = report
 	for _, use := range report.Uses {
-		if state := balancer.targets[use.Target]; state != nil && state.cost == 0 {
-			state.cost = use.Cost
+		if state := balancer.targets[use.Target]; state != nil && use.Cost > 0 {
+			state.tell(use.Cost)
 		}
 	}
 	balancer.fold(report.Arrived)
@@ -45,6 +45,15 @@
 	}
 }
 
+// reportAge is the age of the oldest report that counts.
+func (balancer *Balancer) reportAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, report := range balancer.reports {
+		oldest = max(oldest, now.Sub(report.Arrived))
+	}
+	return oldest
+}
+
 func (balancer *Balancer) add(report *Report) {
 	for _, use := range report.Uses {
 		if state := balancer.targets[use.Target]; state != nil {
@@ -69,8 +78,12 @@
 	defer balancer.mutex.Unlock()
 	uses := make([]Use, 0, len(balancer.targets))
 	for id, state := range balancer.targets {
-		if state.open > 0 || state.cost > 0 {
-			uses = append(uses, Use{Target: id, Open: state.open, Backlog: state.backlog, Cost: state.cost})
+		cost := time.Duration(0)
+		if state.speed.samples >= fewSamples {
+			cost = state.speed.perToken()
+		}
+		if state.open > 0 || cost > 0 {
+			uses = append(uses, Use{Target: id, Open: state.open, Backlog: state.backlog, Cost: cost})
 		}
 	}
 	var queues []Queue
--- a/balance/target.go
+++ b/balance/target.go
@@ -22,11 +22,16 @@
 }
 
 const (
-	// startWork is the work of starting any request, in prompt tokens that
-	// take as long; from the first events of short prompts on the bench.
-	startWork = 4000
-	// costGain is the weight of a new observation in the running means.
-	costGain = 0.15
+	// backlogShare is the part of the other requests' prompts that a new one
+	// waits for: some of it is read by then, and engines read in turns.
+	backlogShare = 0.5
+	// memory is the weight that an observation keeps with each new one.
+	memory = 0.97
+	// gain is the weight of a new observation in a running mean.
+	gain = 0.05
+	// fewSamples is how many observations of its own a host prefers to the
+	// word of others.
+	fewSamples = 8
 	// failureGain is the weight of a new outcome in the share of failures.
 	failureGain = 0.1
 	// firstPause and mostPause bound how long a target that can't be reached
@@ -51,8 +56,9 @@
 	// peersOpen and peersBacklog are the sums over the other hosts.
 	peersOpen    int
 	peersBacklog int
-	// cost is the time to the first event for a unit of work; 0 is unknown.
-	cost time.Duration
+	// speed is this host's knowledge of its speed, told that of others.
+	speed speed
+	told  time.Duration
 	// failing is the running share of requests that failed.
 	failing float64
 	// failures counts failures to reach it in a row.
@@ -65,14 +71,56 @@
 
 func (state *state) total() int { return state.open + state.peersOpen }
 
-// learn takes the observed time of an amount of work.
-func (state *state) learn(took time.Duration, work int) {
-	sample := took / time.Duration(max(1, work))
-	if state.cost == 0 {
-		state.cost = sample
+// speed is a least-squares line through the origin of the time that prompt
+// tokens take, by decayed sums, and the time between events.
+type speed struct {
+	samples int
+	xx, xy  float64
+	// event is the mean time from one event to the next, in nanoseconds.
+	event float64
+}
+
+// learn takes the time that some prompt tokens took.
+func (speed *speed) learn(took time.Duration, tokens float64) {
+	speed.samples++
+	speed.xx = memory*speed.xx + tokens*tokens
+	speed.xy = memory*speed.xy + tokens*float64(max(0, took))
+}
+
+// perToken is the time for a prompt token, 0 if it is not known.
+func (speed *speed) perToken() time.Duration {
+	if speed.xx == 0 {
+		return 0
+	}
+	return time.Duration(speed.xy / speed.xx)
+}
+
+// learnEvents takes the time that some events took.
+func (speed *speed) learnEvents(took time.Duration, events int) {
+	sample := float64(took) / float64(events)
+	if speed.event == 0 {
+		speed.event = sample
+		return
+	}
+	speed.event += 2 * gain * (sample - speed.event)
+}
+
+// perToken is the time that the target takes for a prompt token, 0 if nobody
+// knows.
+func (state *state) perToken() time.Duration {
+	if state.speed.samples >= fewSamples || state.told == 0 {
+		return state.speed.perToken()
+	}
+	return state.told
+}
+
+// tell takes another host's word of the time for a prompt token.
+func (state *state) tell(perToken time.Duration) {
+	if state.told == 0 {
+		state.told = perToken
 		return
 	}
-	state.cost += time.Duration(costGain * float64(sample-state.cost))
+	state.told += time.Duration(gain * float64(perToken-state.told))
 }
 
 func (state *state) outcome(failed bool) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -13,6 +13,13 @@
 const (
 	// leastRetry is the shortest time after which a caller is asked back.
 	leastRetry = 50 * time.Millisecond
+	// calmRetry is when callers of a pool that hardly refuses any may come
+	// back, pressedRetry how much later they may where it refuses all.
+	calmRetry    = 100 * time.Millisecond
+	pressedRetry = 4 * time.Second
+	// retryPart is the part of its time that a caller is asked to wait at
+	// most, before the spread.
+	retryPart = 5
 	// retrySpread is the part of that time over which returns are spread.
 	retrySpread = 0.5
 )
@@ -69,9 +76,12 @@
 	}
 }
 
-// comeBack is when a refused request may find a free target.
+// comeBack is when a refused request may find a free target: the later the
+// more requests are refused, but early enough that the caller can wait.
 func (forwarding *forwarding) comeBack() time.Duration {
-	return max(leastRetry, forwarding.route.Objective/2)
+	pressure := forwarding.gateway.Balancer.Pressure(forwarding.pool.Name)
+	after := calmRetry + time.Duration(pressure*float64(pressedRetry))
+	return min(after, time.Until(forwarding.deadline)/retryPart)
 }
 
 // breakOff ends an answer that has begun so that it can't be taken for whole.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,15 +23,16 @@
 	// wholeBytes is the longest answer that is read to its end before any of
 	// it is passed on.
 	wholeBytes = 1 << 20
-	// waitShare is the part of a route's objective that a request waits for a
-	// target.
-	waitShare = 0.75
 )
 
 var (
 	eventSent = timeline.Define(timeline.Kind{
-		Number: 1103, Name: "request sent", Level: timeline.Trace,
-		Meaning: "A request was sent to a target.",
+		Number: 1103, Name: "request sent", Level: timeline.Info,
+		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, what the target was expected to take, and how many requests this host and the others had there.",
+	})
+	eventAnswered = timeline.Define(timeline.Kind{
+		Number: 1108, Name: "request answered", Level: timeline.Info,
+		Meaning: "A target's answer was passed on whole; the facts are its status, the time to its first event and to its end, both from the arrival.",
 	})
 	eventAttemptFailed = timeline.Define(timeline.Kind{
 		Number: 1104, Name: "attempt failed", Level: timeline.Info,
@@ -112,21 +113,21 @@
 
 // take waits for a target.
 func (forwarding *forwarding) take(ctx context.Context) (*balance.Grant, error) {
-	until := forwarding.deadline
-	if forwarding.route.Objective > 0 && !forwarding.begun {
-		until = forwarding.arrived.Add(time.Duration(waitShare * float64(forwarding.route.Objective)))
-	}
-	if until.After(forwarding.deadline) {
-		until = forwarding.deadline
-	}
-	return forwarding.gateway.Balancer.Take(ctx, &balance.Ticket{
+	ticket := &balance.Ticket{
 		Pool:         forwarding.pool.Name,
-		Tier:         forwarding.tier,
+		Tier:         forwarding.rank,
 		PromptTokens: forwarding.call.PromptTokens,
-		Until:        until,
+		Deadline:     forwarding.deadline,
 		Exclude:      forwarding.tried,
 		Repeat:       forwarding.sent > 0,
-	})
+	}
+	if forwarding.route.Objective > 0 && !forwarding.begun {
+		ticket.Due = forwarding.arrived.Add(forwarding.route.Objective)
+	}
+	if engine := forwarding.pool.Engine; engine != nil && engine.EventTokens > 0 {
+		ticket.Events = forwarding.call.ExpectedTokens / engine.EventTokens
+	}
+	return forwarding.gateway.Balancer.Take(ctx, ticket)
 }
 
 // attempt sends the request to one target and passes on its answer.
@@ -143,7 +144,7 @@
 		forward.Workspace = forwarding.workspace.Name
 	}
 	gateway.Protocol.Forward(header, forward)
-	gateway.Events.Record(eventSent, timeline.Event{Request: forwarding.call.ID, Pool: grant.Target.Pool, Target: grant.Target.ID})
+	forwarding.tellSent(grant)
 	answer, err := gateway.Connections.Exchange(ctx, grant.Target.Address, &upstream.Request{
 		Method: forwarding.received.Method,
 		Target: forwarding.path(),
@@ -167,6 +168,41 @@
 	return forwarding.pass(ctx, grant, answer)
 }
 
+func (forwarding *forwarding) tellSent(grant *balance.Grant) {
+	forwarding.gateway.Events.Record(eventSent, timeline.Event{
+		Request: forwarding.call.ID,
+		Pool:    grant.Target.Pool,
+		Target:  grant.Target.ID,
+		Facts: []timeline.Fact{
+			timeline.Count("rank", forwarding.rank),
+			timeline.Count("attempt", forwarding.sent+1),
+			timeline.Count("promptTokens", forwarding.call.PromptTokens),
+			timeline.Took("waited", time.Since(forwarding.arrived)),
+			timeline.Took("expected", grant.Expected),
+			timeline.Count("work", grant.Work),
+			timeline.Count("open", grant.Open),
+			timeline.Count("othersOpen", grant.OthersOpen),
+			timeline.Took("reportAge", grant.ReportAge),
+			timeline.Count("routes", forwarding.version),
+		},
+	})
+}
+
+func (forwarding *forwarding) tellAnswered(grant *balance.Grant, status int) {
+	forwarding.gateway.Events.Record(eventAnswered, timeline.Event{
+		Request: forwarding.call.ID,
+		Pool:    grant.Target.Pool,
+		Target:  grant.Target.ID,
+		Facts: []timeline.Fact{
+			timeline.Count("status", status),
+			timeline.Took("first", forwarding.first),
+			timeline.Took("took", time.Since(forwarding.arrived)),
+			timeline.Count("events", forwarding.events),
+			timeline.Count("expectedTokens", forwarding.call.ExpectedTokens),
+		},
+	})
+}
+
 // endFailed ends a grant, without blame if the time was over or the caller
 // left.
 func (forwarding *forwarding) endFailed(ctx context.Context, grant *balance.Grant, outcome balance.Outcome) {
@@ -219,6 +255,8 @@
 	}
 	grant.End(balance.Served)
 	forwarding.writeWhole(read)
+	forwarding.first = time.Since(forwarding.arrived)
+	forwarding.tellAnswered(grant, answer.Status)
 	return done, ""
 }
 
@@ -229,22 +267,28 @@
 		return failed, "the answer bears no signature"
 	}
 	events := eventReader{reader: bufio.NewReader(answer.Body)}
-	first := true
+	count := 0
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			grant.Started()
+			grant.Streamed(count)
 			grant.End(balance.Served)
 			forwarding.begin(answer)
+			forwarding.events = count
+			forwarding.tellAnswered(grant, answer.Status)
 			return done, ""
 		}
 		if err != nil {
 			forwarding.endFailed(ctx, grant, balance.Failed)
 			return failed, "the stream broke off: " + err.Error()
 		}
-		if first {
+		count++
+		if count == 1 {
 			grant.Started()
-			first = false
+			if !forwarding.begun {
+				forwarding.first = time.Since(forwarding.arrived)
+			}
 		}
 		if !follows(id, forwarding.lastEvent) {
 			grant.End(balance.Failed)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,10 +84,16 @@
 	route     *route.Route
 	pool      *route.Pool
 	workspace *route.Workspace
-	tier      int
-	body      []byte
-	units     float64
-	deadline  time.Time
+	rank      int
+	// version is that of the routes by which it was admitted.
+	version int64
+	// first is the time to the first event of the answer, events the number
+	// of events of the last stream.
+	first    time.Duration
+	events   int
+	body     []byte
+	units    float64
+	deadline time.Time
 
 	// sent counts the targets that may have read the request; mayHaveRun tells that
 	// one may have begun to run it.
@@ -161,16 +167,15 @@
 	if forwarding.route == nil {
 		return http.StatusNotFound
 	}
-	forwarding.tier = forwarding.route.Tier
+	forwarding.rank = rank(nil, forwarding.route)
+	forwarding.version = table.Configuration.Version
 	forwarding.workspace = nil
 	if table.Keyed() && !forwarding.route.Anonymous {
 		forwarding.workspace = table.WorkspaceOf(forwarding.call.Key)
 		if forwarding.workspace == nil {
 			return http.StatusUnauthorized
 		}
-		if forwarding.workspace.Tier != nil {
-			forwarding.tier = *forwarding.workspace.Tier
-		}
+		forwarding.rank = rank(forwarding.workspace, forwarding.route)
 	}
 	forwarding.pool = table.Pool(forwarding.route.Choose(draw()))
 	if forwarding.pool == nil {
@@ -187,6 +192,20 @@
 	return 0
 }
 
+// routeTiers is how many tiers of routes are told apart within a tier of
+// workspaces.
+const routeTiers = 8
+
+// rank orders requests: by the tier of the workspace, then by that of the
+// route. Requests without a workspace's tier come by their route's alone.
+func rank(workspace *route.Workspace, route *route.Route) int {
+	tier := min(max(route.Tier, 0), routeTiers-1)
+	if workspace != nil && workspace.Tier != nil {
+		tier += routeTiers * max(*workspace.Tier, 0)
+	}
+	return tier
+}
+
 // readBody takes the caller's body whole.
 func (forwarding *forwarding) readBody() bool {
 	limit := int64(bodyBytes)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -15,9 +15,12 @@
 	Wait time.Duration
 	// Counted tells that the token counts are given.
 	Counted bool
-	// PromptTokens and OutputTokens are the size of a model's request.
+	// PromptTokens is the size of a model's request, OutputTokens the most
+	// that its answer may have.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedTokens is the caller's guess of the answer's size, 0 for none.
+	ExpectedTokens int
 	// Prefix are the parts of the prompt in order.
 	Prefix []Part
 	// LastEvent is the id of the event after which a stream is to go on.
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,24 @@
 	Target   string    `json:"target,omitempty"`
 	Peer     string    `json:"peer,omitempty"`
 	Detail   string    `json:"detail,omitempty"`
+	// Facts are what decided it, and how old or of which version it was.
+	Facts []Fact `json:"facts,omitempty"`
+}
+
+// Fact is one input or result of a decision.
+type Fact struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Took is a fact that is a duration, in milliseconds.
+func Took(key string, took time.Duration) Fact {
+	return Fact{Key: key + "Ms", Value: strconv.FormatFloat(float64(took)/float64(time.Millisecond), 'f', 1, 64)}
+}
+
+// Count is a fact that is a number.
+func Count[T ~int | ~int64](key string, count T) Fact {
+	return Fact{Key: key, Value: strconv.FormatInt(int64(count), 10)}
 }
 
 // ringSize is the number of events a host keeps.
@@ -83,6 +102,9 @@
 			entry = entry.Str(field.key, field.value)
 		}
 	}
+	for _, fact := range event.Facts {
+		entry = entry.Str(fact.Key, fact.Value)
+	}
 	entry.Msg(event.Name)
 }
 
