quota: let a workspace use what a window allows, large and small requests alike

Cause: after a quota was lowered a bucket of rate and burst let through 449 of the 536 units (thousands, in 8 s) that the quota allows, and refused large drafts most, as the bucket was mostly empty. The bucket is now filled by the whole window's units and may be in debt.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -45,11 +45,12 @@
 
 // refuse answers for the gateway itself. After is when the caller may come
 // back, 0 if it need not.
-func (forwarding *forwarding) refuse(status int, after time.Duration, reason string) {
+func (forwarding *forwarding) refuse(status int, after time.Duration, reason string, facts ...timeline.Fact) {
 	gateway := forwarding.gateway
 	gateway.Events.Record(eventRefused, timeline.Event{
 		Request: forwarding.call.ID,
 		Detail:  strconv.Itoa(status) + " " + reason,
+		Facts:   append(facts, timeline.Took("retryAfter", after)),
 	})
 	gateway.Protocol.Refusal(forwarding.writer.Header(), forwarding.call, after)
 	forwarding.writer.Header().Set("Content-Length", "0")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,11 +139,12 @@
 	if forwarding.lastEvent != "" {
 		last = forwarding.lastEvent
 	}
-	forward := Forward{Target: grant.Target.ID, Wait: time.Until(forwarding.deadline), LastEvent: last}
-	if forwarding.workspace != nil {
-		forward.Workspace = forwarding.workspace.Name
-	}
-	gateway.Protocol.Forward(header, forward)
+	gateway.Protocol.Forward(header, Forward{
+		Target:    grant.Target.ID,
+		Workspace: forwarding.forwardedFor(),
+		Wait:      time.Until(forwarding.deadline),
+		LastEvent: last,
+	})
 	forwarding.tellSent(grant)
 	answer, err := gateway.Connections.Exchange(ctx, grant.Target.Address, &upstream.Request{
 		Method: forwarding.received.Method,
@@ -175,6 +176,8 @@
 		Target:  grant.Target.ID,
 		Facts: []timeline.Fact{
 			timeline.Count("rank", forwarding.rank),
+			{Key: "workspace", Value: forwarding.forwardedFor()},
+			timeline.Count("units", int64(forwarding.units)),
 			timeline.Count("attempt", forwarding.sent+1),
 			timeline.Count("promptTokens", forwarding.call.PromptTokens),
 			timeline.Took("waited", time.Since(forwarding.arrived)),
@@ -203,6 +206,14 @@
 	})
 }
 
+// forwardedFor is the name of the workspace, empty for none.
+func (forwarding *forwarding) forwardedFor() string {
+	if forwarding.workspace == nil {
+		return ""
+	}
+	return forwarding.workspace.Name
+}
+
 // endFailed ends a grant, without blame if the time was over or the caller
 // left.
 func (forwarding *forwarding) endFailed(ctx context.Context, grant *balance.Grant, outcome balance.Outcome) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -239,11 +239,20 @@
 			forwarding.units = float64(forwarding.call.PromptTokens + forwarding.call.OutputTokens)
 		}
 	}
-	allowed, after := forwarding.gateway.Ledger.Take(forwarding.workspace.Name, forwarding.units)
-	if !allowed {
-		forwarding.refuse(http.StatusTooManyRequests, spread(after), "over the quota of "+forwarding.workspace.Name)
+	decision := forwarding.gateway.Ledger.Take(forwarding.workspace.Name, forwarding.units)
+	if !decision.Allowed {
+		forwarding.refuse(http.StatusTooManyRequests, spread(decision.After), "over the quota",
+			timeline.Fact{Key: "workspace", Value: forwarding.workspace.Name},
+			timeline.Count("units", int64(forwarding.units)),
+			timeline.Count("level", int64(decision.Level)),
+			timeline.Count("rate", int64(decision.Limit.Rate)),
+			timeline.Count("burst", int64(decision.Limit.Burst)),
+			timeline.Count("hostsSilent", decision.Silent),
+			timeline.Count("hosts", 1+decision.Peers),
+			timeline.Count("routes", forwarding.version),
+		)
 	}
-	return allowed
+	return decision.Allowed
 }
 
 // path is the request target as the caller sent it.
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -66,6 +66,7 @@
 	gateway   *Gateway
 	balancer  *balance.Balancer
 	ledger    *quota.Ledger
+	tolerance quota.Tolerance
 	exchange  *exchange.Exchange
 	snapshots *exchange.Snapshots
 	routes    *discovery.Routes
@@ -135,6 +136,11 @@
 	host := &host{
 		balancer: &balance.Balancer{Zone: given.Host.Zone},
 		ledger:   &quota.Ledger{},
+		tolerance: quota.Tolerance{
+			Window:  given.Gateway.Quotas.Window,
+			Overage: given.Gateway.Quotas.Overage,
+			Slack:   given.Gateway.Quotas.Slack,
+		},
 	}
 	host.exchange = &exchange.Exchange{
 		Host:     given.Host.ID,
@@ -245,7 +251,7 @@
 func (host *host) setRoutes(table *route.Table) {
 	limits := map[string]quota.Limit{}
 	for _, workspace := range table.Configuration.Workspaces {
-		limits[workspace.Name] = quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst}
+		limits[workspace.Name] = host.tolerance.Bucket(quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst})
 	}
 	host.ledger.SetLimits(limits)
 	engines := map[string]bool{}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -15,6 +15,10 @@
 	// forget is how long a silent host counts; by then it has ended, or has
 	// only its even part, like every host that hears no other.
 	forget = time.Minute
+	// tinyPart requests that take the whole bucket are tiny, and may be in debt
+	// for tinyDebt of it.
+	tinyPart = 100
+	tinyDebt = 0.25
 	// startShare is the part of its burst that a bucket holds at a host's
 	// start, until another host tells the level: the hosts that ran before
 	// may have used the rest.
@@ -29,6 +33,36 @@
 	Burst float64
 }
 
+// toleranceShare is the part of the tolerance that hosts use; the rest is for
+// what they use before they hear of each other.
+const toleranceShare = 0.6
+
+// Tolerance is by how much a quota may be exceeded in any window.
+type Tolerance struct {
+	Window time.Duration
+	// Overage is a part of the quota, Slack in its unit.
+	Overage float64
+	Slack   float64
+}
+
+// depthPart is the part of what a workspace may use in a window that it may
+// use at once. The rest comes evenly, so that one workspace does not fill all
+// targets and then has nothing for the rest of the window.
+const depthPart = 8
+
+// Bucket returns the bucket that lets a workspace use, in any window, what its
+// quota and the tolerance allow for that long.
+func (tolerance Tolerance) Bucket(limit Limit) Limit {
+	window := tolerance.Window.Seconds()
+	if limit.Rate <= 0 || window <= 0 {
+		return limit
+	}
+	whole := limit.Rate*window + limit.Burst
+	whole += toleranceShare * (tolerance.Overage*whole + tolerance.Slack)
+	depth := whole / depthPart
+	return Limit{Rate: (whole - depth) / window, Burst: depth}
+}
+
 // Spend is what a host says of a workspace.
 type Spend struct {
 	Workspace string
@@ -84,25 +118,48 @@
 	}
 }
 
-// Take uses units of a workspace's quota. Where there are too few it takes
-// none and returns when there may be enough.
-func (ledger *Ledger) Take(workspace string, units float64) (bool, time.Duration) {
+// Decision is whether units of a quota were taken, and what decided it.
+type Decision struct {
+	Allowed bool
+	// After is when there may be enough, where there is too little.
+	After time.Duration
+	// Level is what was left, Limit what is in force.
+	Level float64
+	Limit Limit
+	// Silent is how many of the Peers other hosts are not heard.
+	Silent int
+	Peers  int
+}
+
+// Take uses units of a workspace's quota, or none where there are too few.
+func (ledger *Ledger) Take(workspace string, units float64) Decision {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.advance(time.Now())
+	silent := ledger.advance(time.Now())
 	bucket := ledger.buckets[workspace]
 	if bucket == nil || bucket.limit.Rate <= 0 {
-		return true, 0
+		return Decision{Allowed: true}
 	}
-	// A request above the burst is let through on a full bucket.
-	needed := min(units, bucket.limit.Burst)
-	if bucket.level < needed {
-		missing := needed - bucket.level
-		return false, time.Duration(missing / bucket.limit.Rate * float64(time.Second))
+	decision := Decision{Level: bucket.level, Limit: bucket.limit, Silent: silent, Peers: len(ledger.peers)}
+	if floor := bucket.floor(units); bucket.level <= floor {
+		decision.After = time.Duration((floor - bucket.level) / bucket.limit.Rate * float64(time.Second))
+		return decision
 	}
 	bucket.level -= units
 	bucket.total += units
-	return true, 0
+	decision.Allowed = true
+	return decision
+}
+
+// floor is the level above which a request is let through. Any one may take
+// the last units and more, and later ones wait for what it took too much: else
+// large ones would hardly ever be let through beside small ones. Tiny ones, as
+// payments are beside prompts, don't wait for what a large one took.
+func (bucket *bucket) floor(units float64) float64 {
+	if units*tinyPart > bucket.limit.Burst {
+		return 0
+	}
+	return -tinyDebt * bucket.limit.Burst
 }
 
 // Return gives back what was taken for a request that did not run.
@@ -116,8 +173,8 @@
 }
 
 // advance fills the buckets for the time passed, less the parts of silent
-// hosts.
-func (ledger *Ledger) advance(now time.Time) {
+// hosts, and returns how many these are.
+func (ledger *Ledger) advance(now time.Time) int {
 	silent := 0
 	for host, account := range ledger.peers {
 		age := now.Sub(account.heard)
@@ -134,6 +191,7 @@
 		bucket.updated = now
 		bucket.level = min(bucket.limit.Burst, bucket.level+passed*bucket.limit.Rate*own)
 	}
+	return silent
 }
 
 // Heard takes what another host says of its use.
