--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,7 +106,6 @@
 	// startedAt is when the first event came.
 	startedAt time.Time
 	started   bool
-	overdue   bool
 	ended     bool
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -33,8 +33,6 @@
 	retryEvery = 10
 	// tellPeers is how many addresses of other hosts a report names.
 	tellPeers = 16
-	// datagramBytes is the longest datagram taken.
-	datagramBytes = 60 << 10
 )
 
 // Events of this package.
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,164 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/quota"
+	"nutmegfield.example/timeline"
+)
+
+// network delivers datagrams between exchanges, unless they are cut.
+type network struct {
+	mutex sync.Mutex
+	hosts map[string]*Exchange
+	cut   map[string]bool
+	sent  int
+}
+
+func (network *network) send(from string) func(string, []byte) {
+	return func(to string, datagram []byte) {
+		network.mutex.Lock()
+		host := network.hosts[to]
+		lost := network.cut[from] || network.cut[to]
+		network.sent++
+		network.mutex.Unlock()
+		if host != nil && !lost {
+			go host.Receive(datagram)
+		}
+	}
+}
+
+func (network *network) start(t *testing.T, name string, edit func(*Exchange), seeds ...string) *Exchange {
+	host := &Exchange{
+		Host: name, Life: 1, Address: name, Seeds: seeds,
+		Events: &timeline.Recorder{}, Send: network.send(name),
+		Balancer: &balance.Balancer{},
+		Known:    func() Known { return Known{Configuration: 1} },
+		Newer:    func(string) {},
+	}
+	host.Ledger = &quota.Ledger{Interval: host.Interval}
+	if edit != nil {
+		edit(host)
+	}
+	network.mutex.Lock()
+	network.hosts[name] = host
+	network.mutex.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = host.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return host
+}
+
+func newNetwork() *network {
+	return &network{hosts: map[string]*Exchange{}, cut: map[string]bool{}}
+}
+
+// TestHostsMeetThroughOneSeed has hosts find each other by one address, lose
+// one that is cut off, and hear it again.
+func TestHostsMeetThroughOneSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		var hosts []*Exchange
+		for _, name := range []string{"a", "b", "c", "d"} {
+			hosts = append(hosts, network.start(t, name, nil, "a", "nobody"))
+		}
+		time.Sleep(time.Second)
+		for _, host := range hosts {
+			c.Assert(host.Hosts(), qt.Equals, 4)
+		}
+		network.mutex.Lock()
+		network.cut["c"] = true
+		network.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		c.Assert(hosts[0].Hosts(), qt.Equals, 3)
+		c.Assert(hosts[2].Hosts(), qt.Equals, 1)
+		network.mutex.Lock()
+		clear(network.cut)
+		network.mutex.Unlock()
+		time.Sleep(time.Second)
+		c.Assert(hosts[0].Hosts(), qt.Equals, 4)
+		hosts[1].Leave()
+		synctest.Wait()
+		c.Assert(hosts[0].Hosts(), qt.Equals, 3)
+	})
+}
+
+// TestNewerIsAsked tells a host that another one knows newer routes.
+func TestNewerIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		asked := make(chan string, 1024)
+		network.start(t, "a", func(host *Exchange) {
+			host.Known = func() Known { return Known{Configuration: 7} }
+		})
+		network.start(t, "b", func(host *Exchange) {
+			host.Newer = func(address string) { asked <- address }
+		}, "a")
+		time.Sleep(time.Second)
+		c.Assert(<-asked, qt.Equals, "a")
+	})
+}
+
+// TestOldReports passes over reports that were overtaken, and those of an
+// earlier life.
+func TestOldReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		receiver := newNetwork().start(t, "b", nil)
+		report := func(life, sequence uint64) {
+			datagram, err := proto.Marshal(&exchangepb.Report{
+				Host: "a", Address: "a", Life: life, Sequence: sequence,
+				Uses: []*exchangepb.Use{{Target: "t", Open: uint32(sequence)}},
+			})
+			c.Assert(err, qt.IsNil)
+			receiver.Receive(datagram)
+		}
+		for _, step := range []struct{ life, sequence, wantLife, wantSequence uint64 }{
+			{5, 2, 5, 2}, {5, 1, 5, 2}, {4, 9, 5, 2}, {6, 1, 6, 1}, {5, 3, 6, 1},
+		} {
+			report(step.life, step.sequence)
+			receiver.mutex.Lock()
+			known := *receiver.peers["a"]
+			receiver.mutex.Unlock()
+			c.Assert(known.life, qt.Equals, step.wantLife)
+			c.Assert(known.sequence, qt.Equals, step.wantSequence)
+		}
+		receiver.Receive([]byte("noise"))
+	})
+}
+
+// TestDatagramsOfAHostAreBounded counts the reports of a host among many.
+func TestDatagramsOfAHostAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		host := network.start(t, "a", nil)
+		now := time.Now()
+		host.mutex.Lock()
+		for i := range 329 {
+			address := "h" + string(rune(0x100+i))
+			peer := host.meet(address)
+			peer.alive, peer.heard = true, now.Add(time.Hour)
+		}
+		host.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+		network.mutex.Lock()
+		defer network.mutex.Unlock()
+		c.Assert(network.sent <= 11*datagramsPerSecond, qt.IsTrue, qt.Commentf("%d", network.sent))
+	})
+}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -51,14 +51,17 @@
 	stepCount = int(time.Second / stepTime)
 )
 
-// press asks for some units at a time, at a rate in units a second, on hosts
-// drawn by a seed, for a number of seconds.
-func (fleet *fleet) press(seconds int, units, rate float64) {
+// pressed is the units a second that a workspace asks for: ten times its quota.
+const pressed = 100000
+
+// press asks for some units at a time, on hosts drawn by a seed, for a number
+// of seconds.
+func (fleet *fleet) press(seconds int, units float64) {
 	draws := rand.New(rand.NewPCG(1, uint64(units)))
 	asks := 0.0
 	for range seconds * stepCount {
 		taken := 0.0
-		for asks += rate * stepTime.Seconds() / units; asks >= 1; asks-- {
+		for asks += pressed * stepTime.Seconds() / units; asks >= 1; asks-- {
 			ledger := fleet.ledgers[draws.IntN(len(fleet.ledgers))]
 			if ledger.Take(clubs, units).Allowed {
 				taken += units
@@ -70,12 +73,9 @@
 	}
 }
 
-// pressed is the rate at which the workspace asks: ten times its quota.
-const pressed = 100000
-
 // most is the units taken in the window that had most.
-func (fleet *fleet) most(window time.Duration) float64 {
-	steps := int(window / stepTime)
+func (fleet *fleet) most() float64 {
+	steps := int(tolerance.Window / stepTime)
 	most := 0.0
 	for i := range fleet.taken {
 		sum := 0.0
@@ -104,8 +104,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			fleet := newFleet(7, tolerance.Bucket(written))
-			fleet.press(30, units, pressed)
-			c.Assert(fleet.most(8*time.Second) <= bound(written), qt.IsTrue, qt.Commentf("%.0f", fleet.most(8*time.Second)))
+			fleet.press(30, units)
+			c.Assert(fleet.most() <= bound(written), qt.IsTrue, qt.Commentf("%.0f", fleet.most()))
 			used := 0.0
 			for _, taken := range fleet.taken[8*stepCount:] {
 				used += taken
@@ -121,14 +121,14 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			fleet := newFleet(7, tolerance.Bucket(written))
-			fleet.press(10, 500, pressed)
+			fleet.press(10, 500)
 			for i := range cut {
 				fleet.cut[i] = true
 			}
-			fleet.press(12, 500, pressed)
+			fleet.press(12, 500)
 			clear(fleet.cut)
-			fleet.press(10, 500, pressed)
-			c.Assert(fleet.most(8*time.Second) <= bound(written), qt.IsTrue, qt.Commentf("%d cut: %.0f", cut, fleet.most(8*time.Second)))
+			fleet.press(10, 500)
+			c.Assert(fleet.most() <= bound(written), qt.IsTrue, qt.Commentf("%d cut: %.0f", cut, fleet.most()))
 		})
 	}
 }
@@ -139,11 +139,11 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			fleet := newFleet(7, tolerance.Bucket(written))
-			fleet.press(10, units, pressed)
+			fleet.press(10, units)
 			again := newFleet(7, tolerance.Bucket(written))
 			again.taken = fleet.taken
-			again.press(10, units, pressed)
-			c.Assert(again.most(8*time.Second) <= bound(written), qt.IsTrue, qt.Commentf("%.0f: %.0f", units, again.most(8*time.Second)))
+			again.press(10, units)
+			c.Assert(again.most() <= bound(written), qt.IsTrue, qt.Commentf("%.0f: %.0f", units, again.most()))
 		})
 	}
 }
@@ -174,14 +174,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		fleet := newFleet(3, tolerance.Bucket(written))
-		fleet.press(10, 500, pressed)
+		fleet.press(10, 500)
 		lower := Limit{Rate: 1000, Burst: 1000}
 		for _, ledger := range fleet.ledgers {
 			ledger.SetLimits(map[string]Limit{clubs: tolerance.Bucket(lower)})
 		}
 		fleet.taken = nil
-		fleet.press(16, 500, pressed)
-		c.Assert(fleet.most(8*time.Second) <= bound(lower), qt.IsTrue, qt.Commentf("%.0f", fleet.most(8*time.Second)))
+		fleet.press(16, 500)
+		c.Assert(fleet.most() <= bound(lower), qt.IsTrue, qt.Commentf("%.0f", fleet.most()))
 	})
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -227,7 +227,7 @@
 func (connection *connection) abort() { _ = connection.SetDeadline(time.Unix(1, 0)) }
 
 func (connection *connection) close() {
-	_ = connection.Conn.Close()
+	_ = connection.Close()
 	if connection.onClose != nil {
 		connection.onClose()
 		connection.onClose = nil
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,194 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const testID = "1"
+
+// target answers each request on a connection by a function; it returns false
+// to close the connection.
+func target(c *qt.C, answer func(conn net.Conn, reader *bufio.Reader, request *http.Request) bool) (address string, dialled func() int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	count := make(chan int, 1)
+	count <- 0
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			count <- <-count + 1
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil || !answer(conn, reader, request) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), func() int {
+		dialled := <-count
+		count <- dialled
+		return dialled
+	}
+}
+
+func newConnections() *Connections {
+	return &Connections{
+		Dial:        (&net.Dialer{}).DialContext,
+		DialTimeout: time.Second,
+		Own: func(request *Request, response *http.Response) bool {
+			return response.Header.Get("Id") == request.ID
+		},
+	}
+}
+
+func exchange(connections *Connections, address string, body []byte, fresh bool) (string, error) {
+	answer, err := connections.Exchange(context.Background(), address, &Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body, ID: testID, Fresh: fresh,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	return string(text), err
+}
+
+func write(conn net.Conn, body string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+testID+"\r\nContent-Length: "+string(rune('0'+len(body)))+"\r\n\r\n"+body)
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		write(conn, "ok")
+		return true
+	})
+	connections := newConnections()
+	for range 3 {
+		text, err := exchange(connections, address, []byte("x"), false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "ok")
+	}
+	c.Assert(dialled(), qt.Equals, 1)
+	c.Assert(connections.Open(address), qt.Equals, 1)
+	connections.Forget(address)
+	c.Assert(connections.Open(address), qt.Equals, 0)
+}
+
+// TestLateSecondAnswer has a target answer twice: what comes before the next
+// request costs the connection, what comes after it is passed over by its id.
+func TestLateSecondAnswer(t *testing.T) {
+	c := qt.New(t)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		write(conn, "ok")
+		write(conn, "no")
+		return true
+	})
+	connections := newConnections()
+	text, err := exchange(connections, address, nil, false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.Equals, "ok")
+	text, err = exchange(connections, address, nil, false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.Equals, "ok")
+	c.Assert(dialled(), qt.Equals, 2)
+}
+
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan struct{}, 8)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		write(conn, "ok")
+		_ = conn.Close()
+		closed <- struct{}{}
+		return false
+	})
+	connections := newConnections()
+	for i := range 3 {
+		text, err := exchange(connections, address, nil, true)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "ok")
+		<-closed
+		c.Assert(dialled(), qt.Equals, i+1)
+	}
+}
+
+// TestEarlyAnswerToALongBody has a target answer before it reads the body: the
+// answer is passed on, and no other request follows on that connection.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	c := qt.New(t)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		write(conn, "no")
+		time.Sleep(200 * time.Millisecond)
+		return false
+	})
+	connections := newConnections()
+	long := []byte(strings.Repeat("x", 32<<20))
+	for i := range 2 {
+		text, err := exchange(connections, address, long, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "no")
+		c.Assert(dialled(), qt.Equals, i+1)
+	}
+}
+
+func TestWhatIsKnownOfAFailure(t *testing.T) {
+	c := qt.New(t)
+	connections := newConnections()
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(refused.Close(), qt.IsNil)
+	_, err = exchange(connections, refused.Addr().String(), nil, false)
+	c.Assert(Is(err, NotSent), qt.IsTrue, qt.Commentf("%v", err))
+
+	address, _ := target(c, func(net.Conn, *bufio.Reader, *http.Request) bool { return false })
+	_, err = exchange(connections, address, nil, false)
+	c.Assert(Is(err, Unknown), qt.IsTrue, qt.Commentf("%v", err))
+
+	address, _ = target(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok")
+		return false
+	})
+	_, err = exchange(connections, address, nil, false)
+	c.Assert(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue, qt.Commentf("%v", err))
+
+	address, _ = target(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "noise that is no answer\r\n\r\n")
+		return false
+	})
+	_, err = exchange(connections, address, nil, false)
+	c.Assert(Is(err, Unknown), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestKeepAliveIsKept(t *testing.T) {
+	c := qt.New(t)
+	connection := &connection{idle: time.Now().Add(-2 * time.Second)}
+	connection.learn(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=2, max=100"}}})
+	c.Assert(connection.stale(), qt.IsTrue)
+	connection.learn(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=9"}}})
+	c.Assert(connection.stale(), qt.IsFalse)
+	connection.learn(&http.Response{Close: true, Header: http.Header{}})
+	c.Assert(connection.spent, qt.IsTrue)
+}
