--- a/command/serve.go
+++ b/command/serve.go
@@ -10,6 +10,7 @@
 
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	// The parts of a host register themselves.
 	_ "nutmegfield.example/configuration"
@@ -49,15 +50,17 @@
 	if err != nil {
 		return fmt.Errorf("load settings: %w", err)
 	}
+	// Nothing waits for whoever reads the log.
+	writer := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	defer func() { _ = writer.Close() }()
 	host := &kernel.Host{
 		Settings: loaded,
 		Network:  kernel.SystemNetwork(),
 		Events: &timeline.Recorder{
-			Host: loaded.Host.ID,
-			Logger: &log.Logger{
-				Level:  log.ParseLevel(loaded.Log.Level),
-				Writer: &log.IOWriter{Writer: os.Stdout},
-			},
+			Host:          loaded.Host.ID,
+			Logger:        &log.Logger{Level: log.ParseLevel(loaded.Log.Level), Writer: writer},
+			Lines:         rate.NewLimiter(logLines, logLines),
+			FrequentLines: rate.NewLimiter(frequentLogLines, frequentLogLines),
 		},
 	}
 	invariant.Recorder.Store(host.Events)
@@ -67,8 +70,57 @@
 	if err := host.Build(); err != nil {
 		return fmt.Errorf("build the host: %w", err)
 	}
+	host.Events.Record(eventStarted, timeline.Event{Facts: []timeline.Fact{
+		{Key: "zone", Value: loaded.Host.Zone}, {Key: "role", Value: loaded.Host.Role}, {Key: "settings", Value: serve.Settings},
+	}})
+	go serve.reloads(host.Events)
 	running, force := onSignals()
-	return host.Run(running, force)
+	err = host.Run(running, force)
+	stopped := timeline.Event{}
+	if err != nil {
+		stopped.Detail = err.Error()
+	}
+	host.Events.Record(eventStopped, stopped)
+	return err
+}
+
+const (
+	// logQueue is how many log lines wait for a reader before lines are lost.
+	logQueue = 4096
+	// logLines and frequentLogLines are the most log lines a second of one
+	// host, at about 400 bytes each; the second bounds those that come with
+	// each request.
+	logLines         = 500
+	frequentLogLines = 200
+)
+
+var (
+	eventStarted = timeline.Define(timeline.Kind{
+		Number: 101, Name: "host started", Level: timeline.Info,
+		Meaning: "The process began to run.",
+	})
+	eventStopped = timeline.Define(timeline.Kind{
+		Number: 102, Name: "host stopped", Level: timeline.Info,
+		Meaning: "The process ends; the detail is the error that ended it, if there was one.",
+	})
+	eventReload = timeline.Define(timeline.Kind{
+		Number: 103, Name: "settings read again", Level: timeline.Info,
+		Meaning: "The settings file was read after SIGHUP; what it holds is used from the next start on, and the detail says what is wrong with it.",
+	})
+)
+
+// reloads checks the settings at each SIGHUP. Addresses and bounds don't change
+// in a process's life, so that they come in force at the next start.
+func (serve *serve) reloads(events *timeline.Recorder) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		event := timeline.Event{}
+		if _, err := settings.Load(serve.Settings); err != nil {
+			event.Detail = err.Error()
+		}
+		events.Record(eventReload, event)
+	}
 }
 
 // onSignals returns a context that ends with the first signal and one that
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -41,9 +41,10 @@
 	// pollInterval is the time between two plain reads by all hosts taken
 	// together: a part of the time in which a change must be in force.
 	pollInterval = 500 * time.Millisecond
-	// freshly is how long ago a plain read may lie for a refresh to be
-	// answered by it.
-	freshly = 150 * time.Millisecond
+	// freshly is how long ago the state may have been seen to be the newest
+	// for nothing to be read again: half of the time in which a change must
+	// be in force where that is shortest.
+	freshly = time.Second
 )
 
 // Events of this package.
@@ -140,6 +141,7 @@
 	mutex     sync.Mutex
 	state     State
 	confirmed time.Time
+	verified  time.Time
 	lost      bool
 	reading   *reading
 }
@@ -202,17 +204,32 @@
 	}
 }
 
-// Refresh reads the present state, or takes that of a read just done.
+// Refresh makes sure that the state was the newest a moment ago, by a plain
+// read if need be.
 func (follower *Follower) Refresh(ctx context.Context) error {
-	follower.mutex.Lock()
-	fresh := time.Since(follower.confirmed) < freshly && follower.state.At > 0
-	follower.mutex.Unlock()
-	if fresh {
+	if time.Since(follower.Verified()) < freshly {
 		return nil
 	}
 	return follower.read(ctx)
 }
 
+// Verified is when the platform was last seen, by any host, to hold no newer
+// state.
+func (follower *Follower) Verified() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.verified
+}
+
+// Verify takes another host's word for the state at a revision.
+func (follower *Follower) Verify(at time.Time) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if at.After(follower.verified) {
+		follower.verified = at
+	}
+}
+
 // read lists all objects; calls at the same time share one read.
 func (follower *Follower) read(ctx context.Context) error {
 	follower.mutex.Lock()
@@ -234,12 +251,14 @@
 func (follower *Follower) readOnce(ctx context.Context, shared *reading) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	begun := time.Now()
 	listing, err := follower.Source.List(ctx)
 	shared.err = err
 	if err != nil {
 		follower.trouble(err)
 	} else {
 		follower.replace(listing, follower.confirm())
+		follower.Verify(begun)
 	}
 	follower.mutex.Lock()
 	follower.reading = nil
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -131,8 +131,8 @@
 	return follower
 }
 
-func value(follower *Follower, name string) string {
-	return string(follower.State().Objects[name].Value)
+func mainValue(follower *Follower) string {
+	return string(follower.State().Objects["main"].Value)
 }
 
 // TestFollow goes through what a platform may do: tell changes, tell none while
@@ -144,29 +144,29 @@
 		platform.put("main", "1")
 		follower := follow(t, platform, 1, func(State) {})
 		synctest.Wait()
-		c.Assert(value(follower, "main"), qt.Equals, "1")
+		c.Assert(mainValue(follower), qt.Equals, "1")
 
 		platform.put("main", "2")
 		synctest.Wait()
-		c.Assert(value(follower, "main"), qt.Equals, "2")
+		c.Assert(mainValue(follower), qt.Equals, "2")
 
 		platform.set(func() { platform.silent = true })
 		platform.put("main", "3")
 		time.Sleep(time.Second)
-		c.Assert(value(follower, "main"), qt.Equals, "3")
+		c.Assert(mainValue(follower), qt.Equals, "3")
 
 		platform.set(func() { platform.silent, platform.gone = false, true })
 		platform.put("main", "4")
 		time.Sleep(time.Second)
-		c.Assert(value(follower, "main"), qt.Equals, "4")
+		c.Assert(mainValue(follower), qt.Equals, "4")
 
 		platform.set(func() { platform.down = true })
 		platform.put("main", "5")
 		time.Sleep(10 * time.Second)
-		c.Assert(value(follower, "main"), qt.Equals, "4")
+		c.Assert(mainValue(follower), qt.Equals, "4")
 		platform.set(func() { platform.down = false })
 		time.Sleep(time.Second)
-		c.Assert(value(follower, "main"), qt.Equals, "5")
+		c.Assert(mainValue(follower), qt.Equals, "5")
 	})
 }
 
@@ -194,9 +194,9 @@
 		synctest.Wait()
 		platform.set(func() { platform.down = true })
 		follower.Replace(Listing{At: 9, Objects: []Object{{Name: "main", Revision: 9, Value: []byte("9")}}})
-		c.Assert(value(follower, "main"), qt.Equals, "9")
+		c.Assert(mainValue(follower), qt.Equals, "9")
 		follower.Replace(Listing{At: 8, Objects: []Object{{Name: "main", Revision: 8, Value: []byte("8")}}})
-		c.Assert(value(follower, "main"), qt.Equals, "9")
+		c.Assert(mainValue(follower), qt.Equals, "9")
 	})
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	// retryEvery is how many rounds pass between two reports to a host that
 	// is not heard.
 	retryEvery = 10
+	// reportDelay is how long a report may be on its way.
+	reportDelay = 20 * time.Millisecond
 	// tellPeers is how many addresses of other hosts a report names.
 	tellPeers = 16
 )
@@ -68,6 +71,9 @@
 	Ledger   *quota.Ledger
 	// Known returns what is known here of the platform's objects.
 	Known func() Known
+	// Verify is told that another host had seen the version in force here to
+	// be the newest at a time.
+	Verify func(version int64, at time.Time)
 	// Newer is told the address of a host that knows more.
 	Newer func(address string)
 
@@ -80,8 +86,10 @@
 
 // Known is how much a host knows of the platform's objects.
 type Known struct {
-	// Configuration is the version in force.
+	// Configuration is the version in force, Verified when the platform was
+	// last seen, by any host, to hold no newer one.
 	Configuration int64
+	Verified      time.Time
 	// Changed is the revision of the last change of the targets that was
 	// seen, At the one up to which the host knows all changes.
 	Changed int64
@@ -204,6 +212,7 @@
 		Speeds:        speedsOut(use.Speeds),
 		Spends:        spendsOut(spends),
 		Peers:         exchange.some(),
+		VerifiedMs:    uint32(min(time.Since(known.Verified).Milliseconds(), math.MaxUint32)),
 	}
 	var addresses []string
 	for address, peer := range exchange.peers {
@@ -273,6 +282,10 @@
 	})
 	exchange.Ledger.Heard(message.GetHost(), message.GetLife(), spendsIn(message.GetSpends()))
 	known := exchange.Known()
+	if message.GetConfiguration() == known.Configuration {
+		age := time.Duration(message.GetVerifiedMs())*time.Millisecond + reportDelay
+		exchange.Verify(known.Configuration, time.Now().Add(-age))
+	}
 	if message.GetConfiguration() > known.Configuration || message.GetTargets() > known.At {
 		exchange.Newer(message.GetAddress())
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -44,6 +44,7 @@
 		Balancer: &balance.Balancer{},
 		Known:    func() Known { return Known{Configuration: 1} },
 		Newer:    func(string) {},
+		Verify:   func(int64, time.Time) {},
 	}
 	host.Ledger = &quota.Ledger{Interval: host.Interval}
 	if edit != nil {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -47,6 +47,7 @@
 // back, 0 if it need not.
 func (forwarding *forwarding) refuse(status int, after time.Duration, reason string, facts ...timeline.Fact) {
 	gateway := forwarding.gateway
+	countRefusal(status, reason)
 	gateway.Events.Record(eventRefused, timeline.Event{
 		Request: forwarding.call.ID,
 		Detail:  strconv.Itoa(status) + " " + reason,
@@ -63,17 +64,22 @@
 		// The caller has left.
 		panic(http.ErrAbortHandler)
 	}
+	cause := timeline.Fact{Key: "cause", Value: reason}
 	switch {
 	case forwarding.begun:
 		forwarding.breakOff(reason)
 	case forwarding.fallback != nil:
 		forwarding.writeWhole(forwarding.fallback)
 	case forwarding.mayHaveRun && ctx.Err() != nil:
-		forwarding.refuse(http.StatusGatewayTimeout, 0, reason)
+		forwarding.refuse(http.StatusGatewayTimeout, 0, "no answer in time", cause)
 	case forwarding.mayHaveRun:
-		forwarding.refuse(http.StatusBadGateway, 0, reason)
+		forwarding.refuse(http.StatusBadGateway, 0, "no whole answer", cause)
 	default:
-		forwarding.refuse(http.StatusServiceUnavailable, spread(forwarding.comeBack()), reason)
+		forwarding.refuse(http.StatusServiceUnavailable, spread(forwarding.comeBack()), "no target in time", cause,
+			timeline.Count("rank", forwarding.rank),
+			timeline.Took("waited", time.Since(forwarding.arrived)),
+			timeline.Count("waiting", forwarding.gateway.Balancer.Waiting(forwarding.pool.Name)),
+		)
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,11 +27,11 @@
 
 var (
 	eventSent = timeline.Define(timeline.Kind{
-		Number: 1103, Name: "request sent", Level: timeline.Info,
+		Number: 1103, Name: "request sent", Level: timeline.Info, Frequent: true,
 		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, what the target was expected to take, and how many requests this host and the others had there.",
 	})
 	eventAnswered = timeline.Define(timeline.Kind{
-		Number: 1108, Name: "request answered", Level: timeline.Info,
+		Number: 1108, Name: "request answered", Level: timeline.Info, Frequent: true,
 		Meaning: "A target's answer was passed on whole; the facts are its status, the time to its first event and to its end, both from the arrival.",
 	})
 	eventAttemptFailed = timeline.Define(timeline.Kind{
@@ -52,10 +52,15 @@
 	unreachable
 	// failed: the target may have run the request and gave no whole answer.
 	failed
-	// refusedByTarget: the target ran it and answered with a failure.
+	// failedWhole: the target ran it and answered with a failure.
 	failedWhole
 )
 
+// String returns the name in metrics.
+func (verdict verdict) String() string {
+	return [...]string{"done", "notRun", "unreachable", "failed", "failedWhole"}[verdict]
+}
+
 // attempts sends the request to targets until one answers, none is left, or
 // no repeat is allowed.
 func (forwarding *forwarding) attempts(ctx context.Context) {
@@ -78,6 +83,7 @@
 			runs++
 		}
 		again := ctx.Err() == nil && dials < mostDials && forwarding.sent < mostSends && forwarding.repeatable(verdict, runs)
+		countFailure(grant.Target.Pool, grant.Target.ID, verdict)
 		forwarding.tellFailed(grant, reason, again)
 		if !again {
 			forwarding.giveUp(ctx, reason)
@@ -170,6 +176,8 @@
 }
 
 func (forwarding *forwarding) tellSent(grant *balance.Grant) {
+	waited := time.Since(forwarding.arrived)
+	countAttempt(grant.Target.Pool, forwarding.sent > 0, waited)
 	forwarding.gateway.Events.Record(eventSent, timeline.Event{
 		Request: forwarding.call.ID,
 		Pool:    grant.Target.Pool,
@@ -180,7 +188,7 @@
 			timeline.Count("units", int64(forwarding.units)),
 			timeline.Count("attempt", forwarding.sent+1),
 			timeline.Count("promptTokens", forwarding.call.PromptTokens),
-			timeline.Took("waited", time.Since(forwarding.arrived)),
+			timeline.Took("waited", waited),
 			timeline.Took("expected", grant.Expected),
 			timeline.Count("work", grant.Work),
 			timeline.Count("open", grant.Open),
@@ -192,6 +200,8 @@
 }
 
 func (forwarding *forwarding) tellAnswered(grant *balance.Grant, status int) {
+	took := time.Since(forwarding.arrived)
+	countAnswer(grant.Target.Pool, grant.Target.ID, status, forwarding.first, took)
 	forwarding.gateway.Events.Record(eventAnswered, timeline.Event{
 		Request: forwarding.call.ID,
 		Pool:    grant.Target.Pool,
@@ -199,7 +209,7 @@
 		Facts: []timeline.Fact{
 			timeline.Count("status", status),
 			timeline.Took("first", forwarding.first),
-			timeline.Took("took", time.Since(forwarding.arrived)),
+			timeline.Took("took", took),
 			timeline.Count("events", forwarding.events),
 			timeline.Count("expectedTokens", forwarding.call.ExpectedTokens),
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,25 +150,26 @@
 	ctx, cancel := context.WithTimeout(forwarding.received.Context(), checkWait)
 	defer cancel()
 	if err := gateway.Refresh(ctx); err != nil {
-		forwarding.refuse(http.StatusServiceUnavailable, retryNoRoutes, "the routes may be old: "+err.Error())
+		forwarding.refuse(http.StatusServiceUnavailable, retryNoRoutes, "the routes may be old",
+			timeline.Fact{Key: "cause", Value: err.Error()}, timeline.Count("routes", forwarding.version))
 		return false
 	}
 	status := forwarding.find(gateway.Table())
 	if status == 0 {
 		return true
 	}
-	forwarding.refuse(status, 0, "no such route or key")
+	forwarding.refuse(status, 0, "no such route or key", timeline.Count("routes", forwarding.version))
 	return false
 }
 
 // find looks the request up and returns 0, or the status that denies it.
 func (forwarding *forwarding) find(table *route.Table) int {
+	forwarding.version = table.Configuration.Version
 	forwarding.route = table.Find(forwarding.received.Host, forwarding.received.URL.EscapedPath())
 	if forwarding.route == nil {
 		return http.StatusNotFound
 	}
 	forwarding.rank = rank(nil, forwarding.route)
-	forwarding.version = table.Configuration.Version
 	forwarding.workspace = nil
 	if table.Keyed() && !forwarding.route.Anonymous {
 		forwarding.workspace = table.WorkspaceOf(forwarding.call.Key)
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/operator"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
 	"nutmegfield.example/settings"
@@ -97,8 +99,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for reports: %w", err)
 	}
-	listeners := make([]net.Listener, 3)
-	for i, address := range []string{given.Peers.Listen, given.Gateway.Ready, given.Callers.Listen} {
+	listeners := make([]net.Listener, 4)
+	for i, address := range []string{given.Peers.Listen, given.Gateway.Ready, given.Callers.Listen, given.Operators.Listen} {
 		if listeners[i], err = kernelHost.Network.Listen("tcp", address); err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
@@ -119,6 +121,9 @@
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.ready)))
 			},
 			func(ctx context.Context) error { return serve(ctx, callers) },
+			func(ctx context.Context) error {
+				return serve(ctx, newServer(listeners[3], operators(kernelHost.Events)))
+			},
 		} {
 			group.Go(func() { host.record(part(ctx)) })
 		}
@@ -152,6 +157,7 @@
 		Ledger:   host.ledger,
 		Known:    host.knowledge,
 		Newer:    host.newer,
+		Verify:   host.verify,
 	}
 	host.ledger.Interval = host.exchange.Interval
 	host.ledger.Expected = len(host.exchange.Seeds) - 1
@@ -193,6 +199,15 @@
 	return host
 }
 
+// operators is the side that operators reach.
+func operators(events *timeline.Recorder) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /timeline", operator.Timeline(events))
+	mux.HandleFunc("GET /metrics", operator.Metrics)
+	return mux
+}
+
 // owner tells answers apart by the id that targets repeat. A target that did
 // not run a request may not say its id.
 func owner(protocol Protocol) func(*upstream.Request, *http.Response) bool {
@@ -246,7 +261,12 @@
 // knowledge is what the other hosts hear of this one's.
 func (host *host) knowledge() exchange.Known {
 	targets := host.targetFollower.State()
-	return exchange.Known{Configuration: host.routes.Version(), Changed: targets.Changed, At: targets.At}
+	return exchange.Known{
+		Configuration: host.routes.Version(),
+		Verified:      host.routeFollower.Verified(),
+		Changed:       targets.Changed,
+		At:            targets.At,
+	}
 }
 
 // setRoutes puts new routes in force.
@@ -289,6 +309,13 @@
 	return snapshot
 }
 
+// verify takes another host's word that the routes in force were the newest.
+func (host *host) verify(version int64, at time.Time) {
+	if version > 0 && version == host.routes.Version() {
+		host.routeFollower.Verify(at)
+	}
+}
+
 // newer asks a host that knows more than this one, one at a time.
 func (host *host) newer(address string) {
 	host.mutex.Lock()
--- a/operator/part.go
+++ b/operator/part.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"nutmegfield.example/certificate"
@@ -112,10 +113,17 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /status", operator.status)
-	mux.HandleFunc("GET /timeline", operator.timeline)
+	mux.HandleFunc("GET /timeline", Timeline(operator.Events))
+	mux.HandleFunc("GET /metrics", Metrics)
 	return operator.authorised(mux)
 }
 
+// Metrics answers with the counters and histograms as text.
+func Metrics(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metrics.WritePrometheus(writer, true)
+}
+
 func (operator *Operator) authorised(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		token, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
@@ -144,9 +152,13 @@
 	writeJSON(writer, status)
 }
 
-// timeline answers with the events that the query asks for: request is an id,
+// Timeline answers with the events that the query asks for: request is an id,
 // since a duration before now.
-func (operator *Operator) timeline(writer http.ResponseWriter, asked *http.Request) {
+func Timeline(events *timeline.Recorder) http.HandlerFunc {
+	return func(writer http.ResponseWriter, asked *http.Request) { answerTimeline(events, writer, asked) }
+}
+
+func answerTimeline(events *timeline.Recorder, writer http.ResponseWriter, asked *http.Request) {
 	now := time.Now()
 	selection := timeline.Selection{Request: asked.FormValue("request")}
 	if text := asked.FormValue("since"); text != "" {
@@ -158,9 +170,9 @@
 		selection.Since = now.Add(-since)
 	}
 	writeJSON(writer, timeline.Page{
-		Host:   operator.Events.Host,
+		Host:   events.Host,
 		Now:    now,
-		Events: selection.Select(operator.Events.Events()),
+		Events: selection.Select(events.Events()),
 	})
 }
 
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -30,6 +30,9 @@
 	Number int
 	Name   string
 	Level  Level
+	// Frequent kinds come with each request; under load only some of their
+	// lines are logged.
+	Frequent bool
 	// Meaning is one sentence for docs/EVENTS.md.
 	Meaning string
 	// Action is what an operator should do, mostly nothing.
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 )
 
 // Event is one entry of the time line.
@@ -49,7 +50,12 @@
 	Host string
 	// Logger receives events above Trace; nil for none.
 	Logger *log.Logger
+	// Lines bounds all log lines, FrequentLines those of frequent kinds; nil
+	// for no bound. What is left out is counted and told.
+	Lines         *rate.Limiter
+	FrequentLines *rate.Limiter
 
+	leftOut  atomic.Int64
 	sequence atomic.Uint64
 	ring     [ringSize]atomic.Pointer[Event]
 }
@@ -65,9 +71,34 @@
 	event.Name = kind.Name
 	event.Sequence = recorder.sequence.Add(1)
 	recorder.ring[event.Sequence%ringSize].Store(&event)
-	if kind.Level != Trace && recorder.Logger != nil {
-		recorder.write(kind.Level, &event)
+	if kind.Level == Trace || recorder.Logger == nil {
+		return
+	}
+	if !recorder.allows(kind) {
+		recorder.leftOut.Add(1)
+		return
+	}
+	if left := recorder.leftOut.Swap(0); left > 0 {
+		recorder.write(eventLeftOut.Level, &Event{
+			Host: recorder.Host, Number: eventLeftOut.Number, Name: eventLeftOut.Name,
+			Facts: []Fact{Count("lines", left)},
+		})
+	}
+	recorder.write(kind.Level, &event)
+}
+
+var eventLeftOut = Define(Kind{
+	Number: 104, Name: "log lines left out", Level: Info,
+	Meaning: "So many lines were not logged since the last one, to bound the log; the time line has the newest of them.",
+})
+
+// allows reports whether a line of a kind is within the bounds. The frequent
+// ones leave room for the others.
+func (recorder *Recorder) allows(kind Kind) bool {
+	if kind.Frequent && recorder.FrequentLines != nil && !recorder.FrequentLines.Allow() {
+		return false
 	}
+	return recorder.Lines == nil || recorder.Lines.Allow()
 }
 
 // Events returns the kept events, oldest first.
