--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -41,6 +41,8 @@
 	// pollInterval is the time between two plain reads by all hosts taken
 	// together: a part of the time in which a change must be in force.
 	pollInterval = 500 * time.Millisecond
+	// roleInterval is the time between two looks at whether to watch.
+	roleInterval = 500 * time.Millisecond
 	// freshly is how long ago the state may have been seen to be the newest
 	// for nothing to be read again: half of the time in which a change must
 	// be in force where that is shortest.
@@ -135,6 +137,9 @@
 	Outage *Outage
 	// Hosts returns how many hosts share the plain reads.
 	Hosts func() int
+	// Watches reports whether this host holds a watch; one that does not hears
+	// of changes from those that do.
+	Watches func() bool
 	// Apply gets each new state, one at a time.
 	Apply func(State)
 
@@ -164,6 +169,10 @@
 func (follower *Follower) watch(ctx context.Context) {
 	retry := retryFirst
 	for ctx.Err() == nil {
+		if follower.State().At > 0 && !follower.Watches() {
+			pause(ctx, jitter(roleInterval))
+			continue
+		}
 		if err := follower.watchOnce(ctx); err != nil {
 			pause(ctx, jitter(retry))
 			retry = min(retryMost, 2*retry)
@@ -273,6 +282,28 @@
 	return follower.state
 }
 
+// Update puts what another host read in force: the objects that changed since
+// this host's state, and the names of all. It reports whether the state was the
+// one that the other host built on.
+func (follower *Follower) Update(after int64, listing Listing, names []string) bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.state.At != after || listing.At < after {
+		return false
+	}
+	objects := make(map[string]Object, len(names))
+	for _, name := range names {
+		if known, ok := follower.state.Objects[name]; ok {
+			objects[name] = known
+		}
+	}
+	for _, object := range listing.Objects {
+		objects[object.Name] = object
+	}
+	follower.put(objects, listing.At, time.Time{})
+	return true
+}
+
 // Replace puts a whole state that another host read in force, unless a later
 // one is.
 func (follower *Follower) Replace(listing Listing) { follower.replace(listing, time.Time{}) }
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -120,6 +120,7 @@
 	follower := &Follower{
 		Kind: "test", Source: Source{List: platform.list, Watch: platform.watch},
 		Events: &timeline.Recorder{}, Outage: &Outage{}, Hosts: func() int { return hosts }, Apply: apply,
+		Watches: func() bool { return hosts < 64 },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
@@ -200,6 +201,22 @@
 	})
 }
 
+// TestAnotherHostsChanges takes only what changed, on the state it was asked
+// for.
+func TestAnotherHostsChanges(t *testing.T) {
+	c := qt.New(t)
+	follower := &Follower{Apply: func(State) {}}
+	follower.Replace(Listing{At: 5, Objects: []Object{
+		{Name: "a", Revision: 1, Value: []byte("a")}, {Name: "main", Revision: 2, Value: []byte("b")},
+	}})
+	changed := Listing{At: 7, Objects: []Object{{Name: "main", Revision: 6, Value: []byte("new")}}}
+	c.Assert(follower.Update(4, changed, []string{"main"}), qt.IsFalse)
+	c.Assert(follower.Update(5, changed, []string{"main"}), qt.IsTrue)
+	c.Assert(mainValue(follower), qt.Equals, "new")
+	c.Assert(follower.State().Objects, qt.HasLen, 1)
+	c.Assert(follower.State().At, qt.Equals, int64(7))
+}
+
 // TestEntriesThatVanish drops a target at once whose entry goes, but keeps one
 // that vanished in an outage for as long as it may take to return.
 func TestEntriesThatVanish(t *testing.T) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,8 +59,9 @@
 	// Host is this host's id, Life higher in each of its lives.
 	Host string
 	Life uint64
-	// Address is where other hosts reach this one.
+	// Address is where other hosts reach this one, Zone where it stands.
 	Address string
+	Zone    string
 	// Seeds are the addresses that are tried at first.
 	Seeds  []string
 	Events *timeline.Recorder
@@ -99,6 +100,7 @@
 // neighbour is another host, by its address.
 type neighbour struct {
 	host     string
+	zone     string
 	life     uint64
 	sequence uint64
 	heard    time.Time
@@ -172,6 +174,20 @@
 	return known
 }
 
+// Leads reports whether this host is one of a number of hosts of its zone that
+// do what one host can do for all; hosts may differ on it for a while.
+func (exchange *Exchange) Leads(number int) bool {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	before := 0
+	for _, peer := range exchange.peers {
+		if peer.alive && peer.zone == exchange.Zone && peer.host < exchange.Host {
+			before++
+		}
+	}
+	return before < number
+}
+
 // Alive returns the addresses of the hosts that are heard.
 func (exchange *Exchange) Alive() []string {
 	exchange.mutex.Lock()
@@ -204,6 +220,7 @@
 		Life:          exchange.Life,
 		Sequence:      exchange.sequence,
 		Address:       exchange.Address,
+		Zone:          exchange.Zone,
 		Leaving:       exchange.leaving,
 		Configuration: known.Configuration,
 		Targets:       known.Changed,
@@ -309,6 +326,7 @@
 		exchange.Events.Record(eventLeft, timeline.Event{Peer: message.GetHost(), Detail: message.GetAddress()})
 	}
 	peer.host = message.GetHost()
+	peer.zone = message.GetZone()
 	peer.life = message.GetLife()
 	peer.sequence = message.GetSequence()
 	peer.heard = time.Now()
--- a/exchange/snapshots.go
+++ b/exchange/snapshots.go
@@ -19,8 +19,8 @@
 // Snapshots gives the other hosts what this one knows, and asks them. Fields
 // are set before use.
 type Snapshots struct {
-	// Own returns what this host knows.
-	Own func() *exchangepb.Snapshot
+	// Own returns what this host knows beyond what another one does.
+	Own func(known *exchangepb.SnapshotRequest) *exchangepb.Snapshot
 	// Dial opens a connection to a host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -38,12 +38,12 @@
 }
 
 // Fetch answers a host that asks.
-func (snapshots *Snapshots) Fetch(context.Context, *exchangepb.SnapshotRequest) (*exchangepb.Snapshot, error) {
-	return snapshots.Own(), nil
+func (snapshots *Snapshots) Fetch(_ context.Context, known *exchangepb.SnapshotRequest) (*exchangepb.Snapshot, error) {
+	return snapshots.Own(known), nil
 }
 
-// Ask returns what another host knows.
-func (snapshots *Snapshots) Ask(ctx context.Context, address string) (*exchangepb.Snapshot, error) {
+// Ask returns what another host knows beyond what this one does.
+func (snapshots *Snapshots) Ask(ctx context.Context, address string, known *exchangepb.SnapshotRequest) (*exchangepb.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	conn, err := snapshots.Dial(ctx, "tcp", address)
@@ -52,7 +52,7 @@
 	}
 	link := drpcconn.New(conn)
 	defer func() { _ = link.Close() }()
-	snapshot, err := exchangepb.NewDRPCSnapshotsClient(link).Fetch(ctx, &exchangepb.SnapshotRequest{})
+	snapshot, err := exchangepb.NewDRPCSnapshotsClient(link).Fetch(ctx, known)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s for its snapshot: %w", address, err)
 	}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -41,6 +41,8 @@
 	idleTimeout = 2 * time.Minute
 	// headerBytes is the largest header of a caller.
 	headerBytes = 64 << 10
+	// watchers is how many hosts of a zone watch the platform for all of it.
+	watchers = 2
 	// askInterval is the time between two questions to other hosts for what
 	// they know.
 	askInterval = 100 * time.Millisecond
@@ -151,6 +153,7 @@
 		Host:     given.Host.ID,
 		Life:     uint64(time.Now().UnixMicro()),
 		Address:  given.Peers.Listen,
+		Zone:     given.Host.Zone,
 		Seeds:    seeds(&given.Peers),
 		Events:   events,
 		Balancer: host.balancer,
@@ -169,12 +172,13 @@
 		Set:    host.setRoutes,
 	}
 	outage := &discovery.Outage{}
+	watches := func() bool { return host.exchange.Leads(watchers) }
 	host.routeFollower = &discovery.Follower{
-		Outage: outage, Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, Apply: host.routes.Apply,
+		Outage: outage, Watches: watches, Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, Apply: host.routes.Apply,
 	}
 	host.targets = &discovery.Targets{Decode: sources.DecodeTarget, Events: events, Set: host.setTargets}
 	host.targetFollower = &discovery.Follower{
-		Outage: outage, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, Apply: host.targets.Apply,
+		Outage: outage, Watches: watches, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, Apply: host.targets.Apply,
 	}
 	host.gateway = &Gateway{
 		Protocol: protocol,
@@ -294,17 +298,20 @@
 }
 
 // snapshot is what another host gets that asks.
-func (host *host) snapshot() *exchangepb.Snapshot {
+func (host *host) snapshot(known *exchangepb.SnapshotRequest) *exchangepb.Snapshot {
 	routes, targets := host.routeFollower.State(), host.targetFollower.State()
 	snapshot := &exchangepb.Snapshot{Revision: targets.At}
-	if object, ok := routes.Objects[host.routes.Name]; ok {
+	if object, ok := routes.Objects[host.routes.Name]; ok && object.Revision > known.GetConfiguration() {
 		snapshot.Version = object.Revision
 		snapshot.Configuration = object.Value
 	}
 	for _, object := range targets.Objects {
-		snapshot.Targets = append(snapshot.Targets, &exchangepb.TargetEntry{
-			Name: object.Name, Value: object.Value, Revision: object.Revision,
-		})
+		snapshot.Names = append(snapshot.Names, object.Name)
+		if object.Revision > known.GetTargets() {
+			snapshot.Targets = append(snapshot.Targets, &exchangepb.TargetEntry{
+				Name: object.Name, Value: object.Value, Revision: object.Revision,
+			})
+		}
 	}
 	return snapshot
 }
@@ -328,16 +335,20 @@
 }
 
 func (host *host) ask(address string) {
-	snapshot, err := host.snapshots.Ask(context.Background(), address)
-	if err == nil {
-		host.adopt(snapshot)
-	} else {
+	known := &exchangepb.SnapshotRequest{Targets: host.targetFollower.State().At}
+	if object, ok := host.routeFollower.State().Objects[host.routes.Name]; ok {
+		known.Configuration = object.Revision
+	}
+	snapshot, err := host.snapshots.Ask(context.Background(), address, known)
+	if err != nil {
 		host.gateway.Events.Record(eventAskFailed, timeline.Event{Peer: address, Detail: err.Error()})
+		return
 	}
+	host.adopt(known.GetTargets(), snapshot)
 }
 
-// adopt takes what another host knows.
-func (host *host) adopt(snapshot *exchangepb.Snapshot) {
+// adopt takes what another host knows beyond a revision of the targets.
+func (host *host) adopt(after int64, snapshot *exchangepb.Snapshot) {
 	if len(snapshot.GetConfiguration()) > 0 {
 		host.routeFollower.Replace(discovery.Listing{At: snapshot.GetVersion(), Objects: []discovery.Object{{
 			Name: host.routes.Name, Revision: snapshot.GetVersion(), Value: snapshot.GetConfiguration(),
@@ -349,7 +360,7 @@
 			Name: entry.GetName(), Revision: entry.GetRevision(), Value: entry.GetValue(),
 		})
 	}
-	host.targetFollower.Replace(listing)
+	host.targetFollower.Update(after, listing, snapshot.GetNames())
 }
 
 // ready answers the balancer.
