--- /dev/null
+++ b/timeline/recorder_test.go
@@ -0,0 +1,83 @@
+package timeline
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+)
+
+var (
+	kindFrequent = Kind{Number: 1, Name: "frequent", Level: Info, Frequent: true}
+	kindRare     = Kind{Number: 2, Name: "rare", Level: Info}
+)
+
+// TestLogIsBounded leaves out lines of frequent kinds first, and tells how many
+// were left out; the ring has all.
+func TestLogIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var written bytes.Buffer
+	recorder := &Recorder{
+		Logger:        &log.Logger{Writer: &log.IOWriter{Writer: &written}},
+		Lines:         rate.NewLimiter(0, 8),
+		FrequentLines: rate.NewLimiter(0, 2),
+	}
+	for range 5 {
+		recorder.Record(kindFrequent, Event{Facts: []Fact{Took("waited", 1500*time.Microsecond), Count("open", 3)}})
+	}
+	recorder.Record(kindRare, Event{Request: "q1"})
+	text := written.String()
+	c.Assert(strings.Count(text, `"frequent"`), qt.Equals, 2)
+	c.Assert(strings.Contains(text, `"waitedMs":"1.5","open":"3"`), qt.IsTrue, qt.Commentf("%s", text))
+	c.Assert(strings.Contains(text, `"lines":"3","message":"log lines left out"`), qt.IsTrue, qt.Commentf("%s", text))
+	c.Assert(strings.Contains(text, `"request":"q1"`), qt.IsTrue)
+	for range 20 {
+		recorder.Record(kindRare, Event{})
+	}
+	c.Assert(strings.Count(written.String(), `"rare"`), qt.Equals, 6)
+	c.Assert(recorder.Events(), qt.HasLen, 26)
+}
+
+// stuckWriter never takes a line.
+type stuckWriter struct{ release chan struct{} }
+
+func (writer *stuckWriter) Write(line []byte) (int, error) {
+	<-writer.release
+	return len(line), nil
+}
+
+// TestStuckReaderBlocksNobody records more than the queue holds before a reader
+// that does not read.
+func TestStuckReaderBlocksNobody(t *testing.T) {
+	c := qt.New(t)
+	stuck := &stuckWriter{release: make(chan struct{})}
+	writer := &log.AsyncWriter{ChannelSize: 16, DiscardOnFull: true, Writer: &log.IOWriter{Writer: stuck}}
+	recorder := &Recorder{Logger: &log.Logger{Writer: writer}}
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 1000 {
+				recorder.Record(kindRare, Event{})
+			}
+		})
+	}
+	group.Wait()
+	c.Assert(recorder.Events(), qt.HasLen, 4000)
+	close(stuck.release)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	recorder := &Recorder{
+		Logger:        &log.Logger{Writer: &log.IOWriter{Writer: &bytes.Buffer{}}},
+		FrequentLines: rate.NewLimiter(200, 200),
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		recorder.Record(kindFrequent, Event{Request: "9c41d07be2a35f68", Facts: []Fact{Count("open", 3), Took("waited", time.Millisecond)}})
+	}
+}
