--- a/gateway/part.go
+++ b/gateway/part.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync"
 	"time"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
-
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
 	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange"
-	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/operator"
 	"nutmegfield.example/quota"
@@ -108,14 +103,14 @@
 		}
 	}
 	host := newHost(kernelHost, *protocol, sources)
-	host.exchange.Send = sender(datagrams)
+	host.exchange.Send = kernel.Sender(datagrams)
 	callers := newServer(listeners[2], host.gateway)
 	host.gateway.Shutdown = callers.Shutdown
 	run := func(ctx context.Context) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		var group sync.WaitGroup
-		group.Go(func() { receive(datagrams, host.exchange) })
+		group.Go(func() { kernel.Receive(datagrams, datagramBytes, host.exchange.Receive) })
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.trim,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
@@ -238,11 +233,6 @@
 	Action:  "restart the host; report the error",
 })
 
-var eventAskFailed = timeline.Define(timeline.Kind{
-	Number: 6104, Name: "snapshot not had", Level: timeline.Info,
-	Meaning: "Another host knows newer routes or targets, and could not be asked for them.",
-})
-
 func (host *host) record(err error) {
 	if err != nil {
 		host.gateway.Events.Record(eventPartFailed, timeline.Event{Detail: err.Error()})
@@ -262,17 +252,6 @@
 	}
 }
 
-// knowledge is what the other hosts hear of this one's.
-func (host *host) knowledge() exchange.Known {
-	targets := host.targetFollower.State()
-	return exchange.Known{
-		Configuration: host.routes.Version(),
-		Verified:      host.routeFollower.Verified(),
-		Changed:       targets.Changed,
-		At:            targets.At,
-	}
-}
-
 // setRoutes puts new routes in force.
 func (host *host) setRoutes(table *route.Table) {
 	limits := map[string]quota.Limit{}
@@ -297,72 +276,6 @@
 	host.balancer.SetTargets(targets, host.engines)
 }
 
-// snapshot is what another host gets that asks.
-func (host *host) snapshot(known *exchangepb.SnapshotRequest) *exchangepb.Snapshot {
-	routes, targets := host.routeFollower.State(), host.targetFollower.State()
-	snapshot := &exchangepb.Snapshot{Revision: targets.At}
-	if object, ok := routes.Objects[host.routes.Name]; ok && object.Revision > known.GetConfiguration() {
-		snapshot.Version = object.Revision
-		snapshot.Configuration = object.Value
-	}
-	for _, object := range targets.Objects {
-		snapshot.Names = append(snapshot.Names, object.Name)
-		if object.Revision > known.GetTargets() {
-			snapshot.Targets = append(snapshot.Targets, &exchangepb.TargetEntry{
-				Name: object.Name, Value: object.Value, Revision: object.Revision,
-			})
-		}
-	}
-	return snapshot
-}
-
-// verify takes another host's word that the routes in force were the newest.
-func (host *host) verify(version int64, at time.Time) {
-	if version > 0 && version == host.routes.Version() {
-		host.routeFollower.Verify(at)
-	}
-}
-
-// newer asks a host that knows more than this one, one at a time.
-func (host *host) newer(address string) {
-	host.mutex.Lock()
-	defer host.mutex.Unlock()
-	if time.Since(host.asked) < askInterval {
-		return
-	}
-	host.asked = time.Now()
-	go host.ask(address)
-}
-
-func (host *host) ask(address string) {
-	known := &exchangepb.SnapshotRequest{Targets: host.targetFollower.State().At}
-	if object, ok := host.routeFollower.State().Objects[host.routes.Name]; ok {
-		known.Configuration = object.Revision
-	}
-	snapshot, err := host.snapshots.Ask(context.Background(), address, known)
-	if err != nil {
-		host.gateway.Events.Record(eventAskFailed, timeline.Event{Peer: address, Detail: err.Error()})
-		return
-	}
-	host.adopt(known.GetTargets(), snapshot)
-}
-
-// adopt takes what another host knows beyond a revision of the targets.
-func (host *host) adopt(after int64, snapshot *exchangepb.Snapshot) {
-	if len(snapshot.GetConfiguration()) > 0 {
-		host.routeFollower.Replace(discovery.Listing{At: snapshot.GetVersion(), Objects: []discovery.Object{{
-			Name: host.routes.Name, Revision: snapshot.GetVersion(), Value: snapshot.GetConfiguration(),
-		}}})
-	}
-	listing := discovery.Listing{At: snapshot.GetRevision()}
-	for _, entry := range snapshot.GetTargets() {
-		listing.Objects = append(listing.Objects, discovery.Object{
-			Name: entry.GetName(), Revision: entry.GetRevision(), Value: entry.GetValue(),
-		})
-	}
-	host.targetFollower.Update(after, listing, snapshot.GetNames())
-}
-
 // ready answers the balancer.
 func (host *host) ready(writer http.ResponseWriter, _ *http.Request) {
 	if host.gateway.leaving.Load() || host.gateway.Table() == nil {
@@ -371,50 +284,3 @@
 	}
 	writer.WriteHeader(http.StatusOK)
 }
-
-func newServer(listener net.Listener, handler http.Handler) *khttp.Server {
-	// Without an endpoint the transport looks through the machine's interfaces,
-	// which not every machine shows.
-	endpoint := &url.URL{Scheme: "http", Host: listener.Addr().String()}
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0), khttp.Filter(
-		// The router of the transport would rewrite paths.
-		func(http.Handler) http.Handler { return handler },
-	))
-	server.ReadHeaderTimeout = headerTimeout
-	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = headerBytes
-	return server
-}
-
-func serve(ctx context.Context, server *khttp.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Start(context.WithoutCancel(ctx)); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve: %w", err)
-	}
-	return nil
-}
-
-// sender sends datagrams; those that can't be sent are as good as lost.
-func sender(datagrams net.PacketConn) func(address string, datagram []byte) {
-	return func(address string, datagram []byte) {
-		resolved, err := net.ResolveUDPAddr("udp", address)
-		if err == nil {
-			_, _ = datagrams.WriteTo(datagram, resolved)
-		}
-	}
-}
-
-// receive passes datagrams on until the connection is closed.
-func receive(datagrams net.PacketConn, exchange *exchange.Exchange) {
-	buffer := make([]byte, datagramBytes)
-	for {
-		size, _, err := datagrams.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			exchange.Receive(buffer[:size])
-		}
-	}
-}
--- a/peer/part.go
+++ b/peer/part.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -79,7 +77,7 @@
 		Members: members,
 		Secret:  secret,
 		Events:  host.Events,
-		Send:    sender(datagrams),
+		Send:    kernel.Sender(datagrams),
 		Hosts:   api.Hosts,
 		Seeds:   settings.Peers.Seeds,
 	}
@@ -90,7 +88,7 @@
 		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
 		var group sync.WaitGroup
-		group.Go(func() { receive(datagrams, prober) })
+		group.Go(func() { kernel.Receive(datagrams, largestDatagram, prober.Receive) })
 		group.Go(func() {
 			if err := prober.Run(ctx); err != nil {
 				cancel(err)
@@ -109,30 +107,5 @@
 	return &kernel.Part{Run: run}, nil
 }
 
-// sender sends datagrams; those that can't be sent are as good as lost.
-func sender(datagrams net.PacketConn) func(address string, datagram []byte) {
-	return func(address string, datagram []byte) {
-		resolved, err := net.ResolveUDPAddr("udp", address)
-		if err != nil {
-			return
-		}
-		_, _ = datagrams.WriteTo(datagram, resolved)
-	}
-}
-
-// receive passes datagrams on until the connection is closed.
-func receive(datagrams net.PacketConn, prober *Prober) {
-	buffer := make([]byte, largestDatagram)
-	for {
-		size, _, err := datagrams.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			prober.Receive(buffer[:size])
-		}
-	}
-}
-
 // Is reports whether an error, however wrapped with %w, is of the type.
 func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
