balance: count what runs at a target whose entry lapses and returns

Found by reading: a grant's end was taken off whatever state had the target's id, so that a target that vanished and returned began at none open and went below when its requests ended. The script test itself raced on what a call returned; it takes it from a channel now. Also: idle connections to a replaced target are closed; two unused names removed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -75,8 +76,6 @@
 	Deadline time.Time
 	// Exclude are the targets that it was sent to already.
 	Exclude []string
-	// Repeat tickets were sent to a target before.
-	Repeat bool
 
 	arrived time.Time
 	// until is when it is refused if it still waits.
@@ -122,8 +121,10 @@
 
 	mutex   sync.Mutex
 	targets map[string]*state
-	pools   map[string]*pool
-	reports map[string]*Report
+	// departed are targets that are not known any more.
+	departed map[string]*state
+	pools    map[string]*pool
+	reports  map[string]*Report
 }
 
 // pool is the waiting requests and the targets of a pool.
@@ -167,7 +168,7 @@
 func (balancer *Balancer) SetTargets(targets []Target, engines map[string]bool) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	before := balancer.targets
+	before := balancer.known()
 	balancer.targets = map[string]*state{}
 	for _, pool := range balancer.pools {
 		pool.targets = nil
@@ -175,17 +176,15 @@
 	for _, target := range targets {
 		known := before[target.ID]
 		if known == nil || !known.Born.Equal(target.Born) || known.Address != target.Address {
-			open, backlog := 0, 0
-			if known != nil {
-				open, backlog = known.open, known.backlog
-			}
-			known = &state{open: open, backlog: backlog}
+			known = &state{}
 		}
+		delete(before, target.ID)
 		known.Target = target
 		balancer.targets[target.ID] = known
 		pool := balancer.pool(target.Pool)
 		pool.targets = append(pool.targets, known)
 	}
+	balancer.departed = before
 	for name, pool := range balancer.pools {
 		pool.engine = engines[name]
 	}
@@ -193,6 +192,19 @@
 	balancer.pumpAll()
 }
 
+// known returns the targets, and those that left while they still run requests
+// of this host: an entry may lapse and return.
+func (balancer *Balancer) known() map[string]*state {
+	known := map[string]*state{}
+	for id, state := range balancer.departed {
+		if state.open > 0 {
+			known[id] = state
+		}
+	}
+	maps.Copy(known, balancer.targets)
+	return known
+}
+
 func (balancer *Balancer) pool(name string) *pool {
 	if balancer.pools == nil {
 		balancer.pools = map[string]*pool{}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -17,6 +17,7 @@
 	Work int
 
 	balancer *Balancer
+	state    *state
 	prompt   int
 	begun    time.Time
 	// startedAt is when the first event came.
@@ -37,6 +38,7 @@
 		ReportAge:  balancer.reportAge(now),
 		Work:       ticket.PromptTokens + int(backlogShare*float64(state.backlog+state.peersBacklog)),
 		balancer:   balancer,
+		state:      state,
 		prompt:     ticket.PromptTokens,
 		begun:      now,
 	}
@@ -54,11 +56,10 @@
 		return
 	}
 	grant.started = true
-	if state := balancer.stateOf(grant); state != nil {
-		state.backlog -= grant.prompt
-		state.failures = 0
-		balancer.learn(state, grant)
-	}
+	state := grant.state
+	state.backlog -= grant.prompt
+	state.failures = 0
+	balancer.learn(state, grant)
 	balancer.pump(balancer.pool(grant.Target.Pool))
 }
 
@@ -104,8 +105,8 @@
 	balancer := grant.balancer
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	if state := balancer.stateOf(grant); state != nil && grant.started && events > 1 {
-		state.speed.learnEvents(time.Since(grant.startedAt), events-1)
+	if grant.started && events > 1 {
+		grant.state.speed.learnEvents(time.Since(grant.startedAt), events-1)
 	}
 }
 
@@ -118,13 +119,12 @@
 		return
 	}
 	grant.ended = true
-	if state := balancer.stateOf(grant); state != nil {
-		state.open--
-		if !grant.started {
-			state.backlog -= grant.prompt
-		}
-		state.end(outcome, grant)
+	state := grant.state
+	state.open--
+	if !grant.started {
+		state.backlog -= grant.prompt
 	}
+	state.end(outcome, grant)
 	balancer.pump(balancer.pool(grant.Target.Pool))
 }
 
@@ -148,13 +148,3 @@
 		}
 	}
 }
-
-// stateOf returns the state of a grant's target, nil if another life took its
-// place.
-func (balancer *Balancer) stateOf(grant *Grant) *state {
-	state := balancer.targets[grant.Target.ID]
-	if state == nil {
-		return nil
-	}
-	return state
-}
--- a/balance/script_test.go
+++ b/balance/script_test.go
@@ -19,6 +19,7 @@
 // answers. A line is one step:
 //
 //	target NAME slots N [zone Z] [leaving]   adds a target of the engines' pool
+//	remove NAME                              takes it out
 //	speed NAME DURATION                      time for a prompt token, as known
 //	events NAME DURATION                     time between events, as known
 //	others HOST [NAME OPEN]... [waiting N,N] another host reports
@@ -49,10 +50,25 @@
 	line     qt.Comment
 }
 
+// take is one call of Take, and what it returned.
 type take struct {
+	returned chan taken
+	taken    *taken
+}
+
+type taken struct {
 	grant *Grant
 	err   error
-	done  bool
+}
+
+// result is what the call returned, nil while it waits.
+func (take *take) result() *taken {
+	select {
+	case returned := <-take.returned:
+		take.taken = &returned
+	default:
+	}
+	return take.taken
 }
 
 func runScript(t *testing.T, file string) {
@@ -89,10 +105,13 @@
 		script.targets = slices.DeleteFunc(script.targets, func(other Target) bool { return other.ID == target.ID })
 		script.targets = append(script.targets, target)
 		script.balancer.SetTargets(script.targets, map[string]bool{scriptPool: true})
+	case "remove":
+		script.targets = slices.DeleteFunc(script.targets, func(other Target) bool { return other.ID == words[0] })
+		script.balancer.SetTargets(script.targets, map[string]bool{scriptPool: true})
 	case "speed":
-		script.balancer.targets[words[0]].told = script.duration(words[1])
+		script.known(words[0], func(state *state) { state.told = script.duration(words[1]) })
 	case "events":
-		script.balancer.targets[words[0]].speed.event = float64(script.duration(words[1]))
+		script.known(words[0], func(state *state) { state.speed.event = float64(script.duration(words[1])) })
 	case "others":
 		script.others(words)
 	case "take":
@@ -100,13 +119,13 @@
 	case "after":
 		time.Sleep(script.duration(words[0]))
 	case "start":
-		script.takes[words[0]].grant.Started()
+		script.takes[words[0]].result().grant.Started()
 	case "end":
 		outcomes := map[string]Outcome{
 			"served": Served, "failed": Failed, "unreachable": Unreachable,
 			"full": Full, "replaced": Replaced, "cancelled": Cancelled,
 		}
-		script.takes[words[0]].grant.End(outcomes[words[1]])
+		script.takes[words[0]].result().grant.End(outcomes[words[1]])
 	case "want":
 		script.Assert(script.state(words[0]), qt.Equals, words[1], script.line)
 	case "pressure":
@@ -118,6 +137,13 @@
 	}
 }
 
+// known changes what is known of a target.
+func (script *script) known(name string, edit func(*state)) {
+	script.balancer.mutex.Lock()
+	defer script.balancer.mutex.Unlock()
+	edit(script.balancer.targets[name])
+}
+
 func (script *script) others(words []string) {
 	report := &Report{Host: words[0]}
 	for i := 1; i+1 < len(words); i += 2 {
@@ -151,18 +177,18 @@
 	if exclude := after(words, "exclude"); exclude != "" {
 		ticket.Exclude = []string{exclude}
 	}
-	taken := &take{}
-	script.takes[words[0]] = taken
+	call := &take{returned: make(chan taken, 1)}
+	script.takes[words[0]] = call
 	go func() {
-		taken.grant, taken.err = script.balancer.Take(script.ctx, ticket)
-		taken.done = true
+		grant, err := script.balancer.Take(script.ctx, ticket)
+		call.returned <- taken{grant, err}
 	}()
 }
 
 func (script *script) state(name string) string {
-	taken := script.takes[name]
+	taken := script.takes[name].result()
 	switch {
-	case !taken.done:
+	case taken == nil:
 		return "waiting"
 	case Is(taken.err, Refused):
 		return "refused"
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -188,13 +188,7 @@
 	return before < number
 }
 
-// Alive returns the addresses of the hosts that are heard.
-func (exchange *Exchange) Alive() []string {
-	exchange.mutex.Lock()
-	defer exchange.mutex.Unlock()
-	return exchange.alive()
-}
-
+// alive returns the addresses of the hosts that are heard.
 func (exchange *Exchange) alive() []string {
 	var addresses []string
 	for address, peer := range exchange.peers {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,7 +125,6 @@
 		PromptTokens: forwarding.call.PromptTokens,
 		Deadline:     forwarding.deadline,
 		Exclude:      forwarding.tried,
-		Repeat:       forwarding.sent > 0,
 	}
 	if forwarding.route.Objective > 0 && !forwarding.begun {
 		ticket.Due = forwarding.arrived.Add(forwarding.route.Objective)
@@ -242,6 +241,7 @@
 		outcome := balance.Full
 		if reply.Misdirected {
 			outcome = balance.Replaced
+			forwarding.gateway.Connections.Forget(grant.Target.Address)
 		}
 		grant.End(outcome)
 		return notRun, "the target did not run it: " + http.StatusText(answer.Status)
