balance: grant or refuse a request, never both

Found by reading: a request that can't be in time anywhere, whose waiting time passed between two looks, was refused and then granted a slot that had just become free; where its caller took the refusal, the slot was never given back. testdata/lastmoment.script failed before ('want late0 e1', got refused).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -291,7 +291,7 @@
 	clear(pool.waiting[len(kept):])
 	pool.waiting = kept
 	for _, ticket := range round.late {
-		if round.free > 0 && balancer.grantLate(round, ticket) {
+		if round.free > 0 && balancer.grantLate(round, ticket) || round.refuse(ticket) {
 			pool.waiting = slices.DeleteFunc(pool.waiting, func(other *Ticket) bool { return other == ticket })
 		}
 	}
@@ -306,7 +306,18 @@
 	late []*Ticket
 }
 
-// serve grants or refuses a ticket, and reports whether it did.
+// refuse refuses a ticket whose time is over, and reports whether it was.
+func (round *round) refuse(ticket *Ticket) bool {
+	if round.now.Before(ticket.until) {
+		return false
+	}
+	round.pool.refused += gain * (1 - round.pool.refused)
+	ticket.failed <- round.pool.refusal()
+	return true
+}
+
+// serve grants or refuses a ticket, and reports whether it did. One that can't
+// be in time is left for what the others leave.
 func (balancer *Balancer) serve(round *round, ticket *Ticket) bool {
 	pool := round.pool
 	if round.free > pool.othersAhead(ticket.Tier) {
@@ -318,14 +329,10 @@
 		}
 		if hopeless {
 			round.late = append(round.late, ticket)
+			return false
 		}
 	}
-	if round.now.Before(ticket.until) {
-		return false
-	}
-	pool.refused += gain * (1 - pool.refused)
-	ticket.failed <- pool.refusal()
-	return true
+	return round.refuse(ticket)
 }
 
 // grantLate grants a target to a ticket that can't be in time.
