--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -100,9 +101,7 @@
 // writeWhole passes on a target's answer that was read to its end.
 func (forwarding *forwarding) writeWhole(answer *whole) {
 	header := forwarding.writer.Header()
-	for name, values := range answer.header {
-		header[name] = values
-	}
+	maps.Copy(header, answer.header)
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	forwarding.writer.WriteHeader(answer.status)
 	// A caller that does not take its answer is gone.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -337,9 +338,7 @@
 	}
 	forwarding.begun = true
 	header := forwarding.writer.Header()
-	for name, values := range passedOn(answer.Header) {
-		header[name] = values
-	}
+	maps.Copy(header, passedOn(answer.Header))
 	if strings.EqualFold(forwarding.received.Method, http.MethodHead) {
 		header.Del("Content-Type")
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -216,8 +215,3 @@
 	request.Header.Set(testKey, "k")
 	return request
 }
-
-func quiet(t *testing.T) *qt.C {
-	t.Helper()
-	return qt.New(t)
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,7 +27,7 @@
 // TestDenyOnlyByTheNewestRoutes has a key and a route that the host learns of
 // by the check before it denies, and a check that fails.
 func TestDenyOnlyByTheNewestRoutes(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	fixture := newFixture(c, testConfiguration(nil), 1)
 	newer := testConfiguration(func(route *route.Route) { route.Prefix = "/new/" })
 	newer.Workspaces[0].Keys = []string{"k2"}
@@ -49,7 +49,7 @@
 // TestQuotaIsGivenBack refuses what is over a quota, and does not count what
 // no target ran.
 func TestQuotaIsGivenBack(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	configuration := testConfiguration(nil)
 	configuration.Workspaces[0].Quota = route.Quota{InTokens: true, Rate: 1, Burst: 100, PlainTokens: 10}
 	fixture := newFixture(c, configuration, 1)
@@ -67,7 +67,7 @@
 
 // TestCallerLeaves ends the work at the target when its caller has left.
 func TestCallerLeaves(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Streaming = true }), 1)
 	fixture.replies = []string{"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\nid: 1\ndata: a\n\nHOLD\n"}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -81,7 +81,7 @@
 // TestRouteTimeout answers at the end of the route's time, and says 504 as the
 // request may have run.
 func TestRouteTimeout(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Timeout = 50 * time.Millisecond }), 1)
 	fixture.replies = []string{"HOLD\n"}
 	c.Assert(fixture.status(fixture.request(t.Context(), http.MethodPost, "/r/a", "x")), qt.Equals, http.StatusGatewayTimeout)
@@ -90,7 +90,7 @@
 
 // TestDrainCutsNothing lets a running answer end and takes nothing more.
 func TestDrainCutsNothing(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	fixture := newFixture(c, testConfiguration(nil), 1)
 	started, finish := make(chan struct{}), make(chan struct{})
 	inner := fixture.server.Config.Handler
@@ -121,7 +121,7 @@
 }
 
 func TestRankPutsTheWorkspaceFirst(t *testing.T) {
-	c := quiet(t)
+	c := qt.New(t)
 	first, second := 0, 1
 	c.Assert(rank(&route.Workspace{Tier: &first}, &route.Route{Tier: 2}) < rank(&route.Workspace{Tier: &second}, &route.Route{Tier: 0}), qt.IsTrue)
 	c.Assert(rank(&route.Workspace{Tier: &second}, &route.Route{Tier: 0}) < rank(&route.Workspace{Tier: &second}, &route.Route{Tier: 1}), qt.IsTrue)
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -25,7 +25,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
 	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) { runScript(quiet(t), file) })
+		t.Run(filepath.Base(file), func(t *testing.T) { runScript(qt.New(t), file) })
 	}
 }
 
