upstream: hold the late second answer until the next request in its test

If the second write comes after the connection was looked at and used again, the second request reads an answer that bears its own id. Ruled out: the exchange (ids differ between requests outside the test, and Own tells them apart). The test is split: a second answer that stands in the buffer, in one write, and one that comes after the next request, told apart by its id.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -61,8 +62,12 @@
 }
 
 func exchange(connections *Connections, address string, body []byte, fresh bool) (string, error) {
+	return exchangeAs(connections, address, testID, body, fresh)
+}
+
+func exchangeAs(connections *Connections, address, id string, body []byte, fresh bool) (string, error) {
 	answer, err := connections.Exchange(context.Background(), address, &Request{
-		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body, ID: testID, Fresh: fresh,
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: body, ID: id, Fresh: fresh,
 	})
 	if err != nil {
 		return "", err
@@ -73,7 +78,11 @@
 }
 
 func write(conn net.Conn, body string) {
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+testID+"\r\nContent-Length: "+string(rune('0'+len(body)))+"\r\n\r\n"+body)
+	_, _ = io.WriteString(conn, answerTo(testID, body))
+}
+
+func answerTo(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
 func TestConnectionsAreUsedAgain(t *testing.T) {
@@ -95,24 +104,43 @@
 	c.Assert(connections.Open(address), qt.Equals, 0)
 }
 
-// TestLateSecondAnswer has a target answer twice: what comes before the next
-// request costs the connection, what comes after it is passed over by its id.
+// TestSecondAnswerCostsTheConnection has a target answer twice at once: what
+// stands in the buffer before the next request ends the connection.
+func TestSecondAnswerCostsTheConnection(t *testing.T) {
+	c := qt.New(t)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, answerTo(testID, "ok")+answerTo(testID, "no"))
+		return true
+	})
+	connections := newConnections()
+	for i := range 2 {
+		text, err := exchange(connections, address, nil, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "ok")
+		c.Assert(dialled(), qt.Equals, i+1)
+	}
+}
+
+// TestLateSecondAnswer has a target answer the first request again once the
+// second has come: it is passed over by its id, and the connection is not
+// used for a third.
 func TestLateSecondAnswer(t *testing.T) {
 	c := qt.New(t)
+	late := make(chan string, 1)
+	late <- ""
 	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
-		_, _ = io.Copy(io.Discard, request.Body)
-		write(conn, "ok")
-		write(conn, "no")
+		id := request.Header.Get("Id")
+		_, _ = io.WriteString(conn, <-late+answerTo(id, "ok"))
+		late <- answerTo(id, "no")
 		return true
 	})
 	connections := newConnections()
-	text, err := exchange(connections, address, nil, false)
-	c.Assert(err, qt.IsNil)
-	c.Assert(text, qt.Equals, "ok")
-	text, err = exchange(connections, address, nil, false)
-	c.Assert(err, qt.IsNil)
-	c.Assert(text, qt.Equals, "ok")
-	c.Assert(dialled(), qt.Equals, 2)
+	for i, wanted := range []int{1, 1, 2} {
+		text, err := exchangeAs(connections, address, "request"+strconv.Itoa(i), nil, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "ok")
+		c.Assert(dialled(), qt.Equals, wanted)
+	}
 }
 
 func TestClosedConnectionIsNotUsed(t *testing.T) {
@@ -139,9 +167,11 @@
 // answer is passed on, and no other request follows on that connection.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	c := qt.New(t)
+	ended := make(chan struct{})
+	defer close(ended)
 	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
 		write(conn, "no")
-		time.Sleep(200 * time.Millisecond)
+		<-ended
 		return false
 	})
 	connections := newConnections()
