exchange: sum up the reports of many hosts by zone

Ruled out: the balancer (its ticks stay). Change: among more than 16 hosts, each reports to two leaders of its zone; these add up and pass on the sums, in turn, to the hosts of their zone and to the leaders of the others, which forward them. A host takes its own part off by the number of its report. Now packed, compressed, every 400 ms a leader, a quarter of the hosts a round. Up to 16 hosts nothing changes. One host of a zone watches the platform instead of two.

--- a/balance/report.go
+++ b/balance/report.go
@@ -137,3 +137,27 @@
 	defer balancer.mutex.Unlock()
 	return len(balancer.pool(pool).waiting)
 }
+
+// Subtract takes another report's counts off this one's.
+func (report *Report) Subtract(part *Report) {
+	open := map[string]Use{}
+	for _, use := range part.Uses {
+		open[use.Target] = use
+	}
+	for i := range report.Uses {
+		use := &report.Uses[i]
+		use.Open = max(0, use.Open-open[use.Target].Open)
+		use.Backlog = max(0, use.Backlog-open[use.Target].Backlog)
+	}
+	waiting := map[string][]int{}
+	for _, queue := range part.Queues {
+		waiting[queue.Pool] = queue.Waiting
+	}
+	for _, queue := range report.Queues {
+		for tier, count := range waiting[queue.Pool] {
+			if tier < len(queue.Waiting) {
+				queue.Waiting[tier] = max(0, queue.Waiting[tier]-count)
+			}
+		}
+	}
+}
--- a/exchange/convert.go
+++ b/exchange/convert.go
@@ -86,3 +86,35 @@
 	}
 	return speeds
 }
+
+// summaryUses returns the sums of a summary, as far as its lists agree.
+func summaryUses(summary *exchangepb.Summary) []balance.Use {
+	known := min(len(summary.GetTargets()), len(summary.GetOpen()), len(summary.GetBacklog()))
+	uses := make([]balance.Use, known)
+	for i := range uses {
+		uses[i] = balance.Use{
+			Target:  summary.GetTargets()[i],
+			Open:    int(summary.GetOpen()[i]),
+			Backlog: int(summary.GetBacklog()[i]),
+		}
+	}
+	return uses
+}
+
+// memberSpends returns what a member of a summary spent, as far as the lists
+// agree.
+func memberSpends(summary *exchangepb.Summary, member *exchangepb.Member) []quota.Spend {
+	known := min(len(member.GetWorkspaces()), len(member.GetTotals()), len(member.GetLevels()))
+	spends := make([]quota.Spend, 0, known)
+	for i, place := range member.GetWorkspaces()[:known] {
+		if int(place) >= len(summary.GetWorkspaces()) {
+			continue
+		}
+		spends = append(spends, quota.Spend{
+			Workspace: summary.GetWorkspaces()[place],
+			Total:     member.GetTotals()[i],
+			Level:     member.GetLevels()[i],
+		})
+	}
+	return spends
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,17 +1,16 @@
 // Package exchange tells the other hosts, by datagrams, what this host uses
 // of all that hosts share, and takes their word. A report holds the whole, so
-// that lost ones need no repeating.
+// that lost ones need no repeating. A few hosts report to each other; many
+// report to the leaders of their zone, which pass on the sums.
 package exchange
 
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"nutmegfield.example/balance"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/quota"
@@ -24,34 +23,11 @@
 	leastInterval = 25 * time.Millisecond
 	// datagramsPerSecond bounds the reports that a host sends.
 	datagramsPerSecond = 400
-	// deadAfter is how long a host may go unheard before it is taken to be
-	// down or cut off.
-	deadAfter = time.Second
-	// forgetAfter is how long the address of an unheard host is tried.
-	forgetAfter = time.Minute
 	// retryEvery is how many rounds pass between two reports to a host that
 	// is not heard.
 	retryEvery = 10
 	// reportDelay is how long a report may be on its way.
 	reportDelay = 20 * time.Millisecond
-	// tellPeers is how many addresses of other hosts a report names.
-	tellPeers = 16
-)
-
-// Events of this package.
-var (
-	eventHeard = timeline.Define(timeline.Kind{
-		Number: 6101, Name: "host heard", Level: timeline.Info,
-		Meaning: "The reports of another host arrive, for the first time or again.",
-	})
-	eventSilent = timeline.Define(timeline.Kind{
-		Number: 6102, Name: "host silent", Level: timeline.Warn,
-		Meaning: "The reports of another host do not arrive any more; it is down or cut off.",
-	})
-	eventLeft = timeline.Define(timeline.Kind{
-		Number: 6103, Name: "host left", Level: timeline.Info,
-		Meaning: "Another host said that it shuts down.",
-	})
 )
 
 // Exchange sends and takes reports. Fields are set before Run.
@@ -78,11 +54,18 @@
 	// Newer is told the address of a host that knows more.
 	Newer func(address string)
 
-	mutex    sync.Mutex
-	peers    map[string]*neighbour
-	sequence uint64
-	round    uint64
-	leaving  bool
+	// heard is how many other hosts are heard, interval the time between two
+	// words of a host.
+	heard    atomic.Int64
+	interval atomic.Int64
+
+	mutex     sync.Mutex
+	peers     map[string]*neighbour
+	zoneHosts int
+	sequence  uint64
+	round     uint64
+	leaving   bool
+	relay     relay
 }
 
 // Known is how much a host knows of the platform's objects.
@@ -97,25 +80,13 @@
 	At      int64
 }
 
-// neighbour is another host, by its address.
-type neighbour struct {
-	host     string
-	zone     string
-	life     uint64
-	sequence uint64
-	heard    time.Time
-	added    time.Time
-	alive    bool
-}
-
 // Run reports until the context ends, and then says farewell.
 func (exchange *Exchange) Run(ctx context.Context) error {
 	for _, seed := range exchange.Seeds {
 		exchange.Meet(seed)
 	}
 	for {
-		exchange.report()
-		timer := time.NewTimer(exchange.Interval())
+		timer := time.NewTimer(exchange.report())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -126,8 +97,24 @@
 	}
 }
 
-// Interval is the time between two reports to a host.
+// Interval is the time between two words of a host as the others hear them.
 func (exchange *Exchange) Interval() time.Duration {
+	return max(leastInterval, time.Duration(exchange.interval.Load()))
+}
+
+// wordInterval is the time that Interval returns.
+func (exchange *Exchange) wordInterval() time.Duration {
+	if exchange.relayed() {
+		return exchange.roundInterval() * (1 + summaryRounds)
+	}
+	return exchange.roundInterval()
+}
+
+// roundInterval is the time between two reports of this host.
+func (exchange *Exchange) roundInterval() time.Duration {
+	if exchange.relayed() {
+		return max(relayInterval, time.Second*time.Duration(exchange.zoneHosts)/datagramsPerSecond)
+	}
 	return max(leastInterval, time.Second*time.Duration(exchange.Hosts())/datagramsPerSecond)
 }
 
@@ -139,77 +126,44 @@
 	exchange.report()
 }
 
-// Hosts is the number of hosts that are heard, with this one.
-func (exchange *Exchange) Hosts() int {
-	exchange.mutex.Lock()
-	defer exchange.mutex.Unlock()
-	hosts := 1
-	for _, peer := range exchange.peers {
-		if peer.alive {
-			hosts++
-		}
-	}
-	return hosts
+// delivery is a report and the addresses that get it.
+type delivery struct {
+	report    *exchangepb.Report
+	addresses []string
 }
 
-// Meet adds the address of a host.
-func (exchange *Exchange) Meet(address string) {
+// report sends a round of reports and returns the time to the next one.
+func (exchange *Exchange) report() time.Duration {
+	use := exchange.Balancer.Report()
+	spends := exchange.Ledger.Report()
+	known := exchange.Known()
 	exchange.mutex.Lock()
-	defer exchange.mutex.Unlock()
-	exchange.meet(address)
-}
-
-func (exchange *Exchange) meet(address string) *neighbour {
-	if address == exchange.Address || address == "" {
-		return nil
-	}
-	if exchange.peers == nil {
-		exchange.peers = map[string]*neighbour{}
-	}
-	known := exchange.peers[address]
-	if known == nil {
-		known = &neighbour{added: time.Now()}
-		exchange.peers[address] = known
+	exchange.age()
+	exchange.round++
+	compose := func(summaries ...*exchangepb.Summary) *exchangepb.Report {
+		return exchange.compose(use, spends, known, summaries)
 	}
-	return known
-}
-
-// Leads reports whether this host is one of a number of hosts of its zone that
-// do what one host can do for all; hosts may differ on it for a while.
-func (exchange *Exchange) Leads(number int) bool {
-	exchange.mutex.Lock()
-	defer exchange.mutex.Unlock()
-	before := 0
-	for _, peer := range exchange.peers {
-		if peer.alive && peer.zone == exchange.Zone && peer.host < exchange.Host {
-			before++
+	deliveries := exchange.deliveries(compose)
+	next := exchange.roundInterval()
+	exchange.mutex.Unlock()
+	for _, delivery := range deliveries {
+		datagram, err := encode(delivery.report)
+		if err != nil {
+			// Only text that is not UTF-8 can't be written; names are checked.
+			continue
 		}
-	}
-	return before < number
-}
-
-// alive returns the addresses of the hosts that are heard.
-func (exchange *Exchange) alive() []string {
-	var addresses []string
-	for address, peer := range exchange.peers {
-		if peer.alive {
-			addresses = append(addresses, address)
+		for _, address := range delivery.addresses {
+			exchange.Send(address, datagram)
 		}
 	}
-	slices.Sort(addresses)
-	return addresses
+	return next
 }
 
-// report sends one report to each host.
-func (exchange *Exchange) report() {
-	use := exchange.Balancer.Report()
-	spends := exchange.Ledger.Report()
-	known := exchange.Known()
-	exchange.mutex.Lock()
-	exchange.age()
+// compose makes a report, which is numbered.
+func (exchange *Exchange) compose(use *balance.Report, spends []quota.Spend, known Known, summaries []*exchangepb.Summary) *exchangepb.Report {
 	exchange.sequence++
-	exchange.round++
-	message := &exchangepb.Report{
+	exchange.relay.sent(exchange.sequence, use)
+	report := &exchangepb.Report{
 		Host:          exchange.Host,
 		Life:          exchange.Life,
 		Sequence:      exchange.sequence,
@@ -222,58 +176,49 @@
 		Queues:        queuesOut(use.Queues),
 		Speeds:        speedsOut(use.Speeds),
 		Spends:        spendsOut(spends),
-		Peers:         exchange.some(),
 		VerifiedMs:    uint32(min(time.Since(known.Verified).Milliseconds(), math.MaxUint32)),
+		Summaries:     summaries,
 	}
-	var addresses []string
-	for address, peer := range exchange.peers {
-		if peer.alive || exchange.round%retryEvery == 0 {
-			addresses = append(addresses, address)
-		}
-	}
-	exchange.mutex.Unlock()
-	datagram, err := proto.Marshal(message)
-	if err != nil {
-		// Only text that is not UTF-8 can't be written; names are checked.
-		return
-	}
-	for _, address := range addresses {
-		exchange.Send(address, datagram)
+	if len(summaries) == 0 {
+		report.Peers = exchange.some()
 	}
+	return report
 }
 
-// some returns the addresses of hosts, others each time.
-func (exchange *Exchange) some() []string {
-	alive := exchange.alive()
-	if len(alive) <= tellPeers {
-		return alive
+// deliveries returns the reports of a round. Compose makes a report with some
+// summaries.
+func (exchange *Exchange) deliveries(compose func(...*exchangepb.Summary) *exchangepb.Report) []delivery {
+	lost := exchange.round%retryEvery == 0
+	plain := exchange.addresses(func(peer *neighbour) bool {
+		if !peer.alive {
+			return lost
+		}
+		return exchange.leaving || !exchange.relayed() || exchange.leader(peer)
+	})
+	report := compose()
+	deliveries := []delivery{{report: report, addresses: plain}}
+	if !exchange.relayed() || exchange.leaving || !exchange.leads(zoneLeaders) {
+		return deliveries
 	}
-	first := int(exchange.round) * tellPeers % len(alive)
-	return append(alive[first:], alive[:first]...)[:tellPeers]
+	exchange.relay.join(report)
+	return append(deliveries, exchange.summaries(compose)...)
 }
 
-// age notes hosts that are not heard any more.
-func (exchange *Exchange) age() {
-	now := time.Now()
+// addresses returns those of some hosts.
+func (exchange *Exchange) addresses(wanted func(*neighbour) bool) []string {
+	var addresses []string
 	for address, peer := range exchange.peers {
-		if peer.alive && now.Sub(peer.heard) > deadAfter {
-			peer.alive = false
-			exchange.Events.Record(eventSilent, timeline.Event{Peer: peer.host, Detail: address})
-		}
-		last := peer.heard
-		if last.IsZero() {
-			last = peer.added
-		}
-		if !peer.alive && now.Sub(last) > forgetAfter && !slices.Contains(exchange.Seeds, address) {
-			delete(exchange.peers, address)
+		if wanted(peer) {
+			addresses = append(addresses, address)
 		}
 	}
+	return addresses
 }
 
 // Receive takes a datagram.
 func (exchange *Exchange) Receive(datagram []byte) {
-	message := &exchangepb.Report{}
-	if err := proto.Unmarshal(datagram, message); err != nil || message.GetAddress() == "" {
+	message, err := decode(datagram)
+	if err != nil || message.GetAddress() == "" {
 		// Not from a host of this system.
 		return
 	}
@@ -285,13 +230,18 @@
 		exchange.Ledger.Ended(message.GetHost())
 		return
 	}
-	exchange.Balancer.Heard(&balance.Report{
-		Host:   message.GetHost(),
-		Uses:   usesIn(message.GetUses()),
-		Queues: queuesIn(message.GetQueues()),
-		Speeds: speedsIn(message.GetSpeeds()),
-	})
 	exchange.Ledger.Heard(message.GetHost(), message.GetLife(), spendsIn(message.GetSpends()))
+	if !exchange.summarised(message.GetZone()) {
+		exchange.Balancer.Heard(&balance.Report{
+			Host:   message.GetHost(),
+			Uses:   usesIn(message.GetUses()),
+			Queues: queuesIn(message.GetQueues()),
+			Speeds: speedsIn(message.GetSpeeds()),
+		})
+	}
+	for _, summary := range message.GetSummaries() {
+		exchange.takeSummary(summary)
+	}
 	known := exchange.Known()
 	if message.GetConfiguration() == known.Configuration {
 		age := time.Duration(message.GetVerifiedMs())*time.Millisecond + reportDelay
@@ -306,27 +256,18 @@
 func (exchange *Exchange) accept(message *exchangepb.Report) bool {
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
-	if message.GetHost() == exchange.Host {
-		return false
-	}
-	peer := exchange.meet(message.GetAddress())
-	if peer == nil || peer.life > message.GetLife() || peer.life == message.GetLife() && peer.sequence >= message.GetSequence() {
+	newest := exchange.note(sign{
+		host: message.GetHost(), address: message.GetAddress(), zone: message.GetZone(),
+		life: message.GetLife(), sequence: message.GetSequence(), leaving: message.GetLeaving(),
+	})
+	if !newest {
 		return false
 	}
-	if !peer.alive && !message.GetLeaving() {
-		exchange.Events.Record(eventHeard, timeline.Event{Peer: message.GetHost(), Detail: message.GetAddress()})
-	}
-	if message.GetLeaving() && peer.alive {
-		exchange.Events.Record(eventLeft, timeline.Event{Peer: message.GetHost(), Detail: message.GetAddress()})
-	}
-	peer.host = message.GetHost()
-	peer.zone = message.GetZone()
-	peer.life = message.GetLife()
-	peer.sequence = message.GetSequence()
-	peer.heard = time.Now()
-	peer.alive = !message.GetLeaving()
 	for _, address := range message.GetPeers() {
 		exchange.meet(address)
 	}
+	if message.GetZone() == exchange.Zone {
+		exchange.relay.join(message)
+	}
 	return true
 }
--- /dev/null
+++ b/exchange/relay.go
@@ -0,0 +1,376 @@
+package exchange
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/quota"
+)
+
+const (
+	// directHosts is the most hosts that all report to each other; among more,
+	// the datagrams would grow with the square of their number.
+	directHosts = 16
+	// zoneLeaders is how many hosts of a zone each add up the reports of all,
+	// so that one may be lost without a gap.
+	zoneLeaders = 2
+	// relayInterval is the least time between two reports to the leaders.
+	relayInterval = 100 * time.Millisecond
+	// summaryRounds is how many rounds of reports there are to a summary. A
+	// part of the hosts gets it in each, as links may be narrow.
+	summaryRounds = 4
+	// summaryBytes bounds the summaries in a datagram, unless it is one.
+	summaryBytes = 16 << 10
+	// sentReports is how many of its own reports a host remembers, to take its
+	// part off a summary.
+	sentReports = 64
+	// wholeSummary is how many summaries there are to one with all spends.
+	wholeSummary = 8
+)
+
+// relay is what a host keeps for summaries.
+type relay struct {
+	// own are the last reports of this host, by their numbers.
+	own [sentReports]ownReport
+	// members are the last reports of the hosts of this zone.
+	members map[string]*member
+	// speeds were told since the last summary.
+	speeds []*exchangepb.Speed
+	// made counts the summaries of this host, parts are the datagrams' shares
+	// of the summaries that the hosts of this zone get now.
+	made  uint64
+	parts [][]*exchangepb.Summary
+	// taken are the last summaries of each maker, zones those of each zone.
+	taken map[string]*exchangepb.Summary
+	zones map[string]*zoneSummary
+}
+
+type ownReport struct {
+	sequence uint64
+	report   *balance.Report
+}
+
+// member is a host of this host's zone, as a leader knows it.
+type member struct {
+	report *exchangepb.Report
+	heard  time.Time
+	// spends are all that it told in its life.
+	spends map[string]*spend
+}
+
+type spend struct {
+	*exchangepb.Spend
+	// changed is the number of the summary before which it changed.
+	changed uint64
+}
+
+// zoneSummary is the last summary of a zone.
+type zoneSummary struct {
+	message *exchangepb.Summary
+	heard   time.Time
+	// forwarded tells that this host's zone has it.
+	forwarded bool
+}
+
+// relayed reports whether there are too many hosts to report to each.
+func (exchange *Exchange) relayed() bool { return exchange.Hosts() > directHosts }
+
+// leader reports whether another host leads this host's zone, beside those
+// before it.
+func (exchange *Exchange) leader(peer *neighbour) bool {
+	return peer.zone == exchange.Zone && exchange.placeOf(peer) < zoneLeaders
+}
+
+// placeOf is how many hosts of its zone come before a host.
+func (exchange *Exchange) placeOf(host *neighbour) int {
+	before := 0
+	if host.zone == exchange.Zone && exchange.Host < host.host {
+		before++
+	}
+	for _, peer := range exchange.peers {
+		if peer.alive && peer.zone == host.zone && peer.host < host.host {
+			before++
+		}
+	}
+	return before
+}
+
+// sent notes a report of this host.
+func (relay *relay) sent(sequence uint64, report *balance.Report) {
+	relay.own[sequence%sentReports] = ownReport{sequence: sequence, report: report}
+}
+
+// join takes the report of a host of the zone, or this host's own.
+func (relay *relay) join(report *exchangepb.Report) {
+	if report.GetLeaving() {
+		delete(relay.members, report.GetHost())
+		return
+	}
+	if relay.members == nil {
+		relay.members = map[string]*member{}
+	}
+	known := relay.members[report.GetHost()]
+	if known == nil || known.report.GetLife() != report.GetLife() {
+		known = &member{spends: map[string]*spend{}}
+		relay.members[report.GetHost()] = known
+	}
+	known.report = report
+	known.heard = time.Now()
+	for _, told := range report.GetSpends() {
+		before := known.spends[told.GetWorkspace()]
+		if before == nil || before.GetTotal() != told.GetTotal() {
+			known.spends[told.GetWorkspace()] = &spend{Spend: told, changed: relay.made}
+		} else {
+			before.Spend = told
+		}
+	}
+	relay.speeds = append(relay.speeds, report.GetSpeeds()...)
+	if most := tellPeers * zoneLeaders; len(relay.speeds) > most {
+		relay.speeds = relay.speeds[len(relay.speeds)-most:]
+	}
+}
+
+// summaries returns the reports with summaries of a round: to some hosts of this
+// zone those of all zones, and to the leaders of other zones this zone's.
+func (exchange *Exchange) summaries(compose func(...*exchangepb.Summary) *exchangepb.Report) []delivery {
+	relay := &exchange.relay
+	var deliveries []delivery
+	turn := exchange.round % summaryRounds
+	if turn == 0 || relay.parts == nil {
+		own := relay.summarise(exchange.Zone, exchange.Host, exchange.Life)
+		relay.parts = pack(append(relay.toForward(exchange.Zone), own))
+		deliveries = append(deliveries, delivery{
+			report: compose(own),
+			addresses: exchange.addresses(func(peer *neighbour) bool {
+				return peer.alive && peer.zone != exchange.Zone && exchange.placeOf(peer) < zoneLeaders
+			}),
+		})
+	}
+	inTurn := exchange.addresses(func(peer *neighbour) bool {
+		return peer.alive && peer.zone == exchange.Zone && uint64(exchange.placeOf(peer))%summaryRounds == turn
+	})
+	if len(inTurn) == 0 {
+		return deliveries
+	}
+	for _, part := range relay.parts {
+		deliveries = append(deliveries, delivery{report: compose(part...), addresses: inTurn})
+	}
+	return deliveries
+}
+
+// toForward returns the summaries of other zones that this zone has not got.
+func (relay *relay) toForward(zone string) []*exchangepb.Summary {
+	var forward []*exchangepb.Summary
+	for other, summary := range relay.zones {
+		if other != zone && !summary.forwarded {
+			summary.forwarded = true
+			forward = append(forward, summary.message)
+		}
+	}
+	return forward
+}
+
+// pack divides summaries over datagrams.
+func pack(summaries []*exchangepb.Summary) [][]*exchangepb.Summary {
+	var parts [][]*exchangepb.Summary
+	room := 0
+	for _, summary := range summaries {
+		size := proto.Size(summary)
+		if size > room {
+			parts = append(parts, nil)
+			room = summaryBytes
+		}
+		room -= size
+		parts[len(parts)-1] = append(parts[len(parts)-1], summary)
+	}
+	return parts
+}
+
+// summarise adds up the reports of a zone's hosts.
+func (relay *relay) summarise(zone, maker string, life uint64) *exchangepb.Summary {
+	relay.made++
+	summary := &exchangepb.Summary{Zone: zone, Maker: maker, Life: life, Sequence: relay.made, Speeds: relay.speeds}
+	relay.speeds = nil
+	targets, queues, workspaces := map[string]int{}, map[string]*exchangepb.Queue{}, map[string]uint32{}
+	now := time.Now()
+	for host, member := range relay.members {
+		if now.Sub(member.heard) > deadAfter {
+			delete(relay.members, host)
+			continue
+		}
+		written := &exchangepb.Member{
+			Host:     host,
+			Address:  member.report.GetAddress(),
+			Life:     member.report.GetLife(),
+			Sequence: member.report.GetSequence(),
+		}
+		for _, spend := range member.changed(relay.made) {
+			place, ok := workspaces[spend.GetWorkspace()]
+			if !ok {
+				place = uint32(len(workspaces))
+				workspaces[spend.GetWorkspace()] = place
+				summary.Workspaces = append(summary.Workspaces, spend.GetWorkspace())
+			}
+			written.Workspaces = append(written.Workspaces, place)
+			written.Totals = append(written.Totals, spend.GetTotal())
+			written.Levels = append(written.Levels, spend.GetLevel())
+		}
+		summary.Members = append(summary.Members, written)
+		addUses(summary, targets, member.report.GetUses())
+		addQueues(queues, member.report.GetQueues())
+	}
+	summary.Queues = slices.Collect(maps.Values(queues))
+	return summary
+}
+
+// changed returns the spends that the summary of a number tells.
+func (member *member) changed(number uint64) []*exchangepb.Spend {
+	var spends []*exchangepb.Spend
+	for _, spend := range member.spends {
+		if number%wholeSummary == 1 || spend.changed+1 == number {
+			spends = append(spends, spend.Spend)
+		}
+	}
+	return spends
+}
+
+// addUses adds to a summary; places are those of the targets in its lists.
+func addUses(summary *exchangepb.Summary, places map[string]int, uses []*exchangepb.Use) {
+	for _, use := range uses {
+		place, ok := places[use.GetTarget()]
+		if !ok {
+			place = len(summary.GetTargets())
+			places[use.GetTarget()] = place
+			summary.Targets = append(summary.Targets, use.GetTarget())
+			summary.Open = append(summary.Open, 0)
+			summary.Backlog = append(summary.Backlog, 0)
+		}
+		summary.Open[place] += use.GetOpen()
+		summary.Backlog[place] += use.GetBacklog()
+	}
+}
+
+func addQueues(sums map[string]*exchangepb.Queue, queues []*exchangepb.Queue) {
+	for _, queue := range queues {
+		sum := sums[queue.GetPool()]
+		if sum == nil {
+			sum = &exchangepb.Queue{Pool: queue.GetPool()}
+			sums[queue.GetPool()] = sum
+		}
+		for tier, waiting := range queue.GetWaiting() {
+			if tier == len(sum.GetWaiting()) {
+				sum.Waiting = append(sum.Waiting, 0)
+			}
+			sum.Waiting[tier] += waiting
+		}
+	}
+}
+
+// zoneHost is the name under which the balancer knows a zone's summary.
+func zoneHost(zone string) string { return "zone " + zone }
+
+// summarised reports whether a zone's hosts are known by its summaries, and
+// drops a summary that is too old.
+func (exchange *Exchange) summarised(zone string) bool {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	summary := exchange.relay.zones[zone]
+	if summary == nil {
+		return false
+	}
+	if time.Since(summary.heard) > deadAfter || exchange.addsUp(zone) {
+		delete(exchange.relay.zones, zone)
+		exchange.Balancer.Lost(zoneHost(zone))
+		return false
+	}
+	return true
+}
+
+// addsUp reports whether this host adds up the reports of a zone.
+func (exchange *Exchange) addsUp(zone string) bool {
+	return zone == exchange.Zone && exchange.leads(zoneLeaders)
+}
+
+// takeSummary takes the sums of a zone, less this host's own part.
+func (exchange *Exchange) takeSummary(summary *exchangepb.Summary) {
+	exchange.mutex.Lock()
+	words, news := exchange.noteSummary(summary)
+	var others *balance.Report
+	if news && !exchange.addsUp(summary.GetZone()) {
+		others = exchange.withoutOwn(summary)
+	}
+	if others != nil {
+		exchange.relay.zones[summary.GetZone()] = &zoneSummary{message: summary, heard: time.Now()}
+	}
+	exchange.mutex.Unlock()
+	for _, word := range words {
+		exchange.Ledger.Heard(word.host, word.life, word.spends)
+	}
+	if others == nil {
+		return
+	}
+	for _, member := range summary.GetMembers() {
+		exchange.Balancer.Lost(member.GetHost())
+	}
+	exchange.Balancer.Heard(others)
+}
+
+// word is what a host spent, as a summary tells it.
+type word struct {
+	host   string
+	life   uint64
+	spends []quota.Spend
+}
+
+// noteSummary notes the members of a summary and reports whether it is its
+// maker's newest.
+func (exchange *Exchange) noteSummary(summary *exchangepb.Summary) (words []word, news bool) {
+	relay := &exchange.relay
+	if relay.taken == nil {
+		relay.taken = map[string]*exchangepb.Summary{}
+		relay.zones = map[string]*zoneSummary{}
+	}
+	last := relay.taken[summary.GetMaker()]
+	if cmp.Or(cmp.Compare(summary.GetLife(), last.GetLife()), cmp.Compare(summary.GetSequence(), last.GetSequence())) <= 0 {
+		return nil, false
+	}
+	relay.taken[summary.GetMaker()] = summary
+	for _, member := range summary.GetMembers() {
+		newest := exchange.note(sign{
+			host: member.GetHost(), address: member.GetAddress(), zone: summary.GetZone(),
+			life: member.GetLife(), sequence: member.GetSequence(),
+		})
+		if newest {
+			words = append(words, word{host: member.GetHost(), life: member.GetLife(), spends: memberSpends(summary, member)})
+		}
+	}
+	return words, true
+}
+
+// withoutOwn returns a summary's sums less what this host had put in, nil if
+// that is not known any more.
+func (exchange *Exchange) withoutOwn(summary *exchangepb.Summary) *balance.Report {
+	others := &balance.Report{
+		Host:   zoneHost(summary.GetZone()),
+		Uses:   summaryUses(summary),
+		Queues: queuesIn(summary.GetQueues()),
+		Speeds: speedsIn(summary.GetSpeeds()),
+	}
+	for _, member := range summary.GetMembers() {
+		if member.GetHost() != exchange.Host || member.GetLife() != exchange.Life {
+			continue
+		}
+		own := exchange.relay.own[member.GetSequence()%sentReports]
+		if own.sequence != member.GetSequence() {
+			return nil
+		}
+		others.Subtract(own.report)
+	}
+	return others
+}
--- /dev/null
+++ b/exchange/relay_test.go
@@ -0,0 +1,143 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/quota"
+)
+
+// fleet is hosts in zones that all know each other's addresses.
+type fleet struct {
+	*qt.C
+	*network
+	hosts []*Exchange
+}
+
+const (
+	fleetZones = 4
+	fleetHosts = 40
+	// fleetOpen is what each host has open at the only target.
+	fleetOpen = 2
+)
+
+func newFleet(t *testing.T) *fleet {
+	fleet := &fleet{C: qt.New(t), network: newNetwork()}
+	var names []string
+	for i := range fleetHosts {
+		names = append(names, fmt.Sprintf("h%02d", i))
+	}
+	for i, name := range names {
+		host := fleet.start(t, name, func(host *Exchange) {
+			host.Zone = fmt.Sprintf("z%d", i%fleetZones)
+			host.Balancer.SetTargets([]balance.Target{{ID: "t", Pool: "p", Slots: 1000}}, nil)
+			host.Ledger.SetLimits(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: 1e6}})
+		}, names...)
+		fleet.hosts = append(fleet.hosts, host)
+	}
+	return fleet
+}
+
+// load has each host run some requests.
+func (fleet *fleet) load() {
+	for _, host := range fleet.hosts {
+		for range fleetOpen {
+			_, err := host.Balancer.Take(context.Background(), &balance.Ticket{Pool: "p"})
+			fleet.Assert(err, qt.IsNil)
+		}
+	}
+}
+
+// others is how many requests of other hosts a host believes to run.
+func (fleet *fleet) others(host *Exchange) int {
+	grant, err := host.Balancer.Take(context.Background(), &balance.Ticket{Pool: "p"})
+	fleet.Assert(err, qt.IsNil)
+	grant.Cancel()
+	return grant.OthersOpen
+}
+
+func (fleet *fleet) setCut(name string, cut bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.cut[name] = cut
+}
+
+// TestManyHostsHearSums has hosts of four zones, too many to report to each
+// other, know what all others have open, each once.
+func TestManyHostsHearSums(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		time.Sleep(2 * time.Second)
+		fleet.load()
+		time.Sleep(2 * time.Second)
+		for _, host := range fleet.hosts {
+			fleet.Assert(host.Hosts(), qt.Equals, fleetHosts)
+			fleet.Assert(fleet.others(host), qt.Equals, fleetOpen*(fleetHosts-1), qt.Commentf("%s", host.Host))
+		}
+		fleet.mutex.Lock()
+		fleet.sent = 0
+		fleet.mutex.Unlock()
+		time.Sleep(time.Second)
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		// Each host reports to two leaders; these send one summary each to the
+		// hosts of their zone and to the other leaders.
+		const rounds = int(time.Second / relayInterval)
+		most := rounds*zoneLeaders*fleetHosts + rounds/summaryRounds*zoneLeaders*(fleetHosts+fleetZones*fleetZones*zoneLeaders)
+		fleet.Assert(fleet.sent <= most, qt.IsTrue, qt.Commentf("%d datagrams of %d", fleet.sent, most))
+	})
+}
+
+// TestLostLeader goes on with the other leader's sums while one is gone, and
+// with those of its successor.
+func TestLostLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		time.Sleep(2 * time.Second)
+		fleet.load()
+		time.Sleep(time.Second)
+		last := fleet.hosts[fleetHosts-1]
+		for lost := range 3 {
+			// h03, h07 and h11 lead the zone of the last host in turn.
+			fleet.setCut(fmt.Sprintf("h%02d", fleetZones*lost+fleetZones-1), true)
+			time.Sleep(500 * time.Millisecond)
+			fleet.Assert(fleet.others(last) >= fleetOpen*(fleetHosts-2-lost), qt.IsTrue)
+			time.Sleep(4 * time.Second)
+			fleet.Assert(last.Hosts(), qt.Equals, fleetHosts-1-lost)
+			fleet.Assert(fleet.others(last), qt.Equals, fleetOpen*(fleetHosts-2-lost))
+		}
+		for lost := range 3 {
+			fleet.setCut(fmt.Sprintf("h%02d", fleetZones*lost+fleetZones-1), false)
+		}
+		time.Sleep(4 * time.Second)
+		for _, host := range fleet.hosts {
+			fleet.Assert(host.Hosts(), qt.Equals, fleetHosts)
+			fleet.Assert(fleet.others(host), qt.Equals, fleetOpen*(fleetHosts-1))
+		}
+	})
+}
+
+// TestSpendsReachAllHosts has one host use a quota, which all others know
+// within a few rounds.
+func TestSpendsReachAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		time.Sleep(2 * time.Second)
+		for _, host := range fleet.hosts {
+			host.Ledger.Return("w", 1e6)
+		}
+		spender := fleet.hosts[fleetHosts-1]
+		fleet.Assert(spender.Ledger.Take("w", 1000).Allowed, qt.IsTrue)
+		time.Sleep(time.Second)
+		level := spender.Ledger.Take("w", 0).Level
+		for _, host := range fleet.hosts {
+			fleet.Assert(host.Ledger.Take("w", 0).Level <= level, qt.IsTrue, qt.Commentf("%s", host.Host))
+		}
+	})
+}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -36,8 +36,9 @@
 	idleTimeout = 2 * time.Minute
 	// headerBytes is the largest header of a caller.
 	headerBytes = 64 << 10
-	// watchers is how many hosts of a zone watch the platform for all of it.
-	watchers = 2
+	// watchers is how many hosts of a zone watch the platform for all of it; the
+	// others read it now and then, and hear of what other zones' watchers see.
+	watchers = 1
 	// askInterval is the time between two questions to other hosts for what
 	// they know.
 	askInterval = 100 * time.Millisecond
