gateway: leave a silent target if the request may go to another

Ruled out: the resume itself, which goes on after a broken connection. Change: after twice the objective, four of the longest pauses or four times the expected time, whichever is longest, the attempt ends and a repeat is taken, if the budget has one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -73,7 +73,7 @@
 			return
 		}
 		forwarding.tried = append(forwarding.tried, grant.Target.ID)
-		verdict, reason := forwarding.attempt(ctx, grant)
+		verdict, reason := forwarding.attempt(ctx, grant, runs)
 		if verdict == done {
 			return
 		}
@@ -114,7 +114,7 @@
 		return forwarding.gateway.Budget.Repeat(forwarding.pool.Name)
 	default:
 		return forwarding.route.Repeatable() && runs < forwarding.route.Attempts &&
-			forwarding.gateway.Budget.Repeat(forwarding.pool.Name)
+			(forwarding.reserved.Swap(false) || forwarding.gateway.Budget.Repeat(forwarding.pool.Name))
 	}
 }
 
@@ -136,9 +136,13 @@
 	return forwarding.gateway.Balancer.Take(ctx, ticket)
 }
 
-// attempt sends the request to one target and passes on its answer.
-func (forwarding *forwarding) attempt(ctx context.Context, grant *balance.Grant) (verdict, string) {
+// attempt sends the request to one target and passes on its answer. Runs is
+// how many targets may have run it before.
+func (forwarding *forwarding) attempt(ctx context.Context, grant *balance.Grant, runs int) (verdict, string) {
 	defer grant.Cancel()
+	sending, silence := forwarding.watchSilence(ctx, grant, runs)
+	defer silence.cancel(nil)
+	defer silence.end()
 	gateway := forwarding.gateway
 	header := passedOn(forwarding.received.Header)
 	last := forwarding.call.LastEvent
@@ -152,7 +156,7 @@
 		LastEvent: last,
 	})
 	forwarding.tellSent(grant)
-	answer, err := gateway.Connections.Exchange(ctx, grant.Target.Address, &upstream.Request{
+	answer, err := gateway.Connections.Exchange(sending, grant.Target.Address, &upstream.Request{
 		Method: forwarding.received.Method,
 		Target: forwarding.path(),
 		Host:   forwarding.received.Host,
@@ -169,10 +173,10 @@
 	if err != nil {
 		forwarding.mayHaveRun = true
 		forwarding.endFailed(ctx, grant, balance.Failed)
-		return failed, err.Error()
+		return failed, silence.explain(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	return forwarding.pass(ctx, grant, answer)
+	return forwarding.pass(ctx, grant, answer, silence)
 }
 
 func (forwarding *forwarding) tellSent(grant *balance.Grant) {
@@ -234,7 +238,7 @@
 }
 
 // pass passes a target's answer on.
-func (forwarding *forwarding) pass(ctx context.Context, grant *balance.Grant, answer *upstream.Answer) (verdict, string) {
+func (forwarding *forwarding) pass(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, silence *silence) (verdict, string) {
 	reply := forwarding.gateway.Protocol.Reply(answer.Status, answer.Header)
 	if reply.NotRun {
 		// The connection serves on if this is read to its end.
@@ -249,8 +253,9 @@
 	}
 	forwarding.mayHaveRun = true
 	if forwarding.route.Streaming && answer.Status == http.StatusOK {
-		return forwarding.passStream(ctx, grant, answer, reply)
+		return forwarding.passStream(ctx, grant, answer, reply, silence)
 	}
+	silence.end()
 	return forwarding.passWhole(ctx, grant, answer, reply)
 }
 
@@ -283,7 +288,7 @@
 }
 
 // passStream passes the events of a stream on as they come, whole ones only.
-func (forwarding *forwarding) passStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply) (verdict, string) {
+func (forwarding *forwarding) passStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, silence *silence) (verdict, string) {
 	if !reply.Sealed {
 		grant.End(balance.Failed)
 		return failed, "the answer bears no signature"
@@ -303,8 +308,9 @@
 		}
 		if err != nil {
 			forwarding.endFailed(ctx, grant, balance.Failed)
-			return failed, "the stream broke off: " + err.Error()
+			return failed, "the stream broke off: " + silence.explain(err)
 		}
+		silence.heard()
 		count++
 		if count == 1 {
 			grant.Started()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,8 @@
 	// one may have begun to run it.
 	sent       int
 	mayHaveRun bool
+	// reserved tells that a repeat of the request is counted already.
+	reserved atomic.Bool
 	// tried are the targets that were tried.
 	tried []string
 	// begun tells that the answer's header is written; lastEvent is the id of
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -105,6 +105,10 @@
 			route.Streaming, route.Resumable = true, true
 		case "anonymous":
 			route.Anonymous = true
+		case "short":
+			route.Timeout = 2 * time.Second
+		case "objective":
+			route.Objective = 500 * time.Millisecond
 		}
 	}
 }
