quota: hosts heard late take their even part of what is left

Change: where words take over 0.1 s, a host takes at most twice its even part of what is left until the others hear, larger requests by chance; hosts not heard count by the addresses known; for half a second nothing flows to a host that has heard nobody. Tried before: foreseeing the others' pace; it swings. Up to 16 hosts only the count of known hosts changes.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -54,9 +54,10 @@
 	// Newer is told the address of a host that knows more.
 	Newer func(address string)
 
-	// heard is how many other hosts are heard, interval the time between two
-	// words of a host.
+	// heard is how many other hosts are heard, met how many have a known
+	// address, interval the time between two words of a host.
 	heard    atomic.Int64
+	met      atomic.Int64
 	interval atomic.Int64
 
 	mutex     sync.Mutex
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -57,6 +57,9 @@
 	return 1 + int(exchange.heard.Load())
 }
 
+// Met is the number of other hosts whose addresses are known, heard or not.
+func (exchange *Exchange) Met() int { return int(exchange.met.Load()) }
+
 // Meet adds the address of a host.
 func (exchange *Exchange) Meet(address string) {
 	exchange.mutex.Lock()
@@ -75,6 +78,7 @@
 	if known == nil {
 		known = &neighbour{added: time.Now()}
 		exchange.peers[address] = known
+		exchange.met.Store(int64(len(exchange.peers)))
 	}
 	return known
 }
@@ -152,6 +156,7 @@
 		}
 	}
 	exchange.heard.Store(int64(heard))
+	exchange.met.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.wordInterval()))
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -159,7 +159,7 @@
 		Verify:   host.verify,
 	}
 	host.ledger.Interval = host.exchange.Interval
-	host.ledger.Expected = len(host.exchange.Seeds) - 1
+	host.ledger.Expected = host.exchange.Met
 	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
 	host.routes = &discovery.Routes{
 		Name:   sources.RoutesName,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -4,6 +4,8 @@
 package quota
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -21,6 +23,15 @@
 	// for tinyDebt of it.
 	tinyPart = 100
 	tinyDebt = 0.25
+	// aloneAfter is how long a host that just started waits for the first word
+	// of another before it takes itself to be alone.
+	aloneAfter = 500 * time.Millisecond
+	// prompt words come so soon that hosts can take what is left without
+	// regard to what the others take meanwhile.
+	prompt = 100 * time.Millisecond
+	// unevenness is how many times its even part of what is left a host may
+	// take before the others hear of it.
+	unevenness = 2
 )
 
 // Limit is a workspace's quota.
@@ -74,9 +85,11 @@
 type Ledger struct {
 	// Interval returns the time between two reports of a host.
 	Interval func() time.Duration
-	// Expected is how many other hosts there are at least; those not heard
-	// yet count as silent for a while.
-	Expected int
+	// Expected returns how many other hosts there are; those not heard yet
+	// count as silent for a while. Nil is for none.
+	Expected func() int
+	// Draw returns a number from 0 to below 1; nil draws at random.
+	Draw func() float64
 
 	mutex   sync.Mutex
 	buckets map[string]*bucket
@@ -100,6 +113,8 @@
 	changed time.Time
 	// told tells that another host's word of the level was taken.
 	told bool
+	// mine is what this host used of late, which others may not know yet.
+	mine float64
 }
 
 // account is what is known of another host.
@@ -159,17 +174,43 @@
 		return Decision{Allowed: true}
 	}
 	decision := Decision{Level: bucket.level, Limit: bucket.limit, Silent: silent, Peers: len(ledger.peers)}
-	if floor := bucket.floor(units); bucket.level <= floor {
+	floor := bucket.floor(units)
+	if bucket.level <= floor {
 		decision.After = time.Duration((floor - bucket.level) / bucket.limit.Rate * float64(time.Second))
 		return decision
 	}
+	if !ledger.evenly(bucket, units, floor) {
+		decision.After = ledger.Interval()
+		return decision
+	}
 	bucket.level -= units
+	bucket.mine += units
 	bucket.total += units
 	bucket.changed = time.Now()
 	decision.Allowed = true
 	return decision
 }
 
+// evenly reports whether a host that is heard late may take units now: all
+// hosts may be about to take the same last units. Of a request that is larger
+// than what the host may take, it is a chance that takes as much on average.
+func (ledger *Ledger) evenly(bucket *bucket, units, floor float64) bool {
+	others := ledger.unheard + len(ledger.peers)
+	if others == 0 || ledger.Interval() < prompt {
+		return true
+	}
+	hosts := float64(1 + others)
+	room := (unevenness*max(0, bucket.level)+min(0, bucket.level)-floor)/hosts - bucket.mine
+	return room >= units || ledger.draw()*units < room
+}
+
+func (ledger *Ledger) draw() float64 {
+	if ledger.Draw != nil {
+		return ledger.Draw()
+	}
+	return rand.Float64()
+}
+
 // floor is the level above which a request is let through. Any one may take
 // the last units and more, and later ones wait for what it took too much: else
 // large ones would hardly ever be let through beside small ones. Tiny ones, as
@@ -188,6 +229,7 @@
 	if bucket := ledger.buckets[workspace]; bucket != nil && bucket.limit.Rate > 0 {
 		bucket.level = min(bucket.limit.Burst, bucket.level+units)
 		bucket.total -= units
+		bucket.mine = max(0, bucket.mine-units)
 		bucket.changed = time.Now()
 	}
 }
@@ -201,8 +243,8 @@
 		ledger.began = now
 	}
 	ledger.silent, ledger.unheard = 0, 0
-	if now.Sub(ledger.began) < forget {
-		ledger.unheard = max(0, ledger.Expected-hosts)
+	if now.Sub(ledger.began) < forget && ledger.Expected != nil {
+		ledger.unheard = max(0, ledger.Expected()-hosts)
 	}
 	for host, account := range ledger.peers {
 		age := now.Sub(account.heard)
@@ -214,9 +256,13 @@
 		}
 	}
 	part := ledger.part()
+	if ledger.unheard > 0 && hosts == 0 && now.Sub(ledger.began) < aloneAfter {
+		part = 0
+	}
 	for _, bucket := range ledger.buckets {
 		passed := now.Sub(bucket.updated).Seconds()
 		bucket.updated = now
+		bucket.mine *= math.Exp(-passed / ledger.Interval().Seconds())
 		// What is left is divided too: silent hosts may use it.
 		if part < before && hosts == len(ledger.peers) && bucket.level > 0 {
 			bucket.level *= part / before
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -17,10 +17,22 @@
 	ledgers []*Ledger
 	// cut hosts neither hear nor are heard.
 	cut map[int]bool
+	// every is how many steps pass between two reports, and late how many
+	// until they arrive.
+	every, late int
+	// underway are the reports on their way, by the step they arrive at.
+	underway map[int][]word
 	// taken is the units taken over all hosts, by step.
 	taken []float64
 }
 
+// word is a report on its way.
+type word struct {
+	from   int
+	life   uint64
+	spends []Spend
+}
+
 func newLedger() *Ledger {
 	return &Ledger{Interval: func() time.Duration { return stepTime }}
 }
@@ -36,14 +48,30 @@
 }
 
 func (fleet *fleet) report() {
+	step := len(fleet.taken)
+	if fleet.every > 0 && step%fleet.every != 0 {
+		fleet.deliver(step)
+		return
+	}
+	if fleet.underway == nil {
+		fleet.underway = map[int][]word{}
+	}
 	for i, from := range fleet.ledgers {
-		spends := from.Report()
+		fleet.underway[step+fleet.late] = append(fleet.underway[step+fleet.late], word{i, 1, from.Report()})
+	}
+	fleet.deliver(step)
+}
+
+// deliver lets hosts hear what arrives now.
+func (fleet *fleet) deliver(step int) {
+	for _, word := range fleet.underway[step] {
 		for j, to := range fleet.ledgers {
-			if i != j && !fleet.cut[i] && !fleet.cut[j] {
-				to.Heard(fmt.Sprint(i), 1, spends)
+			if word.from != j && !fleet.cut[word.from] && !fleet.cut[j] {
+				to.Heard(fmt.Sprint(word.from), word.life, word.spends)
 			}
 		}
 	}
+	delete(fleet.underway, step)
 }
 
 const (
@@ -73,6 +101,54 @@
 	}
 }
 
+// manyHosts is hosts whose words go by the leaders of zones.
+func manyHosts(limit Limit, seed uint64) *fleet {
+	const hosts = 64
+	fleet := newFleet(hosts, limit)
+	fleet.every, fleet.late = 16, 12
+	draws := rand.New(rand.NewPCG(seed, hosts))
+	for _, ledger := range fleet.ledgers {
+		ledger.Interval = func() time.Duration { return 16 * stepTime }
+		ledger.Expected = func() int { return hosts - 1 }
+		ledger.Draw = draws.Float64
+	}
+	return fleet
+}
+
+// TestManyHostsHearLate presses 64 hosts that hear what the others used up to
+// 0.7 s later: all would let a workspace's requests through until they hear.
+func TestManyHostsHearLate(t *testing.T) {
+	for seed := range uint64(2) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			units := []float64{50, 200}[seed%2]
+			fleet := manyHosts(tolerance.Bucket(written), seed)
+			fleet.press(30, units)
+			c.Assert(fleet.most() <= bound(written), qt.IsTrue, qt.Commentf("%.0f of %.0f", fleet.most(), bound(written)))
+			used := 0.0
+			for _, taken := range fleet.taken[8*stepCount:] {
+				used += taken
+			}
+			c.Assert(used >= 0.95*written.Rate*22, qt.IsTrue, qt.Commentf("used %.0f", used))
+		})
+	}
+}
+
+// TestManyHostsStartAgain ends all of them while a workspace presses.
+func TestManyHostsStartAgain(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			fleet := manyHosts(tolerance.Bucket(written), seed)
+			fleet.press(10, 100)
+			again := manyHosts(tolerance.Bucket(written), seed+100)
+			again.taken = fleet.taken
+			again.press(10, 100)
+			c.Check(again.most() <= bound(written), qt.IsTrue, qt.Commentf("%.0f of %.0f", again.most(), bound(written)))
+		})
+	}
+}
+
 // most is the units taken in the window that had most.
 func (fleet *fleet) most() float64 {
 	steps := int(tolerance.Window / stepTime)
