diagnosis, command: explain from logs why a request ended as it did

explain ID reads the logs of any number of hosts and prints the cause, the request's lines in order and what its hosts held for true then, with the age of each. Found on the way: lines of refusals for quota held the key level twice, the severity and what was left; the fact is called left now. Tests: a story for each way in which a request ends, each refusal among them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,6 +118,9 @@
 type Balancer struct {
 	// Zone is the host's own.
 	Zone string
+	// Interval returns the time between two reports of another host, as they
+	// are heard; nil is for at once.
+	Interval func() time.Duration
 
 	mutex   sync.Mutex
 	targets map[string]*state
@@ -281,7 +284,7 @@
 		return
 	}
 	now := time.Now()
-	round := &round{pool: pool, now: now, free: pool.free(now)}
+	round := &round{pool: pool, now: now, free: pool.free(now), usual: pool.typical()}
 	kept := pool.waiting[:0]
 	for _, ticket := range pool.waiting {
 		if !balancer.serve(round, ticket) {
@@ -299,9 +302,12 @@
 
 // round is one look at the waiting requests of a pool.
 type round struct {
-	pool *pool
-	now  time.Time
-	free int
+	pool  *pool
+	now   time.Time
+	free  int
+	usual usual
+	// choices is room for the targets that a ticket may get.
+	choices []choice
 	// late are the requests that can't be in time.
 	late []*Ticket
 }
@@ -321,7 +327,7 @@
 func (balancer *Balancer) serve(round *round, ticket *Ticket) bool {
 	pool := round.pool
 	if round.free > pool.othersAhead(ticket.Tier) {
-		best, hopeless := balancer.choose(pool, ticket, round.now, true)
+		best, hopeless := balancer.choose(round, ticket, true)
 		if best.state != nil {
 			round.free--
 			ticket.granted <- balancer.grant(pool, ticket, best, round.now)
@@ -337,7 +343,7 @@
 
 // grantLate grants a target to a ticket that can't be in time.
 func (balancer *Balancer) grantLate(round *round, ticket *Ticket) bool {
-	best, _ := balancer.choose(round.pool, ticket, round.now, false)
+	best, _ := balancer.choose(round, ticket, false)
 	if best.state == nil {
 		return false
 	}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -13,31 +13,58 @@
 	order    time.Duration
 }
 
+const (
+	// prompt reports come so soon that the best target is the best one still.
+	prompt = 100 * time.Millisecond
+	// sampled is how many targets are compared where reports come later: if
+	// all hosts took the best, it would be overrun before they hear of it. Two
+	// random choices suffice to spread load (Mitzenmacher, 2001); a third one
+	// finds fast targets more often.
+	sampled = 3
+)
+
 // choose returns the target with the lowest estimate that has room. With
 // inTime only those that may answer in time count; hopeless reports that none
 // could even if it had room.
-func (balancer *Balancer) choose(pool *pool, ticket *Ticket, now time.Time, inTime bool) (best choice, hopeless bool) {
-	usual := pool.typical()
+func (balancer *Balancer) choose(round *round, ticket *Ticket, inTime bool) (best choice, hopeless bool) {
 	hopeless = true
-	for _, state := range pool.targets {
-		if !state.eligible(now) || slices.Contains(ticket.Exclude, state.ID) {
+	round.choices = round.choices[:0]
+	for _, state := range round.pool.targets {
+		if !state.eligible(round.now) || slices.Contains(ticket.Exclude, state.ID) {
 			continue
 		}
-		estimate := balancer.estimate(pool, state, ticket, usual, now)
-		fits := ticket.fits(now, estimate)
+		estimate := balancer.estimate(round, state, ticket)
+		fits := ticket.fits(round.now, estimate)
 		hopeless = hopeless && !fits
-		if inTime && !fits || state.total() >= pool.capacity(state) {
+		if inTime && !fits || state.total() >= round.pool.capacity(state) {
 			continue
 		}
-		if state.failing > usual.failing+failingShare && rand.Float64() >= trialShare {
+		if state.failing > round.usual.failing+failingShare && rand.Float64() >= trialShare {
 			continue
 		}
-		order := estimate + ticket.overlong(state, usual, now, estimate)
-		if best.state == nil || order < best.order {
-			best = choice{state: state, expected: estimate, order: order}
+		order := estimate + ticket.overlong(state, round.usual, round.now, estimate)
+		round.choices = append(round.choices, choice{state: state, expected: estimate, order: order})
+	}
+	return balancer.best(round.choices), hopeless
+}
+
+// best returns the choice that is first in order, of some drawn at random
+// where reports of other hosts come late.
+func (balancer *Balancer) best(choices []choice) choice {
+	if balancer.Interval != nil && balancer.Interval() >= prompt && len(choices) > sampled {
+		for i := range sampled {
+			other := i + rand.IntN(len(choices)-i)
+			choices[i], choices[other] = choices[other], choices[i]
+		}
+		choices = choices[:sampled]
+	}
+	var best choice
+	for _, choice := range choices {
+		if best.state == nil || choice.order < best.order {
+			best = choice
 		}
 	}
-	return best, hopeless
+	return best
 }
 
 // fits reports whether a target may answer in time.
@@ -88,12 +115,12 @@
 }
 
 // estimate is the time to the first event of a request at a target.
-func (balancer *Balancer) estimate(pool *pool, state *state, ticket *Ticket, usual usual, now time.Time) time.Duration {
-	estimate := time.Duration(pool.start)
-	if pool.engine {
+func (balancer *Balancer) estimate(round *round, state *state, ticket *Ticket) time.Duration {
+	estimate := time.Duration(round.pool.start)
+	if round.pool.engine {
 		perToken := state.perToken()
 		if perToken == 0 {
-			perToken = usual.perToken
+			perToken = round.usual.perToken
 		}
 		work := float64(ticket.PromptTokens) + backlogShare*float64(state.backlog+state.peersBacklog)
 		estimate += time.Duration(float64(perToken) * work)
@@ -104,7 +131,7 @@
 	if state.Zone != balancer.Zone {
 		estimate += crossZone
 	}
-	if now.Before(state.ColdUntil) {
+	if round.now.Before(state.ColdUntil) {
 		estimate *= 2
 	}
 	return estimate
--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"nutmegfield.example/diagnosis"
+)
+
+type explainCommand struct {
+	Format    string `long:"format" choice:"text" choice:"json" default:"text" description:"how to write the story"`
+	Arguments struct {
+		Request string   `positional-arg-name:"ID" required:"yes" description:"the request's id"`
+		Files   []string `positional-arg-name:"FILE" description:"logs of hosts; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	Register(Command{
+		Name:  "explain",
+		Short: "explain from logs why a request ended as it did",
+		Long: "Read the logs of hosts and tell a request's story: its lines in order over all hosts, what these hosts held for true then, " +
+			"and the cause of its end. The exit status is 1 if no line has the id.",
+		Data: &explainCommand{},
+	})
+}
+
+// Execute reads the logs and writes the story.
+func (command *explainCommand) Execute([]string) error {
+	lines, err := command.read()
+	if err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	story := diagnosis.Explain(lines, command.Arguments.Request)
+	if err := command.write(story); err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	if len(story.Lines) == 0 {
+		return NoEvents.New("no line has the id %s", story.Request)
+	}
+	return nil
+}
+
+func (command *explainCommand) read() ([]diagnosis.Line, error) {
+	if len(command.Arguments.Files) == 0 {
+		return command.readFrom("standard input", os.Stdin)
+	}
+	var all []diagnosis.Line
+	for _, name := range command.Arguments.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("open a log: %w", err)
+		}
+		lines, err := command.readFrom(name, file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// readFrom reads one log and says on standard error what it left out.
+func (command *explainCommand) readFrom(name string, reader io.Reader) ([]diagnosis.Line, error) {
+	lines, strange, err := diagnosis.Read(reader)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if strange > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines are not of a host\n", name, strange)
+	}
+	return lines, nil
+}
+
+func (command *explainCommand) write(story *diagnosis.Story) error {
+	if command.Format == "json" {
+		if err := json.NewEncoder(os.Stdout).Encode(story); err != nil {
+			return fmt.Errorf("write the story: %w", err)
+		}
+		return nil
+	}
+	return story.WriteText(os.Stdout)
+}
--- /dev/null
+++ b/diagnosis/story_test.go
@@ -0,0 +1,51 @@
+package diagnosis
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// TestStories reads testdata/stories.txtar: logs, and the causes found.
+func TestStories(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/stories.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	for i := 0; i+1 < len(archive.Files); i += 2 {
+		t.Run(archive.Files[i].Name, func(t *testing.T) {
+			c := qt.New(t)
+			lines, _, err := Read(bytes.NewReader(archive.Files[i].Data))
+			c.Assert(err, qt.IsNil)
+			c.Assert(Explain(lines, "r").Cause, qt.Equals, strings.TrimSpace(string(archive.Files[i+1].Data)))
+		})
+	}
+}
+
+// TestBeliefs takes the last of each before the request, of its own hosts.
+func TestBeliefs(t *testing.T) {
+	c := qt.New(t)
+	lines, strange, err := Read(strings.NewReader(`
+{"time":"2026-05-05T11:59:00Z","event":8105,"host":"a","detail":"4"}
+{"time":"2026-05-05T11:59:01Z","event":8105,"host":"a","detail":"7"}
+{"time":"2026-05-05T11:59:02Z","event":8105,"host":"b","detail":"9"}
+{"time":"2026-05-05T11:59:02Z","event":6102,"host":"a","peer":"b"}
+{"time":"2026-05-05T11:59:02Z","event":8101,"host":"a","detail":"routes: status 503"}
+{"time":"2026-05-05T11:59:02.2Z","event":6101,"host":"a","peer":"b"}
+{"time":"2026-05-05T11:59:03Z","event":8103,"host":"a","target":"t1","detail":"new at 10.0.0.1:80"}
+{"time":"2026-05-05T11:59:04Z","event":1103,"host":"a","request":"r","target":"t1"}
+{"time":"2026-05-05T11:59:05Z","event":8105,"host":"a","detail":"8"}
+{"no":"event"}
+`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(strange, qt.Equals, 2)
+	story := Explain(lines, "r")
+	var text bytes.Buffer
+	c.Assert(story.WriteText(&text), qt.IsNil)
+	_, held, _ := strings.Cut(text.String(), "then:\n")
+	c.Assert(held, qt.Equals, `  a  platform  lost: routes: status 503, for 2s
+  a  routes  version 7 in force, for 3s
+  a  target t1  new at 10.0.0.1:80, for 1s
+`)
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,8 @@
 	// Address is where other hosts reach this one, Zone where it stands.
 	Address string
 	Zone    string
+	// Link is the width of its link in Mbit/s.
+	Link uint32
 	// Seeds are the addresses that are tried at first.
 	Seeds  []string
 	Events *timeline.Recorder
@@ -106,7 +108,7 @@
 // wordInterval is the time that Interval returns.
 func (exchange *Exchange) wordInterval() time.Duration {
 	if exchange.relayed() {
-		return exchange.roundInterval() * (1 + summaryRounds)
+		return exchange.roundInterval() * (1 + 2*summaryRounds)
 	}
 	return exchange.roundInterval()
 }
@@ -179,6 +181,7 @@
 		Spends:        spendsOut(spends),
 		VerifiedMs:    uint32(min(time.Since(known.Verified).Milliseconds(), math.MaxUint32)),
 		Summaries:     summaries,
+		Link:          exchange.Link,
 	}
 	if len(summaries) == 0 {
 		report.Peers = exchange.some()
@@ -259,7 +262,7 @@
 	defer exchange.mutex.Unlock()
 	newest := exchange.note(sign{
 		host: message.GetHost(), address: message.GetAddress(), zone: message.GetZone(),
-		life: message.GetLife(), sequence: message.GetSequence(), leaving: message.GetLeaving(),
+		life: message.GetLife(), sequence: message.GetSequence(), link: message.GetLink(), leaving: message.GetLeaving(),
 	})
 	if !newest {
 		return false
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -9,8 +9,10 @@
 
 const (
 	// deadAfter is how long a host may go unheard before it is taken to be
-	// down or cut off.
-	deadAfter = time.Second
+	// down or cut off, deadRelayed among hosts that hear of each other by
+	// summaries.
+	deadAfter   = time.Second
+	deadRelayed = 2 * time.Second
 	// forgetAfter is how long the address of an unheard host is tried.
 	forgetAfter = time.Minute
 	// tellPeers is how many addresses of other hosts a report names.
@@ -42,6 +44,7 @@
 	heard    time.Time
 	added    time.Time
 	alive    bool
+	link     uint32
 }
 
 // sign is what shows that a host lives: a report of its own, or its place in a
@@ -49,6 +52,7 @@
 type sign struct {
 	host, address, zone string
 	life, sequence      uint64
+	link                uint32
 	leaving             bool
 }
 
@@ -92,13 +96,30 @@
 }
 
 func (exchange *Exchange) leads(number int) bool {
+	return exchange.placeOf(&neighbour{host: exchange.Host, zone: exchange.Zone, link: exchange.Link}) < number
+}
+
+// before orders the hosts of a zone: those with wider links lead.
+func (one *neighbour) before(other *neighbour) bool {
+	if one.link != other.link {
+		return one.link > other.link
+	}
+	return one.host < other.host
+}
+
+// placeOf is how many hosts of its zone come before a host.
+func (exchange *Exchange) placeOf(host *neighbour) int {
 	before := 0
+	own := neighbour{host: exchange.Host, zone: exchange.Zone, link: exchange.Link}
+	if host.zone == own.zone && own.before(host) {
+		before++
+	}
 	for _, peer := range exchange.peers {
-		if peer.alive && peer.zone == exchange.Zone && peer.host < exchange.Host {
+		if peer.alive && peer.zone == host.zone && peer.before(host) {
 			before++
 		}
 	}
-	return before < number
+	return before
 }
 
 // alive returns the addresses of the hosts that are heard.
@@ -127,7 +148,7 @@
 func (exchange *Exchange) age() {
 	now := time.Now()
 	for address, peer := range exchange.peers {
-		if peer.alive && now.Sub(peer.heard) > deadAfter {
+		if peer.alive && now.Sub(peer.heard) > exchange.deadAfter() {
 			peer.alive = false
 			exchange.Events.Record(eventSilent, timeline.Event{Peer: peer.host, Detail: address})
 		}
@@ -142,6 +163,14 @@
 	exchange.recount()
 }
 
+// deadAfter is how long a host may go unheard.
+func (exchange *Exchange) deadAfter() time.Duration {
+	if exchange.relayed() {
+		return deadRelayed
+	}
+	return deadAfter
+}
+
 // recount counts the hosts that are heard.
 func (exchange *Exchange) recount() {
 	heard := 0
@@ -172,7 +201,7 @@
 	was := peer.alive
 	*peer = neighbour{
 		host: sign.host, zone: sign.zone, life: sign.life, sequence: sign.sequence,
-		heard: time.Now(), added: peer.added, alive: !sign.leaving,
+		heard: time.Now(), added: peer.added, alive: !sign.leaving, link: sign.link,
 	}
 	if was == peer.alive {
 		return true
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -22,9 +23,12 @@
 	zoneLeaders = 2
 	// relayInterval is the least time between two reports to the leaders.
 	relayInterval = 100 * time.Millisecond
-	// summaryRounds is how many rounds of reports there are to a summary. A
-	// part of the hosts gets it in each, as links may be narrow.
-	summaryRounds = 4
+	// summaryRounds is how many rounds of reports there are to a summary at
+	// least, mostRounds at most. A part of the hosts gets it in each.
+	summaryRounds = 2
+	mostRounds    = 8
+	// linkShare is the part of its link that a leader uses for summaries.
+	linkShare = 0.1
 	// summaryBytes bounds the summaries in a datagram, unless it is one.
 	summaryBytes = 16 << 10
 	// sentReports is how many of its own reports a host remembers, to take its
@@ -46,6 +50,10 @@
 	// of the summaries that the hosts of this zone get now.
 	made  uint64
 	parts [][]*exchangepb.Summary
+	// rounds is over how many rounds they are sent, turn how many of these
+	// have passed.
+	rounds uint64
+	turn   uint64
 	// taken are the last summaries of each maker, zones those of each zone.
 	taken map[string]*exchangepb.Summary
 	zones map[string]*zoneSummary
@@ -87,20 +95,6 @@
 	return peer.zone == exchange.Zone && exchange.placeOf(peer) < zoneLeaders
 }
 
-// placeOf is how many hosts of its zone come before a host.
-func (exchange *Exchange) placeOf(host *neighbour) int {
-	before := 0
-	if host.zone == exchange.Zone && exchange.Host < host.host {
-		before++
-	}
-	for _, peer := range exchange.peers {
-		if peer.alive && peer.zone == host.zone && peer.host < host.host {
-			before++
-		}
-	}
-	return before
-}
-
 // sent notes a report of this host.
 func (relay *relay) sent(sequence uint64, report *balance.Report) {
 	relay.own[sequence%sentReports] = ownReport{sequence: sequence, report: report}
@@ -141,10 +135,11 @@
 func (exchange *Exchange) summaries(compose func(...*exchangepb.Summary) *exchangepb.Report) []delivery {
 	relay := &exchange.relay
 	var deliveries []delivery
-	turn := exchange.round % summaryRounds
-	if turn == 0 || relay.parts == nil {
+	if relay.turn++; relay.turn >= relay.rounds {
+		relay.turn = 0
 		own := relay.summarise(exchange.Zone, exchange.Host, exchange.Life)
 		relay.parts = pack(append(relay.toForward(exchange.Zone), own))
+		relay.rounds = exchange.roundsFor(relay.parts)
 		deliveries = append(deliveries, delivery{
 			report: compose(own),
 			addresses: exchange.addresses(func(peer *neighbour) bool {
@@ -153,7 +148,7 @@
 		})
 	}
 	inTurn := exchange.addresses(func(peer *neighbour) bool {
-		return peer.alive && peer.zone == exchange.Zone && uint64(exchange.placeOf(peer))%summaryRounds == turn
+		return peer.alive && peer.zone == exchange.Zone && uint64(exchange.placeOf(peer))%relay.rounds == relay.turn
 	})
 	if len(inTurn) == 0 {
 		return deliveries
@@ -164,6 +159,21 @@
 	return deliveries
 }
 
+// roundsFor is over how many rounds summaries are sent to the hosts of this
+// zone, so that they take a small part of the link.
+func (exchange *Exchange) roundsFor(parts [][]*exchangepb.Summary) uint64 {
+	size := 0
+	for _, part := range parts {
+		for _, summary := range part {
+			size += proto.Size(summary)
+		}
+	}
+	const bytesPerMegabit = 1e6 / 8
+	perRound := linkShare * float64(max(1, exchange.Link)) * bytesPerMegabit * exchange.roundInterval().Seconds()
+	rounds := math.Ceil(float64(size*exchange.zoneHosts) / perRound)
+	return uint64(min(max(rounds, summaryRounds), mostRounds))
+}
+
 // toForward returns the summaries of other zones that this zone has not got.
 func (relay *relay) toForward(zone string) []*exchangepb.Summary {
 	var forward []*exchangepb.Summary
@@ -209,6 +219,7 @@
 			Address:  member.report.GetAddress(),
 			Life:     member.report.GetLife(),
 			Sequence: member.report.GetSequence(),
+			Link:     member.report.GetLink(),
 		}
 		for _, spend := range member.changed(relay.made) {
 			place, ok := workspaces[spend.GetWorkspace()]
@@ -284,7 +295,7 @@
 	if summary == nil {
 		return false
 	}
-	if time.Since(summary.heard) > deadAfter || exchange.addsUp(zone) {
+	if time.Since(summary.heard) > deadRelayed || exchange.addsUp(zone) {
 		delete(exchange.relay.zones, zone)
 		exchange.Balancer.Lost(zoneHost(zone))
 		return false
@@ -344,7 +355,7 @@
 	for _, member := range summary.GetMembers() {
 		newest := exchange.note(sign{
 			host: member.GetHost(), address: member.GetAddress(), zone: summary.GetZone(),
-			life: member.GetLife(), sequence: member.GetSequence(),
+			life: member.GetLife(), sequence: member.GetSequence(), link: member.GetLink(),
 		})
 		if newest {
 			words = append(words, word{host: member.GetHost(), life: member.GetLife(), spends: memberSpends(summary, member)})
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/quota"
+	"nutmegfield.example/timeline"
 )
 
 // fleet is hosts in zones that all know each other's addresses.
@@ -36,6 +39,7 @@
 	for i, name := range names {
 		host := fleet.start(t, name, func(host *Exchange) {
 			host.Zone = fmt.Sprintf("z%d", i%fleetZones)
+			host.Link = 1000
 			host.Balancer.SetTargets([]balance.Target{{ID: "t", Pool: "p", Slots: 1000}}, nil)
 			host.Ledger.SetLimits(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: 1e6}})
 		}, names...)
@@ -94,6 +98,24 @@
 	})
 }
 
+// TestWideLinksLead has hosts of wide links lead their zones, whatever their
+// names, and hosts of narrow links spread a summary over more rounds.
+func TestWideLinksLead(t *testing.T) {
+	c := qt.New(t)
+	narrow := &Exchange{Host: "a", Zone: "z", Link: 10, Events: &timeline.Recorder{}}
+	for i, link := range []uint32{200, 10, 200} {
+		name := fmt.Sprintf("b%d", i)
+		c.Assert(narrow.note(sign{host: name, address: name, zone: "z", life: 1, sequence: 1, link: link}), qt.IsTrue)
+	}
+	c.Assert(narrow.Leads(2), qt.IsFalse)
+	c.Assert(narrow.Leads(3), qt.IsTrue)
+	summary := [][]*exchangepb.Summary{{{Targets: []string{strings.Repeat("x", 4000)}}}}
+	narrow.zoneHosts = 16
+	c.Assert(narrow.roundsFor(summary), qt.Equals, uint64(mostRounds))
+	wide := &Exchange{Link: 200, zoneHosts: 16}
+	c.Assert(wide.roundsFor(summary), qt.Equals, uint64(summaryRounds))
+}
+
 // TestLostLeader goes on with the other leader's sums while one is gone, and
 // with those of its successor.
 func TestLostLeader(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -247,7 +247,7 @@
 		forwarding.refuse(http.StatusTooManyRequests, spread(decision.After), "over the quota",
 			timeline.Fact{Key: "workspace", Value: forwarding.workspace.Name},
 			timeline.Count("units", int64(forwarding.units)),
-			timeline.Count("level", int64(decision.Level)),
+			timeline.Count("left", int64(decision.Level)),
 			timeline.Count("rate", int64(decision.Limit.Rate)),
 			timeline.Count("burst", int64(decision.Limit.Burst)),
 			timeline.Count("hostsSilent", decision.Silent),
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -150,6 +150,7 @@
 		Life:     uint64(time.Now().UnixMicro()),
 		Address:  given.Peers.Listen,
 		Zone:     given.Host.Zone,
+		Link:     uint32(given.Peers.Link),
 		Seeds:    seeds(&given.Peers),
 		Events:   events,
 		Balancer: host.balancer,
@@ -159,6 +160,7 @@
 		Verify:   host.verify,
 	}
 	host.ledger.Interval = host.exchange.Interval
+	host.balancer.Interval = host.exchange.Interval
 	host.ledger.Expected = host.exchange.Met
 	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
 	host.routes = &discovery.Routes{
