--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 	configuration.Workspaces[0].Quota = route.Quota{InTokens: true, Rate: 1, Burst: 100, PlainTokens: 10}
 	fixture := newFixture(c, configuration, 1)
 	fixture.ledger.SetLimits(map[string]quota.Limit{"clubs": {Rate: 1, Burst: 100}})
+	fixture.ledger.Return("clubs", 50)
 	send := func() int {
 		request := fixture.request(t.Context(), http.MethodGet, "/r/a", "")
 		request.Header.Set(testTokens, "60")
