--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,11 @@
 soak:
 	go test ./trial -seeds $(or $(SEEDS),200) -timeout 2h
 
+# Hosts as processes, harmed from outside; SEEDS=50 takes about eight minutes.
+.PHONY: soak-hosts
+soak-hosts:
+	go test ./platform/soak -soak.seeds $(or $(SEEDS),50) -soak.first $(or $(FIRST),1000) -v -timeout 2h
+
 # The long tables of docs/MEASUREMENTS.md; reports and plots go to bin/measure.
 .PHONY: measure
 measure:
