upstream, entry: learn from forgotten connections, errors for chat clients

Grown sites' servers may forget idle connections without notice (idle_race): a payment on one is reset and may not be sent again. After such a reset no connection is used that was idle for half as long, for a minute.

--- a/entry/problem.go
+++ b/entry/problem.go
@@ -33,6 +33,30 @@
 	Request string          `json:"request,omitempty"`
 	// RetryAfter is in seconds.
 	RetryAfter int `json:"retryAfter,omitempty"`
+	// Error says the same as chat clients expect it.
+	Error chatError `json:"error"`
+}
+
+// chatError is the error object of the chat interface.
+type chatError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code,omitempty"`
+}
+
+// chatError returns what a problem says to a chat client.
+func (problem *Problem) chatError() chatError {
+	said := chatError{Message: problem.Detail, Type: "server_error", Code: string(problem.Reason)}
+	if said.Message == "" {
+		said.Message = problem.Title
+	}
+	switch {
+	case problem.Status == http.StatusTooManyRequests:
+		said.Type = "rate_limit_error"
+	case problem.Status < http.StatusInternalServerError:
+		said.Type = "invalid_request_error"
+	}
+	return said
 }
 
 // badRequest is a caller's mistake: the request was not run.
@@ -82,6 +106,7 @@
 
 func (problem *Problem) write(writer http.ResponseWriter, id request.ID) {
 	problem.Request = id.String()
+	problem.Error = problem.chatError()
 	header := writer.Header()
 	header.Set("Content-Type", "application/problem+json")
 	header.Set(HeaderRequest, problem.Request)
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -27,6 +27,16 @@
 	keepShare = 0.7
 	// keptPerTarget bounds the idle connections to one target.
 	keptPerTarget = 32
+	// brokenShare is the part of the idle time after which a connection broke
+	// without notice that others may be idle, for brokenMemory.
+	brokenShare  = 0.5
+	brokenMemory = time.Minute
+	// brokenLeast is the shortest idle time that is held against it: targets
+	// that crash reset connections too.
+	brokenLeast = 100 * time.Millisecond
+	// resetAtOnce is how soon a connection is reset that its target had
+	// forgotten: some round trips between zones.
+	resetAtOnce = 50 * time.Millisecond
 )
 
 // Connections keeps idle connections to targets. Fields are set before use.
@@ -41,6 +51,10 @@
 	mutex sync.Mutex
 	idle  map[string][]*connection
 	open  map[string]int
+	// broken is the shortest idle time after which a connection had been
+	// forgotten by its target, brokenAt when that was seen last.
+	broken   time.Duration
+	brokenAt time.Time
 }
 
 // take returns an idle connection that still stands, or a new one.
@@ -50,7 +64,8 @@
 		if kept == nil {
 			break
 		}
-		if kept.usable(fresh) {
+		if rested := time.Since(kept.idle); rested <= connections.restLimit(fresh) && kept.usable() {
+			kept.rested = rested
 			return kept, nil
 		}
 		kept.close()
@@ -171,11 +186,33 @@
 }
 
 // usable reports whether an idle connection may carry another request.
-func (connection *connection) usable(fresh bool) bool {
-	if connection.stale() || fresh && time.Since(connection.idle) > FreshIdle {
-		return false
+func (connection *connection) usable() bool { return !connection.stale() && connection.quiet() }
+
+// restLimit is how long a connection may have been idle.
+func (connections *Connections) restLimit(fresh bool) time.Duration {
+	limit := keptIdle
+	if fresh {
+		limit = FreshIdle
+	}
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	if connections.broken > 0 && time.Since(connections.brokenAt) < brokenMemory {
+		limit = min(limit, time.Duration(brokenShare*float64(connections.broken)))
+	}
+	return limit
+}
+
+// forgotten learns that a target ended a connection without notice while it
+// was idle.
+func (connections *Connections) forgotten(rested time.Duration) {
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	rested = max(rested, brokenLeast)
+	now := time.Now()
+	if connections.broken == 0 || rested < connections.broken || now.Sub(connections.brokenAt) >= brokenMemory {
+		connections.broken = rested
 	}
-	return connection.quiet()
+	connections.brokenAt = now
 }
 
 // quiet reports whether the target has neither sent anything nor closed.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -94,6 +95,7 @@
 }
 
 func (connections *Connections) exchange(ctx context.Context, connection *connection, request *Request) (*Answer, error) {
+	sent := time.Now()
 	head := connections.head(request)
 	if len(request.Body) <= inlineBody {
 		head = append(head, request.Body...)
@@ -114,6 +116,9 @@
 	}
 	response, err := connections.readOwn(connection, request)
 	if err != nil {
+		if connection.uses > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sent) < resetAtOnce {
+			connections.forgotten(connection.rested)
+		}
 		return nil, Unknown.Wrap(err, "read from %s", connection.address)
 	}
 	connection.learn(response)
@@ -217,6 +222,8 @@
 	written chan error
 	uses    int
 	idle    time.Time
+	// rested is how long it had been idle before its present use.
+	rested time.Duration
 	// keep is how long the target keeps it idle, 0 if it does not say.
 	keep time.Duration
 	// spent connections are not used again.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -163,6 +163,35 @@
 	}
 }
 
+// TestForgottenConnections has a target forget connections that were idle for
+// 0.3 s, without notice: after one was reset, none is used that was idle for
+// half as long.
+func TestForgottenConnections(t *testing.T) {
+	c := qt.New(t)
+	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
+		if request.Header.Get("Id") == "late" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		_, _ = io.WriteString(conn, answerTo(request.Header.Get("Id"), "ok"))
+		return true
+	})
+	connections := newConnections()
+	rest := func(rested time.Duration) { connections.idle[address][0].idle = time.Now().Add(-rested) }
+	ask := func(id string) error {
+		_, err := exchangeAs(connections, address, id, nil, true)
+		return err
+	}
+	c.Assert(ask("first"), qt.IsNil)
+	rest(300 * time.Millisecond)
+	c.Assert(Is(ask("late"), Unknown), qt.IsTrue)
+	c.Assert(ask("again"), qt.IsNil)
+	c.Assert(dialled(), qt.Equals, 2)
+	rest(200 * time.Millisecond)
+	c.Assert(ask("soon"), qt.IsNil)
+	c.Assert(dialled(), qt.Equals, 3)
+}
+
 // TestEarlyAnswerToALongBody has a target answer before it reads the body: the
 // answer is passed on, and no other request follows on that connection.
 func TestEarlyAnswerToALongBody(t *testing.T) {
