--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -202,6 +202,12 @@
 	return limit
 }
 
+// wasForgotten reports whether a failure so soon after a request was sent says
+// that the target had forgotten the connection while it was idle.
+func (connection *connection) wasForgotten(err error, took time.Duration) bool {
+	return connection.uses > 0 && took < resetAtOnce && errors.Is(err, syscall.ECONNRESET)
+}
+
 // forgotten learns that a target ended a connection without notice while it
 // was idle.
 func (connections *Connections) forgotten(rested time.Duration) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -116,7 +115,7 @@
 	}
 	response, err := connections.readOwn(connection, request)
 	if err != nil {
-		if connection.uses > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sent) < resetAtOnce {
+		if connection.wasForgotten(err, time.Since(sent)) {
 			connections.forgotten(connection.rested)
 		}
 		return nil, Unknown.Wrap(err, "read from %s", connection.address)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -163,33 +165,42 @@
 	}
 }
 
-// TestForgottenConnections has a target forget connections that were idle for
-// 0.3 s, without notice: after one was reset, none is used that was idle for
-// half as long.
+// TestForgottenConnections uses no connection that was idle for half as long as
+// one that its target had forgotten.
 func TestForgottenConnections(t *testing.T) {
 	c := qt.New(t)
 	address, dialled := target(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
-		if request.Header.Get("Id") == "late" {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			return false
-		}
-		_, _ = io.WriteString(conn, answerTo(request.Header.Get("Id"), "ok"))
+		write(conn, "ok")
 		return true
 	})
 	connections := newConnections()
-	rest := func(rested time.Duration) { connections.idle[address][0].idle = time.Now().Add(-rested) }
-	ask := func(id string) error {
-		_, err := exchangeAs(connections, address, id, nil, true)
-		return err
+	ask := func(rested time.Duration) int {
+		if idle := connections.idle[address]; len(idle) > 0 {
+			idle[0].idle = time.Now().Add(-rested)
+		}
+		_, err := exchange(connections, address, nil, true)
+		c.Assert(err, qt.IsNil)
+		return dialled()
 	}
-	c.Assert(ask("first"), qt.IsNil)
-	rest(300 * time.Millisecond)
-	c.Assert(Is(ask("late"), Unknown), qt.IsTrue)
-	c.Assert(ask("again"), qt.IsNil)
-	c.Assert(dialled(), qt.Equals, 2)
-	rest(200 * time.Millisecond)
-	c.Assert(ask("soon"), qt.IsNil)
-	c.Assert(dialled(), qt.Equals, 3)
+	c.Assert(ask(0), qt.Equals, 1)
+	c.Assert(ask(time.Second), qt.Equals, 1)
+	connections.forgotten(time.Second)
+	c.Assert(ask(600*time.Millisecond), qt.Equals, 2)
+	connections.forgotten(time.Millisecond)
+	c.Assert(connections.restLimit(true), qt.Equals, brokenLeast/2)
+	connections.brokenAt = time.Now().Add(-brokenMemory)
+	c.Assert(connections.restLimit(true), qt.Equals, FreshIdle)
+}
+
+// TestWasForgotten tells a forgotten connection from a target that broke off.
+func TestWasForgotten(t *testing.T) {
+	c := qt.New(t)
+	reset := fmt.Errorf("read: %w", syscall.ECONNRESET)
+	used, fresh := &connection{uses: 1}, &connection{}
+	c.Assert(used.wasForgotten(reset, time.Millisecond), qt.IsTrue)
+	c.Assert(used.wasForgotten(reset, time.Second), qt.IsFalse)
+	c.Assert(used.wasForgotten(io.ErrUnexpectedEOF, time.Millisecond), qt.IsFalse)
+	c.Assert(fresh.wasForgotten(reset, time.Millisecond), qt.IsFalse)
 }
 
 // TestEarlyAnswerToALongBody has a target answer before it reads the body: the
