--- a/diagnosis/story.go
+++ b/diagnosis/story.go
@@ -175,8 +175,10 @@
 		return text
 	case last.Facts["cause"] != "":
 		return last.Detail + ": " + last.Facts["cause"]
-	default:
+	case last.Facts["routes"] != "":
 		return last.Detail + " by routes of version " + last.Facts["routes"]
+	default:
+		return last.Detail
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,6 +146,10 @@
 		forwarding.refuse(http.StatusServiceUnavailable, retryNoRoutes, "no routes yet")
 		return false
 	}
+	if limit := table.Configuration.Limits.HeaderBytes; limit > 0 && headerSize(forwarding.received) > limit {
+		forwarding.refuse(http.StatusRequestHeaderFieldsTooLarge, 0, "the header is too long")
+		return false
+	}
 	if forwarding.find(table) == 0 {
 		return true
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +48,44 @@
 	c.Assert(fixture.status(fixture.request(t.Context(), http.MethodGet, "/r/a", "")), qt.Equals, http.StatusServiceUnavailable)
 }
 
+// TestLimitsOfTheConfiguration refuses headers and bodies over the limits in
+// force; no target reads any of them.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	configuration := testConfiguration(nil)
+	configuration.Limits = route.Limits{HeaderBytes: 1000, BodyBytes: 10}
+	fixture := newFixture(c, configuration, 1)
+	request := fixture.request(t.Context(), http.MethodPost, "/r/a", "")
+	request.Header.Set("X-Other", strings.Repeat("x", 1000))
+	c.Assert(fixture.status(request), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	c.Assert(fixture.status(fixture.request(t.Context(), http.MethodPost, "/r/a", "eleven byte")), qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(fixture.requests(), qt.HasLen, 0)
+	fixture.replies = []string{okReply}
+	c.Assert(fixture.status(fixture.request(t.Context(), http.MethodPost, "/r/a", "ten bytes.")), qt.Equals, http.StatusOK)
+}
+
+// TestSmuggledRequests sends two requests in one, by a body that two headers
+// measure differently, and one that is cut off: no target reads any.
+func TestSmuggledRequests(t *testing.T) {
+	for _, text := range []string{
+		"POST /r/a HTTP/1.1\r\nHost: h.example\r\nTest-Key: k\r\nContent-Length: 5\r\nContent-Length: 40\r\n\r\n01234GET /r/b HTTP/1.1\r\nHost: h.example\r\n\r\n",
+		"POST /r/a HTTP/1.1\r\nHost: h.example\r\nTest-Key: k\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\nGET /r/b HTTP/1.1\r\nHost: h.example\r\n\r\n",
+		"POST /r/a HTTP/1.1\r\nHost: h.example\r\nTest-Key: k\r\nContent-Length: 50\r\n\r\nhalf",
+	} {
+		c := qt.New(t)
+		fixture := newFixture(c, testConfiguration(nil), 1)
+		conn, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, text)
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		answer, _ := io.ReadAll(conn)
+		c.Assert(strings.Contains(string(answer), " 200 "), qt.IsFalse, qt.Commentf("%s", answer))
+		c.Assert(conn.Close(), qt.IsNil)
+		c.Assert(fixture.requests(), qt.HasLen, 0, qt.Commentf("%q", text))
+	}
+}
+
 // TestQuotaIsGivenBack refuses what is over a quota, and does not count what
 // no target ran.
 func TestQuotaIsGivenBack(t *testing.T) {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -25,3 +25,14 @@
 	}
 	return passed
 }
+
+// headerSize is about how many bytes a request's line and header took.
+func headerSize(received *http.Request) int {
+	size := len(received.Method) + len(received.RequestURI) + len(received.Host)
+	for name, values := range received.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
