exchange, quota: take the life of a host whose clock was set back

A host's life is the time of its start. It is taken once the life before is not heard any more. TestOldReports and TestOneHostStartsAgain failed before.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -143,6 +143,13 @@
 			c.Assert(known.sequence, qt.Equals, step.wantSequence)
 		}
 		receiver.Receive([]byte("noise"))
+		// A host whose clock was set back before it started again.
+		report(3, 1)
+		c.Assert(receiver.Hosts(), qt.Equals, 2)
+		time.Sleep(2 * time.Second)
+		c.Assert(receiver.Hosts(), qt.Equals, 1)
+		report(3, 2)
+		c.Assert(receiver.Hosts(), qt.Equals, 2)
 	})
 }
 
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -198,7 +198,9 @@
 		return false
 	}
 	peer := exchange.meet(sign.address)
-	if peer == nil || peer.life > sign.life || peer.life == sign.life && peer.sequence >= sign.sequence {
+	// A host that starts again after its clock was set back has a lower life;
+	// it is taken once the life before it is not heard any more.
+	if peer == nil || peer.life > sign.life && peer.alive || peer.life == sign.life && peer.sequence >= sign.sequence {
 		return false
 	}
 	was := peer.alive
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -55,7 +55,7 @@
 	rounds uint64
 	turn   uint64
 	// taken are the last summaries of each maker, zones those of each zone.
-	taken map[string]*exchangepb.Summary
+	taken map[string]*zoneSummary
 	zones map[string]*zoneSummary
 }
 
@@ -78,7 +78,7 @@
 	changed uint64
 }
 
-// zoneSummary is the last summary of a zone.
+// zoneSummary is the last summary of a zone, or of a maker.
 type zoneSummary struct {
 	message *exchangepb.Summary
 	heard   time.Time
@@ -352,14 +352,16 @@
 func (exchange *Exchange) noteSummary(summary *exchangepb.Summary) (words []word, news bool) {
 	relay := &exchange.relay
 	if relay.taken == nil {
-		relay.taken = map[string]*exchangepb.Summary{}
+		relay.taken = map[string]*zoneSummary{}
 		relay.zones = map[string]*zoneSummary{}
 	}
-	last := relay.taken[summary.GetMaker()]
-	if cmp.Or(cmp.Compare(summary.GetLife(), last.GetLife()), cmp.Compare(summary.GetSequence(), last.GetSequence())) <= 0 {
-		return nil, false
+	if last := relay.taken[summary.GetMaker()]; last != nil && time.Since(last.heard) <= deadRelayed {
+		lives := cmp.Compare(summary.GetLife(), last.message.GetLife())
+		if cmp.Or(lives, cmp.Compare(summary.GetSequence(), last.message.GetSequence())) <= 0 {
+			return nil, false
+		}
 	}
-	relay.taken[summary.GetMaker()] = summary
+	relay.taken[summary.GetMaker()] = &zoneSummary{message: summary, heard: time.Now()}
 	for _, member := range summary.GetMembers() {
 		newest := exchange.note(sign{
 			host: member.GetHost(), address: member.GetAddress(), zone: summary.GetZone(),
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -32,6 +32,9 @@
 	// prompt words come so soon that hosts can take what is left without
 	// regard to what the others take meanwhile.
 	prompt = 100 * time.Millisecond
+	// advanceInterval is the least time between two fillings: the words of many
+	// hosts come together.
+	advanceInterval = time.Millisecond
 	// paceTime is the time over which the pace of requests is taken.
 	paceTime = time.Second
 )
@@ -103,6 +106,8 @@
 	began   time.Time
 	// reports is how often this host reported.
 	reports int
+	// advanced is when the buckets were last filled.
+	advanced time.Time
 }
 
 // bucket is what is left of a workspace's quota, as this host knows it.
@@ -243,6 +248,10 @@
 // advance fills the buckets for the time passed, less the parts of silent
 // hosts, and returns how many these are.
 func (ledger *Ledger) advance(now time.Time) int {
+	if now.Sub(ledger.advanced) < advanceInterval {
+		return ledger.silent + ledger.unheard
+	}
+	ledger.advanced = now
 	silence := missedReports * ledger.Interval()
 	before, hosts := ledger.part(), len(ledger.peers)
 	if ledger.began.IsZero() {
@@ -301,10 +310,10 @@
 		known = &account{life: life, totals: map[string]float64{}}
 		ledger.peers[host] = known
 	}
-	if known.life > life {
+	if known.life > life && now.Sub(known.heard) <= missedReports*ledger.Interval() {
 		return
 	}
-	if known.life < life {
+	if known.life != life {
 		known = &account{life: life, counted: true, totals: map[string]float64{}}
 		ledger.peers[host] = known
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -262,6 +262,13 @@
 		c.Assert(other.Take(clubs, 1).Level, qt.Equals, 149.0)
 		other.Heard("one", 1, []Spend{{Workspace: clubs, Total: 9000, Level: 0}})
 		c.Assert(other.Take(clubs, 1).Level, qt.Equals, 148.0)
+		// Its clock was set back before it started once more.
+		time.Sleep(time.Second)
+		before := other.Take(clubs, 0).Level
+		other.Heard("one", 1, []Spend{{Workspace: clubs, Total: 20, Level: 0}})
+		c.Assert(other.Take(clubs, 0).Level, qt.Equals, before-20)
+		other.Heard("one", 1, []Spend{{Workspace: clubs, Total: 60, Level: 0}})
+		c.Assert(other.Take(clubs, 0).Level, qt.Equals, before-60)
 	})
 }
 
