quota: hold others to four times the quota at the start, in place of a debt

Ruled out by trials of one change each: silence, one watcher, forgotten connections. Change: where words come late only, the others are held to use four times the quota until they tell.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -26,9 +26,9 @@
 	// aloneAfter is how long a host that just started waits for the first word
 	// of another before it takes itself to be alone.
 	aloneAfter = 500 * time.Millisecond
-	// startDebt is how long a quota takes to pay what hosts that ran before,
-	// and of which nobody is left to tell, may have taken too much.
-	startDebt = 400 * time.Millisecond
+	// startPace is how many times its quota a workspace is held to use on the
+	// other hosts before any has told.
+	startPace = 4
 	// prompt words come so soon that hosts can take what is left without
 	// regard to what the others take meanwhile.
 	prompt = 100 * time.Millisecond
@@ -148,8 +148,8 @@
 		known := ledger.buckets[name]
 		if known == nil {
 			// A bucket is empty until another host tells its level: the hosts
-			// that ran before may have used all of it, and more.
-			known = &bucket{updated: now, level: -startDebt.Seconds() * limit.Rate}
+			// that ran before may have used all of it.
+			known = &bucket{updated: now, others: startPace * limit.Rate * paceTime.Seconds()}
 			ledger.buckets[name] = known
 		}
 		if limit.Burst > known.limit.Burst && known.limit.Burst > 0 {
