exchange, quota: hosts that start together find each other at once

Reports to unheard hosts now go in each of the first 40 rounds (every 250 ms before), and the wait is 0.15 s.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -24,8 +24,10 @@
 	// datagramsPerSecond bounds the reports that a host sends.
 	datagramsPerSecond = 400
 	// retryEvery is how many rounds pass between two reports to a host that
-	// is not heard.
-	retryEvery = 10
+	// is not heard; in the first eagerRounds there is one in each, as hosts that
+	// start together have to find each other.
+	retryEvery  = 10
+	eagerRounds = 40
 	// reportDelay is how long a report may be on its way.
 	reportDelay = 20 * time.Millisecond
 )
@@ -193,7 +195,7 @@
 // deliveries returns the reports of a round. Compose makes a report with some
 // summaries.
 func (exchange *Exchange) deliveries(compose func(...*exchangepb.Summary) *exchangepb.Report) []delivery {
-	lost := exchange.round%retryEvery == 0
+	lost := exchange.round%retryEvery == 0 || exchange.round < eagerRounds
 	plain := exchange.addresses(func(peer *neighbour) bool {
 		if !peer.alive {
 			return lost
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,7 +25,7 @@
 	tinyDebt = 0.25
 	// aloneAfter is how long a host that just started waits for the first word
 	// of another before it takes itself to be alone.
-	aloneAfter = 500 * time.Millisecond
+	aloneAfter = 150 * time.Millisecond
 	// startPace is how many times its quota a workspace is held to use on the
 	// other hosts before any has told.
 	startPace = 4
