--- a/balance/balance.go
+++ b/balance/balance.go
@@ -121,6 +121,8 @@
 	// Interval returns the time between two reports of another host, as they
 	// are heard; nil is for at once.
 	Interval func() time.Duration
+	// Draw returns a number from 0 to below another; nil draws at random.
+	Draw func(below int) int
 
 	mutex   sync.Mutex
 	targets map[string]*state
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -62,7 +62,14 @@
 	}
 	near := first.order + max(nearTime, time.Duration(nearPart*float64(first.order)))
 	choices = slices.DeleteFunc(choices, func(choice choice) bool { return choice.order > near })
-	return choices[rand.IntN(len(choices))]
+	return choices[balancer.draw(len(choices))]
+}
+
+func (balancer *Balancer) draw(below int) int {
+	if balancer.Draw != nil {
+		return balancer.Draw(below)
+	}
+	return rand.IntN(below)
 }
 
 // fits reports whether a target may answer in time.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -103,11 +103,11 @@
 }
 
 // before orders the hosts of a zone: those with wider links lead.
-func (one *neighbour) before(other *neighbour) bool {
-	if one.link != other.link {
-		return one.link > other.link
+func (neighbour *neighbour) before(other *neighbour) bool {
+	if neighbour.link != other.link {
+		return neighbour.link > other.link
 	}
-	return one.host < other.host
+	return neighbour.host < other.host
 }
 
 // placeOf is how many hosts of its zone come before a host.
