trial: a host that is being killed may end before it is stopped

Cause: kill closes the host's listeners, then forces, then stops it; on a busy machine the host ended by the first two before the third, and was taken to have ended by itself. Ruled out: the drain, which had nothing to cut. The check holds for every host that the trial has not begun to kill, as before.

--- a/trial/world_test.go
+++ b/trial/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -54,6 +55,9 @@
 	kernel          *kernel.Host
 	stop, force     context.CancelFunc
 	ended           chan struct{}
+	// killed tells that the trial has begun to kill it: its listeners close
+	// before it is stopped, and it may end by that.
+	killed *atomic.Bool
 	// result is what Run returned, once ended.
 	result error
 	// reserved is set while a fault has the host.
@@ -185,12 +189,12 @@
 	var running, force context.Context
 	running, host.stop = context.WithCancel(context.Background())
 	force, host.force = context.WithCancel(context.Background())
-	host.ended = make(chan struct{})
-	ended := host.ended
+	host.ended, host.killed = make(chan struct{}), &atomic.Bool{}
+	ended, killed := host.ended, host.killed
 	go func() {
 		defer close(ended)
 		host.result = host.kernel.Run(running, force)
-		if running.Err() == nil {
+		if running.Err() == nil && !killed.Load() {
 			world.c.Errorf("host %s ended by itself: %v", id, host.result)
 		}
 	}()
@@ -202,6 +206,7 @@
 	if host.stop == nil {
 		return
 	}
+	host.killed.Store(true)
 	world.network.bury(host.place)
 	host.force()
 	host.stop()
