pause: wait in one place

Ten packages had the same few lines that wait for a time or the end of a context (pause, sleep, sleepUntil), and discovery a copy of objects.Jitter. pause.For and pause.Jitter serve them all; those that wait for a third thing too stay. Behaviour is the same.

--- a/configuration/relay.go
+++ b/configuration/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"nutmegfield.example/objects"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/profile"
@@ -103,7 +104,7 @@
 	begin := time.Now()
 	for ctx.Err() == nil && relay.version() == 0 {
 		relay.ask()
-		pause(ctx, askInterval)
+		pause.For(ctx, askInterval)
 		if time.Since(begin) >= startWait {
 			relay.begin()
 		}
@@ -147,11 +148,11 @@
 func (relay *Relay) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !relay.tree().watches(relay.Self.ID) {
-			pause(ctx, objects.Jitter(roleInterval))
+			pause.For(ctx, pause.Jitter(roleInterval))
 			continue
 		}
 		if !relay.watchOnce(ctx) {
-			pause(ctx, objects.Jitter(watchRetry))
+			pause.For(ctx, pause.Jitter(watchRetry))
 		}
 	}
 }
@@ -175,7 +176,7 @@
 	relay.get(ctx)
 	for ctx.Err() == nil {
 		hosts := max(1, len(relay.View().Zone(relay.Self.Zone)))
-		pause(ctx, objects.Jitter(pollInterval*time.Duration(hosts)))
+		pause.For(ctx, pause.Jitter(pollInterval*time.Duration(hosts)))
 		if ctx.Err() == nil {
 			relay.get(ctx)
 		}
@@ -215,7 +216,7 @@
 // wantAgain repeats the question for a text that does not come.
 func (relay *Relay) wantAgain(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, objects.Jitter(wantInterval))
+		pause.For(ctx, pause.Jitter(wantInterval))
 		seen := relay.seen()
 		relay.mutex.Lock()
 		if relay.wanted <= seen {
@@ -301,7 +302,7 @@
 
 func (relay *Relay) offerAgain(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, objects.Jitter(offerInterval))
+		pause.For(ctx, pause.Jitter(offerInterval))
 		relay.mutex.Lock()
 		again := relay.offersLeft > 0
 		if again {
@@ -361,12 +362,3 @@
 func (relay *Relay) send(host string, configuration *peerpb.Configuration) {
 	relay.Send(host, &peerpb.Envelope{Configurations: []*peerpb.Configuration{configuration}})
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/configuration/relay_test.go
+++ b/configuration/relay_test.go
@@ -13,6 +13,7 @@
 
 	"nutmegfield.example/configuration"
 	"nutmegfield.example/objects"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/profile"
@@ -113,7 +114,7 @@
 // probe tells the versions of random hosts.
 func (fleet *fleet) probe(ctx context.Context, relay *configuration.Relay) {
 	for ctx.Err() == nil {
-		sleep(ctx, objects.Jitter(time.Second))
+		pause.For(ctx, pause.Jitter(time.Second))
 		fleet.mutex.Lock()
 		other := fleet.hosts[fleet.random.IntN(len(fleet.hosts))].ID
 		heard := fleet.relays[other]
@@ -125,15 +126,6 @@
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func version(host *host) int64 {
 	if snapshot := host.relay.Store.Current(); snapshot != nil {
 		return snapshot.Version
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -6,13 +6,13 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"nutmegfield.example/errorkind"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -170,11 +170,11 @@
 	retry := retryFirst
 	for ctx.Err() == nil {
 		if follower.State().At > 0 && !follower.Watches() {
-			pause(ctx, jitter(roleInterval))
+			pause.For(ctx, pause.Jitter(roleInterval))
 			continue
 		}
 		if err := follower.watchOnce(ctx); err != nil {
-			pause(ctx, jitter(retry))
+			pause.For(ctx, pause.Jitter(retry))
 			retry = min(retryMost, 2*retry)
 			continue
 		}
@@ -204,7 +204,7 @@
 // poll reads now and then, in turn with the other hosts.
 func (follower *Follower) poll(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, jitter(pollInterval*time.Duration(max(1, follower.Hosts()))))
+		pause.For(ctx, pause.Jitter(pollInterval*time.Duration(max(1, follower.Hosts()))))
 		if ctx.Err() != nil {
 			return
 		}
@@ -380,17 +380,3 @@
 		follower.Events.Record(eventLost, timeline.Event{Detail: follower.Kind + ": " + err.Error()})
 	}
 }
-
-// jitter spreads a pause over half to one and a half times its length.
-func jitter(wait time.Duration) time.Duration {
-	return wait/2 + rand.N(max(1, wait))
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -48,7 +49,7 @@
 // Run drops held targets whose entries did not return until the context ends.
 func (targets *Targets) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, holdLook)
+		pause.For(ctx, holdLook)
 		targets.dropHeld()
 	}
 	return nil
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -4,10 +4,10 @@
 	"context"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -60,7 +60,7 @@
 func (entry *Entry) Drain(ctx context.Context) error {
 	entry.Events.Record(eventDraining, timeline.Event{})
 	entry.leaving.Store(true)
-	pause(ctx, entry.Drains.Notice)
+	pause.For(ctx, entry.Drains.Notice)
 	entry.admission.Lock()
 	entry.draining.Store(true)
 	entry.admission.Unlock()
@@ -88,12 +88,3 @@
 	}
 	return Cut.New("%d running answers were cut", left)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -34,12 +35,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	timer := time.NewTimer(gateway.Notice)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, gateway.Notice)
 	// The end of the context cuts what still runs; it is counted.
 	err := gateway.Shutdown(ctx)
 	gateway.Events.Record(eventDrained, timeline.Event{Detail: strconv.FormatInt(gateway.running.Load(), 10)})
--- a/load/hosts.go
+++ b/load/hosts.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/prefix"
 	"nutmegfield.example/request"
 )
@@ -41,7 +42,7 @@
 	hosts.started = time.Now()
 	var group sync.WaitGroup
 	for _, request := range hosts.Scenario.Schedule(hosts.Seed) {
-		if !sleepUntil(ctx, hosts.started.Add(request.At)) {
+		if !pause.For(ctx, time.Until(hosts.started.Add(request.At))) {
 			break
 		}
 		group.Go(func() { hosts.play(ctx, request) })
@@ -53,17 +54,6 @@
 	return report
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // play sends one request until it ran, its caller's patience or its time is
 // over.
 func (hosts *Hosts) play(ctx context.Context, planned *Request) {
@@ -78,7 +68,7 @@
 		result.Computed = answer.computed
 		again := time.Now().Add(answer.retryAfter)
 		if answer.outcome != request.NotRun || answer.retryAfter == 0 ||
-			result.Attempts > hosts.Scenario.Delays.Patience || !again.Before(deadline) || !sleepUntil(ctx, again) {
+			result.Attempts > hosts.Scenario.Delays.Patience || !again.Before(deadline) || !pause.For(ctx, time.Until(again)) {
 			break
 		}
 	}
--- a/objects/backoff.go
+++ b/objects/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"nutmegfield.example/pause"
 )
 
 const (
@@ -15,24 +17,8 @@
 	firstBackoff = 50 * time.Millisecond
 )
 
-// Jitter returns a random duration around the given one, from half of it to
-// one and a half.
-func Jitter(around time.Duration) time.Duration {
-	if around <= 0 {
-		return 0
-	}
-	return around/2 + rand.N(around)
-}
-
 // pauseBefore waits before a repeated attempt, a random time below a bound
 // that doubles. It reports whether the context still stands.
 func pauseBefore(ctx context.Context, attempt int) bool {
-	timer := time.NewTimer(rand.N(firstBackoff << attempt))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, rand.N(firstBackoff<<attempt))
 }
--- a/objects/lease.go
+++ b/objects/lease.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -128,12 +129,7 @@
 		} else {
 			lease.Release(ctx)
 		}
-		timer := time.NewTimer(Jitter(lease.Term / renewals))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.For(ctx, pause.Jitter(lease.Term/renewals))
 	}
 	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), lease.Term)
 	defer cancel()
--- a/once/range.go
+++ b/once/range.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"nutmegfield.example/once/oncepb"
+	"nutmegfield.example/pause"
 )
 
 const (
@@ -237,7 +238,7 @@
 			records.loaded = false
 		case Is(err, Lost):
 			records.loaded = false
-			if !sleep(ctx, readBackPause) {
+			if !pause.For(ctx, readBackPause) {
 				return err
 			}
 		default:
@@ -314,14 +315,3 @@
 	records.removeDoomed(ctx)
 	return nil
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/peer/link.go
+++ b/peer/link.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/timeline"
 )
@@ -39,7 +40,7 @@
 			wait = redialFirst
 			link.links.Events.Record(eventLinkDown, timeline.Event{Peer: link.host, Detail: err.Error()})
 		}
-		pause(ctx, wait/2+rand.N(wait/2))
+		pause.For(ctx, wait/2+rand.N(wait/2))
 		wait = min(2*wait, redialMost)
 	}
 }
@@ -215,12 +216,3 @@
 	into.Handovers = append(into.Handovers, from.Handovers...)
 	into.Holdings = append(into.Holdings, from.Holdings...)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/peer/list.go
+++ b/peer/list.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"nutmegfield.example/objects"
+	"nutmegfield.example/pause"
 )
 
 const (
@@ -37,7 +37,7 @@
 		if alone {
 			interval = firstListInterval
 		}
-		pause(ctx, objects.Jitter(interval))
+		pause.For(ctx, pause.Jitter(interval))
 	}
 }
 
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"nutmegfield.example/objects"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/timeline"
 )
@@ -176,7 +177,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group.Go(func() { prober.followList(ctx) })
-	pause(ctx, rand.N(probeInterval))
+	pause.For(ctx, rand.N(probeInterval))
 	for ctx.Err() == nil {
 		began := time.Now()
 		prober.do(prober.beginRound)
--- a/protocol/stream.go
+++ b/protocol/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/request"
 )
 
@@ -162,7 +163,7 @@
 			return Broken.Wrap(errors.Join(err, fault), "the caller gave the stream up")
 		}
 		if stream.resumes > 0 {
-			pause(stream.ctx, time.Duration(stream.resumes)*resumePause)
+			pause.For(stream.ctx, time.Duration(stream.resumes)*resumePause)
 		}
 		stream.resumes++
 		err := stream.open()
@@ -218,12 +219,3 @@
 	stream.engine.giveUp(stream.ctx, stream.address, stream.id)
 	return nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/scheduler/orphans.go
+++ b/scheduler/orphans.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/pool"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/protocol"
@@ -42,7 +43,7 @@
 		for _, host := range scheduler.dead() {
 			scheduler.reapHost(ctx, host)
 		}
-		sleep(ctx, orphanInterval)
+		pause.For(ctx, orphanInterval)
 	}
 }
 
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"nutmegfield.example/pause"
 	"nutmegfield.example/pool"
 	"nutmegfield.example/profile"
 )
@@ -43,9 +44,9 @@
 					scheduler.askCache(ctx, target, busy)
 				})
 			}
-			sleep(ctx, wait)
+			pause.For(ctx, wait)
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -130,12 +131,3 @@
 		questions.sequence = event.Sequence
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/status/status.go
+++ b/status/status.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"nutmegfield.example/objects"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/peer"
 )
 
@@ -78,12 +79,8 @@
 // Run writes until the context ends.
 func (writer *Writer) Run(ctx context.Context) error {
 	for {
-		timer := time.NewTimer(objects.Jitter(Interval))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, pause.Jitter(Interval)) {
 			return nil
-		case <-timer.C:
 		}
 		writer.forget()
 		self := writer.Members.Self
