exchange, balance, quota: one word for hosts that hear late

Balancer and ledger each compared the interval of reports with a constant of their own to tell whether hosts report to each other or by summaries; the exchange knows. Late says it to both, and the balancer needs no interval. Take notes a refusal in one place. Behaviour is the same: among up to 16 hosts the interval was at most 40 ms, among more at least 250.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,9 +118,9 @@
 type Balancer struct {
 	// Zone is the host's own.
 	Zone string
-	// Interval returns the time between two reports of another host, as they
-	// are heard; nil is for at once.
-	Interval func() time.Duration
+	// Late reports whether the reports of other hosts come so late that these
+	// may act on the same state; nil is for never.
+	Late func() bool
 	// Draw returns a number from 0 to below another; nil draws at random.
 	Draw func(below int) int
 
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -15,11 +15,9 @@
 }
 
 const (
-	// prompt reports come so soon that the best target is the best one still.
-	prompt = 100 * time.Millisecond
 	// nearPart and nearTime are how far from the best, in parts of its estimate
 	// and in time, a target may be to be taken for as good where reports come
-	// later: if all hosts took the best, it would be overrun before they hear
+	// late: if all hosts took the best, it would be overrun before they hear
 	// of it.
 	nearPart = 0.25
 	nearTime = 10 * time.Millisecond
@@ -57,7 +55,7 @@
 		return choice{}
 	}
 	first := slices.MinFunc(choices, func(one, other choice) int { return cmp.Compare(one.order, other.order) })
-	if balancer.Interval == nil || balancer.Interval() < prompt {
+	if balancer.Late == nil || !balancer.Late() {
 		return first
 	}
 	near := first.order + max(nearTime, time.Duration(nearPart*float64(first.order)))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -107,6 +107,10 @@
 	return max(leastInterval, time.Duration(exchange.interval.Load()))
 }
 
+// Late reports whether words come by summaries: later than others may act on
+// the same state.
+func (exchange *Exchange) Late() bool { return exchange.relayed() }
+
 // wordInterval is the time that Interval returns.
 func (exchange *Exchange) wordInterval() time.Duration {
 	if exchange.relayed() {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -36,8 +36,6 @@
 	})
 )
 
-func draw() float64 { return rand.Float64() }
-
 // spread lengthens a time at random, so that callers don't return together.
 func spread(after time.Duration) time.Duration {
 	after = max(after, leastRetry)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -184,7 +185,7 @@
 		}
 		forwarding.rank = rank(forwarding.workspace, forwarding.route)
 	}
-	forwarding.pool = table.Pool(forwarding.route.Choose(draw()))
+	forwarding.pool = table.Pool(forwarding.route.Choose(rand.Float64()))
 	if forwarding.pool == nil {
 		return http.StatusNotFound
 	}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -160,7 +160,8 @@
 		Verify:   host.verify,
 	}
 	host.ledger.Interval = host.exchange.Interval
-	host.balancer.Interval = host.exchange.Interval
+	host.ledger.Late = host.exchange.Late
+	host.balancer.Late = host.exchange.Late
 	host.ledger.Expected = host.exchange.Met
 	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
 	host.routes = &discovery.Routes{
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -29,9 +29,6 @@
 	// startPace is how many times its quota a workspace is held to use on the
 	// other hosts before any has told.
 	startPace = 4
-	// prompt words come so soon that hosts can take what is left without
-	// regard to what the others take meanwhile.
-	prompt = 100 * time.Millisecond
 	// advanceInterval is the least time between two fillings: the words of many
 	// hosts come together.
 	advanceInterval = time.Millisecond
@@ -90,6 +87,9 @@
 type Ledger struct {
 	// Interval returns the time between two reports of a host.
 	Interval func() time.Duration
+	// Late reports whether the reports of other hosts come so late that these
+	// may be taking the same last units; nil is for never.
+	Late func() bool
 	// Expected returns how many other hosts there are; those not heard yet
 	// count as silent for a while. Nil is for none.
 	Expected func() int
@@ -184,20 +184,21 @@
 	}
 	decision := Decision{Level: bucket.level, Limit: bucket.limit, Silent: silent, Peers: len(ledger.peers)}
 	floor := bucket.floor(units)
-	if bucket.level <= floor {
-		bucket.turnedAway += units
+	switch {
+	case bucket.level <= floor:
 		decision.After = time.Duration((floor - bucket.level) / bucket.limit.Rate * float64(time.Second))
-		return decision
+	case !ledger.suffices(bucket, bucket.level-floor):
+		decision.After = ledger.Interval()
+	default:
+		decision.Allowed = true
 	}
-	if !ledger.suffices(bucket, bucket.level-floor) {
+	if !decision.Allowed {
 		bucket.turnedAway += units
-		decision.After = ledger.Interval()
 		return decision
 	}
 	bucket.level -= units
 	bucket.total += units
 	bucket.changed = time.Now()
-	decision.Allowed = true
 	return decision
 }
 
@@ -208,11 +209,10 @@
 // is let through.
 func (ledger *Ledger) suffices(bucket *bucket, left float64) bool {
 	others := float64(ledger.unheard + len(ledger.peers))
-	interval := ledger.Interval()
-	if others == 0 || interval < prompt {
+	if others == 0 || ledger.Late == nil || !ledger.Late() {
 		return true
 	}
-	wanted := (bucket.others + others*bucket.turnedAway) * interval.Seconds() / paceTime.Seconds()
+	wanted := (bucket.others + others*bucket.turnedAway) * ledger.Interval().Seconds() / paceTime.Seconds()
 	return wanted <= left || ledger.draw()*wanted < left
 }
 
