exchange: put the hosts of zones in order once a round

The place of a host in its zone was counted anew over all hosts for each host and each datagram, the square of their number every 50 ms.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -64,8 +64,10 @@
 	met      atomic.Int64
 	interval atomic.Int64
 
-	mutex     sync.Mutex
-	peers     map[string]*neighbour
+	mutex sync.Mutex
+	peers map[string]*neighbour
+	// place is how many hosts come before this one in its zone, of zoneHosts.
+	place     int
 	zoneHosts int
 	sequence  uint64
 	round     uint64
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -48,6 +49,8 @@
 	// direct tells that it reported since the last round, to each host that it
 	// knows.
 	direct bool
+	// place is how many hosts that are heard come before it in its zone.
+	place int
 }
 
 // sign is what shows that a host lives: a report of its own, or its place in a
@@ -98,31 +101,11 @@
 	return exchange.leads(number)
 }
 
-func (exchange *Exchange) leads(number int) bool {
-	return exchange.placeOf(&neighbour{host: exchange.Host, zone: exchange.Zone, link: exchange.Link}) < number
-}
+func (exchange *Exchange) leads(number int) bool { return exchange.place < number }
 
-// before orders the hosts of a zone: those with wider links lead.
-func (neighbour *neighbour) before(other *neighbour) bool {
-	if neighbour.link != other.link {
-		return neighbour.link > other.link
-	}
-	return neighbour.host < other.host
-}
-
-// placeOf is how many hosts of its zone come before a host.
-func (exchange *Exchange) placeOf(host *neighbour) int {
-	before := 0
-	own := neighbour{host: exchange.Host, zone: exchange.Zone, link: exchange.Link}
-	if host.zone == own.zone && own.before(host) {
-		before++
-	}
-	for _, peer := range exchange.peers {
-		if peer.alive && peer.zone == host.zone && peer.before(host) {
-			before++
-		}
-	}
-	return before
+// compare orders hosts: those with wider links lead their zone.
+func (neighbour *neighbour) compare(other *neighbour) int {
+	return cmp.Or(cmp.Compare(other.link, neighbour.link), cmp.Compare(neighbour.host, other.host))
 }
 
 // alive returns the addresses of the hosts that are heard.
@@ -174,20 +157,23 @@
 	return deadAfter
 }
 
-// recount counts the hosts that are heard.
+// recount counts the hosts that are heard and puts those of each zone in order.
 func (exchange *Exchange) recount() {
-	heard := 0
-	exchange.zoneHosts = 1
+	own := &neighbour{host: exchange.Host, zone: exchange.Zone, link: exchange.Link}
+	hosts := []*neighbour{own}
 	for _, peer := range exchange.peers {
-		if !peer.alive {
-			continue
-		}
-		heard++
-		if peer.zone == exchange.Zone {
-			exchange.zoneHosts++
+		if peer.alive {
+			hosts = append(hosts, peer)
 		}
 	}
-	exchange.heard.Store(int64(heard))
+	slices.SortFunc(hosts, (*neighbour).compare)
+	inZone := map[string]int{}
+	for _, host := range hosts {
+		host.place = inZone[host.zone]
+		inZone[host.zone]++
+	}
+	exchange.place, exchange.zoneHosts = own.place, inZone[exchange.Zone]
+	exchange.heard.Store(int64(len(hosts) - 1))
 	exchange.met.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.wordInterval()))
 }
@@ -207,7 +193,7 @@
 	*peer = neighbour{
 		host: sign.host, zone: sign.zone, life: sign.life, sequence: sign.sequence,
 		heard: time.Now(), added: peer.added, alive: !sign.leaving, link: sign.link,
-		direct: sign.direct,
+		direct: sign.direct, place: peer.place,
 	}
 	if was == peer.alive {
 		return true
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -89,10 +89,9 @@
 // relayed reports whether there are too many hosts to report to each.
 func (exchange *Exchange) relayed() bool { return exchange.Hosts() > directHosts }
 
-// leader reports whether another host leads this host's zone, beside those
-// before it.
+// leader reports whether another host leads this host's zone.
 func (exchange *Exchange) leader(peer *neighbour) bool {
-	return peer.zone == exchange.Zone && exchange.placeOf(peer) < zoneLeaders
+	return peer.zone == exchange.Zone && peer.place < zoneLeaders
 }
 
 // owed reports whether a host that reports to each is to hear from this one: it
@@ -151,12 +150,12 @@
 		deliveries = append(deliveries, delivery{
 			report: compose(own),
 			addresses: exchange.addresses(func(peer *neighbour) bool {
-				return peer.alive && peer.zone != exchange.Zone && exchange.placeOf(peer) < zoneLeaders
+				return peer.alive && peer.zone != exchange.Zone && peer.place < zoneLeaders
 			}),
 		})
 	}
 	inTurn := exchange.addresses(func(peer *neighbour) bool {
-		return peer.alive && peer.zone == exchange.Zone && uint64(exchange.placeOf(peer))%relay.rounds == relay.turn
+		return peer.alive && peer.zone == exchange.Zone && uint64(peer.place)%relay.rounds == relay.turn
 	})
 	if len(inTurn) == 0 {
 		return deliveries
