balance: claim a part of the free slots while they are contended

All hosts saw the same free slot for the 50 to 250 ms until they hear of each other and all used it; the target then showed 20, got nothing until it was down to 6, and was overrun again. Requests expected within 354 ms took 1,044 (median of those late).

Ruled out: wrong speeds (estimates fit where the target was not overrun), pauses in streams (2% of the late ones), returning callers (a third of the late ones).

Change: while the free slots do not suffice for all hosts' demand, a host claims its share of them by a random draw once per delay of news, and reuses what it frees itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -121,6 +121,11 @@
 	// Late reports whether the reports of other hosts come so late that these
 	// may act on the same state; nil is for never.
 	Late func() bool
+	// Lag is the time until all hosts have heard what one does, 0 if there are
+	// no others; nil for 0.
+	Lag func() time.Duration
+	// Hosts is how many share the targets, this one included; nil for 1.
+	Hosts func() int
 	// Draw returns a number from 0 to below another; nil draws at random.
 	Draw func(below int) int
 
@@ -149,6 +154,14 @@
 	refused float64
 	// told is the number of speeds that were told.
 	told int
+	// arrivals are those of this host's tickets, held is the mean time for
+	// which a request holds its slot, in nanoseconds.
+	arrivals arrivals
+	held     float64
+	// contended pools have too few free slots for all hosts; claimed is when
+	// this host's part of them was drawn.
+	contended bool
+	claimed   time.Time
 }
 
 // Run looks at the waiting requests now and then until the context ends.
@@ -246,6 +259,7 @@
 	defer balancer.mutex.Unlock()
 	pool := balancer.pool(ticket.Pool)
 	ticket.until = pool.until(ticket)
+	pool.arrivals.note(ticket.Tier, ticket.arrived)
 	at, _ := slices.BinarySearchFunc(pool.waiting, ticket, compareTickets)
 	pool.waiting = slices.Insert(pool.waiting, at, ticket)
 	balancer.pump(pool)
@@ -286,6 +300,7 @@
 		return
 	}
 	now := time.Now()
+	balancer.claim(pool, now)
 	round := &round{pool: pool, now: now, free: pool.free(now), usual: pool.typical()}
 	kept := pool.waiting[:0]
 	for _, ticket := range pool.waiting {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -36,7 +36,7 @@
 		estimate := balancer.estimate(round, state, ticket)
 		fits := ticket.fits(round.now, estimate)
 		hopeless = hopeless && !fits
-		if inTime && !fits || state.total() >= round.pool.capacity(state) {
+		if inTime && !fits || !round.pool.takes(state) {
 			continue
 		}
 		if state.failing > round.usual.failing+failingShare && rand.Float64() >= trialShare {
--- /dev/null
+++ b/balance/contention_test.go
@@ -0,0 +1,174 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The load of TestLateHostsContend: many hosts with more requests than the
+// targets have room for, that hear of each other late.
+const (
+	contendingHosts = 32
+	contendedSlots  = 4
+	contendedCount  = 16
+	contendedHold   = 400 * time.Millisecond
+	contendedDue    = 500 * time.Millisecond
+	// contendedPause is the time between two requests at a host: in all twice
+	// what the targets take.
+	contendedPause = 100 * time.Millisecond
+	reportPause    = 50 * time.Millisecond
+	reportLag      = 100 * time.Millisecond
+	contendStep    = 5 * time.Millisecond
+)
+
+// contention plays the hosts in one goroutine, so that a seed repeats.
+type contention struct {
+	hosts   []*Balancer
+	waiting map[*Ticket]*Balancer
+	running []*running
+	late    []*lateReport
+	open    map[string]int
+	// sent counts the requests sent, overfull those that met a full target,
+	// busy the slots in use, summed over the steps.
+	sent, overfull, busy, steps int
+}
+
+type running struct {
+	grant *Grant
+	ends  time.Time
+}
+
+type lateReport struct {
+	from   int
+	report *Report
+	comes  time.Time
+}
+
+func newContention(late bool) *contention {
+	contention := &contention{waiting: map[*Ticket]*Balancer{}, open: map[string]int{}}
+	var targets []Target
+	for i := range contendedCount {
+		targets = append(targets, Target{ID: fmt.Sprint("engine", i), Pool: scriptPool, Slots: contendedSlots})
+	}
+	for i := range contendingHosts {
+		balancer := &Balancer{Late: func() bool { return true }, Draw: rand.New(rand.NewPCG(1, uint64(i))).IntN}
+		if late {
+			balancer.Lag = func() time.Duration { return reportPause + reportLag }
+			balancer.Hosts = func() int { return contendingHosts }
+		}
+		balancer.SetTargets(targets, map[string]bool{scriptPool: true})
+		contention.hosts = append(contention.hosts, balancer)
+	}
+	return contention
+}
+
+func (contention *contention) play(span time.Duration) {
+	start := time.Now()
+	for step := 0; time.Since(start) < span; step++ {
+		at := time.Duration(step) * contendStep
+		for i, balancer := range contention.hosts {
+			// The hosts' requests and reports are spread over their pauses.
+			own := at + time.Duration(i)*contendedPause/contendingHosts/contendStep*contendStep
+			if own%contendedPause == 0 {
+				contention.arrive(balancer)
+			}
+			if own%reportPause == 0 {
+				contention.late = append(contention.late, &lateReport{i, balancer.Report(), time.Now().Add(reportLag)})
+			}
+		}
+		contention.deliver()
+		contention.end()
+		for _, balancer := range contention.hosts {
+			balancer.mutex.Lock()
+			balancer.pumpAll()
+			balancer.mutex.Unlock()
+		}
+		contention.collect()
+		contention.count()
+		time.Sleep(contendStep)
+	}
+}
+
+func (contention *contention) arrive(balancer *Balancer) {
+	ticket := &Ticket{
+		Pool: scriptPool, arrived: time.Now(), Due: time.Now().Add(contendedDue),
+		granted: make(chan *Grant, 1), failed: make(chan error, 1),
+	}
+	contention.waiting[ticket] = balancer
+	balancer.submit(ticket)
+}
+
+func (contention *contention) deliver() {
+	for len(contention.late) > 0 && !contention.late[0].comes.After(time.Now()) {
+		late := contention.late[0]
+		contention.late = contention.late[1:]
+		for i, balancer := range contention.hosts {
+			if i != late.from {
+				report := *late.report
+				report.Host = fmt.Sprint("host", late.from)
+				balancer.Heard(&report)
+			}
+		}
+	}
+}
+
+func (contention *contention) end() {
+	kept := contention.running[:0]
+	for _, running := range contention.running {
+		if running.ends.After(time.Now()) {
+			kept = append(kept, running)
+			continue
+		}
+		contention.open[running.grant.Target.ID]--
+		running.grant.End(Served)
+	}
+	contention.running = kept
+}
+
+// collect takes what was granted and refused.
+func (contention *contention) collect() {
+	for ticket := range contention.waiting {
+		select {
+		case grant := <-ticket.granted:
+			delete(contention.waiting, ticket)
+			contention.sent++
+			if contention.open[grant.Target.ID] >= contendedSlots {
+				contention.overfull++
+			}
+			contention.open[grant.Target.ID]++
+			grant.Started()
+			contention.running = append(contention.running, &running{grant, time.Now().Add(contendedHold)})
+		case <-ticket.failed:
+			delete(contention.waiting, ticket)
+		default:
+		}
+	}
+}
+
+func (contention *contention) count() {
+	contention.steps++
+	for _, open := range contention.open {
+		contention.busy += min(open, contendedSlots)
+	}
+}
+
+// TestLateHostsContend has 32 hosts with twice the requests that 16 targets
+// have room for, on news of each other that is up to 150 ms old: few requests
+// meet a full target, and the targets stay busy.
+func TestLateHostsContend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		contention := newContention(true)
+		contention.play(20 * time.Second)
+		overfull := float64(contention.overfull) / float64(contention.sent)
+		busy := float64(contention.busy) / float64(contention.steps*contendedCount*contendedSlots)
+		t.Logf("sent %d, of these %.3f to full targets; slots in use %.3f", contention.sent, overfull, busy)
+		c.Assert(overfull < 0.1, qt.IsTrue)
+		c.Assert(busy > 0.8, qt.IsTrue)
+	})
+}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -43,6 +43,7 @@
 		begun:      now,
 	}
 	state.open++
+	state.claimed--
 	state.backlog += ticket.PromptTokens
 	return grant
 }
@@ -120,12 +121,15 @@
 	}
 	grant.ended = true
 	state := grant.state
+	pool := balancer.pool(grant.Target.Pool)
 	state.open--
+	state.claimed++
+	pool.held += gain * (float64(time.Since(grant.begun)) - pool.held)
 	if !grant.started {
 		state.backlog -= grant.prompt
 	}
 	state.end(outcome, grant)
-	balancer.pump(balancer.pool(grant.Target.Pool))
+	balancer.pump(pool)
 }
 
 func (state *state) end(outcome Outcome, grant *Grant) {
--- a/balance/target.go
+++ b/balance/target.go
@@ -56,6 +56,9 @@
 	// peersOpen and peersBacklog are the sums over the other hosts.
 	peersOpen    int
 	peersBacklog int
+	// claimed is how many more requests this host may send while the pool is
+	// contended.
+	claimed int
 	// speed is this host's knowledge of its speed, told that of others.
 	speed speed
 	told  time.Duration
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -109,6 +109,15 @@
 	return max(leastInterval, time.Duration(exchange.interval.Load()))
 }
 
+// Lag is the time until the other hosts have heard what one does, 0 if there
+// are none.
+func (exchange *Exchange) Lag() time.Duration {
+	if exchange.Hosts() == 1 {
+		return 0
+	}
+	return exchange.Interval() + reportDelay
+}
+
 // Late reports whether words come by summaries: later than others may act on
 // the same state.
 func (exchange *Exchange) Late() bool { return exchange.relayed() }
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -162,6 +162,8 @@
 	host.ledger.Interval = host.exchange.Interval
 	host.ledger.Late = host.exchange.Late
 	host.balancer.Late = host.exchange.Late
+	host.balancer.Lag = host.exchange.Lag
+	host.balancer.Hosts = func() int { return 1 + host.exchange.Met() }
 	host.ledger.Expected = host.exchange.Met
 	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
 	host.routes = &discovery.Routes{
