balance: pass over the targets of a zone that is cut off

Cause: each target of a cut zone was found out of reach on its own, at 300 ms a dial and once more after each pause.

Ruled out: overfull targets in the own zone (the other half; claims answer that).

Change: four targets of another zone out of reach in a row, with no answer in between, pause all of the zone's targets but for one request each 500 ms.

Test: testdata/cutzone.script, seen to fail with the count set out of reach (the fifth request went to b5).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -135,6 +135,7 @@
 	departed map[string]*state
 	pools    map[string]*pool
 	reports  map[string]*Report
+	zones    map[string]*zone
 }
 
 // pool is the waiting requests and the targets of a pool.
@@ -198,6 +199,7 @@
 		}
 		delete(before, target.ID)
 		known.Target = target
+		known.zone = balancer.zone(target.Zone)
 		balancer.targets[target.ID] = known
 		pool := balancer.pool(target.Pool)
 		pool.targets = append(pool.targets, known)
@@ -422,7 +424,7 @@
 }
 
 func (state *state) eligible(now time.Time) bool {
-	return !state.Leaving && !state.gone && !now.Before(state.pausedUntil)
+	return !state.Leaving && !state.gone && !now.Before(state.pausedUntil) && !state.zone.paused(now)
 }
 
 // Pressure is the share of a pool's requests that this host refuses of late.
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -44,6 +44,7 @@
 	}
 	state.open++
 	state.claimed--
+	state.zone.tried(now)
 	state.backlog += ticket.PromptTokens
 	return grant
 }
@@ -60,6 +61,7 @@
 	state := grant.state
 	state.backlog -= grant.prompt
 	state.failures = 0
+	state.zone.reached()
 	balancer.learn(state, grant)
 	balancer.pump(balancer.pool(grant.Target.Pool))
 }
@@ -136,15 +138,19 @@
 	now := time.Now()
 	switch outcome {
 	case Served:
+		state.zone.reached()
 		state.outcome(false)
 		state.failures = 0
 	case Failed:
 		state.outcome(true)
 	case Unreachable:
 		state.unreachable(now)
+		state.zone.unreachable(state.ID, now)
 	case Full:
+		state.zone.reached()
 		state.pausedUntil = now.Add(fullPause)
 	case Replaced:
+		state.zone.reached()
 		state.gone = true
 	case Cancelled:
 		if !grant.started && now.Sub(grant.begun) > max(overdueLeast, overdueFactor*grant.Expected) {
--- a/balance/script_test.go
+++ b/balance/script_test.go
@@ -26,7 +26,7 @@
 //	take NAME tier N [prompt N] [events N] [due D] [deadline D] [exclude T]
 //	after DURATION
 //	start NAME | end NAME OUTCOME
-//	want NAME TARGET|waiting|refused|elsewhere
+//	want NAME TARGET|waiting|refused|zone Z
 //	pressure above|below SHARE
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.script")
@@ -127,6 +127,10 @@
 		}
 		script.takes[words[0]].result().grant.End(outcomes[words[1]])
 	case "want":
+		if zone := after(words, "zone"); zone != "" {
+			script.Assert(script.takes[words[0]].result().grant.Target.Zone, qt.Equals, zone, script.line)
+			return
+		}
 		script.Assert(script.state(words[0]), qt.Equals, words[1], script.line)
 	case "pressure":
 		share, err := strconv.ParseFloat(words[1], 64)
--- a/balance/target.go
+++ b/balance/target.go
@@ -49,6 +49,8 @@
 // state is what this host believes of a target.
 type state struct {
 	Target
+	// zone is the way to its zone, nil in the host's own.
+	zone *zone
 	// open are this host's running requests, backlog the work of those
 	// without a first event.
 	open    int
