gateway: serve callers that come back after those that just came

Change: a caller that waits for less than the callers of its route do while hardly any request is refused has come back, probably, and ranks behind the others of its tier, on all hosts.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -76,6 +76,7 @@
 	default:
 		forwarding.refuse(http.StatusServiceUnavailable, spread(forwarding.comeBack()), "no target in time", cause,
 			timeline.Count("rank", forwarding.rank),
+			timeline.Fact{Key: "returned", Value: strconv.FormatBool(forwarding.returned)},
 			timeline.Took("waited", time.Since(forwarding.arrived)),
 			timeline.Count("waiting", forwarding.gateway.Balancer.Waiting(forwarding.pool.Name)),
 		)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -122,7 +123,7 @@
 func (forwarding *forwarding) take(ctx context.Context) (*balance.Grant, error) {
 	ticket := &balance.Ticket{
 		Pool:         forwarding.pool.Name,
-		Tier:         forwarding.rank,
+		Tier:         forwarding.tier(),
 		PromptTokens: forwarding.call.PromptTokens,
 		Deadline:     forwarding.deadline,
 		Exclude:      forwarding.tried,
@@ -188,6 +189,7 @@
 		Target:  grant.Target.ID,
 		Facts: []timeline.Fact{
 			timeline.Count("rank", forwarding.rank),
+			{Key: "returned", Value: strconv.FormatBool(forwarding.returned)},
 			{Key: "workspace", Value: forwarding.forwardedFor()},
 			timeline.Count("units", int64(forwarding.units)),
 			timeline.Count("attempt", forwarding.sent+1),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	// Shutdown takes no more requests and waits for the running ones.
 	Shutdown func(ctx context.Context) error
 
+	waits   waits
 	leaving atomic.Bool
 	running atomic.Int64
 }
@@ -86,6 +87,8 @@
 	pool      *route.Pool
 	workspace *route.Workspace
 	rank      int
+	// returned tells that the caller was probably refused before.
+	returned bool
 	// version is that of the routes by which it was admitted.
 	version int64
 	// first is the time to the first event of the answer, events the number
@@ -131,7 +134,10 @@
 	}
 	ctx, cancel := context.WithDeadline(forwarding.received.Context(), forwarding.deadline)
 	defer cancel()
-	forwarding.gateway.Budget.Request(forwarding.pool.Name)
+	pool := forwarding.pool.Name
+	forwarding.gateway.Budget.Request(pool)
+	pressure := forwarding.gateway.Balancer.Pressure(pool)
+	forwarding.returned = forwarding.gateway.waits.returned(forwarding.route.Host+forwarding.route.Prefix, forwarding.call.Wait, pressure)
 	forwarding.attempts(ctx)
 	if forwarding.sent == 0 && forwarding.workspace != nil {
 		forwarding.gateway.Ledger.Return(forwarding.workspace.Name, forwarding.units)
@@ -214,6 +220,15 @@
 	return tier
 }
 
+// tier is the place in the order of waiting requests: by rank, and of the same
+// rank those last that came back, as they are late already.
+func (forwarding *forwarding) tier() int {
+	if forwarding.returned {
+		return 2*forwarding.rank + 1
+	}
+	return 2 * forwarding.rank
+}
+
 // readBody takes the caller's body whole.
 func (forwarding *forwarding) readBody() bool {
 	limit := int64(bodyBytes)
