gateway: log cut zones and what a refusal was decided by

A host's belief that a zone is cut off is logged when it changes (1109, 1110). A refused request's line tells the queues of this host and the others, the free slots, whether they are contended, the age of the reports and whether the caller had come back. Balancer.Standing takes the place of Waiting.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -126,6 +126,9 @@
 	Lag func() time.Duration
 	// Hosts is how many share the targets, this one included; nil for 1.
 	Hosts func() int
+	// ZoneCut is told when another zone is taken to be cut off, or is reached
+	// again; it must not block or call the balancer. Nil is for nobody.
+	ZoneCut func(zone string, cut bool)
 	// Draw returns a number from 0 to below another; nil draws at random.
 	Draw func(below int) int
 
--- a/balance/report.go
+++ b/balance/report.go
@@ -131,11 +131,33 @@
 	return []Speed{{Target: state.ID, PerToken: state.speed.perToken()}}
 }
 
-// Waiting is the number of waiting requests of a pool on this host.
-func (balancer *Balancer) Waiting(pool string) int {
+// Standing is how a pool stands as this host knows it.
+type Standing struct {
+	// Waiting and OthersWaiting are the waiting requests of this host and of
+	// the others.
+	Waiting       int
+	OthersWaiting int
+	// Free are the slots that look free. Contended tells that they don't suffice
+	// for all hosts, so that this one uses only its part of them.
+	Free      int
+	Contended bool
+	// ReportAge is the age of the oldest report of the others that counts.
+	ReportAge time.Duration
+}
+
+// Standing returns how a pool stands.
+func (balancer *Balancer) Standing(name string) Standing {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	return len(balancer.pool(pool).waiting)
+	now := time.Now()
+	pool := balancer.pool(name)
+	standing := Standing{
+		Waiting: len(pool.waiting), Free: pool.free(now), Contended: pool.contended, ReportAge: balancer.reportAge(now),
+	}
+	for _, waiting := range pool.others {
+		standing.OthersWaiting += waiting
+	}
+	return standing
 }
 
 // Subtract takes another report's counts off this one's.
--- a/balance/zone.go
+++ b/balance/zone.go
@@ -17,9 +17,12 @@
 
 // zone is what a host believes of the way to another zone.
 type zone struct {
+	name string
 	// failed are the targets out of reach since one of the zone answered.
 	failed      []string
 	pausedUntil time.Time
+	// tell is called when the belief changes.
+	tell func(zone string, cut bool)
 }
 
 // zone returns what is believed of the way to a zone, nil for the host's own.
@@ -32,7 +35,7 @@
 	}
 	found := balancer.zones[name]
 	if found == nil {
-		found = &zone{}
+		found = &zone{name: name, tell: balancer.ZoneCut}
 		balancer.zones[name] = found
 	}
 	return found
@@ -53,8 +56,18 @@
 
 // reached notes that a target of the zone answered.
 func (zone *zone) reached() {
-	if zone != nil {
-		zone.failed = zone.failed[:0]
+	if zone == nil {
+		return
+	}
+	cut := zone.cut()
+	zone.failed = zone.failed[:0]
+	zone.changed(cut)
+}
+
+// changed tells that the zone is cut off, or is no more, if it was not before.
+func (zone *zone) changed(before bool) {
+	if cut := zone.cut(); cut != before && zone.tell != nil {
+		zone.tell(zone.name, cut)
 	}
 }
 
@@ -63,8 +76,10 @@
 	if zone == nil {
 		return
 	}
+	cut := zone.cut()
 	if !slices.Contains(zone.failed, target) && len(zone.failed) < cutTargets {
 		zone.failed = append(zone.failed, target)
 	}
+	zone.changed(cut)
 	zone.tried(now)
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -74,11 +74,16 @@
 	case forwarding.mayHaveRun:
 		forwarding.refuse(http.StatusBadGateway, 0, "no whole answer", cause)
 	default:
+		standing := forwarding.gateway.Balancer.Standing(forwarding.pool.Name)
 		forwarding.refuse(http.StatusServiceUnavailable, spread(forwarding.comeBack()), "no target in time", cause,
 			timeline.Count("rank", forwarding.rank),
 			timeline.Fact{Key: "returned", Value: strconv.FormatBool(forwarding.returned)},
 			timeline.Took("waited", time.Since(forwarding.arrived)),
-			timeline.Count("waiting", forwarding.gateway.Balancer.Waiting(forwarding.pool.Name)),
+			timeline.Count("waiting", standing.Waiting),
+			timeline.Count("othersWaiting", standing.OthersWaiting),
+			timeline.Count("free", standing.Free),
+			timeline.Fact{Key: "contended", Value: strconv.FormatBool(standing.Contended)},
+			timeline.Took("reportAge", standing.ReportAge),
 		)
 	}
 }
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -165,6 +165,13 @@
 	host.balancer.Lag = host.exchange.Lag
 	host.balancer.Hosts = func() int { return 1 + host.exchange.Met() }
 	host.ledger.Expected = host.exchange.Met
+	host.balancer.ZoneCut = func(zone string, cut bool) {
+		kind := eventZoneReached
+		if cut {
+			kind = eventZoneCut
+		}
+		events.Record(kind, timeline.Event{Detail: zone})
+	}
 	host.snapshots = &exchange.Snapshots{Own: host.snapshot, Dial: kernelHost.Dial}
 	host.routes = &discovery.Routes{
 		Name:   sources.RoutesName,
@@ -233,11 +240,21 @@
 	return addresses
 }
 
-var eventPartFailed = timeline.Define(timeline.Kind{
-	Number: 1105, Name: "part of the gateway failed", Level: timeline.Error,
-	Meaning: "A part of the gateway ended with an error while the host runs.",
-	Action:  "restart the host; report the error",
-})
+var (
+	eventPartFailed = timeline.Define(timeline.Kind{
+		Number: 1105, Name: "part of the gateway failed", Level: timeline.Error,
+		Meaning: "A part of the gateway ended with an error while the host runs.",
+		Action:  "restart the host; report the error",
+	})
+	eventZoneCut = timeline.Define(timeline.Kind{
+		Number: 1109, Name: "zone cut off", Level: timeline.Info,
+		Meaning: "No target of the zone in the detail could be reached, several one after the other; it is tried with a request now and then.",
+	})
+	eventZoneReached = timeline.Define(timeline.Kind{
+		Number: 1110, Name: "zone reached again", Level: timeline.Info,
+		Meaning: "A target of the zone in the detail, which was held to be cut off, answered.",
+	})
+)
 
 func (host *host) record(err error) {
 	if err != nil {
