--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,7 @@
 	plainDepth = 2
 	// engineQueue is how many requests a model engine's queue is given beyond
 	// its slots while its pool is contended: a slot that becomes free is idle
-	// else until a host hears of it. Two made more answers late (MEASUREMENTS).
+	// else until a host hears of it.
 	engineQueue = 1
 	// reportLife is how long a report of another host is held for true.
 	reportLife = 1500 * time.Millisecond
--- a/diagnosis/story.go
+++ b/diagnosis/story.go
@@ -167,12 +167,7 @@
 		return fmt.Sprintf("workspace %s had %s of %s left in its quota of %s a second; %s of %s hosts were not heard",
 			last.Facts["workspace"], last.Facts["left"], last.Facts["burst"], last.Facts["rate"], last.Facts["hostsSilent"], last.Facts["hosts"])
 	case strings.HasPrefix(last.Detail, "503 no target"):
-		text := fmt.Sprintf("%s: it waited %s ms in rank %s, and %s requests wait there", last.Facts["cause"],
-			last.Facts["waitedMs"], last.Facts["rank"], last.Facts["waiting"])
-		if len(failed) > 0 {
-			text += "; before that failed " + strings.Join(failed, "; ")
-		}
-		return text
+		return noTarget(last, failed)
 	case last.Facts["cause"] != "":
 		return last.Detail + ": " + last.Facts["cause"]
 	case last.Facts["routes"] != "":
@@ -182,6 +177,22 @@
 	}
 }
 
+// noTarget is for a request that no target took in time.
+func noTarget(last *Line, failed []string) string {
+	text := fmt.Sprintf("%s: it waited %s ms in rank %s, %s requests wait there and %s on other hosts, %s places look free",
+		last.Facts["cause"], last.Facts["waitedMs"], last.Facts["rank"], last.Facts["waiting"], last.Facts["othersWaiting"], last.Facts["free"])
+	if last.Facts["contended"] == "true" {
+		text += ", too few for all hosts"
+	}
+	if last.Facts["returned"] == "true" {
+		text += "; its caller had come back after a refusal and stood behind others of the rank"
+	}
+	if len(failed) > 0 {
+		text += "; before that failed " + strings.Join(failed, "; ")
+	}
+	return text
+}
+
 // unanswered is for a request that was sent and has no more lines.
 func unanswered(all []Line, last *Line) string {
 	for _, line := range all {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,10 +134,8 @@
 	}
 	ctx, cancel := context.WithDeadline(forwarding.received.Context(), forwarding.deadline)
 	defer cancel()
-	pool := forwarding.pool.Name
-	forwarding.gateway.Budget.Request(pool)
-	pressure := forwarding.gateway.Balancer.Pressure(pool)
-	forwarding.returned = forwarding.gateway.waits.returned(forwarding.route.Host+forwarding.route.Prefix, forwarding.call.Wait, pressure)
+	forwarding.gateway.Budget.Request(forwarding.pool.Name)
+	forwarding.returned = forwarding.cameBack()
 	forwarding.attempts(ctx)
 	if forwarding.sent == 0 && forwarding.workspace != nil {
 		forwarding.gateway.Ledger.Return(forwarding.workspace.Name, forwarding.units)
@@ -220,6 +218,13 @@
 	return tier
 }
 
+// cameBack reports whether the caller was probably refused before.
+func (forwarding *forwarding) cameBack() bool {
+	route := forwarding.route.Host + forwarding.route.Prefix
+	pressure := forwarding.gateway.Balancer.Pressure(forwarding.pool.Name)
+	return forwarding.gateway.waits.returned(route, forwarding.call.Wait, pressure)
+}
+
 // tier is the place in the order of waiting requests: by rank, and of the same
 // rank those last that came back, as they are late already.
 func (forwarding *forwarding) tier() int {
