--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 		}
 		again := ctx.Err() == nil && dials < mostDials && forwarding.sent < mostSends && forwarding.repeatable(verdict, runs)
 		countFailure(grant.Target.Pool, grant.Target.ID, verdict)
-		forwarding.tellFailed(grant, reason, again)
+		forwarding.tellFailed(grant, forwarding.ended(ctx, reason), again)
 		if !again {
 			forwarding.giveUp(ctx, reason)
 			return
@@ -94,6 +94,19 @@
 	}
 }
 
+// ended is why an attempt ended: the caller's leaving and the end of the
+// request's time show as errors of the target's connection.
+func (forwarding *forwarding) ended(ctx context.Context, reason string) string {
+	switch {
+	case forwarding.received.Context().Err() != nil:
+		return "the caller left"
+	case ctx.Err() != nil:
+		return "the time of the request is over: " + reason
+	default:
+		return reason
+	}
+}
+
 func (forwarding *forwarding) tellFailed(grant *balance.Grant, reason string, again bool) {
 	if again {
 		reason += "; trying again"
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -106,7 +106,8 @@
 	c.Assert(fixture.requests(), qt.HasLen, 1)
 }
 
-// TestCallerLeaves ends the work at the target when its caller has left.
+// TestCallerLeaves ends the work at the target when its caller has left, and
+// says so in the log.
 func TestCallerLeaves(t *testing.T) {
 	c := qt.New(t)
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Streaming = true }), 1)
@@ -117,6 +118,10 @@
 	cancel()
 	<-fixture.ended
 	c.Assert(response.Body.Close(), qt.IsNil)
+	fixture.server.Close()
+	events := fixture.gateway.Events.Events()
+	c.Assert(events[len(events)-1].Number, qt.Equals, eventAttemptFailed.Number)
+	c.Assert(events[len(events)-1].Detail, qt.Equals, "the caller left")
 }
 
 // TestRouteTimeout answers at the end of the route's time, and says 504 as the
