--- a/balance/queue.go
+++ b/balance/queue.go
@@ -30,7 +30,7 @@
 // slots become free, less that of new requests of higher tiers.
 func (balancer *Balancer) queueing(pool *pool, ticket *Ticket) time.Duration {
 	pool.arrivals.decay(ticket.arrived)
-	rate := pool.slots(ticket.arrived) / max(pool.held, 1) * float64(time.Second)
+	rate := pool.places(ticket.arrived) / max(pool.held, 1) * float64(time.Second)
 	ahead := 0
 	for tier, waiting := range pool.waitingByTier() {
 		if tier > ticket.Tier {
@@ -47,17 +47,6 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// slots counts what the pool's targets run at once.
-func (pool *pool) slots(now time.Time) float64 {
-	slots := 0
-	for _, state := range pool.targets {
-		if state.eligible(now) {
-			slots += pool.capacity(state)
-		}
-	}
-	return float64(slots)
-}
-
 // othersAhead counts the other hosts' waiting requests of higher tiers.
 func (pool *pool) othersAhead(tier int) int {
 	ahead := 0
