balance: count waiting requests in one place

A host's report and the new waitingByTier counted them alike, and Standing summed up the others' as othersAhead does. The contention test's constructor had a parameter that was only ever true.

--- a/balance/claim.go
+++ b/balance/claim.go
@@ -85,7 +85,7 @@
 	span := min(lag, time.Duration(pool.held))
 	hosts := float64(balancer.hosts())
 	own, all := 0.0, 0.0
-	for tier, waiting := range pool.waitingByTier() {
+	for tier, waiting := range pool.waitingByTier(pool.tiers()) {
 		coming := pool.arrivals.within(tier, span)
 		own += coming + float64(waiting)
 		all += coming*hosts + float64(waiting+pool.othersWaiting(tier))
--- a/balance/contention_test.go
+++ b/balance/contention_test.go
@@ -56,7 +56,7 @@
 	comes  time.Time
 }
 
-func newContention(late bool) *contention {
+func newContention() *contention {
 	contention := &contention{
 		open: map[string]int{}, queued: map[string][]*Grant{}, tiers: 1, refusedAfter: map[int][]time.Duration{},
 	}
@@ -65,10 +65,11 @@
 		targets = append(targets, Target{ID: fmt.Sprint("engine", i), Pool: scriptPool, Slots: contendedSlots})
 	}
 	for i := range contendingHosts {
-		balancer := &Balancer{Late: func() bool { return true }, Draw: rand.New(rand.NewPCG(1, uint64(i))).IntN}
-		if late {
-			balancer.Lag = func() time.Duration { return reportPause + reportLag }
-			balancer.Hosts = func() int { return contendingHosts }
+		balancer := &Balancer{
+			Late:  func() bool { return true },
+			Lag:   func() time.Duration { return reportPause + reportLag },
+			Hosts: func() int { return contendingHosts },
+			Draw:  rand.New(rand.NewPCG(1, uint64(i))).IntN,
 		}
 		balancer.SetTargets(targets, map[string]bool{scriptPool: true})
 		contention.hosts = append(contention.hosts, balancer)
@@ -195,7 +196,7 @@
 func TestLateHostsContend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		contention := newContention(true)
+		contention := newContention()
 		contention.play(20 * time.Second)
 		overfull := float64(contention.overfull) / float64(contention.sent)
 		busy := float64(contention.busy) / float64(contention.steps*contendedCount*contendedSlots)
@@ -211,7 +212,7 @@
 func TestLowTierIsRefusedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		contention := newContention(true)
+		contention := newContention()
 		contention.tiers = 2
 		contention.play(20 * time.Second)
 		held := contention.refusedAfter[1]
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -32,7 +32,7 @@
 	pool.arrivals.decay(ticket.arrived)
 	rate := pool.places(ticket.arrived) / max(pool.held, 1) * float64(time.Second)
 	ahead := 0
-	for tier, waiting := range pool.waitingByTier() {
+	for tier, waiting := range pool.waitingByTier(pool.tiers()) {
 		if tier > ticket.Tier {
 			break
 		}
@@ -58,10 +58,12 @@
 	return ahead
 }
 
-// waitingByTier counts this host's waiting requests, for all tiers that any
-// host is known to have requests of.
-func (pool *pool) waitingByTier() []int {
-	tiers := max(len(pool.others), len(pool.arrivals.counts))
+// tiers is how many tiers have requests, as far as is known, on any host.
+func (pool *pool) tiers() int { return max(len(pool.others), len(pool.arrivals.counts)) }
+
+// waitingByTier counts this host's waiting requests; none may be of a tier beyond
+// the given number.
+func (pool *pool) waitingByTier(tiers int) []int {
 	waiting := make([]int, tiers)
 	for _, ticket := range pool.waiting {
 		waiting[ticket.Tier]++
--- a/balance/report.go
+++ b/balance/report.go
@@ -111,11 +111,8 @@
 	if len(pool.waiting) == 0 {
 		return nil
 	}
-	waiting := make([]int, pool.waiting[len(pool.waiting)-1].Tier+1)
-	for _, ticket := range pool.waiting {
-		waiting[ticket.Tier]++
-	}
-	return []Queue{{Pool: pool.name, Waiting: waiting}}
+	tiers := pool.waiting[len(pool.waiting)-1].Tier + 1
+	return []Queue{{Pool: pool.name, Waiting: pool.waitingByTier(tiers)}}
 }
 
 // speeds returns the next target's speed, in turn, if it is known well.
@@ -151,13 +148,13 @@
 	defer balancer.mutex.Unlock()
 	now := time.Now()
 	pool := balancer.pool(name)
-	standing := Standing{
-		Waiting: len(pool.waiting), Free: pool.free(now), Contended: pool.contended, ReportAge: balancer.reportAge(now),
-	}
-	for _, waiting := range pool.others {
-		standing.OthersWaiting += waiting
+	return Standing{
+		Waiting:       len(pool.waiting),
+		OthersWaiting: pool.othersAhead(len(pool.others)),
+		Free:          pool.free(now),
+		Contended:     pool.contended,
+		ReportAge:     balancer.reportAge(now),
 	}
-	return standing
 }
 
 // Subtract takes another report's counts off this one's.
