operator: one set of pages for all hosts

The gateway registered the variables, time line and metrics anew beside the operators' side; both take operator.Pages now, and Timeline and Metrics need not be public. cameBack stood beside comeBack, which means another thing: wasRefused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithDeadline(forwarding.received.Context(), forwarding.deadline)
 	defer cancel()
 	forwarding.gateway.Budget.Request(forwarding.pool.Name)
-	forwarding.returned = forwarding.cameBack()
+	forwarding.returned = forwarding.wasRefused()
 	forwarding.attempts(ctx)
 	if forwarding.sent == 0 && forwarding.workspace != nil {
 		forwarding.gateway.Ledger.Return(forwarding.workspace.Name, forwarding.units)
@@ -218,8 +218,8 @@
 	return tier
 }
 
-// cameBack reports whether the caller was probably refused before.
-func (forwarding *forwarding) cameBack() bool {
+// wasRefused reports whether the caller was probably refused before.
+func (forwarding *forwarding) wasRefused() bool {
 	route := forwarding.route.Host + forwarding.route.Prefix
 	pressure := forwarding.gateway.Balancer.Pressure(forwarding.pool.Name)
 	return forwarding.gateway.waits.returned(route, forwarding.call.Wait, pressure)
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -120,7 +119,7 @@
 			},
 			func(ctx context.Context) error { return serve(ctx, callers) },
 			func(ctx context.Context) error {
-				return serve(ctx, newServer(listeners[3], operators(kernelHost.Events)))
+				return serve(ctx, newServer(listeners[3], operator.Pages(kernelHost.Events)))
 			},
 		} {
 			group.Go(func() { host.record(part(ctx)) })
@@ -211,15 +210,6 @@
 	return host
 }
 
-// operators is the side that operators reach.
-func operators(events *timeline.Recorder) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	mux.HandleFunc("GET /timeline", operator.Timeline(events))
-	mux.HandleFunc("GET /metrics", operator.Metrics)
-	return mux
-}
-
 // owner tells answers apart by the id that targets repeat. A target that did
 // not run a request may not say its id.
 func owner(protocol Protocol) func(*upstream.Request, *http.Response) bool {
--- a/operator/part.go
+++ b/operator/part.go
@@ -110,16 +110,24 @@
 
 // Handler returns the operators' side.
 func (operator *Operator) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux := Pages(operator.Events)
 	mux.HandleFunc("GET /status", operator.status)
-	mux.HandleFunc("GET /timeline", Timeline(operator.Events))
-	mux.HandleFunc("GET /metrics", Metrics)
 	return operator.authorised(mux)
 }
 
-// Metrics answers with the counters and histograms as text.
-func Metrics(writer http.ResponseWriter, _ *http.Request) {
+// Pages are those that every host has: its variables, time line and metrics.
+func Pages(events *timeline.Recorder) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /timeline", func(writer http.ResponseWriter, asked *http.Request) {
+		answerTimeline(events, writer, asked)
+	})
+	mux.HandleFunc("GET /metrics", answerMetrics)
+	return mux
+}
+
+// answerMetrics answers with the counters and histograms as text.
+func answerMetrics(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	metrics.WritePrometheus(writer, true)
 }
@@ -152,12 +160,8 @@
 	writeJSON(writer, status)
 }
 
-// Timeline answers with the events that the query asks for: request is an id,
-// since a duration before now.
-func Timeline(events *timeline.Recorder) http.HandlerFunc {
-	return func(writer http.ResponseWriter, asked *http.Request) { answerTimeline(events, writer, asked) }
-}
-
+// answerTimeline answers with the events that the query asks for: request is an
+// id, since a duration before now.
 func answerTimeline(events *timeline.Recorder, writer http.ResponseWriter, asked *http.Request) {
 	now := time.Now()
 	selection := timeline.Selection{Request: asked.FormValue("request")}
