quarantine, gateway: tell which requests ran on a target that ended

Cause: events 1103 and 1104 name a request by the caller's id, which is new each time, and a failed attempt by its connection's error, which is the same for a crash, a reset, a lost answer and a drain.

Change: package quarantine tracks the attempts of this host by target. After one fails, a new connection shows whether the target still runs (event 1111); 1112 names each request that ran on a target that ended, with the evidence: connection refused, replaced by another incarnation at its address, or silent while its zone answers. 1104 and 1112 carry the content, a hash of workspace, method, host, path, query and body. Nothing is decided by it yet.

Result: TestAttempts, 16 scripts: crashes at once, midway, silent and with a quick restart are found; cuts of a zone, resets, drains, unannounced shutdowns, lost answers, a frozen host and slow targets are not taken for crashes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/quarantine"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
 )
@@ -25,6 +26,9 @@
 	// maxBufferedBytes limits the body of an answer that is not a stream. It is
 	// buffered before any of it is passed on; a longer one is a failed attempt.
 	maxBufferedBytes = 1 << 20
+	// maxCheckWait limits the wait for the check of a target before a request is
+	// sent on. It is a few round trips between zones.
+	maxCheckWait = 50 * time.Millisecond
 )
 
 var (
@@ -38,7 +42,7 @@
 	})
 	eventAttemptFailed = timeline.Define(timeline.Kind{
 		Number: 1104, Name: "attempt failed", Level: timeline.Info,
-		Meaning: "An attempt at a target brought no usable answer; the detail holds the reason and whether the request is tried again.",
+		Meaning: "An attempt at a target brought no usable answer; the detail holds the reason and whether the request is tried again; content is the same for all requests of the same workspace, path and body.",
 	})
 )
 
@@ -116,6 +120,7 @@
 		Pool:    grant.Target.Pool,
 		Target:  grant.Target.ID,
 		Detail:  reason,
+		Facts:   []timeline.Fact{{Key: "content", Value: forwarding.content().String()}},
 	})
 }
 
@@ -172,6 +177,7 @@
 		LastEventID: lastEventID,
 	})
 	forwarding.recordSent(grant)
+	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.content)
 	answer, err := gateway.Connections.Exchange(attemptContext, grant.Target.Address, &upstream.Request{
 		Method:    forwarding.request.Method,
 		Target:    forwarding.requestTarget(),
@@ -182,6 +188,7 @@
 		FreshOnly: !forwarding.route.Retryable(),
 	})
 	if upstream.Is(err, upstream.NotSent) {
+		attempt.Answered()
 		forwarding.endGrant(ctx, grant, balance.Unreachable)
 		return unreachable, err.Error()
 	}
@@ -189,10 +196,34 @@
 	if err != nil {
 		forwarding.mayHaveRun = true
 		forwarding.endGrant(ctx, grant, balance.Failed)
+		forwarding.endAttempt(ctx, attempt, failed)
 		return failed, silenceTimer.failureReason(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	return forwarding.relay(ctx, grant, answer, silenceTimer)
+	// The verdict stays done if relay panics because the caller has left.
+	verdict := done
+	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
+	var reason string
+	verdict, reason = forwarding.relay(ctx, grant, answer, attempt, silenceTimer)
+	return verdict, reason
+}
+
+// endAttempt ends the tracking of an attempt by its verdict. After a failure it waits
+// for the check of the target, but at most maxCheckWait.
+func (forwarding *forwarding) endAttempt(ctx context.Context, attempt *quarantine.Attempt, verdict verdict) {
+	switch {
+	case verdict != failed:
+		attempt.Answered()
+	case ctx.Err() != nil || forwarding.request.Context().Err() != nil:
+		attempt.Abandoned()
+	default:
+		timer := time.NewTimer(maxCheckWait)
+		defer timer.Stop()
+		select {
+		case <-attempt.Failed():
+		case <-timer.C:
+		}
+	}
 }
 
 func (forwarding *forwarding) recordSent(grant *balance.Grant) {
@@ -256,14 +287,18 @@
 
 // relay passes a target's answer on to the caller, unless the answer says that the
 // target did not run the request.
-func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
 	reply := forwarding.gateway.Protocol.ReadReply(answer.Status, answer.Header)
+	if !reply.Misdirected {
+		attempt.Heard()
+	}
 	if reply.NotRun {
 		// Reading the body to its end lets the connection be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedBytes))
 		outcome := balance.Full
 		if reply.Misdirected {
 			outcome = balance.Replaced
+			attempt.Misdirected()
 			forwarding.gateway.Connections.CloseIdle(grant.Target.Address)
 		}
 		grant.End(outcome)
@@ -271,7 +306,7 @@
 	}
 	forwarding.mayHaveRun = true
 	if forwarding.route.Streaming && answer.Status == http.StatusOK {
-		return forwarding.relayStream(ctx, grant, answer, reply, silenceTimer)
+		return forwarding.relayStream(ctx, grant, answer, reply, attempt, silenceTimer)
 	}
 	silenceTimer.stop()
 	return forwarding.relayBuffered(ctx, grant, answer, reply)
@@ -306,7 +341,7 @@
 }
 
 // relayStream passes on each complete event of a stream as it arrives.
-func (forwarding *forwarding) relayStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relayStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
 	if !reply.Sealed {
 		grant.End(balance.Failed)
 		return failed, "the answer has no signature"
@@ -329,6 +364,7 @@
 			return failed, "the stream broke off: " + silenceTimer.failureReason(err)
 		}
 		silenceTimer.reset()
+		attempt.Heard()
 		count++
 		if count == 1 {
 			grant.RecordFirstEvent()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -17,6 +17,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
@@ -116,6 +117,7 @@
 		},
 		Balancer: fixture.balancer,
 		Ledger:   fixture.ledger,
+		Attempts: &quarantine.Attempts{Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second},
 		Budget:   &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }},
 		Events:   &timeline.Recorder{},
 		Table:    func() *route.Table { return fixture.table },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,11 +9,13 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
@@ -42,7 +44,9 @@
 	Ledger *quota.Ledger
 	// Budget limits the retries of each pool.
 	Budget *budget.Budget
-	Events *timeline.Recorder
+	// Attempts tracks the requests sent to targets, to notice targets that crash.
+	Attempts *quarantine.Attempts
+	Events   *timeline.Recorder
 	// Table returns the routes in force, nil before the first are received.
 	Table func() *route.Table
 	// Refresh returns once the routes in force are the newest, or an error.
@@ -115,6 +119,8 @@
 	// is the id of the last event passed on.
 	headerWritten bool
 	lastEventID   string
+	// content identifies the request when its caller sends it again.
+	content func() quarantine.Content
 	// fallback is a target's server error, passed on if no better answer comes.
 	fallback *bufferedAnswer
 }
@@ -259,9 +265,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	forwarding.body = body
+	forwarding.content = sync.OnceValue(forwarding.hashContent)
 	return true
 }
 
+// hashContent returns the request's content.
+func (forwarding *forwarding) hashContent() quarantine.Content {
+	request := forwarding.request
+	return quarantine.NewContent(
+		[]byte(forwarding.workspaceName()), []byte(request.Method), []byte(request.Host),
+		[]byte(forwarding.requestTarget()), forwarding.body,
+	)
+}
+
 // takeQuota takes the request's units from the workspace's quota. It returns false
 // if the quota is exceeded and the request was refused.
 func (forwarding *forwarding) takeQuota() bool {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -15,6 +15,7 @@
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/operator"
+	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
 	"nutmegfield.example/settings"
@@ -65,6 +66,7 @@
 type host struct {
 	gateway  *Gateway
 	balancer *balance.Balancer
+	attempts *quarantine.Attempts
 	ledger   *quota.Ledger
 	// tolerance derives the buckets of the ledger from the workspaces' quotas.
 	tolerance quota.Tolerance
@@ -115,7 +117,7 @@
 		var group sync.WaitGroup
 		group.Go(func() { kernel.ReceiveDatagrams(datagrams, maxDatagramBytes, host.exchange.Receive) })
 		for _, part := range []func(context.Context) error{
-			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
+			host.balancer.Run, host.attempts.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -190,6 +192,7 @@
 	host.targetFollower = &discovery.Follower{
 		Outage: outage, ShouldWatch: watches, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, OnChange: host.targets.Apply,
 	}
+	host.attempts = &quarantine.Attempts{Dial: kernelHost.Network.Dial, DialTimeout: dialTimeout, Events: events}
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
@@ -205,6 +208,8 @@
 			Spare:  settings.Gateway.Retries.Spare,
 			Hosts:  host.exchange.Hosts,
 		},
+		Attempts: host.attempts,
+
 		Events:  events,
 		Table:   host.routes.Table,
 		Refresh: host.routeFollower.Refresh,
@@ -290,6 +295,7 @@
 }
 
 func (host *host) setTargets(targets []balance.Target) {
+	host.attempts.SetTargets(targets)
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	host.currentTargets = targets
