quarantine, gateway, exchange: refuse requests that crash the targets that run them

What callers saw: one request, sent again by its caller under new ids to any host, ended one target after the other; other callers were refused as half of the targets were down, and answers in progress broke off.

Cause: a gateway's knowledge of a request ends with the caller's attempt. Nothing kept what a request had done, on one host or over hosts: the rule was kept on the path of entry hosts only (pool/suspect.go).

Change: a request is known by its content. Each host keeps the targets that ended under a content (Suspects); three quarantine it: it is refused with 503 and no retry time if it did not run, with 502 if it may have. An answer clears it; the answer of a target that only seemed to have ended withdraws that evidence. At most 1,024 contents of at most 6 endings are kept. Hosts tell two others four times a second what is new, in at most 222 bytes, and repeat what is quarantined; the receiver checks it. Merging is the union of endings, so that order and repetition don't matter.

Why it works: after the third crash the host that saw it knows at once, the others within a second or so, and all refuse before the request is sent. Other requests are not on three crashed targets in a row without being served.

TestSuspicionsReachAllHosts: 3, 8 and 64 hosts within 3 s of the third crash, each seen by another host, with 10 % of datagrams lost and at most 2,000 bytes a second a host.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -13,6 +13,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/timeline"
 )
@@ -52,6 +53,7 @@
 
 	Balancer *balance.Balancer
 	Ledger   *quota.Ledger
+	Suspects *quarantine.Suspects
 	// Versions returns the versions of the platform's objects (the configuration
 	// and the targets) that this host has.
 	Versions func() Versions
@@ -250,6 +252,10 @@
 // Receive applies the report in a datagram. It drops datagrams that can't be
 // decoded and outdated reports.
 func (exchange *Exchange) Receive(datagram []byte) {
+	if len(datagram) > 0 && datagram[0] == suspicionsMarker {
+		exchange.receiveSuspicions(datagram[1:])
+		return
+	}
 	message, err := decode(datagram)
 	if err != nil || message.GetAddress() == "" {
 		// The datagram is not from a host of this system.
--- /dev/null
+++ b/exchange/suspicions_test.go
@@ -0,0 +1,190 @@
+package exchange
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/quarantine"
+	"nutmegfield.example/timeline"
+)
+
+const (
+	// suspicionTimeout is the time within which all hosts must know of the crash that
+	// quarantines a request.
+	suspicionTimeout = 3 * time.Second
+	// maxSuspicionRate is the limit of bytes a second that a host sends for it.
+	maxSuspicionRate = 2000
+	// lossFraction is the fraction of datagrams that are lost.
+	lossFraction = 0.1
+)
+
+// suspicionFleet is a network of hosts that exchange suspicions, with lost datagrams.
+type suspicionFleet struct {
+	*qt.C
+	*network
+	hosts []*Exchange
+
+	byteMutex sync.Mutex
+	// bytes counts what each host sent for suspicions in each second.
+	bytes map[string]map[int64]int
+}
+
+func newSuspicionFleet(t *testing.T, count int) *suspicionFleet {
+	fleet := &suspicionFleet{C: qt.New(t), network: newNetwork(), bytes: map[string]map[int64]int{}}
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("h%02d", i))
+	}
+	for _, name := range names {
+		fleet.add(t, name, names...)
+	}
+	return fleet
+}
+
+// add starts a host.
+func (fleet *suspicionFleet) add(t *testing.T, name string, seeds ...string) *Exchange {
+	host := fleet.start(t, name, func(host *Exchange) {
+		host.Zone, host.Link = fmt.Sprintf("z%d", len(fleet.hosts)%4), 1000
+		host.Suspects = newSuspects(name)
+		send := host.Send
+		host.Send = func(address string, datagram []byte) {
+			fleet.count(name, datagram)
+			if rand.Float64() >= lossFraction {
+				send(address, datagram)
+			}
+		}
+	}, seeds...)
+	fleet.hosts = append(fleet.hosts, host)
+	go func() { _ = host.RunSuspicions(t.Context()) }()
+	return host
+}
+
+func newSuspects(host string) *quarantine.Suspects {
+	return &quarantine.Suspects{Host: host, LastAnswer: func(quarantine.Incarnation) time.Time { return time.Time{} }}
+}
+
+func (fleet *suspicionFleet) count(name string, datagram []byte) {
+	if datagram[0] != suspicionsMarker {
+		return
+	}
+	fleet.byteMutex.Lock()
+	defer fleet.byteMutex.Unlock()
+	if fleet.bytes[name] == nil {
+		fleet.bytes[name] = map[int64]int{}
+	}
+	fleet.bytes[name][time.Now().Unix()] += len(datagram) + datagramOverhead
+}
+
+// waitQuarantined waits until a host has quarantined a content, and returns how long
+// that took.
+func (fleet *suspicionFleet) waitQuarantined(host *Exchange, content quarantine.Content) time.Duration {
+	start := time.Now()
+	for {
+		if _, quarantined := host.Suspects.Find(content); quarantined || time.Since(start) > time.Minute {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestSuspicionsReachAllHosts checks that all hosts know in time that a request has
+// crashed three targets, each of them on another host, although many other requests
+// are suspected and datagrams are lost; that a host which starts later learns of it;
+// and that all of this takes few bytes.
+func TestSuspicionsReachAllHosts(t *testing.T) {
+	for _, count := range []int{3, 8, 64} {
+		t.Run(fmt.Sprintf("hosts%d", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const crashing = quarantine.Content(1)
+				fleet := newSuspicionFleet(t, count)
+				time.Sleep(3 * time.Second)
+				other := quarantine.Content(100)
+				for target := range quarantine.Incarnation(3) {
+					crash := quarantine.Crash{Content: crashing, Target: target, Evidence: quarantine.Refused}
+					crash.At = time.Now()
+					fleet.hosts[int(target)%count].Suspects.RecordCrash(crash)
+					// The other requests on the target.
+					for range 14 {
+						other++
+						crash.Content = other
+						fleet.hosts[rand.IntN(count)].Suspects.RecordCrash(crash)
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				thirdCrashAt := time.Now().Add(-400 * time.Millisecond)
+				for _, host := range fleet.hosts {
+					fleet.waitQuarantined(host, crashing)
+				}
+				fleet.Assert(time.Since(thirdCrashAt) < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(thirdCrashAt)))
+				time.Sleep(10 * time.Second)
+
+				late := fleet.add(t, "late", "h00")
+				took := fleet.waitQuarantined(late, crashing)
+				fleet.Assert(took < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", took))
+				fleet.byteMutex.Lock()
+				defer fleet.byteMutex.Unlock()
+				for name, seconds := range fleet.bytes {
+					for second, bytes := range seconds {
+						fleet.Assert(bytes <= maxSuspicionRate, qt.IsTrue, qt.Commentf("%s sent %d bytes in second %d", name, bytes, second))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestInvalidSuspicionsAreRejected checks that suspicions are accepted only from live
+// hosts and only if they are valid.
+func TestInvalidSuspicionsAreRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		receiver := network.start(t, "a", func(host *Exchange) { host.Suspects = newSuspects("a") })
+		network.start(t, "b", nil, "a")
+		time.Sleep(time.Second)
+		valid := func() *exchangepb.Suspicions {
+			return &exchangepb.Suspicions{Address: "b", Suspects: []*exchangepb.Suspect{
+				{Content: 7, Targets: []uint32{1, 2, 3}, Ages: []uint32{30, 20, 10}},
+			}}
+		}
+		receive := func(message *exchangepb.Suspicions) bool {
+			receiver.Suspects = newSuspects("a")
+			encoded, err := proto.Marshal(message)
+			c.Assert(err, qt.IsNil)
+			receiver.Receive(append([]byte{suspicionsMarker}, encoded...))
+			return !receiver.Suspects.IsEmpty()
+		}
+		c.Assert(receive(valid()), qt.IsTrue)
+		for name, spoil := range map[string]func(*exchangepb.Suspicions, *exchangepb.Suspect){
+			"unknown host":      func(message *exchangepb.Suspicions, _ *exchangepb.Suspect) { message.Address = "c" },
+			"no evidence":       func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) { suspect.Targets, suspect.Ages = nil, nil },
+			"an age is missing": func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) { suspect.Ages = suspect.Ages[:2] },
+			"a target twice":    func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) { suspect.Targets[2] = 1 },
+			"too old":           func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) { suspect.Ages[0] = 200_000_000 },
+			"too many targets": func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) {
+				suspect.Targets, suspect.Ages = make([]uint32, 17), make([]uint32, 17)
+			},
+			"too many suspects": func(message *exchangepb.Suspicions, suspect *exchangepb.Suspect) {
+				for range maxReceivedSuspects {
+					message.Suspects = append(message.Suspects, suspect)
+				}
+			},
+		} {
+			message := valid()
+			spoil(message, message.GetSuspects()[0])
+			c.Assert(receive(message), qt.IsFalse, qt.Commentf(name))
+		}
+		receiver.Receive([]byte{suspicionsMarker, 0xff})
+		c.Assert(receiver.Events.Events(), qt.Satisfies, func(events []timeline.Event) bool {
+			return events[len(events)-1].Number == 6105
+		})
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,6 +77,11 @@
 			forwarding.answerUnserved(ctx, err.Error())
 			return
 		}
+		if suspect := forwarding.quarantinedSuspect(); suspect != nil {
+			grant.Cancel()
+			forwarding.refuseSuspect(suspect)
+			return
+		}
 		forwarding.triedTargets = append(forwarding.triedTargets, grant.Target.ID)
 		verdict, reason := forwarding.attempt(ctx, grant, runs)
 		if verdict == done {
@@ -252,6 +257,7 @@
 }
 
 func (forwarding *forwarding) recordAnswered(grant *balance.Grant, status int) {
+	forwarding.recordServed(status)
 	took := time.Since(forwarding.arrivedAt)
 	countAnswer(grant.Target.Pool, grant.Target.ID, status, forwarding.timeToFirstEvent, took)
 	forwarding.gateway.Events.Record(eventAnswered, timeline.Event{
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -118,6 +119,7 @@
 		Balancer: fixture.balancer,
 		Ledger:   fixture.ledger,
 		Attempts: &quarantine.Attempts{Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second},
+		Suspects: &quarantine.Suspects{},
 		Budget:   &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }},
 		Events:   &timeline.Recorder{},
 		Table:    func() *route.Table { return fixture.table },
@@ -129,6 +131,11 @@
 	return fixture
 }
 
+// refuseDials fails as a connection to a target that has ended does.
+func (fixture *fixture) refuseDials(context.Context, string, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
 // serveTarget accepts a target's connections and serves each of them.
 func (fixture *fixture) serveTarget(listener net.Listener) {
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Budget *budget.Budget
 	// Attempts tracks the requests sent to targets, to notice targets that crash.
 	Attempts *quarantine.Attempts
+	// Suspects says which requests crash targets and must be refused.
+	Suspects *quarantine.Suspects
 	Events   *timeline.Recorder
 	// Table returns the routes in force, nil before the first are received.
 	Table func() *route.Table
@@ -139,6 +141,11 @@
 	if !forwarding.readBody() {
 		return
 	}
+	release, admitted := forwarding.admitContent()
+	if !admitted {
+		return
+	}
+	defer release()
 	if !forwarding.takeQuota() {
 		return
 	}
@@ -269,15 +276,6 @@
 	return true
 }
 
-// hashContent returns the request's content.
-func (forwarding *forwarding) hashContent() quarantine.Content {
-	request := forwarding.request
-	return quarantine.NewContent(
-		[]byte(forwarding.workspaceName()), []byte(request.Method), []byte(request.Host),
-		[]byte(forwarding.requestTarget()), forwarding.body,
-	)
-}
-
 // takeQuota takes the request's units from the workspace's quota. It returns false
 // if the quota is exceeded and the request was refused.
 func (forwarding *forwarding) takeQuota() bool {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -67,6 +67,7 @@
 	gateway  *Gateway
 	balancer *balance.Balancer
 	attempts *quarantine.Attempts
+	suspects *quarantine.Suspects
 	ledger   *quota.Ledger
 	// tolerance derives the buckets of the ledger from the workspaces' quotas.
 	tolerance quota.Tolerance
@@ -117,7 +118,7 @@
 		var group sync.WaitGroup
 		group.Go(func() { kernel.ReceiveDatagrams(datagrams, maxDatagramBytes, host.exchange.Receive) })
 		for _, part := range []func(context.Context) error{
-			host.balancer.Run, host.attempts.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
+			host.balancer.Run, host.attempts.Run, host.suspects.Run, host.exchange.RunSuspicions, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -192,7 +193,13 @@
 	host.targetFollower = &discovery.Follower{
 		Outage: outage, ShouldWatch: watches, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, OnChange: host.targets.Apply,
 	}
-	host.attempts = &quarantine.Attempts{Dial: kernelHost.Network.Dial, DialTimeout: dialTimeout, Events: events}
+	host.suspects = &quarantine.Suspects{Host: settings.Host.ID, Events: events}
+	host.attempts = &quarantine.Attempts{
+		Dial: kernelHost.Network.Dial, DialTimeout: dialTimeout, Events: events,
+		OnCrash: host.suspects.RecordCrash, OnAnswer: host.suspects.RecordAnswer,
+	}
+	host.suspects.LastAnswer = host.attempts.LastAnswer
+	host.exchange.Suspects = host.suspects
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
@@ -209,6 +216,7 @@
 			Hosts:  host.exchange.Hosts,
 		},
 		Attempts: host.attempts,
+		Suspects: host.suspects,
 
 		Events:  events,
 		Table:   host.routes.Table,
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -465,3 +465,13 @@
 func (target *trackedTarget) timeSinceAnswer(now time.Time) time.Duration {
 	return now.Sub(target.lastAnswer)
 }
+
+// LastAnswer returns when a target last answered this host, zero for never.
+func (attempts *Attempts) LastAnswer(target Incarnation) time.Time {
+	attempts.mutex.Lock()
+	defer attempts.mutex.Unlock()
+	if tracked := attempts.targets[target]; tracked != nil {
+		return tracked.lastAnswer
+	}
+	return time.Time{}
+}
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -54,6 +55,9 @@
 	// targets are all targets by id, entries those that the platform lists.
 	targets, entries map[string]*balance.Target
 	attempts         map[string]*Attempt
+
+	// mutex guards the fields that checks of targets use.
+	mutex sync.Mutex
 	// dials holds what happens to new connections, by address.
 	dials   map[string]string
 	crashes []string
@@ -95,7 +99,9 @@
 		script.targets[words[1]].Leaving = true
 		script.publish()
 	case "dial":
+		script.mutex.Lock()
 		script.dials[script.targets[words[1]].Address] = words[2]
+		script.mutex.Unlock()
 	case "begin":
 		content := NewContent([]byte(words[1]))
 		script.attempts[words[1]] = script.tracker.Begin(script.targets[words[2]], words[1], func() Content { return content })
@@ -115,6 +121,8 @@
 		time.Sleep(duration)
 	case "want":
 		synctest.Wait()
+		script.mutex.Lock()
+		defer script.mutex.Unlock()
 		slices.Sort(script.crashes)
 		script.Assert(script.crashes, qt.DeepEquals, append([]string(nil), words[1:]...))
 		script.crashes = nil
@@ -132,7 +140,10 @@
 }
 
 func (script *script) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	switch script.dials[address] {
+	script.mutex.Lock()
+	result := script.dials[address]
+	script.mutex.Unlock()
+	switch result {
 	case "refused":
 		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	case "silent":
@@ -146,5 +157,7 @@
 
 func (script *script) recordCrash(crash Crash) {
 	evidence, _, _ := strings.Cut(strings.TrimPrefix(string(crash.Evidence), "connection "), " ")
+	script.mutex.Lock()
+	defer script.mutex.Unlock()
 	script.crashes = append(script.crashes, crash.Request+":"+evidence)
 }
--- /dev/null
+++ b/quarantine/metrics.go
@@ -0,0 +1,31 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// countCrash counts the end of a target under a request, by evidence.
+func countCrash(crash Crash) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("nutmegfield_crashes_total{pool=%q,evidence=%q}", crash.Pool, string(crash.Evidence))).Inc()
+}
+
+// countLearned counts a change of a suspect that another host reported.
+func countLearned() { metrics.GetOrCreateCounter("nutmegfield_suspicions_learned_total").Inc() }
+
+// countSuspects sets the numbers of suspected and quarantined contents.
+func countSuspects(known map[Content]*Suspect, now time.Time) {
+	suspected, quarantined := 0, 0
+	for _, suspect := range known {
+		switch {
+		case suspect.isQuarantined(now):
+			quarantined++
+		case len(suspect.Endings) > 0:
+			suspected++
+		}
+	}
+	metrics.GetOrCreateGauge(`nutmegfield_suspects{state="suspected"}`, nil).Set(float64(suspected))
+	metrics.GetOrCreateGauge(`nutmegfield_suspects{state="quarantined"}`, nil).Set(float64(quarantined))
+}
--- /dev/null
+++ b/quarantine/suspects_test.go
@@ -0,0 +1,125 @@
+package quarantine
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// TestSuspects runs the scripts of testdata/suspects.txtar: what hosts observe of
+// contents and tell each other, and which requests they refuse. Its commands are
+// documented at suspectScript.run.
+func TestSuspects(t *testing.T) {
+	archive, err := txtar.ParseFile(filepath.Join("testdata", "suspects.txtar"))
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				script := &suspectScript{C: qt.New(t), hosts: map[string]*Suspects{}, answers: map[string]time.Time{}}
+				for line := range strings.Lines(string(file.Data)) {
+					t.Log(line)
+					script.run(strings.Fields(line))
+				}
+			})
+		})
+	}
+}
+
+type suspectScript struct {
+	*qt.C
+	hosts map[string]*Suspects
+	// answers are the last answers of targets, by host and target.
+	answers  map[string]time.Time
+	releases []func()
+}
+
+// run executes a command:
+//
+//	crash HOST CONTENT TARGET [silent]  a target ended under a content
+//	crashes HOST COUNT                  targets ended under many contents
+//	served HOST CONTENT                 a target served a content
+//	answer HOST TARGET                  a target answered
+//	tell FROM TO                        a host sends what it knows
+//	restart HOST
+//	admit HOST CONTENT                  a request is admitted and goes on
+//	release                             such requests end
+//	wait DURATION
+//	want HOST CONTENT admitted|refused
+//	size HOST COUNT                     the number of suspects
+func (script *suspectScript) run(words []string) {
+	if len(words) == 0 || words[0] == "#" {
+		return
+	}
+	number := func(i int) int {
+		number, err := strconv.Atoi(words[i])
+		script.Assert(err, qt.IsNil)
+		return number
+	}
+	switch words[0] {
+	case "crash":
+		evidence := Refused
+		if len(words) > 4 {
+			evidence = Silent
+		}
+		script.host(words[1]).RecordCrash(Crash{
+			Content: Content(number(2)), Target: Incarnation(number(3)), At: time.Now(), Evidence: evidence,
+		})
+	case "crashes":
+		for i := range number(2) {
+			script.host(words[1]).RecordCrash(Crash{Content: Content(1000 + i), At: time.Now(), Evidence: Refused})
+		}
+	case "served":
+		script.host(words[1]).RecordServed(Content(number(2)))
+	case "answer":
+		script.answers[words[1]+words[2]] = time.Now()
+		script.host(words[1]).RecordAnswer(Incarnation(number(2)))
+	case "tell":
+		for _, suspect := range script.host(words[1]).load() {
+			script.host(words[2]).Learn(words[1], suspect)
+		}
+	case "restart":
+		delete(script.hosts, words[1])
+	case "admit":
+		_, admitted, release := script.host(words[1]).Admit(Content(number(2)))
+		script.Assert(admitted, qt.IsTrue)
+		script.releases = append(script.releases, release)
+	case "release":
+		for _, release := range script.releases {
+			release()
+		}
+		script.releases = nil
+	case "wait":
+		duration, err := time.ParseDuration(words[1])
+		script.Assert(err, qt.IsNil)
+		time.Sleep(duration)
+		for _, host := range script.hosts {
+			host.expire(time.Now())
+		}
+	case "want":
+		_, admitted, release := script.host(words[1]).Admit(Content(number(2)))
+		if admitted {
+			release()
+		}
+		script.Assert(admitted, qt.Equals, words[3] == "admitted", qt.Commentf("%v", words))
+	case "size":
+		script.Assert(script.host(words[1]).load(), qt.HasLen, number(2))
+	default:
+		script.Fatalf("unknown command %q", words[0])
+	}
+}
+
+func (script *suspectScript) host(name string) *Suspects {
+	if script.hosts[name] == nil {
+		script.hosts[name] = &Suspects{Host: name, LastAnswer: func(target Incarnation) time.Time {
+			return script.answers[name+fmt.Sprint(target)]
+		}}
+	}
+	return script.hosts[name]
+}
