diagnosis: explain a request that was refused because it crashes targets

Cause: explain took a request's last line for its end, so that a line 1112, which may follow seconds later when the target is replaced, hid the answer; and a refusal as a crashing request was explained by its detail alone.

Change: lines 1112 no longer decide the cause. A refused crashing request is explained by the targets that ended under its content, with the requests, hosts and evidence of all logs.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -19,6 +19,7 @@
 	eventSent          = 1103
 	eventAttemptFailed = 1104
 	eventAnswered      = 1108
+	eventSuspected     = 1112
 	eventPeerReporting = 6101
 	eventPeerSilent    = 6102
 	eventPeerLeft      = 6103
@@ -128,9 +129,15 @@
 }
 
 // findCause returns why a request ended as it did. The event of the request's last
-// line decides; all has the lines of all requests and hosts.
+// line decides, apart from suspicions, which may follow its end; all has the lines of
+// all requests and hosts.
 func findCause(all, requestLines []Line) string {
 	last := requestLines[len(requestLines)-1]
+	for _, line := range requestLines {
+		if line.Event != eventSuspected {
+			last = line
+		}
+	}
 	var failures []string
 	for _, line := range requestLines {
 		if line.Event == eventAttemptFailed {
@@ -141,6 +148,9 @@
 	case eventAnswered:
 		return answeredCause(&last, requestLines, failures)
 	case eventRefused:
+		if strings.HasSuffix(last.Detail, crashesTargets) {
+			return crashingCause(all, &last)
+		}
 		return refusedCause(&last, failures)
 	case eventAborted:
 		return "the answer had begun and broke off: " + last.Detail
@@ -188,6 +198,33 @@
 	}
 }
 
+// crashesTargets ends the detail of refusals of quarantined requests.
+const crashesTargets = "the request crashes targets"
+
+// crashingCause explains a request that was refused because its content is
+// quarantined, with the targets that ended while they ran such requests, by the lines
+// of all hosts.
+func crashingCause(all []Line, last *Line) string {
+	var endings []string
+	named := map[string]bool{}
+	for _, line := range all {
+		if line.Event == eventSuspected && line.Facts["content"] == last.Facts["content"] && !named[line.Target] {
+			named[line.Target] = true
+			endings = append(endings, fmt.Sprintf("%s under %s on %s at %s (%s)",
+				line.Target, line.Request, line.Host, line.Time.Format("15:04:05.000"), line.Detail))
+		}
+	}
+	text := fmt.Sprintf("%s: %s targets ended under requests of content %s, %s of them certainly",
+		last.Detail, last.Facts["crashes"], last.Facts["content"], last.Facts["certain"])
+	if remaining := last.numericFact("remainingMs"); remaining > 0 {
+		text += fmt.Sprintf(", it is refused for %.0f s more", remaining/1000)
+	}
+	if len(endings) > 0 {
+		text += "; " + strings.Join(endings, "; ")
+	}
+	return text
+}
+
 // noTargetCause explains a request that was refused because no target became free
 // in time.
 func noTargetCause(last *Line, failures []string) string {
