load: crashing requests as a kind of fault

Cause: neither the simulation nor the load driver could play a request that crashes the engines that run it, so the schedulers' handling of suspects was tested for one zone and four sends only (trial TestPoison).

Change: a fault crashing: CLASS, with every and down, sends one request again and again; it is not judged. TestCrashingRequestAtSchedulers holds the schedulers of entry hosts to the bound of gateways.

The same cause as at gateways, in part: schedulers tell only hosts of their zone of a suspect, and a quarantine begins with 10 s. Hosts that decide alone show more, so the load contains the fault.

--- a/load/check.go
+++ b/load/check.go
@@ -43,16 +43,32 @@
 	}
 	for i, failing := range scenario.Faults {
 		what := 0
-		for _, name := range []string{failing.Slow, failing.Crash, failing.Zone} {
+		for _, name := range []string{failing.Slow, failing.Crash, failing.Zone, failing.Crashing} {
 			if name != "" {
 				what++
 			}
 		}
-		fault(what == 1, "faults[%d]: one of slow, crash and zone must be set", i)
+		fault(what == 1, "faults[%d]: one of slow, crash, zone and crashing must be set", i)
+		if failing.Crashing != "" {
+			class := scenario.class(failing.Crashing)
+			fault(class != nil && scenario.Pool(class.Pool) != nil && len(scenario.Pool(class.Pool).Engines) > 0,
+				"faults[%d].crashing: no class of engines is named %s", i, failing.Crashing)
+			fault(failing.Every > 0 && failing.Down > 0, "faults[%d]: every and down must be above 0", i)
+		}
 	}
 	return errors.Join(faults...)
 }
 
+// class returns a class by name, nil if there is none.
+func (scenario *Scenario) class(name string) *Class {
+	for i := range scenario.Classes {
+		if scenario.Classes[i].Name == name {
+			return &scenario.Classes[i]
+		}
+	}
+	return nil
+}
+
 func (scenario *Scenario) workspace(name string) int {
 	return slices.IndexFunc(scenario.Workspaces, func(workspace Workspace) bool { return workspace.Name == name })
 }
--- a/load/hosts.go
+++ b/load/hosts.go
@@ -133,9 +133,16 @@
 	Content string `json:"content"`
 }
 
+// CrashingPrompt begins the prompts of crashing requests. It crashes stand-in engines
+// whose faults say so.
+const CrashingPrompt = "nutmegfield-standin-poison"
+
 // Text writes the prompt out; equal segments make equal texts.
 func (request *Request) Text() string {
 	var text strings.Builder
+	if request.Crashing != nil {
+		text.WriteString(CrashingPrompt + " ")
+	}
 	for _, segment := range request.Prompt {
 		random := rand.New(rand.NewPCG(segment.Seed, 5))
 		for range segment.Tokens {
--- a/load/report.go
+++ b/load/report.go
@@ -138,7 +138,7 @@
 		report.Workspaces = append(report.Workspaces, WorkspaceReport{Name: workspace.Name})
 	}
 	for _, result := range results {
-		if result.Request.At >= scenario.WarmUp {
+		if result.Request.At >= scenario.WarmUp && result.Request.Crashing == nil {
 			report.count(scenario, result)
 		}
 	}
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -153,7 +153,8 @@
 }
 
 // Fault is something that fails for a time: a target is slow by a factor, or
-// crashed, or a zone is lost with its hosts and targets.
+// crashed, a zone is lost with its hosts and targets, or a caller sends a request
+// again and again that crashes the engines which run it.
 type Fault struct {
 	At    time.Duration `yaml:"at"`
 	For   time.Duration `yaml:"for"`
@@ -161,6 +162,11 @@
 	Times float64       `yaml:"times"`
 	Crash string        `yaml:"crash"`
 	Zone  string        `yaml:"zone"`
+	// Crashing is the class of the crashing request, which is sent Every so
+	// often; a crashed engine is back after Down.
+	Crashing string        `yaml:"crashing"`
+	Every    time.Duration `yaml:"every" default:"400ms"`
+	Down     time.Duration `yaml:"down" default:"3s"`
 }
 
 // Delays are the times messages and knowledge take in the simulation.
--- a/load/scenario_test.go
+++ b/load/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -26,3 +27,26 @@
 		}
 	}
 }
+
+// TestCrashingRequestsOfASchedule checks that a fault adds the same request again and
+// again, and that it is not judged.
+func TestCrashingRequestsOfASchedule(t *testing.T) {
+	c := qt.New(t)
+	scenario, err := Load("tourSeason")
+	c.Assert(err, qt.IsNil)
+	scenario.Duration = 20 * time.Second
+	scenario.Faults = []Fault{{At: 5 * time.Second, For: 2 * time.Second, Crashing: scenario.Classes[0].Name, Every: 400 * time.Millisecond, Down: time.Second}}
+	var crashing []*Request
+	for _, request := range scenario.Schedule(1) {
+		if request.Crashing != nil {
+			crashing = append(crashing, request)
+		}
+	}
+	c.Assert(crashing, qt.HasLen, 5)
+	for _, request := range crashing {
+		c.Assert(request.Text(), qt.Equals, crashing[0].Text())
+		c.Assert(request.Workspace, qt.Equals, crashing[0].Workspace)
+	}
+	report := NewReport(scenario, []*Result{{Request: crashing[4]}})
+	c.Assert(report.Tiers[crashing[0].Tier].Offered, qt.Equals, 0)
+}
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -23,6 +23,9 @@
 	Prompt []Segment
 	// Output is the tokens of the answer.
 	Output int
+	// Crashing is the fault that sends the request, nil for others. It is not
+	// judged.
+	Crashing *Fault
 }
 
 // Segment is a part of a prompt; equal seeds make equal texts. Its length is
@@ -65,6 +68,11 @@
 		draw.classes += scenario.Classes[i].Share
 	}
 	draw.arrivals()
+	for i := range scenario.Faults {
+		if scenario.Faults[i].Crashing != "" {
+			draw.crashing(&scenario.Faults[i])
+		}
+	}
 	sort.SliceStable(draw.requests, func(i, j int) bool { return draw.requests[i].At < draw.requests[j].At })
 	for i, request := range draw.requests {
 		request.Number = i
@@ -193,6 +201,17 @@
 	})
 }
 
+// crashing adds the requests of a fault that sends the same one again and again.
+func (draw *draw) crashing(fault *Fault) {
+	class := draw.scenario.class(fault.Crashing)
+	prompt := []Segment{{Seed: draw.random.Uint64(), Tokens: class.Prompt.draw(draw.random)}}
+	output, workspace := class.Output.draw(draw.random), draw.workspace()
+	for at := fault.At; at < min(fault.At+fault.For, draw.scenario.Duration); at += fault.Every {
+		draw.add(at, class, workspace, prompt, output)
+		draw.requests[len(draw.requests)-1].Crashing = fault
+	}
+}
+
 // shared returns the head that the request has in common with others.
 func (draw *draw) shared(class *Class, workspace string, at time.Duration) (Segment, bool) {
 	shared := class.Shared
--- a/load/simulation/flight.go
+++ b/load/simulation/flight.go
@@ -90,11 +90,20 @@
 		Deadline:    flight.deadline(),
 		Size:        request.Size{PromptTokens: flight.request.PromptTokens(), OutputTokens: class.Output.Median},
 		Prefixes:    prefix.Sample(flight.chain),
-		Fingerprint: uint64(flight.request.Number) + 1,
+		Fingerprint: simulation.fingerprint(flight.request),
 		Round:       1,
 	}
 }
 
+// fingerprint returns the hash of a request's body. Only crashing requests are sent
+// again under other numbers.
+func (simulation *Simulation) fingerprint(sent *load.Request) uint64 {
+	if sent.Crashing != nil {
+		return sent.Prompt[0].Seed
+	}
+	return uint64(sent.Number) + 1
+}
+
 // accept is the entry host's acceptance.
 func (simulation *Simulation) accept(flight *flight) {
 	if simulation.lost[flight.host.zone] {
@@ -258,6 +267,7 @@
 	}
 	job := &standin.Job{
 		ID: id.String(), PromptTokens: flight.request.PromptTokens(), OutputTokens: flight.request.Output, Blocks: flight.chain,
+		Poison: flight.request.Crashing != nil,
 	}
 	job.OnPrefill = func(cached int) { simulation.measure(flight, target, cached) }
 	job.OnFirstToken = func() {
@@ -268,6 +278,10 @@
 		progress()
 	}
 	job.OnEnd = func(end standin.JobEnd) {
+		if flight.request.Crashing != nil && end.Kind == standin.JobCrashed {
+			simulation.crashes = append(simulation.crashes, time.Now())
+			simulation.after(flight.request.Crashing.Down, target.restart)
+		}
 		flight.result.Computed += end.ComputedTokens
 		done := end.Kind == standin.JobDone
 		kind := request.EndDone
--- a/load/simulation/simulation.go
+++ b/load/simulation/simulation.go
@@ -39,6 +39,8 @@
 	open     int
 	results  []*load.Result
 	duration time.Duration
+	// crashes are the times at which crashing requests crashed engines.
+	crashes []time.Time
 }
 
 // Held returns how many tokens of a ticket's prompt a target holds.
--- a/load/simulation/simulation_test.go
+++ b/load/simulation/simulation_test.go
@@ -12,6 +12,7 @@
 	"nutmegfield.example/load"
 	"nutmegfield.example/policy"
 	"nutmegfield.example/request"
+	"nutmegfield.example/standin"
 )
 
 // variant is a way to decide that is measured.
@@ -114,3 +115,49 @@
 		}
 	}
 }
+
+// TestCrashingRequestAtSchedulers guards against schedulers that send a request on
+// which has crashed several engines, when its caller sends it again. The bounds are
+// those of gateways.
+func TestCrashingRequestAtSchedulers(t *testing.T) {
+	const (
+		allowedCrashes = 3
+		allowedRetries = 3
+		settleTime     = 3 * time.Second
+	)
+	qt.Assert(t, load.CrashingPrompt, qt.Equals, standin.Poison)
+	lateRetries := func(variant variant) (late, crashes int) {
+		failing := scenario(t, "tourSeason", 0.7, 40*time.Second)
+		failing.Faults = []load.Fault{{
+			At: 10 * time.Second, For: 25 * time.Second, Crashing: failing.Classes[0].Name,
+			Every: 400 * time.Millisecond, Down: 3 * time.Second,
+		}}
+		synctest.Test(t, func(*testing.T) {
+			simulation := &Simulation{
+				Scenario: failing, Seed: 1, HostsAlone: variant.hostsAlone,
+				Policy: func(seed uint64, held Held) *policy.Policy { return variant.newPolicy(seed, held) },
+			}
+			report := simulation.Run()
+			crashes = len(simulation.crashes)
+			if crashes >= allowedCrashes {
+				settledAt := simulation.crashes[allowedCrashes-1].Add(settleTime)
+				for _, at := range simulation.crashes {
+					if at.After(settledAt) {
+						late++
+					}
+				}
+			}
+			t.Logf("%s: %d crashes, %d later than %s after the third", variant.name, crashes, late, settleTime)
+			for _, tier := range report.Tiers {
+				t.Logf("%s: %d of %d in time", tier.Name, tier.Good, tier.Offered)
+			}
+		})
+		return late, crashes
+	}
+	late, crashes := lateRetries(own)
+	qt.Assert(t, crashes > 0, qt.IsTrue)
+	qt.Assert(t, late <= allowedRetries, qt.IsTrue, qt.Commentf("%d", late))
+	// Hosts that decide alone show that the load contains the fault.
+	late, _ = lateRetries(baselines[len(baselines)-1])
+	qt.Assert(t, late > allowedRetries, qt.IsTrue, qt.Commentf("%d", late))
+}
