quarantine, platform: keep quarantines on the platform

What callers saw: after all hosts had ended at once, a request that was quarantined crashed three more servers; with the retries before, more than the three that are allowed.

Cause: quarantines lived in the hosts' memory only, and hosts learn them from each other.

Change: the host that observes the crash that begins a quarantine writes a record of it to the platform, in objects of the kind quarantines; a host that starts reads all of them once. Records of what was cleared or has expired are removed, by the host that wrote them or by the first host of a zone, which reads them again every ten minutes. While the platform is away calls are repeated each second, and hosts go on telling each other.

--- a/gateway/part.go
+++ b/gateway/part.go
@@ -60,6 +60,8 @@
 	// Targets is the source of the targets' entries.
 	Targets      discovery.Source
 	DecodeTarget func(name string, value []byte) (balance.Target, error)
+	// Quarantines are the records of quarantined requests.
+	Quarantines quarantine.Records
 }
 
 // host connects a gateway to the sources of its routes, targets and reports.
@@ -68,6 +70,7 @@
 	balancer *balance.Balancer
 	attempts *quarantine.Attempts
 	suspects *quarantine.Suspects
+	keeper   *quarantine.Keeper
 	ledger   *quota.Ledger
 	// tolerance derives the buckets of the ledger from the workspaces' quotas.
 	tolerance quota.Tolerance
@@ -118,7 +121,7 @@
 		var group sync.WaitGroup
 		group.Go(func() { kernel.ReceiveDatagrams(datagrams, maxDatagramBytes, host.exchange.Receive) })
 		for _, part := range []func(context.Context) error{
-			host.balancer.Run, host.attempts.Run, host.suspects.Run, host.exchange.RunSuspicions, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
+			host.balancer.Run, host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -200,6 +203,10 @@
 	}
 	host.suspects.LastAnswer = host.attempts.LastAnswer
 	host.exchange.Suspects = host.suspects
+	host.keeper = &quarantine.Keeper{
+		Suspects: host.suspects, Records: sources.Quarantines, Events: events,
+		Sweeps: func() bool { return host.exchange.Leads(1) },
+	}
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
--- /dev/null
+++ b/quarantine/keeper.go
@@ -0,0 +1,156 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"nutmegfield.example/pause"
+	"nutmegfield.example/timeline"
+)
+
+const (
+	// keepInterval is how often quarantines that changed are written to the platform,
+	// and how soon a failed call is repeated.
+	keepInterval = time.Second
+	// keepTimeout limits a call to the platform.
+	keepTimeout = 2 * time.Second
+	// sweepInterval is how often expired records of other hosts are removed.
+	sweepInterval = 10 * time.Minute
+)
+
+var (
+	eventKeepFailed = timeline.Define(timeline.Kind{
+		Number: 1116, Name: "quarantine not kept", Level: timeline.Info,
+		Meaning: "The platform's records of quarantines could not be read, written or removed; the call is repeated until it succeeds. Hosts still tell each other.",
+	})
+	eventRecordUnreadable = timeline.Define(timeline.Kind{
+		Number: 1117, Name: "record of a quarantine unreadable", Level: timeline.Warn,
+		Meaning: "A record among the quarantines on the platform can't be decoded; it is ignored.",
+	})
+)
+
+// Record is a record of a quarantine on the platform.
+type Record struct {
+	Name  string
+	Value []byte
+}
+
+// Records are the platform's calls for records of quarantines.
+type Records struct {
+	List   func(ctx context.Context) ([]Record, error)
+	Save   func(ctx context.Context, record Record) error
+	Remove func(ctx context.Context, name string) error
+}
+
+// Keeper keeps quarantines on the platform, for the case that all hosts end at once.
+// The host that observes the crash that begins a quarantine writes its record. Its
+// fields are set before Run.
+type Keeper struct {
+	Suspects *Suspects
+	Records  Records
+	Events   *timeline.Recorder
+	// Sweeps reports whether this host removes the expired records of others.
+	Sweeps func() bool
+
+	// saved holds the number of quarantines in each record that this host wrote.
+	saved map[Content]int
+	// isRead is set once the records were read at the start; sweptAt is when they
+	// were last read.
+	isRead  bool
+	sweptAt time.Time
+}
+
+// Run reads the records and then keeps them until the context ends. It returns nil.
+func (keeper *Keeper) Run(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		err := keeper.keep(ctx)
+		if err != nil && !failing {
+			keeper.Events.Record(eventKeepFailed, timeline.Event{Detail: err.Error()})
+		}
+		failing = err != nil
+		pause.For(ctx, keepInterval)
+	}
+	return nil
+}
+
+// keep makes the calls that are due. It stops at the first that fails.
+func (keeper *Keeper) keep(ctx context.Context) error {
+	if !keeper.isRead || time.Since(keeper.sweptAt) > sweepInterval && keeper.Sweeps() {
+		if err := keeper.read(ctx); err != nil {
+			return err
+		}
+	}
+	known := keeper.Suspects.load()
+	now := time.Now()
+	for _, content := range keeper.Suspects.ownQuarantines() {
+		suspect := known[content]
+		isQuarantined := suspect != nil && suspect.isQuarantined(now)
+		if isQuarantined && keeper.saved[content] < suspect.Quarantines {
+			if err := keeper.save(ctx, suspect); err != nil {
+				return err
+			}
+		}
+		if suspect == nil || len(suspect.Endings) == 0 {
+			if err := keeper.remove(ctx, content.String()); err != nil {
+				return err
+			}
+			delete(keeper.saved, content)
+			keeper.Suspects.forgetOwn(content)
+		}
+	}
+	return nil
+}
+
+// read applies all records, and removes those that have expired.
+func (keeper *Keeper) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	records, err := keeper.Records.List(ctx)
+	if err != nil {
+		return fmt.Errorf("read quarantines: %w", err)
+	}
+	keeper.isRead, keeper.sweptAt = true, time.Now()
+	for _, record := range records {
+		suspect, err := DecodeRecord(record.Name, record.Value)
+		if err != nil {
+			keeper.Events.Record(eventRecordUnreadable, timeline.Event{Detail: err.Error()})
+			continue
+		}
+		if time.Now().Before(suspect.expiresAt()) {
+			keeper.Suspects.Learn("platform", suspect)
+			continue
+		}
+		if err := keeper.remove(ctx, record.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (keeper *Keeper) save(ctx context.Context, suspect *Suspect) error {
+	name, value, err := EncodeRecord(suspect)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if err := keeper.Records.Save(ctx, Record{Name: name, Value: value}); err != nil {
+		return fmt.Errorf("save quarantine: %w", err)
+	}
+	if keeper.saved == nil {
+		keeper.saved = map[Content]int{}
+	}
+	keeper.saved[suspect.Content] = suspect.Quarantines
+	return nil
+}
+
+func (keeper *Keeper) remove(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if err := keeper.Records.Remove(ctx, name); err != nil {
+		return fmt.Errorf("remove quarantine: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// record is the encoding of a quarantined content on the platform. The name of its
+// object is the content.
+type record struct {
+	Endings []recordedEnding `json:"endings"`
+}
+
+type recordedEnding struct {
+	Target  Incarnation `json:"target"`
+	At      time.Time   `json:"at"`
+	Certain bool        `json:"certain"`
+}
+
+// EncodeRecord returns the name and the value of the platform's object for a suspect.
+func EncodeRecord(suspect *Suspect) (name string, value []byte, err error) {
+	var record record
+	for _, ending := range suspect.Endings {
+		record.Endings = append(record.Endings, recordedEnding(ending))
+	}
+	if value, err = json.Marshal(record); err != nil {
+		return "", nil, fmt.Errorf("encode the record of %s: %w", suspect.Content, err)
+	}
+	return suspect.Content.String(), value, nil
+}
+
+// DecodeRecord returns the suspect of a platform's object. Endings in the future, by
+// this host's clock, count as of now.
+func DecodeRecord(name string, value []byte) (*Suspect, error) {
+	content, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("read the content of record %q: %w", name, err)
+	}
+	var record record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return nil, fmt.Errorf("decode the record of %s: %w", name, err)
+	}
+	now := time.Now()
+	suspect := &Suspect{Content: Content(content)}
+	for _, ending := range record.Endings {
+		// The difference turns a time of day into one of this process's clock.
+		elapsed := max(0, now.Sub(ending.At))
+		suspect.Endings = append(suspect.Endings, Ending{Target: ending.Target, At: now.Add(-elapsed), Certain: ending.Certain})
+	}
+	return suspect.merge(nil, time.Time{}), nil
+}
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -164,6 +164,9 @@
 	// transmissions is the number of times that the latest change of a content was
 	// taken for the other hosts.
 	transmissions map[Content]int
+	// own are the contents whose quarantine began with a crash that this host
+	// observed.
+	own map[Content]struct{}
 	// trials are the contents of which a request runs after a quarantine.
 	trials map[Content]struct{}
 	// nextRepeated is the position in the round robin of quarantined contents.
@@ -231,7 +234,30 @@
 	ending := Ending{Target: crash.Target, At: crash.At, Certain: crash.Evidence != Silent}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
+	before, _ := suspects.Find(crash.Content)
 	suspects.apply(crash.Content, []Ending{ending}, time.Time{})
+	after, quarantined := suspects.Find(crash.Content)
+	if quarantined && (before == nil || before.Quarantines < after.Quarantines) {
+		if suspects.own == nil {
+			suspects.own = map[Content]struct{}{}
+		}
+		suspects.own[crash.Content] = struct{}{}
+	}
+}
+
+// ownQuarantines returns the contents whose quarantine began with a crash that this
+// host observed, until forgetOwn is called.
+func (suspects *Suspects) ownQuarantines() []Content {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return slices.Collect(maps.Keys(suspects.own))
+}
+
+// forgetOwn drops a content from the result of ownQuarantines.
+func (suspects *Suspects) forgetOwn(content Content) {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	delete(suspects.own, content)
 }
 
 // RecordServed clears a content that a target has served.
