gateway, discovery: tests for rules that none guarded

TestCallerLeaves now has the bound of the rule, half a second; TestRoutesVersionNeverDecreases one step more.

--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -282,6 +282,30 @@
 	})
 }
 
+// TestLeavingTargetIsNotHeld guards against new requests for a target whose entry
+// vanishes in an outage of the platform after it said that it was leaving.
+func TestLeavingTargetIsNotHeld(t *testing.T) {
+	c := qt.New(t)
+	var ids []string
+	targets := &Targets{
+		Events: &timeline.Recorder{},
+		Decode: func(name string, value []byte) (balance.Target, error) {
+			return balance.Target{ID: name, Leaving: string(value) == "leaving"}, nil
+		},
+		OnChange: func(list []balance.Target) {
+			ids = nil
+			for _, target := range list {
+				ids = append(ids, target.ID)
+			}
+		},
+	}
+	targets.Apply(State{Objects: map[string]Object{
+		"a": {Name: "a", Value: []byte("leaving")}, "b": {Name: "b", Value: []byte("ready")},
+	}})
+	targets.Apply(State{OutageAt: time.Now()})
+	c.Assert(ids, qt.DeepEquals, []string{"b"})
+}
+
 // TestRoutesVersionNeverDecreases checks that older, unreadable and missing routes
 // leave the version in force.
 func TestRoutesVersionNeverDecreases(t *testing.T) {
@@ -298,10 +322,10 @@
 	for _, step := range []struct {
 		value string
 		want  int64
-	}{{"3", 3}, {"2", 3}, {"?", 3}, {"5", 5}, {"5", 5}} {
+	}{{"3", 3}, {"2", 3}, {"?", 3}, {"5", 5}, {"5", 5}, {"6", 6}, {"5", 6}} {
 		routes.Apply(State{Objects: map[string]Object{"main": {Name: "main", Value: []byte(step.value)}}})
 		c.Assert(routes.Version(), qt.Equals, step.want)
 	}
 	routes.Apply(State{})
-	c.Assert(routes.Version(), qt.Equals, int64(5))
+	c.Assert(routes.Version(), qt.Equals, int64(6))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -118,7 +118,11 @@
 	response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(ctx, http.MethodPost, "/r/a", "x"))
 	c.Assert(err, qt.IsNil)
 	cancel()
-	<-fixture.heldClosed
+	select {
+	case <-fixture.heldClosed:
+	case <-time.After(500 * time.Millisecond):
+		c.Fatal("the target still works half a second after the caller has left")
+	}
 	c.Assert(response.Body.Close(), qt.IsNil)
 	fixture.server.Close()
 	events := fixture.gateway.Events.Events()
