exchange: tell other hosts of a crash at once

Cause: the host under which two of the servers ended was killed 0.2 s later, before its next round of suspicions, so that nobody knew of these two.

Change: a host that has told nothing for 250 ms tells two others of a change at once; the bytes a second stay as they are.

--- a/exchange/suspicions.go
+++ b/exchange/suspicions.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/pause"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/timeline"
 )
@@ -19,9 +20,9 @@
 	// The first byte of a datagram with suspicions. No report begins with it, as no
 	// field has the number 0.
 	suspicionsMarker = 1
-	// Suspicions are sent to suspicionRecipients random hosts each suspicionInterval: in
-	// one of repeatRounds intervals the quarantined contents in turn, else what is new.
-	// A host that learns something new passes it on.
+	// Suspicions are sent to suspicionRecipients random hosts at most once per
+	// suspicionInterval: what is new, and in one of repeatRounds rounds the quarantined
+	// contents in turn. A host that learns something new passes it on.
 	suspicionInterval   = 250 * time.Millisecond
 	repeatRounds        = 2
 	suspicionRecipients = 2
@@ -46,14 +47,7 @@
 // RunSuspicions sends suspicions to other hosts until the context ends. It returns
 // nil.
 func (exchange *Exchange) RunSuspicions(ctx context.Context) error {
-	ticker := time.NewTicker(suspicionInterval)
-	defer ticker.Stop()
-	for round := 1; ; round++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for round := 1; pause.For(ctx, suspicionInterval); round++ {
 		var suspects []*quarantine.Suspect
 		if round%repeatRounds == 0 {
 			suspects = exchange.Suspects.NextQuarantined(maxSentSuspects)
@@ -61,8 +55,14 @@
 		if len(suspects) == 0 {
 			suspects = exchange.Suspects.TakeChanges(maxSentSuspects)
 		}
+		if len(suspects) == 0 {
+			// What changes next is sent at once.
+			exchange.Suspects.WaitForChange(ctx, suspicionInterval)
+			suspects = exchange.Suspects.TakeChanges(maxSentSuspects)
+		}
 		exchange.sendSuspicions(suspects)
 	}
+	return nil
 }
 
 // sendSuspicions sends as many of the suspects as fit into a datagram to random hosts.
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 )
@@ -11,6 +12,24 @@
 // grows by a factor with each message, all have it well before the last one.
 const maxTransmissions = 8
 
+// WaitForChange waits until there is something new to tell the other hosts, but not
+// longer than a timeout or until the context ends.
+func (suspects *Suspects) WaitForChange(ctx context.Context, timeout time.Duration) {
+	suspects.mutex.Lock()
+	if suspects.changed == nil {
+		suspects.changed = make(chan struct{})
+	}
+	changed := suspects.changed
+	suspects.mutex.Unlock()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // TakeChanges returns up to count suspects that other hosts may not know yet, the most
 // important first, and counts them as sent.
 func (suspects *Suspects) TakeChanges(count int) []*Suspect {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -164,6 +164,9 @@
 	// transmissions is the number of times that the latest change of a content was
 	// taken for the other hosts.
 	transmissions map[Content]int
+	// changed is closed at the next change to tell the other hosts, nil if nobody
+	// waits for it.
+	changed chan struct{}
 	// own are the contents whose quarantine began with a crash that this host
 	// observed.
 	own map[Content]struct{}
@@ -339,6 +342,10 @@
 		suspects.transmissions = map[Content]int{}
 	}
 	suspects.transmissions[content] = 0
+	if suspects.changed != nil {
+		close(suspects.changed)
+		suspects.changed = nil
+	}
 	if after.Quarantines > before.Quarantines {
 		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
 	}
