--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -87,6 +87,8 @@
 	// heldClosed receives a value when the gateway closes a connection whose reply
 	// ended with HOLD.
 	heldClosed chan struct{}
+	// resume is closed to let targets go on whose reply has PAUSE.
+	resume chan struct{}
 }
 
 func newFixture(c *qt.C, configuration *route.Configuration, targets int) *fixture {
@@ -96,6 +98,7 @@
 		balancer:   &balance.Balancer{},
 		table:      route.NewTable(configuration),
 		heldClosed: make(chan struct{}, 16),
+		resume:     make(chan struct{}),
 	}
 	var list []balance.Target
 	for i := range targets {
@@ -165,6 +168,9 @@
 			case "RESET":
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				return
+			case "PAUSE":
+				<-fixture.resume
+				continue
 			case "HOLD":
 				_, _ = reader.Peek(1)
 				fixture.heldClosed <- struct{}{}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -148,3 +149,36 @@
 	}
 	c.Assert(dials.Load(), qt.Equals, int64(2))
 }
+
+// TestKnownRoutesNeedNoPlatform guards against requests that fail while the platform
+// is away, although the host knows their route and key.
+func TestKnownRoutesNeedNoPlatform(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(nil), 1)
+	fixture.gateway.Refresh = func(context.Context) error { return errors.New("away") }
+	fixture.replies = []string{okReply}
+	c.Assert(fixture.sendForStatus(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")), qt.Equals, http.StatusOK)
+}
+
+// TestChangesCutNoRequest guards against requests that are cut when the routes or the
+// targets change while they run.
+func TestChangesCutNoRequest(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Streaming = true }), 1)
+	fixture.replies = []string{"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\nid: 1\ndata: a\n\nPAUSE\nid: 2\ndata: b\n\nCLOSE\n"}
+	response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x"))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	first := make([]byte, 1)
+	_, err = io.ReadFull(response.Body, first)
+	c.Assert(err, qt.IsNil)
+	host := &host{
+		gateway: fixture.gateway, balancer: fixture.balancer, ledger: fixture.ledger, attempts: fixture.gateway.Attempts,
+	}
+	host.setTargets(nil)
+	host.setRoutes(route.NewTable(&route.Configuration{Version: 2}))
+	close(fixture.resume)
+	rest, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(rest), qt.Contains, "data: b")
+}
