quarantine: record an answer without the lock, and keep no bodies

Cause: each event of a stream took the lock of all attempts, and an attempt without an answer kept the request with its body for up to ten seconds.

Change: the time of a target's last answer is an atomic; the lock is taken only while the answer decides on something. A failed attempt keeps the content.

--- a/gateway/part.go
+++ b/gateway/part.go
@@ -121,7 +121,8 @@
 		var group sync.WaitGroup
 		group.Go(func() { kernel.ReceiveDatagrams(datagrams, maxDatagramBytes, host.exchange.Receive) })
 		for _, part := range []func(context.Context) error{
-			host.balancer.Run, host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
+			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
+			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,8 +52,7 @@
 	Target   Incarnation
 	At       time.Time
 	Evidence Evidence
-	// Request, Pool and TargetID are for events; they are empty for a crash that
-	// another host observed.
+	// Request, Pool and TargetID are for events.
 	Request, Pool, TargetID string
 	// Ran is the time from sending the request until it failed.
 	Ran time.Duration
@@ -93,10 +93,12 @@
 	// running are the attempts that have not ended, unanswered those that failed.
 	running    map[*Attempt]struct{}
 	unanswered []*Attempt
-	// lastAnswer is when the target last answered, removedAt when its entry
-	// vanished; zero if never.
-	lastAnswer time.Time
-	removedAt  time.Time
+	// lastAnswer is when the target last answered, nil for never. isInDoubt is set
+	// while its next answer decides on attempts without an answer or on evidence.
+	lastAnswer atomic.Pointer[time.Time]
+	isInDoubt  atomic.Bool
+	// removedAt is when the target's entry vanished, zero if it did not.
+	removedAt time.Time
 	// isLeaving is set once the target has announced that it shuts down.
 	isLeaving bool
 	// endedBy is the evidence that the target ended, empty while there is none.
@@ -145,24 +147,28 @@
 // Heard records that the target sent a part of an answer.
 func (attempt *Attempt) Heard() {
 	attempts, target := attempt.attempts, attempt.target
-	attempts.mutex.Lock()
-	target.heard(time.Now())
-	attempts.mutex.Unlock()
+	now := time.Now()
+	target.lastAnswer.Store(&now)
+	if target.isInDoubt.Load() {
+		attempts.mutex.Lock()
+		target.resolveDoubt(now)
+		attempts.mutex.Unlock()
+	}
 	if attempts.OnAnswer != nil {
 		attempts.OnAnswer(target.incarnation)
 	}
 }
 
-// heard records an answer of the target, which clears the attempts that failed
-// before: the target did not end with them.
-func (target *trackedTarget) heard(now time.Time) {
-	target.lastAnswer = now
+// resolveDoubt drops the attempts that failed before an answer of the target: it did
+// not end with them.
+func (target *trackedTarget) resolveDoubt(now time.Time) {
 	target.unanswered = slices.DeleteFunc(target.unanswered, func(attempt *Attempt) bool {
 		return attempt.reported != Refused && now.Sub(attempt.failedAt) > answerDelay
 	})
 	if target.endedBy == Silent {
 		target.endedBy = ""
 	}
+	target.isInDoubt.Store(len(target.unanswered) > 0)
 }
 
 // Answered ends an attempt that got a complete answer, or that the target did not
@@ -198,7 +204,7 @@
 	attempts.mutex.Lock()
 	var crashes []Crash
 	switch {
-	case target.lastAnswer.After(attempt.startedAt):
+	case target.answeredAfter(attempt.startedAt):
 		delete(target.running, attempt)
 	case target.endedBy != "":
 		attempt.end()
@@ -233,7 +239,11 @@
 	}
 	delete(target.running, attempt)
 	attempt.failedAt = time.Now()
+	// The function would keep the request's body in memory.
+	content := attempt.content()
+	attempt.content = func() Content { return content }
 	target.unanswered = append(target.unanswered, attempt)
+	target.isInDoubt.Store(true)
 	if excess := len(target.unanswered) - maxUnanswered; excess > 0 {
 		target.unanswered = slices.Delete(target.unanswered, 0, excess)
 	}
@@ -272,6 +282,7 @@
 	var crashes []Crash
 	if evidence != "" {
 		target.endedBy = evidence
+		target.isInDoubt.Store(true)
 		crashes = target.crashes(evidence, now)
 	}
 	if err == nil {
@@ -316,7 +327,7 @@
 // servedAfterRemoval reports whether the target still answered after its entry was
 // removed, as targets do that shut down without announcing it.
 func (target *trackedTarget) servedAfterRemoval() bool {
-	return !target.removedAt.IsZero() && target.lastAnswer.After(target.removedAt)
+	return !target.removedAt.IsZero() && target.answeredAfter(target.removedAt)
 }
 
 // isZoneReachable reports whether another target of the same zone has answered within
@@ -324,8 +335,8 @@
 func (attempts *Attempts) isZoneReachable(target *trackedTarget) bool {
 	earliest := time.Now().Add(-silenceTimeout)
 	for _, other := range attempts.targets {
-		if other != target && other.Zone == target.Zone && other.lastAnswer.After(earliest) &&
-			other.lastAnswer.After(target.lastAnswer) {
+		if other != target && other.Zone == target.Zone && other.answeredAfter(earliest) &&
+			other.answeredAfter(target.lastAnswerAt()) {
 			return true
 		}
 	}
@@ -460,10 +471,20 @@
 	return false
 }
 
+// lastAnswerAt returns when the target last answered, zero for never.
+func (target *trackedTarget) lastAnswerAt() time.Time {
+	if lastAnswer := target.lastAnswer.Load(); lastAnswer != nil {
+		return *lastAnswer
+	}
+	return time.Time{}
+}
+
+func (target *trackedTarget) answeredAfter(at time.Time) bool { return target.lastAnswerAt().After(at) }
+
 // timeSinceAnswer returns the time since the target's last answer, or a very long
 // time if there was none.
 func (target *trackedTarget) timeSinceAnswer(now time.Time) time.Duration {
-	return now.Sub(target.lastAnswer)
+	return now.Sub(target.lastAnswerAt())
 }
 
 // LastAnswer returns when a target last answered this host, zero for never.
@@ -471,7 +492,7 @@
 	attempts.mutex.Lock()
 	defer attempts.mutex.Unlock()
 	if tracked := attempts.targets[target]; tracked != nil {
-		return tracked.lastAnswer
+		return tracked.lastAnswerAt()
 	}
 	return time.Time{}
 }
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -161,3 +161,26 @@
 	defer script.mutex.Unlock()
 	script.crashes = append(script.crashes, crash.Request+":"+evidence)
 }
+
+// BenchmarkAttempt measures the tracking of a request with 20 events.
+func BenchmarkAttempt(b *testing.B) {
+	attempts := &Attempts{OnAnswer: (&Suspects{}).RecordAnswer}
+	target := &balance.Target{ID: "t", StartedAt: time.Now()}
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			attempt := attempts.Begin(target, "q", func() Content { return 1 })
+			for range 20 {
+				attempt.Heard()
+			}
+			attempt.Answered()
+		}
+	})
+}
+
+// BenchmarkNewContent measures the content of a request with a body of 12 kB.
+func BenchmarkNewContent(b *testing.B) {
+	body := make([]byte, 12_000)
+	for b.Loop() {
+		NewContent([]byte("workspace"), []byte("POST"), []byte("host"), []byte("/path"), body)
+	}
+}
