pool, scheduler: quarantine crashing bodies in all zones, and for longer

Cause: the scheduler of a zone told a quarantine to the hosts of its zone only, so that each zone learned it by two crashes of its own, and the first quarantine lasted 10 s. Suspects that waited while another one ran alone were not refused before it had ended.

The simulation passes on quarantines between zones as hosts do.

--- a/load/simulation/place.go
+++ b/load/simulation/place.go
@@ -85,6 +85,7 @@
 		Policy:      simulation.Policy(simulation.random.Uint64(), simulation.held),
 		SendGrant:   func(_ string, grant request.Grant) { simulation.granted(made, grant) },
 		SendRefusal: func(_ string, refusal request.Refusal) { simulation.refused(made, refusal) },
+		SendSuspect: func(suspect pool.Suspect) { simulation.sendSuspect(key, suspect) },
 		Jitter: func(limit time.Duration) time.Duration {
 			return time.Duration(simulation.random.Int64N(int64(limit)))
 		},
@@ -97,6 +98,21 @@
 	return made
 }
 
+// sendSuspect sends a quarantined suspect to the schedulers of the other zones, as
+// hosts do.
+func (simulation *Simulation) sendSuspect(from placeKey, suspect pool.Suspect) {
+	if !suspect.Quarantined {
+		return
+	}
+	simulation.after(simulation.Scenario.Delays.Message, func() {
+		simulation.each(func(place *place) {
+			if place.key.pool == from.pool && place.key.zone != from.zone {
+				place.scheduler.ObserveSuspect(suspect)
+			}
+		})
+	})
+}
+
 // each runs a function for every scheduler of a zone that is not lost, in a
 // fixed order.
 func (simulation *Simulation) each(do func(place *place)) {
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -14,9 +14,11 @@
 	// suspicionLifetime is how long a body stays suspect after a crash or the
 	// end of its quarantine.
 	suspicionLifetime = 10 * time.Minute
-	// firstQuarantine doubles with each crash after the second.
-	firstQuarantine = 10 * time.Second
-	maxQuarantine   = 10 * time.Minute
+	// firstQuarantine grows by the factor 1<<quarantineGrowth with each crash after the
+	// second, so that a body crashes at most three more targets in a day.
+	firstQuarantine  = 10 * time.Minute
+	quarantineGrowth = 3
+	maxQuarantine    = 24 * time.Hour
 	// quarantineCrashes is the number of crashes that leads to a quarantine.
 	quarantineCrashes = 2
 )
@@ -107,8 +109,8 @@
 	suspect.Until = now.Add(suspicionLifetime)
 	if suspect.Crashes >= quarantineCrashes {
 		suspect.Quarantined = true
-		doublings := min(suspect.Crashes-quarantineCrashes, 6)
-		suspect.Until = now.Add(min(maxQuarantine, firstQuarantine<<doublings))
+		growths := min(suspect.Crashes-quarantineCrashes, 3)
+		suspect.Until = now.Add(min(maxQuarantine, firstQuarantine<<(quarantineGrowth*growths)))
 	}
 	suspects.put(suspect)
 	return suspect
@@ -188,10 +190,11 @@
 // scheduleIsolated grants the next suspect once the reserved target is idle.
 func (pool *Pool) scheduleIsolated(now time.Time) {
 	isolation := &pool.isolation
+	// Refuses those that are quarantined meanwhile, also while another one runs.
+	suspect := pool.nextIsolated(now)
 	if isolation.hasRunning {
 		return
 	}
-	suspect := pool.nextIsolated(now)
 	if suspect == nil {
 		pool.unreserveTarget(now)
 		return
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -252,6 +252,19 @@
 	})
 }
 
+// TestQuarantineIsSentToAllZones guards against a request that crashes targets of one
+// zone after the other: a quarantine is sent to the hosts of all zones, a mere
+// suspicion to those of this zone.
+func TestQuarantineIsSentToAllZones(t *testing.T) {
+	runInBubble(t, func(t *testing.T, scheduler *Scheduler, sentMessages *sentMessages, _ *string) {
+		scheduler.Hosts = func() []string { return []string{"a", "b", "c", "d"} }
+		scheduler.sendSuspect("orders", pool.Suspect{Fingerprint: 7, Crashes: 1, Until: time.Now().Add(time.Minute)})
+		qt.Check(t, sentMessages.suspects, qt.HasLen, 1)
+		scheduler.sendSuspect("orders", pool.Suspect{Fingerprint: 7, Crashes: 2, Quarantined: true, Until: time.Now().Add(time.Minute)})
+		qt.Check(t, sentMessages.suspects, qt.HasLen, 4)
+	})
+}
+
 // TestConfiguredLeaving checks that a target that reports that it is no longer
 // leaving gets no grants while the configuration marks it as leaving.
 func TestConfiguredLeaving(t *testing.T) {
--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -17,8 +17,8 @@
 	suspect pool.Suspect
 }
 
-// sendSuspect sends a suspect that is new, changed or cleared to the other
-// hosts of the zone.
+// sendSuspect sends a suspect that is new, changed or cleared to the other hosts of
+// the zone, and one that is quarantined to the hosts of all zones.
 func (scheduler *Scheduler) sendSuspect(name string, suspect pool.Suspect) {
 	message := &peerpb.Suspect{
 		Fingerprint: suspect.Fingerprint,
@@ -27,7 +27,11 @@
 		Quarantined: suspect.Quarantined,
 		Remaining:   time.Until(suspect.Until).Microseconds(),
 	}
-	for _, host := range scheduler.ZoneHosts() {
+	hosts := scheduler.ZoneHosts()
+	if suspect.Quarantined {
+		hosts = scheduler.Hosts()
+	}
+	for _, host := range hosts {
 		if host != scheduler.Host {
 			scheduler.Send(host, &peerpb.Envelope{Suspects: []*peerpb.Suspect{message}})
 		}
