exchange: repeat suspicions to hosts that are heard again

What callers would see: after a cut between hosts has healed, a request that had crashed two targets on one side and one or two on the other was sent on.

Cause: a change is put into eight messages and then only repeated if it is quarantined; what each half knew was not, so that the halves never added up.

Change: when a host is heard for the first time or again, all suspects with endings are sent again, within the same bytes a second.

TestInvalidSuspicionsAreRejected no longer replaces the suspects of a running host; its cases are the same.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -211,6 +211,8 @@
 	event := eventReporting
 	if heartbeat.leaving {
 		event = eventLeft
+	} else {
+		exchange.Suspects.RepeatAll()
 	}
 	exchange.Events.Record(event, timeline.Event{Peer: heartbeat.host, Detail: heartbeat.address})
 	exchange.rankHosts()
--- a/exchange/suspicions_test.go
+++ b/exchange/suspicions_test.go
@@ -33,6 +33,8 @@
 	hosts []*Exchange
 
 	byteMutex sync.Mutex
+	// isCut is set while hosts with even and odd numbers don't hear each other.
+	isCut bool
 	// bytes counts what each host sent for suspicions in each second.
 	bytes map[string]map[int64]int
 }
@@ -51,13 +53,16 @@
 
 // add starts a host.
 func (fleet *suspicionFleet) add(t *testing.T, name string, seeds ...string) *Exchange {
+	isOdd := func(name string) bool { return (name[len(name)-1]-'0')%2 == 1 }
 	host := fleet.start(t, name, func(host *Exchange) {
 		host.Zone, host.Link = fmt.Sprintf("z%d", len(fleet.hosts)%4), 1000
-		host.Suspects = newSuspects(name)
 		send := host.Send
 		host.Send = func(address string, datagram []byte) {
 			fleet.count(name, datagram)
-			if rand.Float64() >= lossFraction {
+			fleet.byteMutex.Lock()
+			isCut := fleet.isCut && isOdd(address) != isOdd(name)
+			fleet.byteMutex.Unlock()
+			if rand.Float64() >= lossFraction && !isCut {
 				send(address, datagram)
 			}
 		}
@@ -141,13 +146,47 @@
 	}
 }
 
+func (fleet *suspicionFleet) setCut(isCut bool) {
+	fleet.byteMutex.Lock()
+	defer fleet.byteMutex.Unlock()
+	fleet.isCut = isCut
+}
+
+// TestSuspicionsAfterACut guards against crashes that each half of the hosts observed
+// while it did not hear the other, and that are not added up afterwards.
+func TestSuspicionsAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const crashing = quarantine.Content(1)
+		fleet := newSuspicionFleet(t, 8)
+		time.Sleep(3 * time.Second)
+		fleet.setCut(true)
+		time.Sleep(2 * time.Second)
+		for i, target := range []quarantine.Incarnation{1, 2, 3} {
+			fleet.hosts[i].Suspects.RecordCrash(quarantine.Crash{
+				Content: crashing, Target: target, At: time.Now(), Evidence: quarantine.Refused,
+			})
+		}
+		time.Sleep(20 * time.Second)
+		for _, host := range fleet.hosts {
+			_, quarantined := host.Suspects.Find(crashing)
+			fleet.Assert(quarantined, qt.IsFalse)
+		}
+		fleet.setCut(false)
+		healedAt := time.Now()
+		for _, host := range fleet.hosts {
+			fleet.waitQuarantined(host, crashing)
+		}
+		fleet.Assert(time.Since(healedAt) < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(healedAt)))
+	})
+}
+
 // TestInvalidSuspicionsAreRejected checks that suspicions are accepted only from live
 // hosts and only if they are valid.
 func TestInvalidSuspicionsAreRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := newNetwork()
-		receiver := network.start(t, "a", func(host *Exchange) { host.Suspects = newSuspects("a") })
+		receiver := network.start(t, "a", nil)
 		network.start(t, "b", nil, "a")
 		time.Sleep(time.Second)
 		valid := func() *exchangepb.Suspicions {
@@ -156,13 +195,12 @@
 			}}
 		}
 		receive := func(message *exchangepb.Suspicions) bool {
-			receiver.Suspects = newSuspects("a")
 			encoded, err := proto.Marshal(message)
 			c.Assert(err, qt.IsNil)
 			receiver.Receive(append([]byte{suspicionsMarker}, encoded...))
-			return !receiver.Suspects.IsEmpty()
+			suspect, _ := receiver.Suspects.Find(7)
+			return suspect != nil
 		}
-		c.Assert(receive(valid()), qt.IsTrue)
 		for name, spoil := range map[string]func(*exchangepb.Suspicions, *exchangepb.Suspect){
 			"unknown host":      func(message *exchangepb.Suspicions, _ *exchangepb.Suspect) { message.Address = "c" },
 			"no evidence":       func(_ *exchangepb.Suspicions, suspect *exchangepb.Suspect) { suspect.Targets, suspect.Ages = nil, nil },
@@ -182,6 +220,7 @@
 			spoil(message, message.GetSuspects()[0])
 			c.Assert(receive(message), qt.IsFalse, qt.Commentf(name))
 		}
+		c.Assert(receive(valid()), qt.IsTrue)
 		receiver.Receive([]byte{suspicionsMarker, 0xff})
 		c.Assert(receiver.Events.Events(), qt.Satisfies, func(events []timeline.Event) bool {
 			return events[len(events)-1].Number == 6105
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -56,6 +56,30 @@
 	return changed
 }
 
+// RepeatAll lets all suspects with endings be sent again, as a host is heard that may
+// not know them.
+func (suspects *Suspects) RepeatAll() {
+	if suspects.IsEmpty() {
+		return
+	}
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	for content, suspect := range suspects.load() {
+		if len(suspect.Endings) > 0 {
+			suspects.transmissions[content] = 0
+		}
+	}
+	suspects.notifyChanged()
+}
+
+// notifyChanged ends calls of WaitForChange.
+func (suspects *Suspects) notifyChanged() {
+	if suspects.changed != nil {
+		close(suspects.changed)
+		suspects.changed = nil
+	}
+}
+
 // priority orders the suspects to send: quarantined ones come first, those with a
 // single ending, most of which didn't crash it, last.
 func (suspect *Suspect) priority() int {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -342,10 +342,7 @@
 		suspects.transmissions = map[Content]int{}
 	}
 	suspects.transmissions[content] = 0
-	if suspects.changed != nil {
-		close(suspects.changed)
-		suspects.changed = nil
-	}
+	suspects.notifyChanged()
 	if after.Quarantines > before.Quarantines {
 		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
 	}
