exchange, quarantine: count only suspects that were sent

Cause: suspects were counted as sent before it was known whether they fit into the datagram, so that one that never fit could be given up unsent.

Change: the message is filled while it has room; only what is in it counts. The rounds with quarantined contents also take changes.

--- a/exchange/suspicions.go
+++ b/exchange/suspicions.go
@@ -21,8 +21,8 @@
 	// field has the number 0.
 	suspicionsMarker = 1
 	// Suspicions are sent to suspicionRecipients random hosts at most once per
-	// suspicionInterval: what is new, and in one of repeatRounds rounds the quarantined
-	// contents in turn. A host that learns something new passes it on.
+	// suspicionInterval: what is new and, in one of repeatRounds rounds and before it,
+	// the quarantined contents in turn. A host that learns something new passes it on.
 	suspicionInterval   = 250 * time.Millisecond
 	repeatRounds        = 2
 	suspicionRecipients = 2
@@ -30,8 +30,6 @@
 	// 2,000 bytes a second with datagramOverhead for the headers of IP and UDP.
 	maxSuspicionBytes = 222
 	datagramOverhead  = 28
-	// The maximum number of suspects in a datagram; those that don't fit wait.
-	maxSentSuspects = 4
 	// Bounds what is accepted from other hosts.
 	maxReceivedSuspects = 16
 	maxReceivedEndings  = 16
@@ -47,38 +45,41 @@
 // RunSuspicions sends suspicions to other hosts until the context ends. It returns
 // nil.
 func (exchange *Exchange) RunSuspicions(ctx context.Context) error {
+	suspects := exchange.Suspects
 	for round := 1; pause.For(ctx, suspicionInterval); round++ {
-		var suspects []*quarantine.Suspect
+		message := &exchangepb.Suspicions{Address: exchange.Address}
 		if round%repeatRounds == 0 {
-			suspects = exchange.Suspects.NextQuarantined(maxSentSuspects)
+			suspects.NextQuarantined(addTo(message))
 		}
-		if len(suspects) == 0 {
-			suspects = exchange.Suspects.TakeChanges(maxSentSuspects)
-		}
-		if len(suspects) == 0 {
+		suspects.TakeChanges(addTo(message))
+		if len(message.GetSuspects()) == 0 {
 			// What changes next is sent at once.
-			exchange.Suspects.WaitForChange(ctx, suspicionInterval)
-			suspects = exchange.Suspects.TakeChanges(maxSentSuspects)
+			suspects.WaitForChange(ctx, suspicionInterval)
+			suspects.TakeChanges(addTo(message))
+		}
+		if len(message.GetSuspects()) > 0 {
+			exchange.sendSuspicions(message)
 		}
-		exchange.sendSuspicions(suspects)
 	}
 	return nil
 }
 
-// sendSuspicions sends as many of the suspects as fit into a datagram to random hosts.
-func (exchange *Exchange) sendSuspicions(suspects []*quarantine.Suspect) {
-	if len(suspects) == 0 {
-		return
-	}
-	message := &exchangepb.Suspicions{Address: exchange.Address}
-	now := time.Now()
-	for _, suspect := range suspects {
-		message.Suspects = append(message.Suspects, encodeSuspect(suspect, now))
-		if proto.Size(message) > maxSuspicionBytes-1 && len(message.Suspects) > 1 {
-			message.Suspects = message.Suspects[:len(message.Suspects)-1]
-			break
+// addTo returns a function that adds suspects to a message. It returns false for the
+// first that doesn't fit.
+func addTo(message *exchangepb.Suspicions) func(suspect *quarantine.Suspect) bool {
+	return func(suspect *quarantine.Suspect) bool {
+		before := message.GetSuspects()
+		message.Suspects = append(before, encodeSuspect(suspect, time.Now()))
+		if 1+proto.Size(message) > maxSuspicionBytes {
+			message.Suspects = before
+			return false
 		}
+		return true
 	}
+}
+
+// sendSuspicions sends a message to random hosts.
+func (exchange *Exchange) sendSuspicions(message *exchangepb.Suspicions) {
 	encoded, err := proto.MarshalOptions{}.MarshalAppend([]byte{suspicionsMarker}, message)
 	if err != nil {
 		// Only text that isn't valid UTF-8 can't be encoded, and addresses are valid.
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// TakeChanges returns up to count suspects that other hosts may not know yet, the most
-// important first, and counts them as sent.
-func (suspects *Suspects) TakeChanges(count int) []*Suspect {
+// TakeChanges calls add for the suspects that other hosts may not know yet, the most
+// important first, until add returns false. It counts those that were added as sent.
+func (suspects *Suspects) TakeChanges(add func(suspect *Suspect) bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	known := suspects.load()
@@ -49,11 +49,12 @@
 			cmp.Compare(one.Content, other.Content),
 		)
 	})
-	changed = changed[:min(count, len(changed))]
 	for _, suspect := range changed {
+		if !add(suspect) {
+			return
+		}
 		suspects.transmissions[suspect.Content]++
 	}
-	return changed
 }
 
 // RepeatAll lets all suspects with endings be sent again, as a host is heard that may
@@ -95,9 +96,9 @@
 	}
 }
 
-// NextQuarantined returns up to count quarantined suspects in turn, for hosts that
-// have started since they were quarantined.
-func (suspects *Suspects) NextQuarantined(count int) []*Suspect {
+// NextQuarantined calls add for the quarantined suspects in turn, for hosts that may
+// not know them, until add returns false. The next call goes on from there.
+func (suspects *Suspects) NextQuarantined(add func(suspect *Suspect) bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	now := time.Now()
@@ -107,11 +108,11 @@
 			quarantined = append(quarantined, suspect)
 		}
 	}
-	if len(quarantined) == 0 {
-		return nil
-	}
 	slices.SortFunc(quarantined, func(one, other *Suspect) int { return cmp.Compare(one.Content, other.Content) })
-	first := suspects.nextRepeated % len(quarantined)
-	suspects.nextRepeated = first + count
-	return slices.Concat(quarantined[first:], quarantined[:first])[:min(count, len(quarantined))]
+	for range quarantined {
+		if !add(quarantined[suspects.nextRepeated%len(quarantined)]) {
+			return
+		}
+		suspects.nextRepeated++
+	}
 }
