quarantine: drop a new suspect when there are only more important ones

What callers would see: a host that ends. With 1,024 contents remembered, all quarantined, the next suspect was the one to be dropped; its number of messages stayed, and the next round of suspicions, or the event of what was learned, read a suspect that was not there.

Cause: apply went on with a content that limit had just removed.

Change: apply then reports that nothing changed.

Seen to fail before: TestFullOfQuarantines, with a nil pointer dereference. It passes, with -race too.

--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -337,6 +337,10 @@
 	}
 	known[content] = after
 	suspects.limit(known)
+	if known[content] == nil {
+		// There are only more important ones.
+		return false
+	}
 	suspects.store(known)
 	if suspects.transmissions == nil {
 		suspects.transmissions = map[Content]int{}
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -123,3 +123,25 @@
 	}
 	return script.hosts[name]
 }
+
+// TestFullOfQuarantines guards against a crash of the host when a new suspect finds
+// only more important ones: it is dropped itself.
+func TestFullOfQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		suspects := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
+		for i := range maxSuspects {
+			suspects.crash(Content(1+i), 1, 2, 3)
+		}
+		suspects.crash(5000, 1)
+		suspects.Learn("b", &Suspect{Content: 5001, Endings: []Ending{{Target: 1, At: time.Now(), Certain: true}}})
+		suspects.Learn("b", &Suspect{Content: 5002, ClearedAt: time.Now()})
+		taken := 0
+		suspects.TakeChanges(func(suspect *Suspect) bool {
+			taken++
+			return suspect.Content < 5000
+		})
+		c.Assert(taken, qt.Equals, maxSuspects)
+		c.Assert(suspects.load(), qt.HasLen, maxSuspects)
+	})
+}
