quarantine: check a target anew after it has answered again

What callers would see: a request suspected that crashed nothing. A target that had refused a connection counted as ended for good, so that after it answered again, for instance under the same id, a lost answer counted as a crash.

Cause: only the evidence of silence was given up when the target answered.

Seen to fail before: the script answers-after-a-refusal of TestAttempts. It passes, with -race too.

--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -101,8 +101,10 @@
 	removedAt time.Time
 	// isLeaving is set once the target has announced that it shuts down.
 	isLeaving bool
-	// endedBy is the evidence that the target ended, empty while there is none.
+	// endedBy is the evidence that the target ended, empty while there is none;
+	// endedAt is when it was found.
 	endedBy Evidence
+	endedAt time.Time
 	// check is closed at the end of the check that is in progress, nil if there is
 	// none; checkedAt is when the last one began.
 	check     chan struct{}
@@ -110,7 +112,7 @@
 }
 
 // Attempt is a request that was sent to a target. It must be ended by Answered,
-// Failed or Abandoned.
+// Failed, Abandoned or Misdirected.
 type Attempt struct {
 	attempts  *Attempts
 	target    *trackedTarget
@@ -165,10 +167,11 @@
 	target.unanswered = slices.DeleteFunc(target.unanswered, func(attempt *Attempt) bool {
 		return attempt.reported != Refused && now.Sub(attempt.failedAt) > answerDelay
 	})
-	if target.endedBy == Silent {
+	if target.endedBy == Silent || target.endedBy == Refused && now.Sub(target.endedAt) > answerDelay {
+		// The target runs, or runs again under its id: the next failure is checked anew.
 		target.endedBy = ""
 	}
-	target.isInDoubt.Store(len(target.unanswered) > 0)
+	target.isInDoubt.Store(len(target.unanswered) > 0 || target.endedBy == Refused)
 }
 
 // Answered ends an attempt that got a complete answer, or that the target did not
@@ -281,7 +284,7 @@
 	})
 	var crashes []Crash
 	if evidence != "" {
-		target.endedBy = evidence
+		target.endedBy, target.endedAt = evidence, now
 		target.isInDoubt.Store(true)
 		crashes = target.crashes(evidence, now)
 	}
