quarantine: an event for each trial and withdrawn quarantine

Cause: two decisions had no event: a request let through after a quarantine, and a quarantine that ends as a target which seemed to have ended answers.

Change: event 1118 for the first, 1115 for the second, both with the evidence.

Result: the tests of quarantine, gateway and command pass.

--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -48,6 +48,10 @@
 		Number: 1114, Name: "suspicion learned", Level: timeline.Info,
 		Meaning: "Another host reported targets that ended under the content; the fact crashes is the number now known.",
 	})
+	eventTrial = timeline.Define(timeline.Kind{
+		Number: 1118, Name: "quarantined request tried", Level: timeline.Info,
+		Meaning: "The quarantine of the content is over, and one request with it is let through to see whether it still crashes its target.",
+	})
 	eventSuspicionEnded = timeline.Define(timeline.Kind{
 		Number: 1115, Name: "suspicion ended", Level: timeline.Info,
 		Meaning: "The content is no longer suspected, for the reason in the detail: a target served it, the targets that seemed to have ended answered, it expired, or there were too many suspects.",
@@ -214,6 +218,7 @@
 		suspects.trials = map[Content]struct{}{}
 	}
 	suspects.trials[content] = struct{}{}
+	suspects.Events.Record(eventTrial, timeline.Event{Facts: suspect.Facts(time.Now())})
 	return suspect, true, func() {
 		suspects.mutex.Lock()
 		defer suspects.mutex.Unlock()
@@ -300,6 +305,9 @@
 			suspects.recordEnded(suspect, "the targets that seemed to have ended answered")
 		default:
 			known[content] = (&Suspect{Content: content, ClearedAt: suspect.ClearedAt}).merge(kept, time.Time{})
+			if known[content].Quarantines < suspect.Quarantines {
+				suspects.recordEnded(suspect, "quarantine withdrawn: a target that seemed to have ended answered")
+			}
 		}
 	}
 	suspects.store(known)
