quarantine, operator: show who keeps a quarantine, and counters before histograms

No line says that a record was written, and the 4 kB of metrics that the monitoring keeps of each page end within the histograms.

Change: event 1119 and a counter for each record written; the buckets of histograms and the metrics of the process come last in the page.

Measured: TestBucketsLast; no behaviour changes.

--- a/operator/part.go
+++ b/operator/part.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -132,10 +133,29 @@
 	return mux
 }
 
-// serveMetrics writes the counters and histograms in the Prometheus text format.
+// serveMetrics writes the counters and histograms in the Prometheus text format. The
+// buckets of the histograms and the metrics of the process come last, as monitoring may
+// keep only the beginning of the page.
 func serveMetrics(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	metrics.WritePrometheus(writer, true)
+	var page bytes.Buffer
+	metrics.WritePrometheus(&page, false)
+	// A failed write means that the reader has left.
+	_, _ = writer.Write(bucketsLast(page.Bytes()))
+	metrics.WriteProcessMetrics(writer)
+}
+
+// bucketsLast returns a page of metrics with the buckets of histograms after all else.
+func bucketsLast(page []byte) []byte {
+	var others, buckets []byte
+	for line := range bytes.Lines(page) {
+		if name, _, _ := bytes.Cut(line, []byte("{")); bytes.HasSuffix(name, []byte("_bucket")) {
+			buckets = append(buckets, line...)
+		} else {
+			others = append(others, line...)
+		}
+	}
+	return append(others, buckets...)
 }
 
 func (server *Server) requireToken(next http.Handler) http.Handler {
--- a/operator/part_test.go
+++ b/operator/part_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/operator"
@@ -45,3 +46,18 @@
 	}
 	c.Assert(server.Events.Events(), qt.HasLen, 0)
 }
+
+// TestBucketsLast guards against counters that monitoring never sees, as it keeps only
+// the beginning of a page that histograms fill.
+func TestBucketsLast(t *testing.T) {
+	c := qt.New(t)
+	metrics.GetOrCreateHistogram("a_seconds").Update(1)
+	metrics.GetOrCreateCounter(`b_total{pool="x_bucket"}`).Inc()
+	recorder := httptest.NewRecorder()
+	operator.NewMux(nil).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	page := recorder.Body.String()
+	counter, buckets := strings.Index(page, "b_total{"), strings.Index(page, "a_seconds_bucket{")
+	c.Assert(counter >= 0 && buckets >= 0, qt.IsTrue, qt.Commentf("%s", page))
+	c.Assert(counter < buckets, qt.IsTrue)
+	c.Assert(buckets < strings.Index(page, "go_goroutines"), qt.IsTrue)
+}
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -24,6 +24,10 @@
 		Number: 1116, Name: "quarantine not kept", Level: timeline.Info,
 		Meaning: "The platform's records of quarantines could not be read, written or removed; the call is repeated until it succeeds. Hosts still tell each other.",
 	})
+	eventKept = timeline.Define(timeline.Kind{
+		Number: 1119, Name: "quarantine kept", Level: timeline.Info,
+		Meaning: "This host has written the record of the content's quarantine to the platform, from which hosts that start read it.",
+	})
 	eventRecordUnreadable = timeline.Define(timeline.Kind{
 		Number: 1117, Name: "record of a quarantine unreadable", Level: timeline.Warn,
 		Meaning: "A record among the quarantines on the platform can't be decoded; it is ignored.",
@@ -143,6 +147,8 @@
 		keeper.saved = map[Content]int{}
 	}
 	keeper.saved[suspect.Content] = suspect.Quarantines
+	countKept()
+	keeper.Events.Record(eventKept, timeline.Event{Facts: suspect.Facts(time.Now())})
 	return nil
 }
 
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -15,6 +15,9 @@
 // countLearned counts a change of a suspect that another host reported.
 func countLearned() { metrics.GetOrCreateCounter("nutmegfield_suspicions_learned_total").Inc() }
 
+// countKept counts a record of a quarantine that this host has written.
+func countKept() { metrics.GetOrCreateCounter("nutmegfield_quarantines_kept_total").Inc() }
+
 // countSuspects sets the numbers of suspected and quarantined contents.
 func countSuspects(known map[Content]*Suspect, now time.Time) {
 	suspected, quarantined := 0, 0
