quarantine: keep the quarantines whose crashes several hosts observed

Callers saw: a request that had crashed three targets and was refused on all hosts reached targets again, and crashed up to four more, once all hosts had been killed.

Cause: the platform's record of a quarantine was written by the host whose own observation began it. When three hosts observe one crash each within a few milliseconds, none of them knows of the other two: on each host the quarantine begins with what another host told, so that no host writes the record. The same holds if the hosts that observed the crashes end within the second until they write.

Change: each host that observed a crash of a quarantined content writes the record, at once and not at the next look; the leader of a zone reads the records once a quarantine is 3 s old and writes those that are missing.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// keepInterval is how often quarantines that changed are written to the platform,
-	// and how soon a failed call is repeated.
+	// keepInterval is the time between two looks at what has to be written to the
+	// platform or removed, and how soon a failed call is repeated.
 	keepInterval = time.Second
+	// reconcileDelay is the time from the beginning of a quarantine until leaders write
+	// its record if no other host has.
+	reconcileDelay = 3 * time.Second
 	// keepTimeout limits a call to the platform.
 	keepTimeout = 2 * time.Second
 	// sweepInterval is how often expired records of other hosts are removed.
@@ -48,16 +51,18 @@
 }
 
 // Keeper keeps quarantines on the platform, for the case that all hosts end at once.
-// The host that observes the crash that begins a quarantine writes its record. Its
-// fields are set before Run.
+// Each host that observed a crash of a quarantined content writes its record, as the
+// crashes of one content may be observed by different hosts. The leaders write those
+// that are missing. Its fields are set before Run.
 type Keeper struct {
 	Suspects *Suspects
 	Records  Records
 	Events   *timeline.Recorder
-	// Sweeps reports whether this host removes the expired records of others.
-	Sweeps func() bool
+	// Leads reports whether this host also writes and removes records for others.
+	Leads func() bool
 
-	// saved holds the number of quarantines in each record that this host wrote.
+	// saved holds the number of quarantines in each record that this host has read or
+	// written.
 	saved map[Content]int
 	// isRead is set once the records were read at the start; sweptAt is when they
 	// were last read.
@@ -74,39 +79,68 @@
 			keeper.Events.Record(eventKeepFailed, timeline.Event{Detail: err.Error()})
 		}
 		failing = err != nil
-		pause.For(ctx, keepInterval)
+		if failing {
+			pause.For(ctx, keepInterval)
+			continue
+		}
+		keeper.Suspects.waitForOwn(ctx, keepInterval)
 	}
 	return nil
 }
 
 // keep makes the calls that are due. It stops at the first that fails.
 func (keeper *Keeper) keep(ctx context.Context) error {
-	if !keeper.isRead || time.Since(keeper.sweptAt) > sweepInterval && keeper.Sweeps() {
+	leads := keeper.Leads()
+	if !keeper.isRead || leads && (time.Since(keeper.sweptAt) > sweepInterval || keeper.isRecordMissing()) {
 		if err := keeper.read(ctx); err != nil {
 			return err
 		}
 	}
-	known := keeper.Suspects.load()
+	own := keeper.Suspects.ownContents()
 	now := time.Now()
-	for _, content := range keeper.Suspects.ownQuarantines() {
-		suspect := known[content]
-		isQuarantined := suspect != nil && suspect.isQuarantined(now)
-		if isQuarantined && keeper.saved[content] < suspect.Quarantines {
-			if err := keeper.save(ctx, suspect); err != nil {
-				return err
-			}
+	for content, suspect := range keeper.Suspects.load() {
+		_, isOwn := own[content]
+		if !suspect.isQuarantined(now) || keeper.saved[content] >= suspect.Quarantines ||
+			!isOwn && !(leads && suspect.isReconciled(now)) {
+			continue
+		}
+		if err := keeper.save(ctx, suspect); err != nil {
+			return err
 		}
-		if suspect == nil || len(suspect.Endings) == 0 {
+	}
+	known := keeper.Suspects.load()
+	for content := range keeper.saved {
+		if suspect := known[content]; suspect != nil && len(suspect.Endings) > 0 {
+			continue
+		}
+		if _, isOwn := own[content]; isOwn || leads {
 			if err := keeper.remove(ctx, content.String()); err != nil {
 				return err
 			}
-			delete(keeper.saved, content)
-			keeper.Suspects.forgetOwn(content)
 		}
+		delete(keeper.saved, content)
 	}
+	keeper.Suspects.forgetOwn(keeper.saved)
 	return nil
 }
 
+// isRecordMissing reports whether a quarantine has no record that this host knows of.
+func (keeper *Keeper) isRecordMissing() bool {
+	now := time.Now()
+	for content, suspect := range keeper.Suspects.load() {
+		if suspect.isReconciled(now) && keeper.saved[content] < suspect.Quarantines {
+			return true
+		}
+	}
+	return false
+}
+
+// isReconciled reports whether the suspect's quarantine began so long ago that leaders
+// write its record.
+func (suspect *Suspect) isReconciled(now time.Time) bool {
+	return suspect.isQuarantined(now) && now.Sub(suspect.Until.Add(-suspect.quarantineLength)) > reconcileDelay
+}
+
 // read applies all records, and removes those that have expired.
 func (keeper *Keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
@@ -124,6 +158,7 @@
 		}
 		if time.Now().Before(suspect.expiresAt()) {
 			keeper.Suspects.Learn("platform", suspect)
+			keeper.recordSaved(suspect)
 			continue
 		}
 		if err := keeper.remove(ctx, record.Name); err != nil {
@@ -143,13 +178,17 @@
 	if err := keeper.Records.Save(ctx, Record{Name: name, Value: value}); err != nil {
 		return fmt.Errorf("save quarantine: %w", err)
 	}
+	keeper.recordSaved(suspect)
+	countKept()
+	keeper.Events.Record(eventKept, timeline.Event{Facts: suspect.Facts(time.Now())})
+	return nil
+}
+
+func (keeper *Keeper) recordSaved(suspect *Suspect) {
 	if keeper.saved == nil {
 		keeper.saved = map[Content]int{}
 	}
 	keeper.saved[suspect.Content] = suspect.Quarantines
-	countKept()
-	keeper.Events.Record(eventKept, timeline.Event{Facts: suspect.Facts(time.Now())})
-	return nil
 }
 
 func (keeper *Keeper) remove(ctx context.Context, name string) error {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -47,10 +47,18 @@
 	return slices.Sorted(maps.Keys(fakeRecords.values))
 }
 
+// callCount returns the number of calls so far.
+func (fakeRecords *fakeRecords) callCount() int {
+	synctest.Wait()
+	fakeRecords.mutex.Lock()
+	defer fakeRecords.mutex.Unlock()
+	return fakeRecords.calls
+}
+
 // start starts a host that keeps its quarantines there.
-func (fakeRecords *fakeRecords) start(ctx context.Context, sweeps bool) *Suspects {
+func (fakeRecords *fakeRecords) start(ctx context.Context, leads bool) *Suspects {
 	suspects := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
-	keeper := &Keeper{Suspects: suspects, Sweeps: func() bool { return sweeps }, Records: Records{
+	keeper := &Keeper{Suspects: suspects, Leads: func() bool { return leads }, Records: Records{
 		List: func(context.Context) (records []Record, err error) {
 			err = fakeRecords.do(func() {
 				for name, value := range fakeRecords.values {
@@ -98,9 +106,9 @@
 		host.RecordServed(3)
 		time.Sleep(2 * time.Second)
 		c.Assert(records.names(), qt.DeepEquals, []string{"1", "1e", "noise"})
-		calls := records.calls
+		calls := records.callCount()
 		time.Sleep(time.Minute)
-		c.Assert(records.calls, qt.Equals, calls, qt.Commentf("nothing changed"))
+		c.Assert(records.callCount(), qt.Equals, calls, qt.Commentf("nothing changed"))
 		end()
 		synctest.Wait()
 
@@ -127,3 +135,69 @@
 		synctest.Wait()
 	})
 }
+
+// tell lets each of the hosts learn what the others know.
+func tell(hosts ...*Suspects) {
+	for _, host := range hosts {
+		for _, other := range hosts {
+			for _, suspect := range other.load() {
+				if other != host {
+					host.Learn("peer", suspect)
+				}
+			}
+		}
+	}
+}
+
+// TestQuarantineOfSeveralObserversIsKept guards against quarantines that no host writes
+// to the platform, as each crash was observed by another host and none of them knew of
+// the others when it observed its own.
+func TestQuarantineOfSeveralObserversIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		records := &fakeRecords{values: map[string][]byte{}}
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		hosts := []*Suspects{records.start(ctx, false), records.start(ctx, false), records.start(ctx, false)}
+		for i, host := range hosts {
+			host.crash(1, Incarnation(i))
+		}
+		synctest.Wait()
+		c.Assert(records.names(), qt.HasLen, 0)
+		tell(hosts...)
+		synctest.Wait()
+		c.Assert(records.names(), qt.DeepEquals, []string{"1"}, qt.Commentf("without waiting for the next look"))
+		hosts[0].RecordServed(1)
+		hosts[0].RecordServed(1)
+		hosts[0].RecordServed(1)
+		tell(hosts...)
+		time.Sleep(2 * keepInterval)
+		c.Assert(records.names(), qt.HasLen, 0)
+		c.Assert(hosts[0].ownContents(), qt.HasLen, 0)
+	})
+}
+
+// TestQuarantineOfKilledObserversIsKept guards against quarantines that are forgotten
+// as the hosts that observed the crashes ended before they wrote a record. The leader
+// writes it; it doesn't write those that have one.
+func TestQuarantineOfKilledObserversIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		records := &fakeRecords{values: map[string][]byte{}}
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		leader, other := records.start(ctx, true), records.start(ctx, false)
+		killed := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
+		killed.crash(1, 1, 2, 3)
+		tell(leader, killed)
+		time.Sleep(reconcileDelay - time.Second)
+		c.Assert(records.names(), qt.HasLen, 0)
+		time.Sleep(2*time.Second + keepInterval)
+		c.Assert(records.names(), qt.DeepEquals, []string{"1"})
+		other.crash(2, 1, 2, 3)
+		tell(leader, other)
+		calls := records.callCount()
+		time.Sleep(time.Minute)
+		c.Assert(records.callCount(), qt.Equals, calls+1, qt.Commentf("the leader looks once whether the other's record is there"))
+	})
+}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -21,6 +21,12 @@
 	}
 	changed := suspects.changed
 	suspects.mutex.Unlock()
+	waitFor(ctx, changed, timeout)
+}
+
+// waitFor waits until a channel is closed, but not longer than a timeout or until the
+// context ends.
+func waitFor(ctx context.Context, changed <-chan struct{}, timeout time.Duration) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -171,9 +171,10 @@
 	// changed is closed at the next change to tell the other hosts, nil if nobody
 	// waits for it.
 	changed chan struct{}
-	// own are the contents whose quarantine began with a crash that this host
-	// observed.
-	own map[Content]struct{}
+	// own are the contents of which this host observed a crash. ownChanged is closed
+	// when one of them is quarantined, nil if nobody waits for it.
+	own        map[Content]struct{}
+	ownChanged chan struct{}
 	// trials are the contents of which a request runs after a quarantine.
 	trials map[Content]struct{}
 	// nextRepeated is the position in the round robin of quarantined contents.
@@ -242,30 +243,43 @@
 	ending := Ending{Target: crash.Target, At: crash.At, Certain: crash.Evidence != Silent}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	before, _ := suspects.Find(crash.Content)
-	suspects.apply(crash.Content, []Ending{ending}, time.Time{})
-	after, quarantined := suspects.Find(crash.Content)
-	if quarantined && (before == nil || before.Quarantines < after.Quarantines) {
-		if suspects.own == nil {
-			suspects.own = map[Content]struct{}{}
-		}
-		suspects.own[crash.Content] = struct{}{}
+	if suspects.own == nil {
+		suspects.own = map[Content]struct{}{}
 	}
+	suspects.own[crash.Content] = struct{}{}
+	suspects.apply(crash.Content, []Ending{ending}, time.Time{})
 }
 
-// ownQuarantines returns the contents whose quarantine began with a crash that this
-// host observed, until forgetOwn is called.
-func (suspects *Suspects) ownQuarantines() []Content {
+// ownContents returns the contents of which this host observed a crash.
+func (suspects *Suspects) ownContents() map[Content]struct{} {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	return slices.Collect(maps.Keys(suspects.own))
+	return maps.Clone(suspects.own)
 }
 
-// forgetOwn drops a content from the result of ownQuarantines.
-func (suspects *Suspects) forgetOwn(content Content) {
+// forgetOwn drops the contents from the result of ownContents that are no longer
+// suspected and have no record.
+func (suspects *Suspects) forgetOwn(saved map[Content]int) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	delete(suspects.own, content)
+	known := suspects.load()
+	maps.DeleteFunc(suspects.own, func(content Content, _ struct{}) bool {
+		suspect := known[content]
+		_, isSaved := saved[content]
+		return !isSaved && (suspect == nil || len(suspect.Endings) == 0)
+	})
+}
+
+// waitForOwn waits until a content of which this host observed a crash is quarantined,
+// but not longer than a timeout or until the context ends.
+func (suspects *Suspects) waitForOwn(ctx context.Context, timeout time.Duration) {
+	suspects.mutex.Lock()
+	if suspects.ownChanged == nil {
+		suspects.ownChanged = make(chan struct{})
+	}
+	changed := suspects.ownChanged
+	suspects.mutex.Unlock()
+	waitFor(ctx, changed, timeout)
 }
 
 // RecordServed clears a content that a target has served.
@@ -357,6 +371,10 @@
 	suspects.notifyChanged()
 	if after.Quarantines > before.Quarantines {
 		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
+		if _, ok := suspects.own[content]; ok && suspects.ownChanged != nil {
+			close(suspects.ownChanged)
+			suspects.ownChanged = nil
+		}
 	}
 	return true
 }
