quarantine, exchange: read the records while no host of some zone is heard

Callers saw: nothing yet. A host that reaches callers, targets and the platform but no host of another zone went on sending a request that the others had quarantined.

Cause: hosts learn of quarantines from each other, and from the platform only when they start.

Change: while all hosts of some zone are silent, a host reads the records once a second, until they are heard or forgotten after a minute.

Failed before: TestCutOffHostReadsQuarantines. TestSuspicionsAfterACut checks that each half of the hosts notices the cut and its end.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -44,7 +44,9 @@
 	lastReceived time.Time
 	addedAt      time.Time
 	alive        bool
-	link         uint32
+	// hasLeft is set if the host reported that it was shutting down.
+	hasLeft bool
+	link    uint32
 	// direct is set if the host has reported since the last round, and sends its
 	// reports to each host that it knows.
 	direct bool
@@ -105,6 +107,25 @@
 
 func (exchange *Exchange) leads(count int) bool { return exchange.rank < count }
 
+// MissesZone reports whether all hosts of some zone are silent that this host has heard
+// of within peerRemovalTimeout.
+func (exchange *Exchange) MissesZone() bool {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	isAlive := map[string]bool{exchange.Zone: true}
+	for _, peer := range exchange.peers {
+		if peer.host != "" && !peer.hasLeft {
+			isAlive[peer.zone] = isAlive[peer.zone] || peer.alive
+		}
+	}
+	for _, alive := range isAlive {
+		if !alive {
+			return true
+		}
+	}
+	return false
+}
+
 // compare orders hosts by the bandwidth of their links, the widest first, then by
 // id. The first hosts of a zone lead it.
 func (peer *peer) compare(other *peer) int {
@@ -202,8 +223,8 @@
 	wasAlive := entry.alive
 	*entry = peer{
 		host: heartbeat.host, zone: heartbeat.zone, incarnation: heartbeat.incarnation, sequence: heartbeat.sequence,
-		lastReceived: time.Now(), addedAt: entry.addedAt, alive: !heartbeat.leaving, link: heartbeat.link,
-		direct: heartbeat.direct, rank: entry.rank,
+		lastReceived: time.Now(), addedAt: entry.addedAt, alive: !heartbeat.leaving, hasLeft: heartbeat.leaving,
+		link: heartbeat.link, direct: heartbeat.direct, rank: entry.rank,
 	}
 	if wasAlive == entry.alive {
 		return true
--- a/exchange/suspicions_test.go
+++ b/exchange/suspicions_test.go
@@ -170,6 +170,7 @@
 		for _, host := range fleet.hosts {
 			_, quarantined := host.Suspects.Find(crashing)
 			fleet.Assert(quarantined, qt.IsFalse)
+			fleet.Assert(host.MissesZone(), qt.IsTrue)
 		}
 		fleet.setCut(false)
 		healedAt := time.Now()
@@ -177,6 +178,10 @@
 			fleet.waitQuarantined(host, crashing)
 		}
 		fleet.Assert(time.Since(healedAt) < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(healedAt)))
+		time.Sleep(time.Second)
+		for _, host := range fleet.hosts {
+			fleet.Assert(host.MissesZone(), qt.IsFalse)
+		}
 	})
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -206,7 +206,7 @@
 	host.exchange.Suspects = host.suspects
 	host.keeper = &quarantine.Keeper{
 		Suspects: host.suspects, Records: sources.Quarantines, Events: events,
-		Leads: func() bool { return host.exchange.Leads(1) },
+		Leads: func() bool { return host.exchange.Leads(1) }, IsCutOff: host.exchange.MissesZone,
 	}
 	host.gateway = &Gateway{
 		Protocol: protocol,
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -58,6 +58,9 @@
 	Suspects *Suspects
 	Records  Records
 	Events   *timeline.Recorder
+	// IsCutOff reports whether the hosts of some zone can't tell this host of
+	// quarantines, so that it reads their records again and again.
+	IsCutOff func() bool
 	// Leads reports whether this host also writes and removes records for others.
 	Leads func() bool
 
@@ -91,7 +94,7 @@
 // keep makes the calls that are due. It stops at the first that fails.
 func (keeper *Keeper) keep(ctx context.Context) error {
 	leads := keeper.Leads()
-	if !keeper.isRead || leads && (time.Since(keeper.sweptAt) > sweepInterval || keeper.isRecordMissing()) {
+	if !keeper.isRead || keeper.IsCutOff() || leads && (time.Since(keeper.sweptAt) > sweepInterval || keeper.isRecordMissing()) {
 		if err := keeper.read(ctx); err != nil {
 			return err
 		}
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,10 @@
 
 // fakeRecords is a stand-in of the platform's records.
 type fakeRecords struct {
-	mutex  sync.Mutex
-	values map[string][]byte
+	// isCutOff means that hosts don't hear each other.
+	isCutOff atomic.Bool
+	mutex    sync.Mutex
+	values   map[string][]byte
 	isAway bool
 	calls  int
 }
@@ -58,7 +61,7 @@
 // start starts a host that keeps its quarantines there.
 func (fakeRecords *fakeRecords) start(ctx context.Context, leads bool) *Suspects {
 	suspects := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
-	keeper := &Keeper{Suspects: suspects, Leads: func() bool { return leads }, Records: Records{
+	keeper := &Keeper{Suspects: suspects, Leads: func() bool { return leads }, IsCutOff: fakeRecords.isCutOff.Load, Records: Records{
 		List: func(context.Context) (records []Record, err error) {
 			err = fakeRecords.do(func() {
 				for name, value := range fakeRecords.values {
@@ -201,3 +204,25 @@
 		c.Assert(records.callCount(), qt.Equals, calls+1, qt.Commentf("the leader looks once whether the other's record is there"))
 	})
 }
+
+// TestCutOffHostReadsQuarantines guards against requests that crash targets being sent
+// on by hosts that hear none of those that observed the crashes, but reach the platform.
+func TestCutOffHostReadsQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		records := &fakeRecords{values: map[string][]byte{}}
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		observer, other := records.start(ctx, false), records.start(ctx, false)
+		records.isCutOff.Store(true)
+		observer.crash(1, 1, 2, 3)
+		time.Sleep(2*keepInterval + time.Millisecond)
+		_, quarantined := other.Find(1)
+		c.Assert(quarantined, qt.IsTrue)
+		records.isCutOff.Store(false)
+		time.Sleep(keepInterval)
+		calls := records.callCount()
+		time.Sleep(time.Minute)
+		c.Assert(records.callCount(), qt.Equals, calls)
+	})
+}
