--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -20,8 +20,8 @@
 	isCutOff atomic.Bool
 	mutex    sync.Mutex
 	values   map[string][]byte
-	isAway bool
-	calls  int
+	isAway   bool
+	calls    int
 }
 
 var errAway = errors.New("away")
