exchange, gateway: hosts that are cut off keep their shares of the retry budget

Callers saw: nothing yet. Hosts that don't hear each other together retried more often than the budget of a pool allows.

Cause: the part of the budget that does not depend on requests was divided by the number of hosts that are heard. In two halves each took twice its share.

Change: it is divided by all hosts with known addresses, silent or not, as the balancer does already.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/budget"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/timeline"
@@ -177,3 +178,27 @@
 		c.Assert(network.sent <= 11*maxDatagramsPerSecond, qt.IsTrue, qt.Commentf("%d", network.sent))
 	})
 }
+
+// TestCutHostsKeepTheRetryBudget guards against hosts that don't hear each other and
+// each take the shares of those that they don't hear, so that all together retry more
+// often than the budget allows.
+func TestCutHostsKeepTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const spare, window = 54, 10 * time.Second
+		fleet := newSuspicionFleet(t, 8)
+		time.Sleep(3 * time.Second)
+		fleet.setCut(true)
+		time.Sleep(2 * silenceTimeout)
+		retries := 0
+		for _, host := range fleet.hosts {
+			c.Assert(host.Hosts(), qt.Equals, 4)
+			budget := &budget.Budget{Window: window, Spare: spare, Hosts: host.SharingHosts}
+			for budget.AllowRetry("orders") {
+				retries++
+			}
+		}
+		c.Assert(retries <= spare, qt.IsTrue, qt.Commentf("%d retries", retries))
+		c.Assert(retries > spare/2, qt.IsTrue, qt.Commentf("%d retries", retries))
+	})
+}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -72,6 +72,11 @@
 // silent or not.
 func (exchange *Exchange) KnownPeers() int { return int(exchange.knownPeers.Load()) }
 
+// SharingHosts returns the number of hosts that share what is limited for all together:
+// this one and those whose addresses are known, silent or not. Silent ones may only be
+// cut off from this one and use their shares.
+func (exchange *Exchange) SharingHosts() int { return 1 + exchange.KnownPeers() }
+
 // AddPeer adds the address of a host, unless it is known or this host's own.
 // Reports are then sent to it.
 func (exchange *Exchange) AddPeer(address string) {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -172,7 +172,7 @@
 	host.ledger.ReportsDelayed = host.exchange.UsesSummaries
 	host.balancer.ReportsDelayed = host.exchange.UsesSummaries
 	host.balancer.PropagationDelay = host.exchange.PropagationDelay
-	host.balancer.HostCount = func() int { return 1 + host.exchange.KnownPeers() }
+	host.balancer.HostCount = host.exchange.SharingHosts
 	host.ledger.ExpectedPeers = host.exchange.KnownPeers
 	host.balancer.OnZoneChange = func(zone string, isUnreachable bool) {
 		kind := eventZoneReachable
@@ -221,7 +221,7 @@
 			Ratio:  settings.Gateway.Retries.Ratio,
 			Window: settings.Gateway.Retries.Window,
 			Spare:  settings.Gateway.Retries.Spare,
-			Hosts:  host.exchange.Hosts,
+			Hosts:  host.exchange.SharingHosts,
 		},
 		Attempts: host.attempts,
 		Suspects: host.suspects,
