limit, platform, gateway: record the limits that targets name

Events 1121 and 1122, a gauge. Nothing acts on limits yet.

Measured: TestLimitsEnd, TestLimitsAreBounded, TestReplyAndRefusal.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -182,6 +182,7 @@
 		LastEventID: lastEventID,
 	})
 	forwarding.recordSent(grant)
+	sentAt := time.Now()
 	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.content)
 	answer, err := gateway.Connections.Exchange(attemptContext, grant.Target.Address, &upstream.Request{
 		Method:    forwarding.request.Method,
@@ -205,6 +206,9 @@
 		return failed, silenceTimer.failureReason(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if reply := gateway.Protocol.ReadReply(answer.Status, answer.Header); !reply.Misdirected {
+		gateway.Limiter.Observe(limitedTarget(&grant.Target), reply.RateLimit, sentAt)
+	}
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
@@ -123,6 +124,7 @@
 		Ledger:   fixture.ledger,
 		Attempts: &quarantine.Attempts{Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second},
 		Suspects: &quarantine.Suspects{},
+		Limiter:  &limit.Limiter{},
 		Budget:   &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }},
 		Events:   &timeline.Recorder{},
 		Table:    func() *route.Table { return fixture.table },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
@@ -48,7 +49,9 @@
 	Attempts *quarantine.Attempts
 	// Suspects says which requests crash targets and must be refused.
 	Suspects *quarantine.Suspects
-	Events   *timeline.Recorder
+	// Limiter knows the limits that targets name.
+	Limiter *limit.Limiter
+	Events  *timeline.Recorder
 	// Table returns the routes in force, nil before the first are received.
 	Table func() *route.Table
 	// Refresh returns once the routes in force are the newest, or an error.
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -14,6 +14,7 @@
 	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/operator"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
@@ -71,6 +72,7 @@
 	attempts *quarantine.Attempts
 	suspects *quarantine.Suspects
 	keeper   *quarantine.Keeper
+	limiter  *limit.Limiter
 	ledger   *quota.Ledger
 	// tolerance derives the buckets of the ledger from the workspaces' quotas.
 	tolerance quota.Tolerance
@@ -208,6 +210,7 @@
 		Suspects: host.suspects, Records: sources.Quarantines, Events: events,
 		Leads: func() bool { return host.exchange.Leads(1) }, IsCutOff: host.exchange.MissesZone,
 	}
+	host.limiter = &limit.Limiter{Events: events}
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
@@ -225,6 +228,7 @@
 		},
 		Attempts: host.attempts,
 		Suspects: host.suspects,
+		Limiter:  host.limiter,
 
 		Events:  events,
 		Table:   host.routes.Table,
@@ -312,6 +316,7 @@
 
 func (host *host) setTargets(targets []balance.Target) {
 	host.attempts.SetTargets(targets)
+	host.limiter.SetTargets(limitedTargets(targets))
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	host.currentTargets = targets
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -55,6 +55,9 @@
 	NotRun bool
 	// Misdirected reports whether another target now has the address.
 	Misdirected bool
+	// RateLimit is the number of requests a second that the target takes from all
+	// hosts together, 0 if it names none.
+	RateLimit float64
 	// Sealed reports whether the answer carries the target's signature.
 	Sealed bool
 }
