quarantine: simplify a condition

Change: which records a host writes is named before it is used. Behaviour is the same.

Measured: the tests of the package.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -103,8 +103,8 @@
 	now := time.Now()
 	for content, suspect := range keeper.Suspects.load() {
 		_, isOwn := own[content]
-		if !suspect.isQuarantined(now) || keeper.saved[content] >= suspect.Quarantines ||
-			!isOwn && !(leads && suspect.isReconciled(now)) {
+		writes := isOwn || leads && suspect.isReconciled(now)
+		if !writes || !suspect.isQuarantined(now) || keeper.saved[content] >= suspect.Quarantines {
 			continue
 		}
 		if err := keeper.save(ctx, suspect); err != nil {
