limit: one host grants the requests that all send to a limited target

Cause: nothing read the limit. What is one number over all hosts has to be divided, and nothing did that for targets. Shares that each host works out alone would not do either: at 0.3 requests a second for 330 hosts a share is one request in 18 minutes.

Change: of all live hosts one, by a hash of target and address, is the grantor of a target. It holds the target's bucket, which starts empty, and grants permits: one request each, valid for 250 ms and given back after that. The others ask it, in datagrams, for what waits and what they expect, with what became of earlier permits and what they know of the limit; the most important waiting requests come first, hosts in turn. It tells all hosts of a new, changed or ended limit. Hosts that hear only half of the others or fewer grant their part. The balancer takes targets with a limit only with a permit, prefers them then, refuses early where all targets are limited and the queue is too long, and the time to come back is at least that until the next request is taken.

Why it works: permits are made in one place at the rate of the limit, and those that are not used expire and return, so that traffic at one host gets all of them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,6 +131,9 @@
 	// OnZoneChange is called when another zone is considered unreachable, and when
 	// it answers again. It must not block or call the balancer. It may be nil.
 	OnZoneChange func(zone string, unreachable bool)
+	// Limits are the calls for targets that name the rate of requests that they take
+	// from all hosts together.
+	Limits Limits
 	// RandIntN returns a random number from 0 to bound-1; nil uses math/rand.
 	RandIntN func(bound int) int
 
@@ -144,6 +147,20 @@
 	zones   map[string]*zone
 }
 
+// Limits are calls for the limits of targets. They may be nil, if there are none.
+type Limits struct {
+	// Rate returns the requests a second that a target takes from all hosts together, 0
+	// if it has no limit.
+	Rate func(target *Target) float64
+	// Permits returns the number of requests that this host may send to a target with a
+	// limit now; Take uses one.
+	Permits func(target *Target) int
+	Take    func(target *Target) bool
+	// Want sets the number of requests that this host could send to a target with a
+	// limit, and the tier of the most important one that waits, -1 if none does.
+	Want func(target *Target, count, tier int)
+}
+
 // pool holds the targets of a pool and its waiting requests.
 type pool struct {
 	name    string
@@ -186,11 +203,20 @@
 			balancer.mutex.Lock()
 			balancer.expireReports(time.Now())
 			balancer.dispatchAll()
+			balancer.wantPermits(time.Now())
 			balancer.mutex.Unlock()
 		}
 	}
 }
 
+// Dispatch grants targets to waiting requests after permits for targets with limits have
+// arrived.
+func (balancer *Balancer) Dispatch() {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	balancer.dispatchAll()
+}
+
 // SetTargets replaces the targets, but keeps the state of those that stay. The
 // map engines has the value true for pools that run model engines.
 func (balancer *Balancer) SetTargets(targets []Target, engines map[string]bool) {
@@ -275,6 +301,9 @@
 	index, _ := slices.BinarySearchFunc(pool.waiting, ticket, compareTickets)
 	pool.waiting = slices.Insert(pool.waiting, index, ticket)
 	balancer.dispatch(pool)
+	if len(pool.waiting) > 0 {
+		balancer.wantPoolPermits(pool, ticket.arrived)
+	}
 }
 
 func compareTickets(one, other *Ticket) int {
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -24,13 +24,19 @@
 	}
 }
 
-// freeCapacity returns how many more requests the pool's targets can take.
-func (pool *pool) freeCapacity(now time.Time) int {
+// freeCapacity returns how many more requests the pool's targets can take, those with
+// limits from this host.
+func (balancer *Balancer) freeCapacity(pool *pool, now time.Time) int {
 	total := 0
 	for _, targetState := range pool.targets {
-		if targetState.isEligible(now) {
-			total += max(0, pool.capacity(targetState)-targetState.totalInFlight())
+		if !targetState.isEligible(now) {
+			continue
 		}
+		free := max(0, pool.capacity(targetState)-targetState.totalInFlight())
+		if free > 0 && balancer.rate(targetState) > 0 {
+			free = min(free, balancer.Limits.Permits(&targetState.Target))
+		}
+		total += free
 	}
 	return total
 }
@@ -41,13 +47,18 @@
 		!now.Before(targetState.backoffUntil) && !targetState.zone.isBackingOff(now)
 }
 
-// totalCapacity returns the sum of the capacities of the eligible targets.
-func (pool *pool) totalCapacity(now time.Time) float64 {
-	total := 0
+// servingRate returns the requests a second that the eligible targets can take.
+func (balancer *Balancer) servingRate(pool *pool, now time.Time) float64 {
+	total := 0.0
 	for _, targetState := range pool.targets {
-		if targetState.isEligible(now) {
-			total += pool.capacity(targetState)
+		if !targetState.isEligible(now) {
+			continue
 		}
+		rate := float64(pool.capacity(targetState)) / max(pool.averageHoldTime, 1) * float64(time.Second)
+		if limit := balancer.rate(targetState); limit > 0 {
+			rate = min(rate, limit)
+		}
+		total += rate
 	}
-	return float64(total)
+	return total
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -40,7 +40,7 @@
 		estimate := balancer.estimate(dispatchRound, targetState, ticket)
 		onTime := ticket.isInTime(dispatchRound.now, estimate)
 		allLate = allLate && !onTime
-		if onlyInTime && !onTime || !dispatchRound.pool.accepts(targetState) {
+		if onlyInTime && !onTime || !balancer.accepts(dispatchRound.pool, targetState) {
 			continue
 		}
 		if targetState.failedFraction > dispatchRound.averages.lowestFailedFraction+failingFraction &&
@@ -48,6 +48,10 @@
 			continue
 		}
 		cost := estimate + ticket.deadlineOverrun(targetState, dispatchRound.averages, dispatchRound.now, estimate)
+		if balancer.rate(targetState) > 0 {
+			// A permit that isn't used soon expires.
+			cost -= loadPenalty
+		}
 		dispatchRound.candidates = append(dispatchRound.candidates,
 			candidate{targetState: targetState, estimate: estimate, cost: cost})
 	}
--- a/balance/dispatch.go
+++ b/balance/dispatch.go
@@ -20,7 +20,7 @@
 	}
 	now := time.Now()
 	balancer.updateShare(pool, now)
-	dispatchRound := &dispatchRound{pool: pool, now: now, freeCapacity: pool.freeCapacity(now), averages: pool.averages()}
+	dispatchRound := &dispatchRound{pool: pool, now: now, freeCapacity: balancer.freeCapacity(pool, now), averages: pool.averages()}
 	remaining := pool.waiting[:0]
 	for _, ticket := range pool.waiting {
 		if !balancer.grantOrRefuse(dispatchRound, ticket) {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -18,6 +18,9 @@
 	// before the first event: the request's own, and a fraction of those of other
 	// requests without a first event.
 	PrefillTokens int
+	// Limit is the requests a second that the target takes from all hosts together, 0
+	// for no limit.
+	Limit float64
 
 	balancer     *Balancer
 	targetState  *targetState
@@ -46,6 +49,9 @@
 		promptTokens: ticket.PromptTokens,
 		grantedAt:    now,
 	}
+	if grant.Limit = balancer.rate(targetState); grant.Limit > 0 {
+		balancer.Limits.Take(&targetState.Target)
+	}
 	targetState.inFlight++
 	targetState.remainingShare--
 	targetState.zone.recordAttempt(now)
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -6,13 +6,17 @@
 // typical target could no longer answer in time, or after a short wait if the queue
 // ahead of the ticket is too long for it to be served by then.
 func (balancer *Balancer) refusalTime(pool *pool, ticket *Ticket) time.Time {
+	_, allLimited := balancer.limitedRate(pool, ticket.arrived)
 	if ticket.Due.IsZero() {
+		if timeout := ticket.Deadline.Sub(ticket.arrived); allLimited && !ticket.Deadline.IsZero() && balancer.estimatedWait(pool, ticket) > timeout {
+			return ticket.arrived.Add(timeout / minWaitDivisor)
+		}
 		return ticket.Deadline
 	}
 	objective := ticket.Due.Sub(ticket.arrived)
 	typicalLatency := time.Duration(pool.baseLatency) + pool.averages().timePerToken*time.Duration(ticket.PromptTokens)
 	wait := max(objective-firstEventMarginFactor*typicalLatency, objective/minWaitDivisor)
-	if pool.contended && balancer.estimatedWait(pool, ticket) > wait {
+	if (pool.contended || allLimited) && balancer.estimatedWait(pool, ticket) > wait {
 		wait = objective / minWaitDivisor
 	}
 	refuseAt := ticket.arrived.Add(wait)
@@ -30,7 +34,7 @@
 // slots become free, less the arrival rate of higher tiers.
 func (balancer *Balancer) estimatedWait(pool *pool, ticket *Ticket) time.Duration {
 	pool.arrivals.decay(ticket.arrived)
-	rate := pool.totalCapacity(ticket.arrived) / max(pool.averageHoldTime, 1) * float64(time.Second)
+	rate := balancer.servingRate(pool, ticket.arrived)
 	ahead := 0
 	for tier, waiting := range pool.waitingByTier(pool.tierCount()) {
 		if tier > ticket.Tier {
--- a/balance/report.go
+++ b/balance/report.go
@@ -144,6 +144,10 @@
 	// so that this one uses only its share.
 	FreeSlots int
 	Contended bool
+	// LimitedTargets is the number of targets with a limit that may get requests,
+	// LimitedRate the requests a second that these take together from all hosts.
+	LimitedTargets int
+	LimitedRate    float64
 	// ReportAge is the age of the oldest report of another host, 0 if there is none.
 	ReportAge time.Duration
 }
@@ -154,13 +158,20 @@
 	defer balancer.mutex.Unlock()
 	now := time.Now()
 	pool := balancer.getOrCreatePool(name)
-	return PoolStatus{
+	status := PoolStatus{
 		Waiting:       len(pool.waiting),
 		OthersWaiting: pool.othersWaitingAbove(len(pool.othersWaitingByTier)),
-		FreeSlots:     pool.freeCapacity(now),
+		FreeSlots:     balancer.freeCapacity(pool, now),
 		Contended:     pool.contended,
 		ReportAge:     balancer.oldestReportAge(now),
 	}
+	for _, targetState := range pool.targets {
+		if limit := balancer.rate(targetState); limit > 0 && targetState.isEligible(now) {
+			status.LimitedTargets++
+			status.LimitedRate += limit
+		}
+	}
+	return status
 }
 
 // Subtract subtracts the counts of another report, but not below 0.
--- a/balance/share.go
+++ b/balance/share.go
@@ -86,7 +86,7 @@
 // new requests arrive at all hosts at the same rate.
 func (balancer *Balancer) shareFraction(pool *pool, propagationDelay time.Duration, now time.Time) float64 {
 	pool.arrivals.decay(now)
-	available := float64(pool.freeCapacity(now))
+	available := float64(balancer.freeCapacity(pool, now))
 	span := min(propagationDelay, time.Duration(pool.averageHoldTime))
 	hosts := float64(balancer.hostCount())
 	ownDemand, totalDemand := 0.0, 0.0
@@ -118,9 +118,16 @@
 	return max(1, balancer.HostCount())
 }
 
-// accepts reports whether this host may send one more request to a target.
-func (pool *pool) accepts(targetState *targetState) bool {
-	return targetState.totalInFlight() < pool.capacity(targetState) && (!pool.contended || targetState.remainingShare > 0)
+// accepts reports whether this host may send one more request to a target. The permits
+// of targets with limits take the place of shares.
+func (balancer *Balancer) accepts(pool *pool, targetState *targetState) bool {
+	if targetState.totalInFlight() >= pool.capacity(targetState) {
+		return false
+	}
+	if balancer.rate(targetState) > 0 {
+		return balancer.isPermitted(targetState)
+	}
+	return !pool.contended || targetState.remainingShare > 0
 }
 
 // shareableSlots returns a target's free slots plus a fraction of the free places in
--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -20,6 +20,8 @@
 	eventAttemptFailed = 1104
 	eventAnswered      = 1108
 	eventSuspected     = 1112
+	eventLimited       = 1121
+	eventNotLimited    = 1122
 	eventPeerReporting = 6101
 	eventPeerSilent    = 6102
 	eventPeerLeft      = 6103
@@ -124,6 +126,10 @@
 		if targets[line.Target] {
 			return "target " + line.Target, line.Detail
 		}
+	case eventLimited:
+		return "limit of " + line.Target, line.Facts["rate"] + " a second from all hosts"
+	case eventNotLimited:
+		return "limit of " + line.Target, ""
 	}
 	return "", ""
 }
@@ -233,6 +239,9 @@
 	if last.Facts["contended"] == "true" {
 		text += ", too few for all hosts"
 	}
+	if limited := last.Facts["limited"]; limited != "" && limited != "0" {
+		text += fmt.Sprintf("; %s targets take only %s requests a second from all hosts together", limited, last.Facts["limitedRate"])
+	}
 	if last.Facts["returned"] == "true" {
 		text += "; its caller had come back after a refusal and stood behind others of the rank"
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -13,6 +13,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/timeline"
@@ -54,6 +55,7 @@
 	Balancer *balance.Balancer
 	Ledger   *quota.Ledger
 	Suspects *quarantine.Suspects
+	Limiter  *limit.Limiter
 	// Versions returns the versions of the platform's objects (the configuration
 	// and the targets) that this host has.
 	Versions func() Versions
@@ -69,6 +71,8 @@
 	livePeers  atomic.Int64
 	knownPeers atomic.Int64
 	interval   atomic.Int64
+	// members is the result of Members; it is replaced, never changed.
+	members atomic.Pointer[limit.Members]
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -256,6 +260,10 @@
 		exchange.receiveSuspicions(datagram[1:])
 		return
 	}
+	if len(datagram) > 0 && datagram[0] == limitsMarker {
+		exchange.receiveLimits(datagram[1:])
+		return
+	}
 	message, err := decode(datagram)
 	if err != nil || message.GetAddress() == "" {
 		// The datagram is not from a host of this system.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"nutmegfield.example/limit"
 	"nutmegfield.example/timeline"
 )
 
@@ -210,6 +211,10 @@
 	exchange.livePeers.Store(int64(len(hosts) - 1))
 	exchange.knownPeers.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.propagationInterval()))
+	members := &limit.Members{Others: exchange.livePeerAddresses(), Known: 1 + len(exchange.peers)}
+	if before := exchange.members.Load(); before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) {
+		exchange.members.Store(members)
+	}
 }
 
 // recordHeartbeat updates the peer that a heartbeat belongs to. It reports
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"nutmegfield.example/limit"
 	"nutmegfield.example/timeline"
 )
 
@@ -88,16 +89,21 @@
 			timeline.Count("othersWaiting", status.OthersWaiting),
 			timeline.Count("free", status.FreeSlots),
 			timeline.Fact{Key: "contended", Value: strconv.FormatBool(status.Contended)},
+			timeline.Count("limited", status.LimitedTargets),
+			timeline.Fact{Key: "limitedRate", Value: limit.FormatRate(status.LimitedRate)},
 			timeline.Duration("reportAge", status.ReportAge),
 		)
 	}
 }
 
 // retryAfter returns the retry time for a refused request: longer the larger the
-// fraction of refused requests, but within the caller's remaining time.
+// fraction of refused requests, and at least the time until targets that all have limits
+// take another request, but within the caller's remaining time.
 func (forwarding *forwarding) retryAfter() time.Duration {
-	refusedFraction := forwarding.gateway.Balancer.RefusedFraction(forwarding.pool.Name)
+	balancer := forwarding.gateway.Balancer
+	refusedFraction := balancer.RefusedFraction(forwarding.pool.Name)
 	after := baseRetryAfter + time.Duration(refusedFraction*float64(maxExtraRetryAfter))
+	after = max(after, balancer.LimitedWait(forwarding.pool.Name))
 	return min(after, time.Until(forwarding.deadline)/retryAfterDivisor)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
@@ -256,6 +257,7 @@
 			timeline.Count("othersOpen", grant.OthersInFlight),
 			timeline.Duration("reportAge", grant.ReportAge),
 			timeline.Count("routes", forwarding.routesVersion),
+			{Key: "limit", Value: limit.FormatRate(grant.Limit)},
 		},
 	})
 }
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -19,3 +19,23 @@
 	}
 	return names
 }
+
+// limitCalls returns the balancer's calls for the limits of targets.
+func limitCalls(limiter *limit.Limiter) balance.Limits {
+	return balance.Limits{
+		Rate: func(target *balance.Target) float64 {
+			if limiter.IsEmpty() {
+				return 0
+			}
+			return limiter.Rate(limitedTarget(target))
+		},
+		Permits: func(target *balance.Target) int { return limiter.Permits(limitedTarget(target)) },
+		Take:    func(target *balance.Target) bool { return limiter.Take(limitedTarget(target)) },
+		Want: func(target *balance.Target, count, tier int) {
+			if tier < 0 {
+				tier = limit.ExpectedTier
+			}
+			limiter.Want(limitedTarget(target), count, tier)
+		},
+	}
+}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -125,6 +125,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
+			host.exchange.RunLimits,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -210,7 +211,11 @@
 		Suspects: host.suspects, Records: sources.Quarantines, Events: events,
 		Leads: func() bool { return host.exchange.Leads(1) }, IsCutOff: host.exchange.MissesZone,
 	}
-	host.limiter = &limit.Limiter{Events: events}
+	host.limiter = &limit.Limiter{
+		Address: settings.Peers.Listen, Members: host.exchange.Members, OnUpdate: host.balancer.Dispatch, Events: events,
+	}
+	host.exchange.Limiter = host.limiter
+	host.balancer.Limits = limitCalls(host.limiter)
 	host.gateway = &Gateway{
 		Protocol: protocol,
 		Connections: &upstream.Connections{
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -9,9 +9,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// rate returns the limit that is known of a target, 0 for none.
-func (limiter *Limiter) rate(target Target) float64 { return limiter.limits.find(target).Rate }
-
 // TestLimitsEnd guards against limits that end by an answer which was on its way when
 // the target named them, or that never end.
 func TestLimitsEnd(t *testing.T) {
@@ -26,24 +23,24 @@
 		time.Sleep(time.Second)
 		limiter.Observe(1, 2, sentBefore)
 		limiter.Observe(1, 0, sentBefore)
-		c.Assert(limiter.rate(1), qt.Equals, 2.0)
+		c.Assert(limiter.Rate(1), qt.Equals, 2.0)
 		limiter.Observe(1, 0, time.Now().Add(liftMargin))
-		c.Assert(limiter.rate(1), qt.Equals, 2.0)
+		c.Assert(limiter.Rate(1), qt.Equals, 2.0)
 		time.Sleep(time.Millisecond)
 		limiter.Observe(1, 1.4, time.Now())
-		c.Assert(limiter.rate(1), qt.Equals, 1.4)
+		c.Assert(limiter.Rate(1), qt.Equals, 1.4)
 		time.Sleep(time.Second)
 		limiter.Observe(1, 0, time.Now())
-		c.Assert(limiter.rate(1), qt.Equals, 0.0)
+		c.Assert(limiter.Rate(1), qt.Equals, 0.0)
 		limiter.Observe(2, 1e-9, time.Now())
-		c.Assert(limiter.rate(2), qt.Equals, minRate)
+		c.Assert(limiter.Rate(2), qt.Equals, minRate)
 		time.Sleep(liftedLifetime + time.Second)
 		limiter.SetTargets(map[Target]string{1: "t1"})
 		c.Assert(limiter.limits.load(), qt.HasLen, 1)
 		// An entry that comes back brings no limit back, but keeps one.
 		time.Sleep(goneLifetime / 2)
 		limiter.SetTargets(map[Target]string{2: "t2"})
-		c.Assert(limiter.rate(2), qt.Equals, minRate)
+		c.Assert(limiter.Rate(2), qt.Equals, minRate)
 		limiter.SetTargets(nil)
 		time.Sleep(goneLifetime + time.Second)
 		limiter.SetTargets(nil)
--- a/limit/metrics.go
+++ b/limit/metrics.go
@@ -12,3 +12,8 @@
 	}
 	metrics.GetOrCreateGauge("nutmegfield_limited_targets", nil).Set(float64(count))
 }
+
+// countPermits counts permits by what became of them.
+func countPermits(event string, count int) {
+	metrics.GetOrCreateCounter(`nutmegfield_limit_permits_total{event="` + event + `"}`).Add(count)
+}
--- a/limit/named.go
+++ b/limit/named.go
@@ -23,10 +23,15 @@
 	// minRate is the lowest rate that is kept to. A target that names less still gets
 	// a request now and then, as only its answers show that it takes more again.
 	minRate = 0.1
+	// MaxRate is the highest rate that is a limit; a higher one is none.
+	MaxRate = 1e6
 	// liftMargin is the time by which a request must have been sent after a target
 	// named its limit, for its answer without one to end the limit. It is more than
 	// the difference between the times at which two hosts receive answers.
 	liftMargin = 50 * time.Millisecond
+	// renewalInterval is the time within which a limit that is named again is not
+	// recorded. It is less than liftMargin.
+	renewalInterval = 20 * time.Millisecond
 	// liftedLifetime is how long a limit that ended is remembered, so that late
 	// messages don't bring it back.
 	liftedLifetime = 10 * time.Second
@@ -81,14 +86,17 @@
 // find returns what is known of a target's limit.
 func (limits *limits) find(target Target) Named { return limits.load()[target] }
 
-// set records a limit, and reports whether it supersedes what is known. Changed is set
-// if the rate is another one.
-func (limits *limits) set(target Target, named Named) (superseded, changed bool) {
+// set records a limit unless what is known is newer. It reports whether that changed
+// the rate.
+func (limits *limits) set(target Target, named Named) bool {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
 	known, ok := limits.load()[target]
+	if named.Rate == known.Rate && named.IsOwn == known.IsOwn && named.At.Sub(known.At) < renewalInterval {
+		return false
+	}
 	if !named.supersedes(known) || !ok && len(limits.load()) >= maxNamed {
-		return false, false
+		return false
 	}
 	replaced := maps.Clone(limits.load())
 	if replaced == nil {
@@ -96,7 +104,7 @@
 	}
 	replaced[target] = named
 	limits.named.Store(&replaced)
-	return true, known.Rate != named.Rate
+	return known.Rate != named.Rate
 }
 
 // remove forgets targets.
