load, standin, protocol: engines that report a limit

Change: the load report has a limit, the stand-in engine reports one, scenarios have the trouble "limited", and TestLimitAtSchedulers plays it.

--- a/load/check.go
+++ b/load/check.go
@@ -43,12 +43,16 @@
 	}
 	for i, failing := range scenario.Faults {
 		what := 0
-		for _, name := range []string{failing.Slow, failing.Crash, failing.Zone, failing.Crashing} {
+		for _, name := range []string{failing.Slow, failing.Crash, failing.Zone, failing.Limited, failing.Crashing} {
 			if name != "" {
 				what++
 			}
 		}
-		fault(what == 1, "faults[%d]: one of slow, crash, zone and crashing must be set", i)
+		fault(what == 1, "faults[%d]: one of slow, crash, zone, limited and crashing must be set", i)
+		if failing.Limited != "" {
+			fault(scenario.hasEngine(failing.Limited), "faults[%d].limited: there is no engine %s", i, failing.Limited)
+			fault(failing.Rate > 0, "faults[%d].rate must be above 0", i)
+		}
 		if failing.Crashing != "" {
 			class := scenario.class(failing.Crashing)
 			fault(class != nil && scenario.Pool(class.Pool) != nil && len(scenario.Pool(class.Pool).Engines) > 0,
@@ -72,3 +76,10 @@
 func (scenario *Scenario) workspace(name string) int {
 	return slices.IndexFunc(scenario.Workspaces, func(workspace Workspace) bool { return workspace.Name == name })
 }
+
+// hasEngine reports whether a pool has an engine with a name.
+func (scenario *Scenario) hasEngine(name string) bool {
+	return slices.ContainsFunc(scenario.Pools, func(pool Pool) bool {
+		return slices.ContainsFunc(pool.Engines, func(engine Engine) bool { return engine.Name == name })
+	})
+}
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -153,8 +153,9 @@
 }
 
 // Fault is something that fails for a time: a target is slow by a factor, or
-// crashed, a zone is lost with its hosts and targets, or a caller sends a request
-// again and again that crashes the engines which run it.
+// crashed, a zone is lost with its hosts and targets, an engine takes only so many
+// requests a second, or a caller sends a request again and again that crashes the
+// engines which run it.
 type Fault struct {
 	At    time.Duration `yaml:"at"`
 	For   time.Duration `yaml:"for"`
@@ -162,6 +163,10 @@
 	Times float64       `yaml:"times"`
 	Crash string        `yaml:"crash"`
 	Zone  string        `yaml:"zone"`
+	// Limited is an engine that takes Rate requests a second from all hosts together,
+	// which its load reports say.
+	Limited string  `yaml:"limited"`
+	Rate    float64 `yaml:"rate"`
 	// Crashing is the class of the crashing request, which is sent Every so
 	// often; a crashed engine is back after Down.
 	Crashing string        `yaml:"crashing"`
--- a/load/simulation/flight.go
+++ b/load/simulation/flight.go
@@ -291,6 +291,9 @@
 		release(request.Release{End: kind, Usage: end.Usage, FirstToken: flight.first, Total: time.Since(flight.sent)})
 		simulation.answered(flight, id, done)
 	}
+	if target.isLimited {
+		simulation.limitedRequests = append(simulation.limitedRequests, time.Now())
+	}
 	target.model.Submit(job)
 	target.touch()
 }
--- a/load/simulation/simulation.go
+++ b/load/simulation/simulation.go
@@ -41,6 +41,9 @@
 	duration time.Duration
 	// crashes are the times at which crashing requests crashed engines.
 	crashes []time.Time
+	// limitedRequests are the times at which requests reached engines while these were
+	// limited.
+	limitedRequests []time.Time
 }
 
 // Held returns how many tokens of a ticket's prompt a target holds.
@@ -111,6 +114,10 @@
 		crashed := simulation.byName[failing.Crash]
 		simulation.agenda.at(start, crashed.crash)
 		simulation.agenda.at(end, crashed.restart)
+	case failing.Limited != "":
+		limited := simulation.byName[failing.Limited]
+		simulation.agenda.at(start, func() { limited.limit(failing.Rate) })
+		simulation.agenda.at(end, func() { limited.limit(0) })
 	case failing.Zone != "":
 		simulation.agenda.at(start, func() { simulation.lose(failing.Zone) })
 		simulation.agenda.at(end, func() { simulation.regain(failing.Zone) })
--- a/load/simulation/simulation_test.go
+++ b/load/simulation/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,3 +162,48 @@
 	late, _ = lateRetries(baselines[len(baselines)-1])
 	qt.Assert(t, late > allowedRetries, qt.IsTrue, qt.Commentf("%d", late))
 }
+
+// TestLimitAtSchedulers guards against schedulers that send an engine more requests a
+// second than its load reports say that it takes. The bounds are those of gateways.
+func TestLimitAtSchedulers(t *testing.T) {
+	const (
+		rate       = 0.5
+		window     = 4 * time.Second
+		settleTime = 3 * time.Second
+	)
+	mostInWindow := func(variant variant) (most, total int, span time.Duration) {
+		failing := scenario(t, "tourSeason", 0.7, 60*time.Second)
+		fault := load.Fault{At: 10 * time.Second, For: 45 * time.Second, Limited: "sanJose1", Rate: rate}
+		failing.Faults = []load.Fault{fault}
+		synctest.Test(t, func(*testing.T) {
+			simulation := &Simulation{
+				Scenario: failing, Seed: 1, HostsAlone: variant.hostsAlone,
+				Policy: func(seed uint64, held Held) *policy.Policy { return variant.newPolicy(seed, held) },
+			}
+			simulation.Run()
+			// Load reports are late, and read now and then.
+			settledAt := simulation.started.Add(fault.At + failing.Delays.Report + failing.Delays.ReportEvery + settleTime)
+			span = simulation.started.Add(fault.At + fault.For).Sub(settledAt)
+			requests := slices.DeleteFunc(simulation.limitedRequests, settledAt.After)
+			total = len(requests)
+			for i, last := range requests {
+				count := 0
+				for _, at := range requests[:i+1] {
+					if last.Sub(at) < window {
+						count++
+					}
+				}
+				most = max(most, count)
+			}
+			t.Logf("%s: %d requests in %s, %d of them in %s", variant.name, total, span, most, window)
+		})
+		return most, total, span
+	}
+	allowed := int(1.5*rate*window.Seconds()) + 5
+	most, total, span := mostInWindow(own)
+	qt.Assert(t, most <= allowed, qt.IsTrue, qt.Commentf("%d of %d", most, allowed))
+	qt.Assert(t, float64(total) >= 0.8*rate*span.Seconds()-1, qt.IsTrue, qt.Commentf("%d in %s", total, span))
+	// Hosts that decide alone show that the load contains the fault.
+	most, _, _ = mostInWindow(baselines[len(baselines)-1])
+	qt.Assert(t, most > allowed, qt.IsTrue, qt.Commentf("%d of %d", most, allowed))
+}
--- a/load/simulation/target.go
+++ b/load/simulation/target.go
@@ -18,6 +18,8 @@
 	model *standin.EngineModel
 	// wake is when the model's next own event is planned.
 	wake time.Time
+	// isLimited is set while the engine takes a limited number of requests a second.
+	isLimited bool
 	// sequence is that of the last cache event read.
 	sequence uint64
 	service  service
@@ -90,6 +92,12 @@
 	target.touch()
 }
 
+func (target *target) limit(rate float64) {
+	target.isLimited = rate > 0
+	target.model.SetLimit(rate)
+	target.touch()
+}
+
 func (target *target) crash() {
 	if target.model != nil {
 		target.model.Crash()
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -69,9 +69,12 @@
 
 // Load is a target's report of its load at ReportedAt, in numbers of requests.
 type Load struct {
-	Running    int       `json:"running"`
-	Waiting    int       `json:"waiting"`
-	Leaving    bool      `json:"leaving"`
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Leaving bool `json:"leaving"`
+	// Limit is the number of requests a second that the target takes from all hosts
+	// together, 0 for no limit.
+	Limit      float64   `json:"limit"`
 	ReportedAt time.Time `json:"at"`
 }
 
--- a/standin/enginecontrol.go
+++ b/standin/enginecontrol.go
@@ -23,6 +23,9 @@
 	Poison bool `json:"poison"`
 	// Leaving makes the engine refuse new requests without running them.
 	Leaving bool `json:"leaving"`
+	// Limit is the number of requests a second that the engine says it takes, 0 for no
+	// limit.
+	Limit float64 `json:"limit"`
 	// Silent leaves connections open without sending any bytes.
 	Silent bool `json:"silent"`
 }
@@ -36,6 +39,7 @@
 		engine.faults = faults
 		model.SetSlowdown(faults.Slow)
 		model.SetLeaving(faults.Leaving)
+		model.SetLimit(faults.Limit)
 		switch {
 		case faults.Crashed && !model.Down():
 			model.Crash()
--- a/standin/enginemodel.go
+++ b/standin/enginemodel.go
@@ -139,6 +139,7 @@
 	slowdown    float64
 	down        bool
 	leaving     bool
+	limit       float64
 	advancedTo  time.Time
 	steps       float64
 	computed    float64
@@ -469,6 +470,14 @@
 	model.recordLoad()
 }
 
+// SetLimit sets the number of requests a second that the engine says it takes, 0 for no
+// limit. It doesn't refuse those beyond it.
+func (model *EngineModel) SetLimit(limit float64) {
+	model.Advance()
+	model.limit = limit
+	model.recordLoad()
+}
+
 func remove(jobs *[]*Job, job *Job) bool {
 	for i, found := range *jobs {
 		if found == job {
--- a/standin/enginereport.go
+++ b/standin/enginereport.go
@@ -53,6 +53,7 @@
 		Running:    len(model.prefills) + len(model.decoding),
 		Waiting:    len(model.waiting),
 		Leaving:    model.leaving,
+		Limit:      model.limit,
 		ReportedAt: time.Now(),
 	})
 	model.dropOldReports()
