pool, scheduler: keep the limits that engines report

Callers saw: nothing yet; engines of entry hosts had no way to name a limit. With one in their load reports, an engine that takes 0.5 requests a second got 21 in 4 s.

Change: a scheduler keeps the limit of each target in a bucket beside its slots: a request at once and those of a quarter of a second. A new limit begins with none, one that falls keeps what the lower one allows.

--- a/load/simulation/place.go
+++ b/load/simulation/place.go
@@ -139,8 +139,7 @@
 			if target.down() {
 				continue
 			}
-			running, waiting, at := target.load()
-			place.scheduler.ObserveLoad(target.name, pool.Load{Running: running, Waiting: waiting, ReportedAt: at})
+			place.scheduler.ObserveLoad(target.name, target.load())
 		}
 	})
 	simulation.reportToHosts()
@@ -205,9 +204,9 @@
 // read takes the reports as they are now.
 func (chooser *chooser) read() {
 	for i, target := range chooser.targets {
-		running, waiting, at := target.load()
-		chooser.candidates[i].ReportedLoad = float64(running + waiting)
-		chooser.candidates[i].ReportedAt = at
+		report := target.load()
+		chooser.candidates[i].ReportedLoad = float64(report.Running + report.Waiting)
+		chooser.candidates[i].ReportedAt = report.ReportedAt
 	}
 }
 
--- a/load/simulation/target.go
+++ b/load/simulation/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"nutmegfield.example/load"
+	"nutmegfield.example/pool"
 	"nutmegfield.example/standin"
 )
 
@@ -123,13 +124,13 @@
 	return target.service.down || target.model != nil && target.model.Down()
 }
 
-// load is the target's running and waiting requests by its last report.
-func (target *target) load() (int, int, time.Time) {
+// load is the target's last report.
+func (target *target) load() pool.Load {
 	if target.model == nil {
-		return len(target.service.running), len(target.service.waiting), time.Now()
+		return pool.Load{Running: len(target.service.running), Waiting: len(target.service.waiting), ReportedAt: time.Now()}
 	}
 	report := target.model.Load()
-	return report.Running, report.Waiting, report.ReportedAt
+	return pool.Load{Running: report.Running, Waiting: report.Waiting, Limit: report.Limit, ReportedAt: report.ReportedAt}
 }
 
 // call runs a call on a service.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -32,6 +32,8 @@
 	Running    int
 	Waiting    int
 	ReportedAt time.Time
+	// Limit is the number of requests a second that the target takes, 0 for no limit.
+	Limit float64
 }
 
 // Configuration is the part of the operators' configuration that concerns the
@@ -371,8 +373,11 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if target := pool.byName[name]; target != nil {
+		now := time.Now()
+		target.fillLimit(now)
 		target.reportedLoad = load
-		target.lastReported = time.Now()
+		target.lastReported = now
+		pool.refresh(target, now)
 	}
 }
 
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -240,6 +240,9 @@
 		pool.Prefixes.RecordGrant(chosen.Name, ticket.Prefixes)
 	}
 	chosen.running++
+	if chosen.reportedLoad.Limit > 0 {
+		chosen.limitLevel--
+	}
 	chosen.pendingPrefillTokens += holding.pendingPrefillTokens
 	holding.ownPrefillTokens = holding.pendingPrefillTokens
 	holding.pendingAtGrantTokens = chosen.pendingPrefillTokens
--- a/pool/script_test.go
+++ b/pool/script_test.go
@@ -104,6 +104,10 @@
 		stepPool.Release(scriptRunner.release(arguments))
 	case "setLeaving":
 		stepPool.SetLeaving(arguments["target"], arguments.valueOr("leaving", "yes") == "yes")
+	case "observeLoad":
+		limit, err := strconv.ParseFloat(arguments["limit"], 64)
+		qt.Assert(scriptRunner.t, err, qt.IsNil)
+		stepPool.ObserveLoad(arguments["target"], pool.Load{Limit: limit, ReportedAt: time.Now()})
 	case "sleep":
 		scriptRunner.sleep(scriptRunner.duration(arguments["for"]))
 	case "reconcile":
--- a/pool/target.go
+++ b/pool/target.go
@@ -22,6 +22,12 @@
 	// raises the best one, so that a target that stays slow is eventually
 	// compared with its new speed.
 	bestDrift = 0.005
+	// A target with a limit may get limitBurst requests at once, and those of
+	// limitBurstTime. It gets one in ten seconds at least, so that its reports of none
+	// don't end all use of it.
+	limitBurst     = 1
+	limitBurstTime = 250 * time.Millisecond
+	minLimit       = 0.1
 	// minSecondsUntilFree is the least estimated wait for a slot, in seconds.
 	minSecondsUntilFree = 0.001
 	// Observations of fewer tokens are ignored.
@@ -58,7 +64,11 @@
 	// checkOverdue.
 	overdueCount int
 	reportedLoad Load
-	speed        speed
+	// limitLevel is the number of requests that the reported limit allows now,
+	// limitFilledAt when it was computed.
+	limitLevel    float64
+	limitFilledAt time.Time
+	speed         speed
 	// slotLimit is the number of slots to use, lowered while the target is slow.
 	slotLimit      float64
 	lastShrunk     time.Time
@@ -164,13 +174,32 @@
 	if target.Leaving || target.reportedLeaving || target.removed || target.reserved || target.Slots <= 0 {
 		return 0
 	}
-	if target.failures == 0 {
-		return min(target.Slots, max(1, int(target.slotLimit)))
-	}
-	if now.Before(target.backedOffUntil) {
+	target.fillLimit(now)
+	slots := 1
+	switch {
+	case target.failures == 0:
+		slots = min(target.Slots, max(1, int(target.slotLimit)))
+	case now.Before(target.backedOffUntil):
 		return 0
 	}
-	return 1
+	if target.reportedLoad.Limit > 0 {
+		slots = min(slots, target.running+int(target.limitLevel))
+	}
+	return slots
+}
+
+// fillLimit adds to limitLevel what the reported limit allows since the last call. A new
+// limit begins with none.
+func (target *target) fillLimit(now time.Time) {
+	limit := target.reportedLoad.Limit
+	if limit <= 0 {
+		target.limitLevel, target.limitFilledAt = 0, now
+		return
+	}
+	limit = max(limit, minLimit)
+	added := limit * now.Sub(target.limitFilledAt).Seconds()
+	target.limitLevel = min(target.limitLevel+added, limitBurst+limit*limitBurstTime.Seconds())
+	target.limitFilledAt = now
 }
 
 // usable reports whether requests may wait for the target: it is not leaving, and
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -102,7 +102,10 @@
 		pollCounts.Add("failed", 1)
 		return
 	}
-	polledTarget.pool.ObserveLoad(polledTarget.targetKey.target, pool.Load{Running: load.Running, Waiting: load.Waiting, ReportedAt: load.ReportedAt})
+	scheduler.recordLimit(polledTarget.targetKey, load.Limit)
+	polledTarget.pool.ObserveLoad(polledTarget.targetKey.target, pool.Load{
+		Running: load.Running, Waiting: load.Waiting, Limit: load.Limit, ReportedAt: load.ReportedAt,
+	})
 	scheduler.recordLeaving(polledTarget.targetKey, load.Leaving)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,6 +63,8 @@
 	// handedOver holds the open pools that were handed over to another host.
 	handedOver    map[string]bool
 	leavingStates leavingStates
+	// limits are the limits that targets last reported.
+	limits map[targetKey]float64
 	// entryHosts holds the hosts that may hold grants.
 	entryHosts map[string]struct{}
 	// suspicions holds those received from other hosts, the oldest first.
