upstream, gateway: hosts share the connections that a target accepts

Callers saw: nothing yet. Where many hosts kept idle connections to a target, it could reset new ones.

Cause: a service's limit of connections is one number for all callers together; each host kept up to 32 idle ones to each target, 2,048 of 64 hosts where a service accepts 110.

Change: while a host has more connections open to a target than its share, by all hosts with known addresses, it keeps none idle. Requests open as many as they need.

Failed before: TestIdleConnectionsOfManyHosts, 8 open of a share of 3.

--- a/gateway/part.go
+++ b/gateway/part.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/balance"
@@ -89,6 +90,10 @@
 	// of model engines.
 	currentTargets []balance.Target
 	enginePools    map[string]bool
+	// maxConnections are the connections that the targets of each pool accept.
+	maxConnections map[string]int
+	// connectionLimits are those of each address; the map is replaced, never changed.
+	connectionLimits atomic.Pointer[map[string]int]
 	// snapshotRequestedAt is when another host was last asked for a snapshot.
 	snapshotRequestedAt time.Time
 }
@@ -221,6 +226,7 @@
 		Connections: &upstream.Connections{
 			Dial:        kernelHost.Network.Dial,
 			DialTimeout: dialTimeout,
+			MaxOpen:     host.maxOpenConnections,
 			Matches:     answerMatcher(protocol),
 		},
 		Balancer: host.balancer,
@@ -309,13 +315,15 @@
 		limits[workspace.Name] = host.tolerance.Bucket(quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst})
 	}
 	host.ledger.SetLimits(limits)
-	engines := map[string]bool{}
+	engines, maxConnections := map[string]bool{}, map[string]int{}
 	for _, pool := range table.Configuration.Pools {
 		engines[pool.Name] = pool.Engine != nil
+		maxConnections[pool.Name] = pool.Connections
 	}
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	host.enginePools = engines
+	host.enginePools, host.maxConnections = engines, maxConnections
+	host.updateConnectionLimits()
 	host.balancer.SetTargets(host.currentTargets, engines)
 }
 
@@ -325,9 +333,31 @@
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	host.currentTargets = targets
+	host.updateConnectionLimits()
 	host.balancer.SetTargets(targets, host.enginePools)
 }
 
+// updateConnectionLimits computes the connections that each address accepts. The caller
+// holds the mutex.
+func (host *host) updateConnectionLimits() {
+	limits := map[string]int{}
+	for i := range host.currentTargets {
+		target := &host.currentTargets[i]
+		limits[target.Address] = host.maxConnections[target.Pool]
+	}
+	host.connectionLimits.Store(&limits)
+}
+
+// maxOpenConnections returns this host's share of the connections that the target at an
+// address accepts from all hosts, 0 for no limit.
+func (host *host) maxOpenConnections(address string) int {
+	limits := host.connectionLimits.Load()
+	if limits == nil || (*limits)[address] <= 0 {
+		return 0
+	}
+	return max(1, (*limits)[address]/host.exchange.SharingHosts())
+}
+
 // serveReadiness answers readiness checks of the load balancer: 503 while draining
 // or without routes, else 200.
 func (host *host) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -47,6 +47,10 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DialTimeout limits each dial.
 	DialTimeout time.Duration
+	// MaxOpen returns this host's share of the connections that the target at an address
+	// accepts from all hosts together, 0 for no limit. While more are open, none is
+	// kept idle. It may be nil.
+	MaxOpen func(address string) int
 	// Matches reports whether an answer belongs to the request.
 	Matches func(request *Request, response *http.Response) bool
 
@@ -109,6 +113,11 @@
 func (connections *Connections) addOpen(address string, change int) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
+	connections.addOpenLocked(address, change)
+}
+
+// addOpenLocked is addOpen for callers that hold the mutex.
+func (connections *Connections) addOpenLocked(address string, change int) {
 	if connections.open == nil {
 		connections.open = map[string]int{}
 	}
@@ -126,8 +135,8 @@
 }
 
 // putIdle keeps a connection for reuse after its answer has been read completely. It
-// closes the connection if it must not be reused, has unread input or
-// maxIdlePerTarget others are idle.
+// closes the connection if it must not be reused, has unread input, maxIdlePerTarget
+// others are idle or more than MaxOpen are open.
 func (connections *Connections) putIdle(ended *connection) {
 	ended.uses++
 	ended.idleSince = time.Now()
@@ -135,14 +144,22 @@
 		ended.close()
 		return
 	}
+	maxOpen := 0
+	if connections.MaxOpen != nil {
+		maxOpen = connections.MaxOpen(ended.address)
+	}
 	connections.mutex.Lock()
 	idle := connections.idle[ended.address]
-	full := len(idle) >= maxIdlePerTarget
+	full := len(idle) >= maxIdlePerTarget || maxOpen > 0 && connections.open[ended.address] > maxOpen
 	if !full {
 		if connections.idle == nil {
 			connections.idle = map[string][]*connection{}
 		}
 		connections.idle[ended.address] = append(idle, ended)
+	} else {
+		// Others that end at the same moment must not count it any more.
+		connections.addOpenLocked(ended.address, -1)
+		ended.onClose = nil
 	}
 	connections.mutex.Unlock()
 	if full {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -263,3 +264,33 @@
 	connection.updateReuse(&http.Response{Close: true, Header: http.Header{}})
 	c.Assert(connection.noReuse, qt.IsTrue)
 }
+
+// TestIdleConnectionsOfManyHosts guards against hosts that together keep more idle
+// connections to a target than it accepts from all, so that it resets new ones.
+func TestIdleConnectionsOfManyHosts(t *testing.T) {
+	c := qt.New(t)
+	const requests, share = 8, 3
+	arrived, release := make(chan struct{}, requests), make(chan struct{})
+	address, _ := startTarget(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		arrived <- struct{}{}
+		<-release
+		writeAnswer(conn, "ok")
+		return true
+	})
+	connections := newConnections()
+	connections.MaxOpen = func(string) int { return share }
+	var group sync.WaitGroup
+	for range requests {
+		group.Go(func() {
+			_, err := exchange(connections, address, nil, false)
+			c.Check(err, qt.IsNil)
+		})
+	}
+	for range requests {
+		<-arrived
+	}
+	c.Assert(connections.OpenCount(address), qt.Equals, requests)
+	close(release)
+	group.Wait()
+	c.Assert(connections.OpenCount(address), qt.Equals, share)
+}
