limit: hosts that know no targets forget no limits

Cause: a host that starts while the platform is away has no targets and took every limit for that of a target that is gone. As a grantor it forgot the limit each ten seconds and began anew with an empty bucket.

Change: limits are forgotten only by hosts that have read the targets.

Failed before: TestLimitsEnd with its new lines.

--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -282,7 +282,8 @@
 // sweep forgets limits that ended, and those of targets that are gone.
 func (limiter *Limiter) sweep(now time.Time) {
 	limiter.sweptAt = now
-	if limiter.IsEmpty() {
+	// A host that has not read the targets yet knows none of them as gone.
+	if limiter.IsEmpty() || len(limiter.names) == 0 {
 		return
 	}
 	goneAt := map[Target]time.Time{}
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -44,6 +44,10 @@
 		limiter.SetTargets(nil)
 		time.Sleep(goneLifetime + time.Second)
 		limiter.SetTargets(nil)
+		c.Assert(limiter.Rate(2), qt.Equals, minRate)
+		limiter.SetTargets(map[Target]string{3: "t3"})
+		time.Sleep(goneLifetime + time.Second)
+		limiter.SetTargets(map[Target]string{3: "t3"})
 		c.Assert(limiter.IsEmpty(), qt.IsTrue)
 	})
 }
