limit: count requests that a target has not answered

Cause: while the way to a target is interrupted, hosts send on at its limit, and all these requests reach it together when the way is open again, before those of the next seconds.

Change: asks carry the number of requests of the last 4 s that the target has not answered; the grantor lets 3 and those of 1.5 s of the limit be pending, permits and these together.

--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -129,6 +129,7 @@
 	return &exchangepb.LimitAsk{
 		News: encodeNews(&ask.News), Own: ask.IsOwn, Sequence: ask.Sequence, Wanted: uint32(ask.Wanted),
 		Held: uint32(ask.Held), Tier: uint32(ask.Tier), Received: ask.Received, Returned: uint32(ask.Returned),
+		Unanswered: uint32(ask.Unanswered),
 	}
 }
 
@@ -143,12 +144,13 @@
 	}
 	for _, ask := range encoded.GetAsks() {
 		if !isValidRate(ask.GetNews().GetRate()) || ask.GetTier() > maxReceivedTier ||
-			max(ask.GetWanted(), ask.GetHeld(), ask.GetReturned()) > maxReceivedPermits {
+			max(ask.GetWanted(), ask.GetHeld(), ask.GetReturned(), ask.GetUnanswered()) > maxReceivedPermits {
 			return nil, false
 		}
 		message.Asks = append(message.Asks, limit.Ask{
 			News: decodeNews(ask.GetNews()), IsOwn: ask.GetOwn(), Sequence: ask.GetSequence(), Wanted: int(ask.GetWanted()),
 			Held: int(ask.GetHeld()), Tier: int(ask.GetTier()), Received: ask.GetReceived(), Returned: int(ask.GetReturned()),
+			Unanswered: int(ask.GetUnanswered()),
 		})
 	}
 	for _, grant := range encoded.GetGrants() {
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -16,6 +16,11 @@
 	// Together with a bucket they are what a target can get beyond its limit at once.
 	outstandingBase = 2
 	outstandingTime = 500 * time.Millisecond
+	// pendingBase and pendingTime give the requests that may be pending at most: those
+	// that the target has not answered, and permits. They may reach it all at once when
+	// the way there was interrupted.
+	pendingBase = 3
+	pendingTime = 1500 * time.Millisecond
 	// grantTimeout is the time after which a grant that a host has not confirmed is
 	// taken for lost. Its permits are not granted again.
 	grantTimeout = 200 * time.Millisecond
@@ -101,9 +106,10 @@
 	if bucket.level < 1 {
 		return nil
 	}
-	outstanding := 0
+	outstanding, unanswered := 0, 0
 	var hosts []string
 	for host, asker := range bucket.askers {
+		unanswered += asker.Unanswered
 		if now.Sub(asker.heardAt) <= PermitLifetime || now.Sub(asker.grantedAt) <= PermitLifetime {
 			outstanding += asker.Held + asker.onWay(now)
 		}
@@ -112,7 +118,7 @@
 		}
 	}
 	grants := map[string]int{}
-	maxOutstanding := outstandingBase + int(rate*outstandingTime.Seconds())
+	maxOutstanding := min(outstandingBase+int(rate*outstandingTime.Seconds()), pendingBase+int(rate*pendingTime.Seconds())-unanswered)
 	for bucket.level >= 1 && outstanding < maxOutstanding && len(hosts) > 0 {
 		next := slices.MinFunc(hosts, func(one, other string) int {
 			first, second := bucket.askers[one], bucket.askers[other]
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -83,6 +83,9 @@
 	namedAt  time.Time
 	arrivals []fleetArrival
 	told     map[*fleetHost]time.Time
+	// isCut means that requests don't reach the target now, but later: those in held.
+	isCut bool
+	held  []func()
 	// highest is the highest rate that counts until settleTime after the rate fell.
 	highest   float64
 	changedAt time.Time
@@ -225,7 +228,19 @@
 	return host.limiter.Permits(target.id) > 0 && host.limiter.Take(target.id)
 }
 
+// sendRequest sends a request, which reaches the target at once or when it is no longer
+// cut off.
 func (fleet *fleet) sendRequest(host *fleetHost, target *fleetTarget) {
+	sentAt := time.Now()
+	arrive := func() { fleet.arriveAt(target, host, sentAt) }
+	if target.isCut {
+		target.held = append(target.held, arrive)
+		return
+	}
+	arrive()
+}
+
+func (fleet *fleet) arriveAt(target *fleetTarget, host *fleetHost, sentAt time.Time) {
 	now := time.Now()
 	target.arrivals = append(target.arrivals, fleetArrival{host: host, at: now})
 	fleet.pending = append(fleet.pending, delivery{at: now.Add(answerTime), apply: func() {
@@ -235,7 +250,7 @@
 		if _, ok := target.told[host]; !ok && target.rate > 0 {
 			target.told[host] = time.Now()
 		}
-		host.limiter.Observe(target.id, target.rate, now)
+		host.limiter.Observe(target.id, target.rate, sentAt)
 	}})
 }
 
@@ -416,6 +431,19 @@
 			}
 			fleet.run(3 * time.Second)
 		}
+	case "linkCut":
+		for _, target := range fleet.targets {
+			for range 2 {
+				target.isCut = true
+				fleet.run(3500 * time.Millisecond)
+				target.isCut = false
+				for _, arrive := range target.held {
+					arrive()
+				}
+				target.held = nil
+				fleet.run(5 * time.Second)
+			}
+		}
 	case "falls":
 		for _, target := range fleet.targets {
 			target.name(target.rate / 4)
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -23,6 +23,9 @@
 	hostRefreshInterval = 3 * time.Millisecond
 	// takeMargin is the time that a permit must still be valid to be counted.
 	takeMargin = 5 * time.Millisecond
+	// unansweredLifetime is how long a request without an answer is counted: it may
+	// still reach the target if the way there is interrupted.
+	unansweredLifetime = 4 * time.Second
 	// newsRepeats is how often a change is sent, as messages may be lost.
 	newsRepeats  = 3
 	newsInterval = 50 * time.Millisecond
@@ -77,10 +80,13 @@
 	// wanted is the number of further permits that can be used, tier that of the most
 	// important waiting request.
 	wanted, tier int
-	sequence     uint32
-	received     uint32
-	returned     int
-	askedAt      time.Time
+	// unanswered are the times at which requests were sent that the target has not
+	// answered, the oldest first.
+	unanswered []time.Time
+	sequence   uint32
+	received   uint32
+	returned   int
+	askedAt    time.Time
 	// isChanged is set if the grantor has to be asked anew.
 	isChanged bool
 	// news is the number of times that the limit has still to be reported.
@@ -109,6 +115,18 @@
 		return
 	}
 	limiter.learn(target, named, "answer")
+	limiter.recordAnswer(target)
+}
+
+// recordAnswer records that a target has answered a request.
+func (limiter *Limiter) recordAnswer(target Target) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if entry := limiter.uses[target]; entry != nil && len(entry.unanswered) > 0 {
+		entry.unanswered = entry.unanswered[1:]
+		entry.isChanged = true
+		limiter.wake()
+	}
 }
 
 // learn records a limit.
@@ -196,6 +214,7 @@
 	}
 	// The last one is valid for the longest time.
 	entry.permits = entry.permits[:len(entry.permits)-1]
+	entry.unanswered = append(entry.unanswered, time.Now())
 	entry.isChanged = true
 	countPermits("used", 1)
 	limiter.wake()
@@ -222,8 +241,13 @@
 	limiter.wake()
 }
 
-// expire drops the permits that are no longer valid, to give them back.
+// expire drops the permits that are no longer valid, to give them back, and the requests
+// that are no longer counted as unanswered.
 func (use *use) expire(now time.Time) {
+	for len(use.unanswered) > 0 && now.Sub(use.unanswered[0]) > unansweredLifetime {
+		use.unanswered = use.unanswered[1:]
+		use.isChanged = true
+	}
 	for len(use.permits) > 0 && !now.Before(use.permits[0].until) {
 		if use.permits[0].grantor == use.grantor {
 			use.returned++
@@ -252,7 +276,7 @@
 	use.sequence++
 	ask := Ask{
 		News: News{Target: target, Rate: named.Rate, Age: now.Sub(named.At)}, IsOwn: named.IsOwn,
-		Sequence: use.sequence, Wanted: use.wanted, Held: len(use.permits), Tier: use.tier,
+		Sequence: use.sequence, Wanted: use.wanted, Held: len(use.permits), Tier: use.tier, Unanswered: len(use.unanswered),
 		Received: use.received, Returned: use.returned,
 	}
 	use.askedAt, use.isChanged, use.returned = now, false, 0
@@ -389,7 +413,7 @@
 		entry := limiter.use(target)
 		entry.expire(now)
 		if named.Rate == 0 {
-			entry.wanted, entry.permits = 0, nil
+			entry.wanted, entry.permits, entry.unanswered = 0, nil, nil
 		}
 		if grantor != entry.grantor {
 			entry.changeGrantor(grantor)
--- a/limit/message.go
+++ b/limit/message.go
@@ -34,6 +34,9 @@
 	// Wanted is the number of permits that the host can use in addition to those Held.
 	// Tier is that of its most important waiting request, ExpectedTier for none.
 	Wanted, Held, Tier int
+	// Unanswered is the number of requests that the host sent within unansweredLifetime
+	// and that the target has not answered.
+	Unanswered int
 	// Received is the number of permits received from the grantor so far, Returned the
 	// number of those that were not used since the previous ask.
 	Received uint32
