--- a/balance/script_test.go
+++ b/balance/script_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,9 @@
 //	start NAME | end NAME OUTCOME            records the first event or the end
 //	want NAME TARGET|waiting|refused|zone Z  checks the result of a take step
 //	pressure above|below FRACTION            checks RefusedFraction
+//	limit NAME RATE permits N                the target has a limit and this host permits
+//	wanted NAME N                            checks the permits that the host asks for
+//	limitedWait DURATION                     checks LimitedWait
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.script")
 	qt.Assert(t, err, qt.IsNil)
@@ -49,6 +53,9 @@
 	targets  []Target
 	calls    map[string]*acquireCall
 	ctx      context.Context
+	// mutex guards limits, the limits of targets by ID.
+	mutex    sync.Mutex
+	limits   map[string]*scriptLimit
 	position qt.Comment
 }
 
@@ -58,6 +65,42 @@
 	received *acquireResult
 }
 
+// scriptLimit is the limit of a target, with the permits that this host has and wants.
+type scriptLimit struct {
+	rate            float64
+	permits, wanted int
+}
+
+// limitCalls returns the calls for the script's limits.
+func (script *script) limitCalls() Limits {
+	find := func(target *Target) *scriptLimit {
+		if found := script.limits[target.ID]; found != nil {
+			return found
+		}
+		return &scriptLimit{}
+	}
+	locked := func(do func()) {
+		script.mutex.Lock()
+		defer script.mutex.Unlock()
+		do()
+	}
+	return Limits{
+		Rate: func(target *Target) (rate float64) {
+			locked(func() { rate = find(target).rate })
+			return rate
+		},
+		Permits: func(target *Target) (permits int) {
+			locked(func() { permits = find(target).permits })
+			return permits
+		},
+		Take: func(target *Target) bool {
+			locked(func() { find(target).permits-- })
+			return true
+		},
+		Want: func(target *Target, count, _ int) { locked(func() { find(target).wanted = count }) },
+	}
+}
+
 type acquireResult struct {
 	grant *Grant
 	err   error
@@ -77,6 +120,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	script := &script{C: qt.New(t), balancer: &Balancer{Zone: "a"}, calls: map[string]*acquireCall{}, ctx: ctx}
+	script.balancer.Limits = script.limitCalls()
 	go func() { _ = script.balancer.Run(ctx) }()
 	text, err := os.Open(file)
 	script.Assert(err, qt.IsNil)
@@ -138,6 +182,22 @@
 			return
 		}
 		script.Assert(script.outcome(words[0]), qt.Equals, words[1], script.position)
+	case "limit":
+		rate, err := strconv.ParseFloat(words[1], 64)
+		script.Assert(err, qt.IsNil, script.position)
+		script.mutex.Lock()
+		if script.limits == nil {
+			script.limits = map[string]*scriptLimit{}
+		}
+		script.limits[words[0]] = &scriptLimit{rate: rate, permits: script.parseInt(wordAfter(words, "permits"))}
+		script.mutex.Unlock()
+		script.balancer.Dispatch()
+	case "wanted":
+		script.mutex.Lock()
+		defer script.mutex.Unlock()
+		script.Assert(script.limits[words[0]].wanted, qt.Equals, script.parseInt(words[1]), script.position)
+	case "limitedWait":
+		script.Assert(script.balancer.LimitedWait(scriptPool), qt.Equals, script.parseDuration(words[0]), script.position)
 	case "pressure":
 		fraction, err := strconv.ParseFloat(words[1], 64)
 		script.Assert(err, qt.IsNil, script.position)
