--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -211,7 +211,12 @@
 	exchange.livePeers.Store(int64(len(hosts) - 1))
 	exchange.knownPeers.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.propagationInterval()))
-	members := &limit.Members{Others: exchange.livePeerAddresses(), Known: 1 + len(exchange.peers)}
+	members := &limit.Members{Others: exchange.livePeerAddresses(), Known: 1}
+	for _, peer := range exchange.peers {
+		if !peer.hasLeft {
+			members.Known++
+		}
+	}
 	if before := exchange.members.Load(); before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) {
 		exchange.members.Store(members)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"nutmegfield.example/balance"
-	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
@@ -207,14 +206,15 @@
 		return failed, silenceTimer.failureReason(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if reply := gateway.Protocol.ReadReply(answer.Status, answer.Header); !reply.Misdirected {
+	reply := gateway.Protocol.ReadReply(answer.Status, answer.Header)
+	if !reply.Misdirected {
 		gateway.Limiter.Observe(limitedTarget(&grant.Target), reply.RateLimit, sentAt)
 	}
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
 	var reason string
-	verdict, reason = forwarding.relay(ctx, grant, answer, attempt, silenceTimer)
+	verdict, reason = forwarding.relay(ctx, grant, answer, reply, attempt, silenceTimer)
 	return verdict, reason
 }
 
@@ -243,7 +243,7 @@
 		Request: forwarding.call.ID,
 		Pool:    grant.Target.Pool,
 		Target:  grant.Target.ID,
-		Facts: []timeline.Fact{
+		Facts: append([]timeline.Fact{
 			timeline.Count("rank", forwarding.rank),
 			{Key: "returned", Value: strconv.FormatBool(forwarding.isRetry)},
 			{Key: "workspace", Value: forwarding.workspaceName()},
@@ -257,8 +257,7 @@
 			timeline.Count("othersOpen", grant.OthersInFlight),
 			timeline.Duration("reportAge", grant.ReportAge),
 			timeline.Count("routes", forwarding.routesVersion),
-			{Key: "limit", Value: limit.FormatRate(grant.Limit)},
-		},
+		}, limitFacts(grant)...),
 	})
 }
 
@@ -299,8 +298,7 @@
 
 // relay passes a target's answer on to the caller, unless the answer says that the
 // target did not run the request.
-func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
-	reply := forwarding.gateway.Protocol.ReadReply(answer.Status, answer.Header)
+func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
 	if !reply.Misdirected {
 		attempt.Heard()
 	}
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -4,6 +4,7 @@
 	"nutmegfield.example/balance"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
+	"nutmegfield.example/timeline"
 )
 
 // limitedTarget returns the identity of a target's incarnation for its limit.
@@ -20,6 +21,15 @@
 	return names
 }
 
+// limitFacts returns the facts of a sent request for the limit of its target, none if it
+// has no limit.
+func limitFacts(grant *balance.Grant) []timeline.Fact {
+	if grant.Limit == 0 {
+		return nil
+	}
+	return []timeline.Fact{{Key: "limit", Value: limit.FormatRate(grant.Limit)}}
+}
+
 // limitCalls returns the balancer's calls for the limits of targets.
 func limitCalls(limiter *limit.Limiter) balance.Limits {
 	return balance.Limits{
