gateway: an answer to a request that did not run ends no limit

Callers saw: nothing yet. One answer without a limit lets all hosts send freely; a refusal for lack of room, which may not come from the same part of a target, was enough.

Cause: each answer counted as the target's word on its limit.

Change: an answer to a request that did not run can name a limit but ends none.

Failed before: TestLimitsFollowAnswers, the limit 0 after the second answer.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -207,9 +207,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	reply := gateway.Protocol.ReadReply(answer.Status, answer.Header)
-	if !reply.Misdirected {
-		gateway.Limiter.Observe(limitedTarget(&grant.Target), reply.RateLimit, sentAt)
-	}
+	gateway.observeLimit(&grant.Target, reply, sentAt)
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -35,6 +35,7 @@
 	testSeal      = "Test-Seal"
 	testNotRun    = "Test-Not-Run"
 	testTokens    = "Test-Tokens"
+	testLimit     = "Test-Limit"
 	testLastEvent = "Last-Event-Id"
 )
 
@@ -57,8 +58,11 @@
 		}
 	},
 	ReadReply: func(status int, header http.Header) Reply {
+		// No limit is 0.
+		limit, _ := strconv.ParseFloat(header.Get(testLimit), 64)
 		return Reply{
-			ID: header.Get(testID), NotRun: header.Get(testNotRun) != "",
+			RateLimit: limit,
+			ID:        header.Get(testID), NotRun: header.Get(testNotRun) != "",
 			Misdirected: status == http.StatusMisdirectedRequest, Sealed: header.Get(testSeal) != "",
 		}
 	},
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"nutmegfield.example/balance"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/quarantine"
@@ -21,6 +23,19 @@
 	return names
 }
 
+// observeLimit records what an answer, to a request that was sent at a time, says of the
+// target's limit. One to a request that did not run ends no limit: it may not be the
+// target's own.
+func (gateway *Gateway) observeLimit(target *balance.Target, reply Reply, sentAt time.Time) {
+	switch {
+	case reply.Misdirected:
+	case reply.NotRun && reply.RateLimit == 0:
+		gateway.Limiter.RecordAnswer(limitedTarget(target))
+	default:
+		gateway.Limiter.Observe(limitedTarget(target), reply.RateLimit, sentAt)
+	}
+}
+
 // limitFacts returns the facts of a sent request for the limit of its target, none if it
 // has no limit.
 func limitFacts(grant *balance.Grant) []timeline.Fact {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
 	"nutmegfield.example/route"
 	"nutmegfield.example/upstream"
@@ -183,3 +184,24 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(rest), qt.Contains, "data: b")
 }
+
+// TestLimitsFollowAnswers guards against limits of targets that an answer ends which says
+// nothing of them, of a request that did not run or of another target.
+func TestLimitsFollowAnswers(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Attempts = 1 }), 1)
+	fixture.replies = []string{
+		"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\nTest-Limit: 2.5\nContent-Length: 1\n\na",
+		"HTTP/1.1 503 Full\nTest-Id: ID\nTest-Not-Run: 1\nContent-Length: 0\n\n",
+		"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\nContent-Length: 1\n\na",
+	}
+	limiter, target := fixture.gateway.Limiter, limitedTarget(&balance.Target{ID: "t0"})
+	for _, limit := range []float64{2.5, 2.5, 0} {
+		response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		c.Assert(limiter.Rate(target), qt.Equals, limit)
+		// An answer ends a limit only if its request was sent later than it was named.
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -115,11 +115,14 @@
 		return
 	}
 	limiter.learn(target, named, "answer")
-	limiter.recordAnswer(target)
+	limiter.RecordAnswer(target)
 }
 
-// recordAnswer records that a target has answered a request.
-func (limiter *Limiter) recordAnswer(target Target) {
+// RecordAnswer records that a target has answered a request; Observe does so too.
+func (limiter *Limiter) RecordAnswer(target Target) {
+	if limiter.IsEmpty() {
+		return
+	}
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	if entry := limiter.uses[target]; entry != nil && len(entry.unanswered) > 0 {
