entry: wait for running requests in tests that check releases

Cause: the test reads the releases when its caller has the answer; the entry host releases the grant after it has written the answer, which is allowed. The test depended on which goroutine was first.

Change: assertReleases waits until no request is running, as two callers did by themselves; so do the two other tests that leave a release behind. The fixture's release takes a millisecond, so that a test that doesn't wait fails each time: TestHangUpLeavesNonIdempotentRequestRunning and TestDrainCutShort did.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -62,5 +62,6 @@
 		fixture.stop()
 		fixture.Assert(<-fixture.serveResult, qt.IsNil)
 		fixture.Assert((<-running).err, qt.IsNotNil)
+		fixture.entry.running.Wait()
 	})
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -141,6 +141,8 @@
 		Submit:   fixture.submit,
 		Withdraw: func(*request.Ticket) { fixture.withLock(func() { fixture.withdrawn++ }) },
 		Release: func(release *request.Release) {
+			// The caller may have its answer before the grant is released.
+			time.Sleep(time.Millisecond)
 			fixture.withLock(func() { fixture.releases = append(fixture.releases, release) })
 		},
 		Progress: func(*request.Grant, time.Duration) {},
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -24,6 +24,7 @@
 		fixture.assertReply(fixture.send(fixture.Context(), http.MethodPost, chatPath, chatText), http.StatusOK, request.Done)
 		fixture.Assert(time.Now().Before(leavingUntil), qt.IsFalse)
 		fixture.Assert(fixture.calls, qt.HasLen, 1)
+		fixture.entry.running.Wait()
 		last := len(fixture.releases) - 1
 		for i, release := range fixture.releases {
 			fixture.Assert(release.End == request.EndUnused, qt.Equals, i < last)
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -28,9 +28,11 @@
 	}
 }
 
-// assertReleases checks how the released grants ended, in order.
+// assertReleases checks how the released grants ended, in order, once no request is
+// running.
 func (fixture *fixture) assertReleases(ends ...request.End) {
 	fixture.Helper()
+	fixture.entry.running.Wait()
 	var seen []request.End
 	for _, release := range fixture.releases {
 		seen = append(seen, release.End)
@@ -60,7 +62,6 @@
 		replies := fixture.post(ctx, chatPath, chatText)
 		hangUp()
 		fixture.Assert((<-replies).err, qt.IsNotNil)
-		fixture.entry.running.Wait()
 		fixture.assertReleases(request.EndCancelled)
 		fixture.Assert(fixture.cancelled, qt.Equals, 1)
 	})
@@ -139,7 +140,6 @@
 		got := fixture.send(fixture.Context(), http.MethodPost, chatPath, streamText)
 		fixture.Assert(got.err, qt.IsNotNil)
 		fixture.Assert(got.body, qt.Equals, "data: 1\n\n")
-		fixture.entry.running.Wait()
 		fixture.assertReleases(request.EndTargetLost)
 	})
 }
