limit: count the unanswered requests of hosts that ask for nothing more

Cause: a grantor forgets an ask that is not repeated for three intervals, 0.6 s, and the number of unanswered requests with it. A host repeats an ask only while it wants more permits. With many hosts most send one request and then ask for nothing for seconds, so that their requests, which may reach the target all at once, did not count.

Change: an ask with unanswered requests is kept until these no longer count, as a host tells when that changes. It takes part in grants as long as before.

The simulation holds back answers too while a way is interrupted; it passed them on, so that requests which had arrived before were answered meanwhile. Hosts are in zones, and one zone may be interrupted alone (zone-link-cut).

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -24,7 +24,8 @@
 	// grantTimeout is the time after which a grant that a host has not confirmed is
 	// taken for lost. Its permits are not granted again.
 	grantTimeout = 200 * time.Millisecond
-	// An ask is forgotten if it is not repeated for askRefreshes intervals.
+	// An ask is forgotten if it is not repeated for askRefreshes intervals, but not while
+	// its host's requests count as unanswered.
 	askRefreshes = 3
 )
 
@@ -100,8 +101,9 @@
 // important waiting requests first, to the hosts of a tier in turn.
 func (bucket *bucket) grant(rate float64, members *Members, refreshInterval time.Duration, now time.Time) map[string]int {
 	bucket.fill(rate*members.fraction(), now)
+	isOutdated := func(asker *asker) bool { return now.Sub(asker.heardAt) > askRefreshes*refreshInterval }
 	maps.DeleteFunc(bucket.askers, func(_ string, asker *asker) bool {
-		return now.Sub(asker.heardAt) > askRefreshes*refreshInterval
+		return isOutdated(asker) && (asker.Unanswered == 0 || now.Sub(asker.heardAt) > unansweredLifetime)
 	})
 	if bucket.level < 1 {
 		return nil
@@ -113,7 +115,7 @@
 		if now.Sub(asker.heardAt) <= PermitLifetime || now.Sub(asker.grantedAt) <= PermitLifetime {
 			outstanding += asker.Held + asker.onWay(now)
 		}
-		if asker.Wanted > asker.onWay(now) {
+		if asker.Wanted > asker.onWay(now) && !isOutdated(asker) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -31,8 +31,12 @@
 	// fleetMemory that after which it is forgotten.
 	fleetSilence = time.Second
 	fleetMemory  = time.Minute
-	// answerTime is the time until a target answers.
-	answerTime = 30 * time.Millisecond
+	// fleetZones is the number of zones that the hosts are in.
+	fleetZones = 3
+	// usualAnswerTime is the time until a target answers, slowAnswerTime that of a slow
+	// one.
+	usualAnswerTime = 30 * time.Millisecond
+	slowAnswerTime  = 3 * time.Second
 )
 
 // fleet is a simulation of hosts and of targets that name limits, on a paused clock. The
@@ -50,6 +54,8 @@
 	// the first host.
 	demand    float64
 	onlyFirst bool
+	// answerTime is the time until a target answers.
+	answerTime time.Duration
 	// admit says whether a host may send a request to a target; nil asks its limiter.
 	admit func(host *fleetHost, target *fleetTarget) bool
 	// tick is called in each step; it may be nil.
@@ -64,8 +70,8 @@
 }
 
 type fleetHost struct {
-	name    string
-	limiter *Limiter
+	name, zone string
+	limiter    *Limiter
 	// group is the part of the fleet that the host hears, while it is cut.
 	group int
 	// isDown means that it does not run, and disturbedAt is when that last changed.
@@ -83,8 +89,9 @@
 	namedAt  time.Time
 	arrivals []fleetArrival
 	told     map[*fleetHost]time.Time
-	// isCut means that requests don't reach the target now, but later: those in held.
-	isCut bool
+	// isCut tells from which hosts requests and answers don't arrive now, but later:
+	// those in held. It may be nil.
+	isCut func(host *fleetHost) bool
 	held  []func()
 	// highest is the highest rate that counts until settleTime after the rate fell.
 	highest   float64
@@ -97,7 +104,7 @@
 }
 
 func newFleet(c *qt.C, seed uint64, hosts, targets int, rate, demand float64) *fleet {
-	fleet := &fleet{C: c, random: rand.New(rand.NewPCG(seed, seed)), demand: demand}
+	fleet := &fleet{C: c, random: rand.New(rand.NewPCG(seed, seed)), demand: demand, answerTime: usualAnswerTime}
 	for i := range targets {
 		fleet.targets = append(fleet.targets, &fleetTarget{
 			id: Target(1000 + 7*i), rate: rate, namedAt: time.Now(), told: map[*fleetHost]time.Time{}, highest: rate, changedAt: time.Now(),
@@ -111,7 +118,7 @@
 }
 
 func (fleet *fleet) addHost(name string) {
-	host := &fleetHost{name: name, lastHeard: map[string]time.Time{}}
+	host := &fleetHost{name: name, zone: fmt.Sprintf("z%d", len(fleet.hosts)%fleetZones), lastHeard: map[string]time.Time{}}
 	fleet.startHost(host)
 	fleet.hosts = append(fleet.hosts, host)
 }
@@ -233,25 +240,47 @@
 func (fleet *fleet) sendRequest(host *fleetHost, target *fleetTarget) {
 	sentAt := time.Now()
 	arrive := func() { fleet.arriveAt(target, host, sentAt) }
-	if target.isCut {
+	target.pass(host, arrive)
+}
+
+// pass calls a function now, or when the host is no longer cut off from the target.
+func (target *fleetTarget) pass(host *fleetHost, arrive func()) {
+	if target.isCut != nil && target.isCut(host) {
 		target.held = append(target.held, arrive)
 		return
 	}
 	arrive()
 }
 
+// cut cuts hosts off from the targets for a while.
+func (fleet *fleet) cut(span time.Duration, isCut func(host *fleetHost) bool) {
+	for _, target := range fleet.targets {
+		target.isCut = isCut
+	}
+	fleet.run(span)
+	for _, target := range fleet.targets {
+		target.isCut = nil
+		for _, arrive := range target.held {
+			arrive()
+		}
+		target.held = nil
+	}
+}
+
 func (fleet *fleet) arriveAt(target *fleetTarget, host *fleetHost, sentAt time.Time) {
 	now := time.Now()
 	target.arrivals = append(target.arrivals, fleetArrival{host: host, at: now})
-	fleet.pending = append(fleet.pending, delivery{at: now.Add(answerTime), apply: func() {
+	rate := target.rate
+	answer := func() {
 		if host.isDown {
 			return
 		}
-		if _, ok := target.told[host]; !ok && target.rate > 0 {
+		if _, ok := target.told[host]; !ok && rate > 0 {
 			target.told[host] = time.Now()
 		}
-		host.limiter.Observe(target.id, target.rate, sentAt)
-	}})
+		host.limiter.Observe(target.id, rate, sentAt)
+	}
+	fleet.pending = append(fleet.pending, delivery{at: now.Add(fleet.answerTime), apply: func() { target.pass(host, answer) }})
 }
 
 // send sends the messages of a host's limiter.
@@ -373,8 +402,13 @@
 func runFleet(c *qt.C, fleet *fleet, trouble string, minUsed float64) {
 	startedAt := time.Now()
 	fleet.onlyFirst = trouble == "oneHost"
-	if trouble == "lossy" {
+	switch trouble {
+	case "lossy":
 		fleet.lost = 0.1
+	case "slow", "slowLinkCut":
+		fleet.answerTime = slowAnswerTime
+		// Hosts learn of the limits by their first answers.
+		fleet.run(slowAnswerTime)
 	}
 	fleet.run(settleTime)
 	from := time.Now()
@@ -397,7 +431,7 @@
 func (fleet *fleet) disturb(trouble string) {
 	random := fleet.random
 	switch trouble {
-	case "none", "oneHost", "lossy":
+	case "none", "oneHost", "lossy", "slow":
 	case "joins":
 		for range 4 {
 			fleet.run(500 * time.Millisecond)
@@ -431,18 +465,15 @@
 			}
 			fleet.run(3 * time.Second)
 		}
-	case "linkCut":
-		for _, target := range fleet.targets {
-			for range 2 {
-				target.isCut = true
-				fleet.run(3500 * time.Millisecond)
-				target.isCut = false
-				for _, arrive := range target.held {
-					arrive()
-				}
-				target.held = nil
-				fleet.run(5 * time.Second)
-			}
+	case "linkCut", "slowLinkCut":
+		for range 2 {
+			fleet.cut(3500*time.Millisecond, func(*fleetHost) bool { return true })
+			fleet.run(5 * time.Second)
+		}
+	case "zoneLinkCut":
+		for range 2 {
+			fleet.cut(3500*time.Millisecond, func(host *fleetHost) bool { return host.zone == fleet.hosts[0].zone })
+			fleet.run(5 * time.Second)
 		}
 	case "falls":
 		for _, target := range fleet.targets {
