limit: let slow targets have their whole limit

Cause: all unanswered requests of the last 4 s counted as requests that may not have reached the target. Of a target that takes longer than 1.5 s to answer more are unanswered than may be pending. Besides, an answer to a request that was sent before the limit was known took one of the counted ones off, so that the count was too low.

Change: hosts tell how many requests they have sent and how many answers they got. With each answer all that its host sent before counts as arrived, and up to three requests of each other host of its zone. Answers take off only requests that were counted.

--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -129,7 +129,7 @@
 	return &exchangepb.LimitAsk{
 		News: encodeNews(&ask.News), Own: ask.IsOwn, Sequence: ask.Sequence, Wanted: uint32(ask.Wanted),
 		Held: uint32(ask.Held), Tier: uint32(ask.Tier), Received: ask.Received, Returned: uint32(ask.Returned),
-		Unanswered: uint32(ask.Unanswered),
+		Unanswered: uint32(ask.Unanswered), Sent: ask.Sent, Answered: ask.Answered,
 	}
 }
 
@@ -150,7 +150,7 @@
 		message.Asks = append(message.Asks, limit.Ask{
 			News: decodeNews(ask.GetNews()), IsOwn: ask.GetOwn(), Sequence: ask.GetSequence(), Wanted: int(ask.GetWanted()),
 			Held: int(ask.GetHeld()), Tier: int(ask.GetTier()), Received: ask.GetReceived(), Returned: int(ask.GetReturned()),
-			Unanswered: int(ask.GetUnanswered()),
+			Unanswered: int(ask.GetUnanswered()), Sent: ask.GetSent(), Answered: ask.GetAnswered(),
 		})
 	}
 	for _, grant := range encoded.GetGrants() {
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -211,13 +212,19 @@
 	exchange.livePeers.Store(int64(len(hosts) - 1))
 	exchange.knownPeers.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.propagationInterval()))
-	members := &limit.Members{Others: exchange.livePeerAddresses(), Known: 1}
-	for _, peer := range exchange.peers {
+	members := &limit.Members{
+		Others: exchange.livePeerAddresses(), Zones: map[string]string{exchange.Address: exchange.Zone}, Known: 1,
+	}
+	for address, peer := range exchange.peers {
+		if peer.alive {
+			members.Zones[address] = peer.zone
+		}
 		if !peer.hasLeft {
 			members.Known++
 		}
 	}
-	if before := exchange.members.Load(); before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) {
+	before := exchange.members.Load()
+	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
 		exchange.members.Store(members)
 	}
 }
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -30,7 +30,7 @@
 	switch {
 	case reply.Misdirected:
 	case reply.NotRun && reply.RateLimit == 0:
-		gateway.Limiter.RecordAnswer(limitedTarget(target))
+		gateway.Limiter.RecordAnswer(limitedTarget(target), sentAt)
 	default:
 		gateway.Limiter.Observe(limitedTarget(target), reply.RateLimit, sentAt)
 	}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -17,10 +17,13 @@
 	outstandingBase = 2
 	outstandingTime = 500 * time.Millisecond
 	// pendingBase and pendingTime give the requests that may be pending at most: those
-	// that the target has not answered, and permits. They may reach it all at once when
-	// the way there was interrupted.
+	// that may not have reached the target, and permits. They may reach it all at once
+	// when the way there was interrupted.
 	pendingBase = 3
 	pendingTime = 1500 * time.Millisecond
+	// maxArrivedByZone is the number of a host's requests that answers to other hosts
+	// of its zone show to have reached the target. The host alone may be cut off from it.
+	maxArrivedByZone = 3
 	// grantTimeout is the time after which a grant that a host has not confirmed is
 	// taken for lost. Its permits are not granted again.
 	grantTimeout = 200 * time.Millisecond
@@ -51,6 +54,9 @@
 	// received and those on their way since grantedAt.
 	granted   uint32
 	grantedAt time.Time
+	// arrived is the host's count of sent requests when it last got an answer, and
+	// arrivedByZone when a host of its zone did: these have reached the target.
+	arrived, arrivedByZone uint32
 	// turn is the bucket's count of grants when the host last got one.
 	turn uint64
 }
@@ -70,10 +76,11 @@
 
 // apply replaces a host's ask. Older ones are ignored, unless the host was silent: it
 // may have started again.
-func (bucket *bucket) apply(host string, ask Ask, now time.Time) {
+func (bucket *bucket) apply(host string, zones map[string]string, ask Ask, now time.Time) {
 	entry := bucket.askers[host]
 	if entry == nil {
-		entry = &asker{granted: ask.Received}
+		arrived := ask.Sent - uint32(ask.Unanswered)
+		entry = &asker{Ask: Ask{Answered: ask.Answered}, granted: ask.Received, arrived: arrived, arrivedByZone: arrived}
 		bucket.askers[host] = entry
 	} else if ask.Sequence <= entry.Sequence && now.Sub(entry.heardAt) < grantTimeout {
 		return
@@ -81,7 +88,16 @@
 	if entry.granted-ask.Received > maxOnWay || now.Sub(entry.grantedAt) > grantTimeout {
 		entry.granted = ask.Received
 	}
+	isAnswered := entry.Answered != ask.Answered
 	entry.Ask, entry.heardAt = ask, now
+	if isAnswered {
+		entry.arrived = ask.Sent
+		for other, asker := range bucket.askers {
+			if zones[other] == zones[host] {
+				asker.arrivedByZone = asker.Sent
+			}
+		}
+	}
 	bucket.level += float64(max(0, ask.Returned))
 }
 
@@ -97,6 +113,15 @@
 	return int(asker.granted - asker.Received)
 }
 
+// pending returns the number of the host's requests that may not have reached the target.
+func (asker *asker) pending() int {
+	pending := min(asker.Unanswered, int(asker.Sent-asker.arrived))
+	if pending > maxArrivedByZone {
+		return pending
+	}
+	return min(pending, int(asker.Sent-asker.arrivedByZone))
+}
+
 // grant fills the bucket and returns the permits that it grants, by host: to the most
 // important waiting requests first, to the hosts of a tier in turn.
 func (bucket *bucket) grant(rate float64, members *Members, refreshInterval time.Duration, now time.Time) map[string]int {
@@ -108,10 +133,10 @@
 	if bucket.level < 1 {
 		return nil
 	}
-	outstanding, unanswered := 0, 0
+	outstanding, pending := 0, 0
 	var hosts []string
 	for host, asker := range bucket.askers {
-		unanswered += asker.Unanswered
+		pending += asker.pending()
 		if now.Sub(asker.heardAt) <= PermitLifetime || now.Sub(asker.grantedAt) <= PermitLifetime {
 			outstanding += asker.Held + asker.onWay(now)
 		}
@@ -120,7 +145,7 @@
 		}
 	}
 	grants := map[string]int{}
-	maxOutstanding := min(outstandingBase+int(rate*outstandingTime.Seconds()), pendingBase+int(rate*pendingTime.Seconds())-unanswered)
+	maxOutstanding := min(outstandingBase+int(rate*outstandingTime.Seconds()), pendingBase+int(rate*pendingTime.Seconds())-pending)
 	for bucket.level >= 1 && outstanding < maxOutstanding && len(hosts) > 0 {
 		next := slices.MinFunc(hosts, func(one, other string) int {
 			first, second := bucket.askers[one], bucket.askers[other]
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -50,10 +50,9 @@
 	// get lost.
 	pending []delivery
 	lost    float64
-	// demand is the requests a second of all hosts; onlyFirst means that all come to
-	// the first host.
-	demand    float64
-	onlyFirst bool
+	// demand is the requests a second of all hosts, firstPart the part of them that
+	// comes to the first host beside its share of the others.
+	demand, firstPart float64
 	// answerTime is the time until a target answers.
 	answerTime time.Duration
 	// admit says whether a host may send a request to a target; nil asks its limiter.
@@ -142,7 +141,7 @@
 		if host.isDown {
 			continue
 		}
-		members := &Members{Known: 1}
+		members := &Members{Known: 1, Zones: map[string]string{host.name: host.zone}}
 		for _, other := range fleet.hosts {
 			if other == host {
 				continue
@@ -157,6 +156,7 @@
 			members.Known++
 			if now.Sub(heard) <= fleetSilence {
 				members.Others = append(members.Others, other.name)
+				members.Zones[other.name] = other.zone
 			}
 		}
 		if members.Known != host.members.Known || !slices.Equal(members.Others, host.members.Others) {
@@ -192,7 +192,7 @@
 	for expected > 0 {
 		if fleet.random.Float64() < expected {
 			host := fleet.hosts[fleet.random.IntN(len(fleet.hosts))]
-			if fleet.onlyFirst {
+			if fleet.firstPart > 0 && fleet.random.Float64() < fleet.firstPart {
 				host = fleet.hosts[0]
 			}
 			if !host.isDown {
@@ -401,8 +401,11 @@
 
 func runFleet(c *qt.C, fleet *fleet, trouble string, minUsed float64) {
 	startedAt := time.Now()
-	fleet.onlyFirst = trouble == "oneHost"
 	switch trouble {
+	case "oneHost":
+		fleet.firstPart = 1
+	case "hostLinkCut":
+		fleet.firstPart = 0.9
 	case "lossy":
 		fleet.lost = 0.1
 	case "slow", "slowLinkCut":
@@ -470,6 +473,11 @@
 			fleet.cut(3500*time.Millisecond, func(*fleetHost) bool { return true })
 			fleet.run(5 * time.Second)
 		}
+	case "hostLinkCut":
+		for range 2 {
+			fleet.cut(3500*time.Millisecond, func(host *fleetHost) bool { return host == fleet.hosts[0] })
+			fleet.run(5 * time.Second)
+		}
 	case "zoneLinkCut":
 		for range 2 {
 			fleet.cut(3500*time.Millisecond, func(host *fleetHost) bool { return host.zone == fleet.hosts[0].zone })
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -37,6 +37,8 @@
 type Members struct {
 	// Others are the addresses of the other hosts that are heard.
 	Others []string
+	// Zones are the zones of these and of this host, by address.
+	Zones map[string]string
 	// Known is the number of hosts with this one, and with those that are silent, which
 	// may only be cut off from this one.
 	Known int
@@ -81,12 +83,13 @@
 	// important waiting request.
 	wanted, tier int
 	// unanswered are the times at which requests were sent that the target has not
-	// answered, the oldest first.
-	unanswered []time.Time
-	sequence   uint32
-	received   uint32
-	returned   int
-	askedAt    time.Time
+	// answered, the oldest first. sent counts all requests, answered the answers.
+	unanswered     []time.Time
+	sent, answered uint32
+	sequence       uint32
+	received       uint32
+	returned       int
+	askedAt        time.Time
 	// isChanged is set if the grantor has to be asked anew.
 	isChanged bool
 	// news is the number of times that the limit has still to be reported.
@@ -115,21 +118,28 @@
 		return
 	}
 	limiter.learn(target, named, "answer")
-	limiter.RecordAnswer(target)
+	limiter.RecordAnswer(target, sentAt)
 }
 
-// RecordAnswer records that a target has answered a request; Observe does so too.
-func (limiter *Limiter) RecordAnswer(target Target) {
+// RecordAnswer records that a target has answered a request that was sent at a time;
+// Observe does so too.
+func (limiter *Limiter) RecordAnswer(target Target, sentAt time.Time) {
 	if limiter.IsEmpty() {
 		return
 	}
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	if entry := limiter.uses[target]; entry != nil && len(entry.unanswered) > 0 {
+	entry := limiter.uses[target]
+	if entry == nil {
+		return
+	}
+	entry.answered++
+	// An earlier request was sent before the limit was known, or no longer counts.
+	if len(entry.unanswered) > 0 && !sentAt.Before(entry.unanswered[0]) {
 		entry.unanswered = entry.unanswered[1:]
-		entry.isChanged = true
-		limiter.wake()
 	}
+	entry.isChanged = true
+	limiter.wake()
 }
 
 // learn records a limit.
@@ -218,6 +228,7 @@
 	// The last one is valid for the longest time.
 	entry.permits = entry.permits[:len(entry.permits)-1]
 	entry.unanswered = append(entry.unanswered, time.Now())
+	entry.sent++
 	entry.isChanged = true
 	countPermits("used", 1)
 	limiter.wake()
@@ -280,7 +291,7 @@
 	ask := Ask{
 		News: News{Target: target, Rate: named.Rate, Age: now.Sub(named.At)}, IsOwn: named.IsOwn,
 		Sequence: use.sequence, Wanted: use.wanted, Held: len(use.permits), Tier: use.tier, Unanswered: len(use.unanswered),
-		Received: use.received, Returned: use.returned,
+		Sent: use.sent, Answered: use.answered, Received: use.received, Returned: use.returned,
 	}
 	use.askedAt, use.isChanged, use.returned = now, false, 0
 	use.news = max(0, use.news-1)
@@ -431,12 +442,12 @@
 		}
 		bucket := limiter.bucket(target, now)
 		entry.news = 0
-		bucket.apply(limiter.Address, entry.ask(target, named, now), now)
+		bucket.apply(limiter.Address, members.Zones, entry.ask(target, named, now), now)
 		for address, count := range bucket.grant(named.Rate, members, refreshInterval, now) {
 			countPermits("granted", count)
 			if address == limiter.Address {
 				entry.receive(count, now)
-				bucket.apply(address, entry.ask(target, named, now), now)
+				bucket.apply(address, members.Zones, entry.ask(target, named, now), now)
 				hasPermits = true
 				continue
 			}
@@ -477,7 +488,7 @@
 		}
 		limiter.mutex.Lock()
 		if limiter.grantorOf(ask.Target, members) == limiter.Address && limiter.Rate(ask.Target) > 0 {
-			limiter.bucket(ask.Target, now).apply(from, ask, now)
+			limiter.bucket(ask.Target, now).apply(from, members.Zones, ask, now)
 			limiter.wake()
 		}
 		limiter.mutex.Unlock()
--- a/limit/message.go
+++ b/limit/message.go
@@ -37,6 +37,8 @@
 	// Unanswered is the number of requests that the host sent within unansweredLifetime
 	// and that the target has not answered.
 	Unanswered int
+	// Sent and Answered count all requests and answers.
+	Sent, Answered uint32
 	// Received is the number of permits received from the grantor so far, Returned the
 	// number of those that were not used since the previous ask.
 	Received uint32
--- a/limit/ways_test.go
+++ b/limit/ways_test.go
@@ -138,18 +138,18 @@
 	}
 	for _, hosts := range []int{3, 8, 64, 330} {
 		for _, rate := range []float64{0.3, 3, 30, 200} {
-			for _, onlyFirst := range []bool{false, true} {
+			for _, firstPart := range []float64{0, 1} {
 				for _, way := range ways {
 					synctest.Test(t, func(t *testing.T) {
 						fleet := newFleet(qt.New(t), 1, hosts, 1, rate, max(4, 2*rate))
-						fleet.onlyFirst = onlyFirst
+						fleet.firstPart = firstPart
 						way.start(fleet)
 						startedAt := time.Now()
 						fleet.run(settleTime)
 						from := time.Now()
 						fleet.run(20 * time.Second)
 						excess, got := fleet.targets[0].excess(from)
-						fmt.Printf("| %d | %v | %v | %s | %d of %.0f | %.2f | %.0f |\n", hosts, rate, onlyFirst, way.name,
+						fmt.Printf("| %d | %v | %v | %s | %d of %.0f | %.2f | %.0f |\n", hosts, rate, firstPart, way.name,
 							got, float64(got)-excess, fleet.used(from), float64(fleet.messages)/time.Since(startedAt).Seconds())
 					})
 				}
