exchange: forget hosts of the configured list that are gone

Seen: where hosts of `peers.seeds` are gone for good, or were never started, and are as many as the others, hosts grant a part of each target's limit for ever, and use a part of the retry budget and of the connections that targets accept (TestSilentSeedsAreForgotten: 6 known hosts after 90 s where 2 run).

Cause: addresses of the list stay among the peers, as a host that starts again is met there. All of them counted as hosts that may only be cut off.

Change: a peer counts as known while it is heard and for a minute afterwards, or after its address was added, whether it is listed or not. Reports still go to the addresses of the list.

The test failed before, and passes. What that gives up: two halves that don't hear each other for longer than a minute, and both reach a target, take its whole limit each, also where all hosts are listed; where they are not listed they did before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -67,7 +67,7 @@
 	OnNewerVersion func(address string)
 
 	// livePeers is the number of other hosts that are not silent, knownPeers the
-	// number with a known address, interval the result of Interval in nanoseconds.
+	// result of KnownPeers, interval that of Interval in nanoseconds.
 	livePeers  atomic.Int64
 	knownPeers atomic.Int64
 	interval   atomic.Int64
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -202,3 +202,34 @@
 		c.Assert(retries > spare/2, qt.IsTrue, qt.Commentf("%d retries", retries))
 	})
 }
+
+// TestSilentSeedsAreForgotten guards against shares of what is limited for all hosts that
+// are left to hosts of the configured list which are gone, or were never there.
+func TestSilentSeedsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		names := []string{"a", "b", "c", "d", "planned1", "planned2"}
+		var hosts []*Exchange
+		for _, name := range names[:4] {
+			hosts = append(hosts, network.start(t, name, nil, names...))
+		}
+		time.Sleep(3 * time.Second)
+		c.Assert(hosts[0].Members().Known, qt.Equals, 6)
+		c.Assert(hosts[0].SharingHosts(), qt.Equals, 6)
+		network.mutex.Lock()
+		network.isolated["c"], network.isolated["d"] = true, true
+		network.mutex.Unlock()
+		time.Sleep(peerRemovalTimeout / 2)
+		c.Assert(hosts[0].Members().Known, qt.Equals, 6)
+		time.Sleep(peerRemovalTimeout)
+		c.Assert(hosts[0].Members().Known, qt.Equals, 2)
+		c.Assert(hosts[0].SharingHosts(), qt.Equals, 2)
+		network.mutex.Lock()
+		clear(network.isolated)
+		network.mutex.Unlock()
+		time.Sleep(3 * time.Second)
+		c.Assert(hosts[0].Members().Known, qt.Equals, 4)
+		c.Assert(hosts[0].SharingHosts(), qt.Equals, 4)
+	})
+}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -70,13 +70,13 @@
 	return 1 + int(exchange.livePeers.Load())
 }
 
-// KnownPeers returns the number of other hosts whose addresses are known,
-// silent or not.
+// KnownPeers returns the number of other hosts that are not silent or have not been for
+// longer than peerRemovalTimeout.
 func (exchange *Exchange) KnownPeers() int { return int(exchange.knownPeers.Load()) }
 
 // SharingHosts returns the number of hosts that share what is limited for all together:
-// this one and those whose addresses are known, silent or not. Silent ones may only be
-// cut off from this one and use their shares.
+// this one and its known peers. Silent ones may only be cut off from this one and use their
+// shares.
 func (exchange *Exchange) SharingHosts() int { return 1 + exchange.KnownPeers() }
 
 // AddPeer adds the address of a host, unless it is known or this host's own.
@@ -98,7 +98,7 @@
 	if entry == nil {
 		entry = &peer{addedAt: time.Now()}
 		exchange.peers[address] = entry
-		exchange.knownPeers.Store(int64(len(exchange.peers)))
+		exchange.knownPeers.Add(1)
 	}
 	return entry
 }
@@ -172,17 +172,23 @@
 			peer.alive = false
 			exchange.Events.Record(eventSilent, timeline.Event{Peer: peer.host, Detail: address})
 		}
-		last := peer.lastReceived
-		if last.IsZero() {
-			last = peer.addedAt
-		}
-		if !peer.alive && now.Sub(last) > peerRemovalTimeout && !slices.Contains(exchange.Seeds, address) {
+		if !peer.isKnown(now) && !slices.Contains(exchange.Seeds, address) {
 			delete(exchange.peers, address)
 		}
 	}
 	exchange.rankHosts()
 }
 
+// isKnown reports whether the peer is alive, or may be: it was not silent for longer than
+// peerRemovalTimeout, nor is it that long since its address was added.
+func (peer *peer) isKnown(now time.Time) bool {
+	last := peer.lastReceived
+	if last.IsZero() {
+		last = peer.addedAt
+	}
+	return peer.alive || now.Sub(last) <= peerRemovalTimeout
+}
+
 // silenceTimeout returns the time without a report after which a host is
 // silent.
 func (exchange *Exchange) silenceTimeout() time.Duration {
@@ -210,19 +216,24 @@
 	}
 	exchange.rank, exchange.zoneHosts = own.rank, zoneCounts[exchange.Zone]
 	exchange.livePeers.Store(int64(len(hosts) - 1))
-	exchange.knownPeers.Store(int64(len(exchange.peers)))
 	exchange.interval.Store(int64(exchange.propagationInterval()))
 	members := &limit.Members{
 		Others: exchange.livePeerAddresses(), Zones: map[string]string{exchange.Address: exchange.Zone}, Known: 1,
 	}
+	now, knownPeers := time.Now(), 0
 	for address, peer := range exchange.peers {
 		if peer.alive {
 			members.Zones[address] = peer.zone
 		}
+		if !peer.isKnown(now) {
+			continue
+		}
+		knownPeers++
 		if !peer.hasLeft {
 			members.Known++
 		}
 	}
+	exchange.knownPeers.Store(int64(knownPeers))
 	before := exchange.members.Load()
 	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
 		exchange.members.Store(members)
