exchange: use the parts of limits of hosts whose processes have ended

Cause: hosts that hear half of the known hosts or less grant their part of each limit, as the others may only be cut off and grant theirs. A silent host is known for a minute.

Change: such hosts dial the silent ones, sixteen a second. A machine that refuses the connection has no such process any more; its host no longer counts. Any other outcome says nothing. Hosts don't dial while they are the majority or no limit is known.

TestEndedHostsShareNothing: hosts that are unreachable or frozen keep their parts.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	Events *timeline.Recorder
 	// Send sends a datagram; it drops those that can't be sent.
 	Send func(address string, datagram []byte)
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	Balancer *balance.Balancer
 	Ledger   *quota.Ledger
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +16,7 @@
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
 	"nutmegfield.example/exchange/exchangepb"
+	"nutmegfield.example/limit"
 	"nutmegfield.example/quota"
 	"nutmegfield.example/timeline"
 )
@@ -233,3 +237,57 @@
 		c.Assert(hosts[0].SharingHosts(), qt.Equals, 4)
 	})
 }
+
+// TestEndedHostsShareNothing guards against parts of the limits of targets that are left,
+// for a minute, to hosts whose processes have ended. Hosts that may only be cut off keep
+// theirs.
+func TestEndedHostsShareNothing(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// err is the error of connections to silent hosts, nil for none.
+		err  error
+		want int
+	}{
+		{"ended", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 4},
+		{"unreachable", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}, 8},
+		{"frozen", nil, 8},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := newNetwork()
+				names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+				dial := func(_ context.Context, _, address string) (net.Conn, error) {
+					client, server := net.Pipe()
+					_ = server.Close()
+					return client, test.err
+				}
+				var hosts []*Exchange
+				for _, name := range names {
+					host := network.start(t, name, func(host *Exchange) {
+						host.Dial = dial
+						host.Limiter = &limit.Limiter{Address: name, Members: host.Members, Events: host.Events}
+						host.Limiter.Observe(1, 2, time.Now())
+					}, names...)
+					hosts = append(hosts, host)
+					go func() { _ = host.RunProbes(t.Context()) }()
+				}
+				time.Sleep(3 * time.Second)
+				c.Assert(hosts[0].Members().Known, qt.Equals, 8)
+				network.mutex.Lock()
+				for _, name := range names[4:] {
+					network.isolated[name] = true
+				}
+				network.mutex.Unlock()
+				time.Sleep(silenceTimeout + 2*probeInterval)
+				c.Assert(hosts[0].Members().Others, qt.HasLen, 3)
+				c.Assert(hosts[0].Members().Known, qt.Equals, test.want)
+				network.mutex.Lock()
+				clear(network.isolated)
+				network.mutex.Unlock()
+				time.Sleep(3 * time.Second)
+				c.Assert(hosts[0].Members().Known, qt.Equals, 8)
+			})
+		})
+	}
+}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -48,7 +48,9 @@
 	alive        bool
 	// hasLeft is set if the host reported that it was shutting down.
 	hasLeft bool
-	link    uint32
+	// hasEnded is set if the host is silent and its machine refused a connection to it.
+	hasEnded bool
+	link     uint32
 	// direct is set if the host has reported since the last round, and sends its
 	// reports to each host that it knows.
 	direct bool
@@ -189,6 +191,11 @@
 	return peer.alive || now.Sub(last) <= peerRemovalTimeout
 }
 
+// mayRun reports whether the peer is known and did not leave or end.
+func (peer *peer) mayRun(now time.Time) bool {
+	return peer.isKnown(now) && !peer.hasLeft && !peer.hasEnded
+}
+
 // silenceTimeout returns the time without a report after which a host is
 // silent.
 func (exchange *Exchange) silenceTimeout() time.Duration {
@@ -229,7 +236,7 @@
 			continue
 		}
 		knownPeers++
-		if !peer.hasLeft {
+		if peer.mayRun(now) {
 			members.Known++
 		}
 	}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -130,7 +130,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
-			host.exchange.RunLimits,
+			host.exchange.RunLimits, host.exchange.RunProbes,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -169,6 +169,7 @@
 		Zone:           settings.Host.Zone,
 		Link:           uint32(settings.Peers.Link),
 		Seeds:          seedAddresses(&settings.Peers),
+		Dial:           kernelHost.Network.Dial,
 		Events:         events,
 		Balancer:       host.balancer,
 		Ledger:         host.ledger,
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -175,13 +175,15 @@
 // some of the others grant the whole to each other if they are more than half of all,
 // and their part of it otherwise: as many as all hear may do the same.
 func (members *Members) fraction() float64 {
-	live := 1 + len(members.Others)
-	if 2*live > members.Known {
+	if members.IsMajority() {
 		return 1
 	}
-	return float64(live) / float64(members.Known)
+	return float64(1+len(members.Others)) / float64(members.Known)
 }
 
+// IsMajority reports whether this host and those that it hears are more than half of all.
+func (members *Members) IsMajority() bool { return 2*(1+len(members.Others)) > members.Known }
+
 // isNewsDue reports whether the limit has to be told to all hosts now.
 func (bucket *bucket) isNewsDue(now time.Time) bool {
 	if bucket.news == 0 || now.Sub(bucket.toldAt) < newsInterval {
