pool, scheduler: add up the crashes of a body over zones

Seen: with schedulers in several zones a body that crashes its engines crashes one in each zone and one more (TestCrashingRequestAtSchedulers: 6 crashes, 1 of them later than 3 s after the third; testdata/zones.txt).

Cause: a scheduler told a body under which one target had crashed to the hosts of its own zone only, and counted what others told it as its own, so that crashes in several zones were never added up.

Change: suspects are told to all zones, with the zone whose crashes they count. A scheduler keeps the counts of other zones apart, as a body that crashed no target of its own zone need not run alone there. Two crashes in one zone, where the second body ran alone, or three in all zones quarantine it.

TestQuarantineIsSentToAllZones, which asked for mere suspicions to stay in their zone, is replaced by TestSuspicionsAreSentToAllZones: both reach all hosts, and those of other zones are told apart. zones.txt asks that a body which ran beside the crashing one in one zone is not refused in another.

--- a/load/simulation/place.go
+++ b/load/simulation/place.go
@@ -98,12 +98,9 @@
 	return made
 }
 
-// sendSuspect sends a quarantined suspect to the schedulers of the other zones, as
-// hosts do.
+// sendSuspect sends a suspect to the schedulers of the other zones, as hosts do.
 func (simulation *Simulation) sendSuspect(from placeKey, suspect pool.Suspect) {
-	if !suspect.Quarantined {
-		return
-	}
+	suspect.Zone = from.zone
 	simulation.after(simulation.Scenario.Delays.Message, func() {
 		simulation.each(func(place *place) {
 			if place.key.pool == from.pool && place.key.zone != from.zone {
--- a/pool/script_test.go
+++ b/pool/script_test.go
@@ -118,7 +118,10 @@
 		stepPool.Stop()
 	case "sendSuspects":
 		for _, suspect := range scriptRunner.suspects {
-			stepPool.ObserveSuspect(suspect)
+			suspect.Zone = arguments["zone"]
+			for _, to := range strings.Split(arguments.valueOr("to", name), ",") {
+				scriptRunner.pools[to].ObserveSuspect(suspect)
+			}
 		}
 		scriptRunner.suspects = nil
 	case "exchangeFloors":
@@ -198,7 +201,7 @@
 func (scriptRunner *scriptRunner) sleep(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		time.Sleep(50 * time.Millisecond)
-		for _, each := range []string{"p", "q"} {
+		for _, each := range []string{"p", "q", "r"} {
 			if found := scriptRunner.pools[each]; found != nil {
 				found.Tick()
 			}
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -14,20 +14,27 @@
 	// suspicionLifetime is how long a body stays suspect after a crash or the
 	// end of its quarantine.
 	suspicionLifetime = 10 * time.Minute
+	// maxSuspectZones limits the other zones whose crashes are counted for a body.
+	maxSuspectZones = 16
 	// firstQuarantine grows by the factor 1<<quarantineGrowth with each crash after the
 	// second, so that a body crashes at most three more targets in a day.
 	firstQuarantine  = 10 * time.Minute
 	quarantineGrowth = 3
 	maxQuarantine    = 24 * time.Hour
-	// quarantineCrashes is the number of crashes that leads to a quarantine.
-	quarantineCrashes = 2
+	// quarantineCrashes is the number of crashes in a zone that leads to a quarantine:
+	// after the first one a body runs alone there. quarantineCrashesOfZones is that in
+	// all zones together.
+	quarantineCrashes        = 2
+	quarantineCrashesOfZones = 3
 )
 
 // Suspect is a request body that was in flight on a target that crashed. A
 // Suspect with 0 crashes reports that the body has been cleared.
 type Suspect struct {
 	Fingerprint uint64
-	Crashes     int
+	// Zone is the zone whose targets crashed, empty for that of the pool.
+	Zone    string
+	Crashes int
 	// Until is when the suspicion or the quarantine ends.
 	Until       time.Time
 	Quarantined bool
@@ -40,12 +47,22 @@
 	now := time.Now()
 	known, ok := pool.suspects.get(suspect.Fingerprint)
 	if suspect.Crashes == 0 {
+		pool.suspects.elsewhere.remove(suspect.Fingerprint)
 		if ok && !known.Quarantined {
-			pool.suspects.lru.Remove(suspect.Fingerprint)
+			pool.suspects.lru.remove(suspect.Fingerprint)
 		}
 		return
 	}
-	if !ok || suspect.Crashes > known.Crashes || known.Until.Before(suspect.Until) {
+	if suspect.Zone != "" && !suspect.Quarantined {
+		pool.suspects.addElsewhere(suspect, now)
+		if pool.suspects.isSuspect(suspect.Fingerprint, now) && !known.Quarantined && pool.suspects.quarantine(&known, now) {
+			pool.sendSuspect(known)
+		}
+		pool.schedule(now)
+		return
+	}
+	suspect.Zone = ""
+	if !ok || suspect.Crashes > known.Crashes || known.Until.Before(suspect.Until) || suspect.Quarantined && !known.Quarantined {
 		suspect.Crashes = max(suspect.Crashes, known.Crashes)
 		pool.suspects.put(suspect)
 	}
@@ -54,22 +71,79 @@
 
 // suspects stores the most recently used suspects.
 type suspects struct {
-	lru *simplelru.LRU[uint64, Suspect]
+	lru recentlyUsed[Suspect]
+	// elsewhere holds those of other zones by zone.
+	elsewhere recentlyUsed[map[string]Suspect]
 }
 
-func (suspects *suspects) get(fingerprint uint64) (Suspect, bool) {
-	if suspects.lru == nil || fingerprint == 0 {
-		return Suspect{}, false
+// recentlyUsed holds the values of the maxSuspects most recently used fingerprints; 0
+// is none. The zero value is empty.
+type recentlyUsed[Value any] struct {
+	lru *simplelru.LRU[uint64, Value]
+}
+
+func (recentlyUsed *recentlyUsed[Value]) get(fingerprint uint64) (Value, bool) {
+	if recentlyUsed.lru == nil || fingerprint == 0 {
+		var none Value
+		return none, false
 	}
-	return suspects.lru.Get(fingerprint)
+	return recentlyUsed.lru.Get(fingerprint)
 }
 
-func (suspects *suspects) put(suspect Suspect) {
-	if suspects.lru == nil {
+func (recentlyUsed *recentlyUsed[Value]) put(fingerprint uint64, value Value) {
+	if recentlyUsed.lru == nil {
 		// NewLRU fails only for a size below 1.
-		suspects.lru, _ = simplelru.NewLRU[uint64, Suspect](maxSuspects, nil)
+		recentlyUsed.lru, _ = simplelru.NewLRU[uint64, Value](maxSuspects, nil)
+	}
+	recentlyUsed.lru.Add(fingerprint, value)
+}
+
+// remove removes a fingerprint and reports whether it was there.
+func (recentlyUsed *recentlyUsed[Value]) remove(fingerprint uint64) bool {
+	return recentlyUsed.lru != nil && recentlyUsed.lru.Remove(fingerprint)
+}
+
+func (suspects *suspects) get(fingerprint uint64) (Suspect, bool) {
+	return suspects.lru.get(fingerprint)
+}
+
+func (suspects *suspects) put(suspect Suspect) { suspects.lru.put(suspect.Fingerprint, suspect) }
+
+// addElsewhere records the crashes that another zone counts for a body.
+func (suspects *suspects) addElsewhere(suspect Suspect, now time.Time) {
+	known, _ := suspects.elsewhere.get(suspect.Fingerprint)
+	zones := map[string]Suspect{suspect.Zone: suspect}
+	for zone, other := range known {
+		if zone != suspect.Zone && now.Before(other.Until) && len(zones) < maxSuspectZones {
+			zones[zone] = other
+		}
+	}
+	suspects.elsewhere.put(suspect.Fingerprint, zones)
+}
+
+// crashesElsewhere returns the crashes that other zones count for a body.
+func (suspects *suspects) crashesElsewhere(fingerprint uint64, now time.Time) int {
+	crashes := 0
+	zones, _ := suspects.elsewhere.get(fingerprint)
+	for _, suspect := range zones {
+		if now.Before(suspect.Until) {
+			crashes += suspect.Crashes
+		}
+	}
+	return crashes
+}
+
+// quarantine quarantines a body that has crashed targets of this zone, if it has crashed
+// enough of them, or of all zones. It reports whether it did.
+func (suspects *suspects) quarantine(suspect *Suspect, now time.Time) bool {
+	if suspect.Crashes < quarantineCrashes && suspect.Crashes+suspects.crashesElsewhere(suspect.Fingerprint, now) < quarantineCrashesOfZones {
+		return false
 	}
-	suspects.lru.Add(suspect.Fingerprint, suspect)
+	suspect.Quarantined = true
+	growths := min(max(0, suspect.Crashes-quarantineCrashes), 3)
+	suspect.Until = now.Add(min(maxQuarantine, firstQuarantine<<(quarantineGrowth*growths)))
+	suspects.put(*suspect)
+	return true
 }
 
 // isSuspect reports whether a body is suspect and must run alone on its target.
@@ -107,23 +181,20 @@
 	}
 	suspect.Crashes++
 	suspect.Until = now.Add(suspicionLifetime)
-	if suspect.Crashes >= quarantineCrashes {
-		suspect.Quarantined = true
-		growths := min(suspect.Crashes-quarantineCrashes, 3)
-		suspect.Until = now.Add(min(maxQuarantine, firstQuarantine<<(quarantineGrowth*growths)))
+	if !suspects.quarantine(&suspect, now) {
+		suspects.put(suspect)
 	}
-	suspects.put(suspect)
 	return suspect
 }
 
 // clear removes a body that completed without a crash, unless it is quarantined.
 func (suspects *suspects) clear(fingerprint uint64, now time.Time, send func(Suspect)) {
-	suspect, ok := suspects.get(fingerprint)
-	if !ok || (suspect.Quarantined && now.Before(suspect.Until)) {
+	if suspects.isQuarantined(fingerprint, now) {
 		return
 	}
-	suspects.lru.Remove(fingerprint)
-	if send != nil {
+	isSuspect := suspects.lru.remove(fingerprint)
+	isSuspectElsewhere := suspects.elsewhere.remove(fingerprint)
+	if (isSuspect || isSuspectElsewhere) && send != nil {
 		send(Suspect{Fingerprint: fingerprint})
 	}
 }
@@ -158,7 +229,10 @@
 	if fingerprint == 0 {
 		return
 	}
-	suspect := pool.suspects.addCrash(fingerprint, now)
+	pool.sendSuspect(pool.suspects.addCrash(fingerprint, now))
+}
+
+func (pool *Pool) sendSuspect(suspect Suspect) {
 	if pool.SendSuspect != nil {
 		pool.SendSuspect(suspect)
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -252,16 +252,21 @@
 	})
 }
 
-// TestQuarantineIsSentToAllZones guards against a request that crashes targets of one
-// zone after the other: a quarantine is sent to the hosts of all zones, a mere
-// suspicion to those of this zone.
-func TestQuarantineIsSentToAllZones(t *testing.T) {
+// TestSuspicionsAreSentToAllZones guards against a request that crashes targets of one
+// zone after the other: the hosts of all zones get quarantines and mere suspicions, and
+// tell those of their own zone from others.
+func TestSuspicionsAreSentToAllZones(t *testing.T) {
 	runInBubble(t, func(t *testing.T, scheduler *Scheduler, sentMessages *sentMessages, _ *string) {
 		scheduler.Hosts = func() []string { return []string{"a", "b", "c", "d"} }
 		scheduler.sendSuspect("orders", pool.Suspect{Fingerprint: 7, Crashes: 1, Until: time.Now().Add(time.Minute)})
-		qt.Check(t, sentMessages.suspects, qt.HasLen, 1)
+		qt.Check(t, sentMessages.suspects, qt.HasLen, 3)
 		scheduler.sendSuspect("orders", pool.Suspect{Fingerprint: 7, Crashes: 2, Quarantined: true, Until: time.Now().Add(time.Minute)})
-		qt.Check(t, sentMessages.suspects, qt.HasLen, 4)
+		qt.Check(t, sentMessages.suspects, qt.HasLen, 6)
+		scheduler.Receive("b", &peerpb.Envelope{Suspects: sentMessages.suspects[:1]})
+		sentMessages.suspects[0].Zone = "other"
+		scheduler.Receive("d", &peerpb.Envelope{Suspects: sentMessages.suspects[:1]})
+		qt.Check(t, scheduler.suspicions[0].suspect.Zone, qt.Equals, "")
+		qt.Check(t, scheduler.suspicions[1].suspect.Zone, qt.Equals, "other")
 	})
 }
 
--- a/scheduler/suspects.go
+++ b/scheduler/suspects.go
@@ -17,8 +17,8 @@
 	suspect pool.Suspect
 }
 
-// sendSuspect sends a suspect that is new, changed or cleared to the other hosts of
-// the zone, and one that is quarantined to the hosts of all zones.
+// sendSuspect sends a suspect that is new, changed or cleared to the other hosts of all
+// zones.
 func (scheduler *Scheduler) sendSuspect(name string, suspect pool.Suspect) {
 	message := &peerpb.Suspect{
 		Fingerprint: suspect.Fingerprint,
@@ -26,12 +26,9 @@
 		Crashes:     uint32(suspect.Crashes),
 		Quarantined: suspect.Quarantined,
 		Remaining:   time.Until(suspect.Until).Microseconds(),
+		Zone:        scheduler.Zone,
 	}
-	hosts := scheduler.ZoneHosts()
-	if suspect.Quarantined {
-		hosts = scheduler.Hosts()
-	}
-	for _, host := range hosts {
+	for _, host := range scheduler.Hosts() {
 		if host != scheduler.Host {
 			scheduler.Send(host, &peerpb.Envelope{Suspects: []*peerpb.Suspect{message}})
 		}
@@ -49,6 +46,9 @@
 			Quarantined: message.GetQuarantined(),
 			Until:       time.Now().Add(remaining),
 		}}
+		if message.GetZone() != scheduler.Zone {
+			suspicion.suspect.Zone = message.GetZone()
+		}
 		scheduler.storeSuspicion(suspicion)
 		if found := scheduler.findPool(suspicion.pool); found != nil {
 			found.ObserveSuspect(suspicion.suspect)
