exchange: check the addresses of probes in a test

Cause: the linter found that the test of ended hosts ignored the address that is dialled.

Change: it must be one of the network's hosts. The test passes.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -258,6 +259,7 @@
 				network := newNetwork()
 				names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 				dial := func(_ context.Context, _, address string) (net.Conn, error) {
+					c.Check(slices.Contains(names, address), qt.IsTrue, qt.Commentf("%s was probed", address))
 					client, server := net.Pipe()
 					_ = server.Close()
 					return client, test.err
