discovery, platform: order what the store says by its era

Cause: the users' store may come back from a copy some seconds old. Nothing read the era that answers name.

Change: the store's client makes one number of era and revision, so that all comparisons of revisions stay right, between hosts too; discovery.Eras orders eras and tells by event 8107 that a new one began. In the first state of an era missing targets are held as after an outage, targets that had left stay so for at most ten seconds, and of two at one address the later one is used. Routes are exchanged between hosts by version, with the value in force; a host that hears of newer ones denies nothing by its own. Records of quarantines that the copy lacks are written again.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -29,6 +29,7 @@
 	eventPlatformBack  = 8102
 	eventTargetChanged = 8103
 	eventRoutesInForce = 8105
+	eventEraBegan      = 8107
 )
 
 // Explanation describes how a request ended, and why, according to the logs.
@@ -118,6 +119,8 @@
 		return "platform", "lost: " + line.Detail
 	case eventPlatformBack:
 		return "platform", ""
+	case eventEraBegan:
+		return "platform's era", line.Detail + ", came back from an older copy"
 	case eventPeerSilent:
 		return "host " + line.Peer, "silent"
 	case eventPeerReporting, eventPeerLeft:
--- a/diagnosis/explanation_test.go
+++ b/diagnosis/explanation_test.go
@@ -33,6 +33,7 @@
 {"time":"2026-05-05T11:59:02Z","event":8105,"host":"b","detail":"9"}
 {"time":"2026-05-05T11:59:02Z","event":6102,"host":"a","peer":"b"}
 {"time":"2026-05-05T11:59:02Z","event":8101,"host":"a","detail":"routes: status 503"}
+{"time":"2026-05-05T11:59:02.1Z","event":8107,"host":"a","detail":"3"}
 {"time":"2026-05-05T11:59:02.2Z","event":6101,"host":"a","peer":"b"}
 {"time":"2026-05-05T11:59:03Z","event":8103,"host":"a","target":"t1","detail":"new at 10.0.0.1:80"}
 {"time":"2026-05-05T11:59:04Z","event":1103,"host":"a","request":"r","target":"t1"}
@@ -46,6 +47,7 @@
 	c.Assert(explanation.WriteText(&text), qt.IsNil)
 	_, knownStates, _ := strings.Cut(text.String(), "then:\n")
 	c.Assert(knownStates, qt.Equals, `  a  platform  lost: routes: status 503, for 2s
+  a  platform's era  3, came back from an older copy, for 1.9s
   a  routes  version 7 in force, for 3s
   a  target t1  new at 10.0.0.1:80, for 1s
 `)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -66,7 +66,8 @@
 // Object is one object of the platform. Its value is not decoded.
 type Object struct {
 	Name string
-	// Revision is the platform's revision at which the object was last written.
+	// Revision is the one at which the object was last written. Revisions are results
+	// of NewRevision.
 	Revision int64
 	Value    []byte
 }
@@ -110,6 +111,9 @@
 	// one failed between the platform's previous answer and the one that led to
 	// this state. It is zero otherwise, and in a state from another host.
 	OutageAt time.Time
+	// IsRestored is set in the first state of an era: the platform came back from an
+	// older copy, from which the objects may be.
+	IsRestored bool
 }
 
 // Outage holds the time of this host's last failed request to the platform. All
@@ -144,6 +148,8 @@
 	Source Source
 	Events *timeline.Recorder
 	Outage *Outage
+	// Eras are those of the platform. Nil stands for one era.
+	Eras *Eras
 	// Hosts returns the number of hosts that list the objects periodically.
 	Hosts func() int
 	// ShouldWatch reports whether this host has to watch the platform. One that
@@ -310,8 +316,10 @@
 // ApplyDelta applies a delta from another host: a listing of only the objects that
 // changed after a revision, and the names of all objects that exist. It returns
 // false and changes nothing if the state is not at that revision or the listing is
-// older.
+// older. Objects of the copy that the platform came back from have revisions of its era,
+// so that they count as changed.
 func (follower *Follower) ApplyDelta(after int64, listing Listing, names []string) bool {
+	follower.learnEra(listing.Revision)
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if follower.state.Revision != after || listing.Revision < after {
@@ -332,7 +340,17 @@
 
 // Replace replaces the state with a complete listing that another host read,
 // unless the listing is older.
-func (follower *Follower) Replace(listing Listing) { follower.replace(listing, time.Time{}) }
+func (follower *Follower) Replace(listing Listing) {
+	follower.learnEra(listing.Revision)
+	follower.replace(listing, time.Time{})
+}
+
+// learnEra records the era of a revision from another host.
+func (follower *Follower) learnEra(revision int64) {
+	if follower.Eras != nil {
+		follower.Eras.Learn(revision)
+	}
+}
 
 // replace replaces the state with a listing, unless the listing is older. outageAt
 // becomes State.OutageAt if the objects differ.
@@ -370,18 +388,26 @@
 }
 
 // setObjects sets the state's objects and revision, and calls OnChange if the
-// objects differ from the previous ones. The caller holds the mutex.
+// objects differ from the previous ones. In a new era they do, as their revisions are of
+// that era. The caller holds the mutex.
 func (follower *Follower) setObjects(objects map[string]Object, revision int64, outageAt time.Time) {
+	era, _ := SplitRevision(revision)
+	before, _ := SplitRevision(follower.state.Revision)
+	isRestored := follower.state.Revision > 0 && era > before
+	if isRestored {
+		outageAt = time.Now()
+	}
 	same := follower.state.Revision > 0 && maps.EqualFunc(follower.state.Objects, objects, func(one, other Object) bool {
 		return one.Revision == other.Revision
 	})
+	same = same && !isRestored
 	follower.state.Revision = revision
 	if same {
 		return
 	}
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
-	follower.state.OutageAt = outageAt
+	follower.state.OutageAt, follower.state.IsRestored = outageAt, isRestored
 	follower.OnChange(follower.state)
 }
 
--- a/discovery/routes.go
+++ b/discovery/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"nutmegfield.example/route"
@@ -21,8 +22,7 @@
 )
 
 // Routes decodes the platform's object that holds the routes, and keeps the newest
-// version in force. Its fields must be set before Apply, which only one goroutine
-// may call at a time.
+// version in force. Its fields must be set before Apply.
 type Routes struct {
 	// Name is the name of the object that holds the routes.
 	Name string
@@ -32,14 +32,36 @@
 	// OnChange is called with each new table.
 	OnChange func(*route.Table)
 
-	table atomic.Pointer[route.Table]
+	inForce atomic.Pointer[routesInForce]
+
+	mutex sync.Mutex
 	// unreadableRevision is the last revision of the object that could not be
 	// decoded, kept to record its event once.
 	unreadableRevision int64
 }
 
+// routesInForce are the routes in force with the value that they were decoded from.
+type routesInForce struct {
+	table *route.Table
+	value []byte
+}
+
 // Table returns the routes in force, nil if there are none yet.
-func (routes *Routes) Table() *route.Table { return routes.table.Load() }
+func (routes *Routes) Table() *route.Table {
+	if inForce := routes.inForce.Load(); inForce != nil {
+		return inForce.table
+	}
+	return nil
+}
+
+// Value returns the value that the routes in force were decoded from. The platform's
+// object may be older.
+func (routes *Routes) Value() []byte {
+	if inForce := routes.inForce.Load(); inForce != nil {
+		return inForce.value
+	}
+	return nil
+}
 
 // Version returns the version of the routes in force, 0 if there are none.
 func (routes *Routes) Version() int64 {
@@ -57,6 +79,17 @@
 	if !ok {
 		return
 	}
+	routes.apply(object)
+}
+
+// Learn puts routes in force that another host has, if they are newer.
+func (routes *Routes) Learn(revision int64, value []byte) {
+	routes.apply(Object{Name: routes.Name, Revision: revision, Value: value})
+}
+
+func (routes *Routes) apply(object Object) {
+	routes.mutex.Lock()
+	defer routes.mutex.Unlock()
 	configuration, err := routes.Decode(object.Value)
 	if err != nil {
 		if routes.unreadableRevision != object.Revision {
@@ -69,7 +102,7 @@
 		return
 	}
 	table := route.NewTable(configuration)
-	routes.table.Store(table)
+	routes.inForce.Store(&routesInForce{table: table, value: object.Value})
 	routes.Events.Record(eventRoutesInForce, timeline.Event{Detail: strconv.FormatInt(configuration.Version, 10)})
 	routes.OnChange(table)
 }
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -17,6 +17,14 @@
 	maxHoldTime = 2200 * time.Millisecond
 	// heldCheckInterval is how often held targets are checked for expiry.
 	heldCheckInterval = 250 * time.Millisecond
+	// departureMemory is how long targets are remembered that were leaving or gone. The
+	// copy that a platform comes back from may still have them.
+	departureMemory = time.Minute
+	// maxDepartures limits them.
+	maxDepartures = 4096
+	// maxDepartedTime is how long the entry in a copy of such a target is not believed,
+	// unless it is written again. The platform removes entries of silent targets sooner.
+	maxDepartedTime = 10 * time.Second
 )
 
 var (
@@ -32,7 +40,8 @@
 
 // Targets decodes the platform's entries, which are objects that describe one target
 // each. If an entry vanishes in an outage, its target is held until maxHoldTime after
-// it. Fields must be set before Apply.
+// it. If the platform came back from an older copy, the entries of targets that have left
+// since are not believed. Fields must be set before Apply.
 type Targets struct {
 	// Decode returns the target that an entry describes by its name and value.
 	Decode func(name string, value []byte) (balance.Target, error)
@@ -47,17 +56,41 @@
 	// heldUntil maps the targets held without an entry to the time until which
 	// they are held.
 	heldUntil map[string]time.Time
+	// departures are targets that were leaving or gone, by name, and restored are those
+	// that the platform's copy still has as it had them before.
+	departures map[string]departure
+	restored   map[string]restoredEntry
+	// state is the last state that was applied.
+	state State
 	// unreadableRevisions maps entries to their last revision that could not be
 	// decoded, to record its event once.
 	unreadableRevisions map[string]int64
 }
 
-// Run drops targets whose entries did not come back within maxHoldTime. It returns
+// departure is what is remembered of a target that was leaving or gone.
+type departure struct {
+	startedAt time.Time
+	// isGone is set if its entry was removed.
+	isGone bool
+	at     time.Time
+}
+
+// restoredEntry is an entry of a departed target in the copy that the platform came back
+// from.
+type restoredEntry struct {
+	departure
+	revision int64
+	until    time.Time
+}
+
+// Run drops targets whose entries did not come back within maxHoldTime, and believes the
+// entries of departed ones that the platform still has after maxDepartedTime. It returns
 // nil when the context ends.
 func (targets *Targets) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.For(ctx, heldCheckInterval)
 		targets.dropExpired()
+		targets.believeRestored()
 	}
 	return nil
 }
@@ -68,6 +101,11 @@
 func (targets *Targets) Apply(state State) {
 	targets.mutex.Lock()
 	defer targets.mutex.Unlock()
+	targets.apply(state)
+}
+
+func (targets *Targets) apply(state State) {
+	targets.state = state
 	next := make(map[string]balance.Target, len(state.Objects))
 	for name, object := range state.Objects {
 		target, err := targets.Decode(name, object.Value)
@@ -77,12 +115,98 @@
 		}
 		next[name] = target
 	}
+	targets.depart(next, state)
 	targets.holdVanished(next, state.OutageAt)
+	dropReplaced(next)
 	targets.recordChanges(next)
+	targets.recordDepartures(next)
 	targets.targets = next
 	targets.publish()
 }
 
+// recordDepartures remembers the targets that are leaving or gone, and forgets old ones.
+func (targets *Targets) recordDepartures(next map[string]balance.Target) {
+	now := time.Now()
+	if targets.departures == nil {
+		targets.departures = map[string]departure{}
+	}
+	for name, target := range next {
+		if target.Leaving {
+			targets.departures[name] = departure{startedAt: target.StartedAt, at: now}
+		} else {
+			delete(targets.departures, name)
+		}
+	}
+	for name, target := range targets.targets {
+		if _, ok := next[name]; !ok {
+			targets.departures[name] = departure{startedAt: target.StartedAt, isGone: true, at: now}
+		}
+	}
+	for name, departure := range targets.departures {
+		if now.Sub(departure.at) > departureMemory || len(targets.departures) > maxDepartures {
+			delete(targets.departures, name)
+		}
+	}
+}
+
+// depart lets targets be leaving or gone that were so before the platform came back from
+// an older copy, until their entries are written again or maxDepartedTime has passed.
+func (targets *Targets) depart(next map[string]balance.Target, state State) {
+	now := time.Now()
+	if state.IsRestored {
+		targets.restored = map[string]restoredEntry{}
+		for name, target := range next {
+			departure, ok := targets.departures[name]
+			if ok && departure.startedAt.Equal(target.StartedAt) && now.Sub(departure.at) <= departureMemory {
+				targets.restored[name] = restoredEntry{departure: departure, revision: state.Objects[name].Revision, until: now.Add(maxDepartedTime)}
+			}
+		}
+	}
+	for name, restored := range targets.restored {
+		target, ok := next[name]
+		if !ok || state.Objects[name].Revision != restored.revision || !now.Before(restored.until) {
+			delete(targets.restored, name)
+			continue
+		}
+		if restored.isGone {
+			delete(next, name)
+			continue
+		}
+		target.Leaving = true
+		next[name] = target
+	}
+}
+
+// believeRestored applies the last state again once maxDepartedTime has passed for the
+// entry of a departed target.
+func (targets *Targets) believeRestored() {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	for _, restored := range targets.restored {
+		if !time.Now().Before(restored.until) {
+			state := targets.state
+			state.IsRestored = false
+			targets.apply(state)
+			return
+		}
+	}
+}
+
+// dropReplaced drops targets whose address another one has that started later.
+func dropReplaced(next map[string]balance.Target) {
+	latest := map[string]balance.Target{}
+	for _, target := range next {
+		if other, ok := latest[target.Address]; !ok || target.StartedAt.After(other.StartedAt) {
+			latest[target.Address] = target
+		}
+	}
+	for name, target := range next {
+		if latest[target.Address].StartedAt.After(target.StartedAt) {
+			delete(next, name)
+		}
+	}
+}
+
 // holdVanished adds to next the targets that have no entry any more but are still
 // to be held after an outage. Targets that were leaving are not held.
 func (targets *Targets) holdVanished(next map[string]balance.Target, outageAt time.Time) {
@@ -120,6 +244,10 @@
 			continue
 		}
 		delete(targets.heldUntil, name)
+		if _, ok := targets.targets[name]; !ok {
+			// Another target has its address.
+			continue
+		}
 		delete(targets.targets, name)
 		targets.Events.Record(eventTargetEntry, timeline.Event{Target: name, Detail: "gone, did not return after an outage"})
 		dropped = true
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -74,6 +74,8 @@
 	livePeers  atomic.Int64
 	knownPeers atomic.Int64
 	interval   atomic.Int64
+	// newest is the newest configuration that another host reported.
+	newest atomic.Pointer[newestConfiguration]
 	// members is the result of Members; it is replaced, never changed.
 	members atomic.Pointer[limit.Members]
 
@@ -102,6 +104,21 @@
 	TargetsRevision  int64
 }
 
+// newestConfiguration is a version of the configuration that a host reported.
+type newestConfiguration struct {
+	version int64
+	heardAt time.Time
+}
+
+// NewestConfiguration returns the newest version of the configuration that another host
+// has reported, 0 if none has within relayedSilenceTimeout.
+func (exchange *Exchange) NewestConfiguration() int64 {
+	if newest := exchange.newest.Load(); newest != nil && time.Since(newest.heardAt) < relayedSilenceTimeout {
+		return newest.version
+	}
+	return 0
+}
+
 // Run sends reports until the context ends, and then calls Leave. It returns nil.
 func (exchange *Exchange) Run(ctx context.Context) error {
 	for _, seed := range exchange.Seeds {
@@ -293,6 +310,9 @@
 		exchange.applySummary(summary)
 	}
 	versions := exchange.Versions()
+	if newest := exchange.newest.Load(); newest == nil || message.GetConfiguration() >= newest.version {
+		exchange.newest.Store(&newestConfiguration{version: message.GetConfiguration(), heardAt: time.Now()})
+	}
 	if message.GetConfiguration() == versions.Configuration {
 		age := time.Duration(message.GetVerifiedMs())*time.Millisecond + reportDelay
 		exchange.OnVerified(versions.Configuration, time.Now().Add(-age))
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -64,6 +64,8 @@
 	DecodeTarget func(name string, value []byte) (balance.Target, error)
 	// Quarantines are the records of quarantined requests.
 	Quarantines quarantine.Records
+	// Eras are those of the platform; its OnChange is set by the gateway.
+	Eras *discovery.Eras
 }
 
 // host connects a gateway to the sources of its routes, targets and reports.
@@ -200,11 +202,11 @@
 	outage := &discovery.Outage{}
 	watches := func() bool { return host.exchange.Leads(watchersPerZone) }
 	host.routeFollower = &discovery.Follower{
-		Outage: outage, ShouldWatch: watches, Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, OnChange: host.routes.Apply,
+		Outage: outage, Eras: sources.Eras, ShouldWatch: watches, Kind: "routes", Source: sources.Routes, Events: events, Hosts: host.exchange.Hosts, OnChange: host.routes.Apply,
 	}
 	host.targets = &discovery.Targets{Decode: sources.DecodeTarget, Events: events, OnChange: host.setTargets}
 	host.targetFollower = &discovery.Follower{
-		Outage: outage, ShouldWatch: watches, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, OnChange: host.targets.Apply,
+		Outage: outage, Eras: sources.Eras, ShouldWatch: watches, Kind: "targets", Source: sources.Targets, Events: events, Hosts: host.exchange.Hosts, OnChange: host.targets.Apply,
 	}
 	host.suspects = &quarantine.Suspects{Host: settings.Host.ID, Events: events}
 	host.attempts = &quarantine.Attempts{
@@ -217,6 +219,7 @@
 		Suspects: host.suspects, Records: sources.Quarantines, Events: events,
 		Leads: func() bool { return host.exchange.Leads(1) }, IsCutOff: host.exchange.MissesZone,
 	}
+	sources.Eras.OnChange = host.keeper.Restore
 	host.limiter = &limit.Limiter{
 		Address: settings.Peers.Listen, Members: host.exchange.Members, OnUpdate: host.balancer.Dispatch, Events: events,
 	}
@@ -244,7 +247,7 @@
 
 		Events:  events,
 		Table:   host.routes.Table,
-		Refresh: host.routeFollower.Refresh,
+		Refresh: host.refreshRoutes,
 		Notice:  settings.Drain.Notice,
 	}
 	return host
--- a/gateway/snapshots.go
+++ b/gateway/snapshots.go
@@ -4,12 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/timeline"
 )
 
+// errOlderRoutes means that another host has newer routes.
+var errOlderRoutes = errorx.NewNamespace("gateway").NewType("olderRoutes")
+
 var eventSnapshotFailed = timeline.Define(timeline.Kind{
 	Number: 6104, Name: "snapshot request failed", Level: timeline.Info,
 	Meaning: "Another host has newer routes or targets, and the request for its snapshot failed.",
@@ -32,9 +37,9 @@
 func (host *host) buildSnapshot(known *exchangepb.SnapshotRequest) *exchangepb.Snapshot {
 	routes, targets := host.routeFollower.State(), host.targetFollower.State()
 	snapshot := &exchangepb.Snapshot{Revision: targets.Revision}
-	if object, ok := routes.Objects[host.routes.Name]; ok && object.Revision > known.GetConfiguration() {
-		snapshot.Version = object.Revision
-		snapshot.Configuration = object.Value
+	if host.routes.Version() > known.GetRoutesVersion() {
+		snapshot.Version = routes.Objects[host.routes.Name].Revision
+		snapshot.Configuration = host.routes.Value()
 	}
 	for _, object := range targets.Objects {
 		snapshot.Names = append(snapshot.Names, object.Name)
@@ -55,6 +60,18 @@
 	}
 }
 
+// refreshRoutes returns once the routes in force are the newest that this host can know
+// of, or an error. The platform's may be older, if it came back from a copy.
+func (host *host) refreshRoutes(ctx context.Context) error {
+	if err := host.routeFollower.Refresh(ctx); err != nil {
+		return err
+	}
+	if newest := host.exchange.NewestConfiguration(); newest > host.routes.Version() {
+		return errOlderRoutes.New("another host has version %d", newest)
+	}
+	return nil
+}
+
 // requestSnapshot asks a host with newer objects for them, at most once per
 // snapshotInterval.
 func (host *host) requestSnapshot(address string) {
@@ -68,10 +85,7 @@
 }
 
 func (host *host) fetchSnapshot(address string) {
-	known := &exchangepb.SnapshotRequest{Targets: host.targetFollower.State().Revision}
-	if object, ok := host.routeFollower.State().Objects[host.routes.Name]; ok {
-		known.Configuration = object.Revision
-	}
+	known := &exchangepb.SnapshotRequest{Targets: host.targetFollower.State().Revision, RoutesVersion: host.routes.Version()}
 	snapshot, err := host.snapshots.Request(context.Background(), address, known)
 	if err != nil {
 		host.gateway.Events.Record(eventSnapshotFailed, timeline.Event{Peer: address, Detail: err.Error()})
@@ -84,6 +98,7 @@
 // a revision.
 func (host *host) applySnapshot(after int64, snapshot *exchangepb.Snapshot) {
 	if len(snapshot.GetConfiguration()) > 0 {
+		host.routes.Learn(snapshot.GetVersion(), snapshot.GetConfiguration())
 		host.routeFollower.Replace(discovery.Listing{Revision: snapshot.GetVersion(), Objects: []discovery.Object{{
 			Name: host.routes.Name, Revision: snapshot.GetVersion(), Value: snapshot.GetConfiguration(),
 		}}})
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/pause"
@@ -16,6 +18,9 @@
 	// reconcileDelay is the time from the beginning of a quarantine until leaders write
 	// its record if no other host has.
 	reconcileDelay = 3 * time.Second
+	// restoreSpread is the time over which hosts read the records again after the platform
+	// came back from an older copy.
+	restoreSpread = time.Second
 	// keepTimeout limits a call to the platform.
 	keepTimeout = 2 * time.Second
 	// sweepInterval is how often expired records of other hosts are removed.
@@ -71,6 +76,26 @@
 	// were last read.
 	isRead  bool
 	sweptAt time.Time
+	// isRestored is set when the platform came back from an older copy, until that is dealt
+	// with.
+	isRestored atomic.Bool
+}
+
+// Restore lets the keeper read the records again and write those that are missing, as the
+// platform came back from an older copy.
+func (keeper *Keeper) Restore() { keeper.isRestored.Store(true) }
+
+// forgetSaved forgets which quarantines have records, if the platform came back from an
+// older copy. Hosts that write records read them again within restoreSpread.
+func (keeper *Keeper) forgetSaved(ctx context.Context, leads bool) {
+	if !keeper.isRestored.Swap(false) {
+		return
+	}
+	keeper.saved = nil
+	if leads || len(keeper.Suspects.ownContents()) > 0 {
+		keeper.isRead = false
+		pause.For(ctx, rand.N(restoreSpread))
+	}
 }
 
 // Run reads the records and then keeps them until the context ends. It returns nil.
@@ -94,6 +119,7 @@
 // keep makes the calls that are due. It stops at the first that fails.
 func (keeper *Keeper) keep(ctx context.Context) error {
 	leads := keeper.Leads()
+	keeper.forgetSaved(ctx, leads)
 	if !keeper.isRead || keeper.IsCutOff() || leads && (time.Since(keeper.sweptAt) > sweepInterval || keeper.isRecordMissing()) {
 		if err := keeper.read(ctx); err != nil {
 			return err
