discovery: an era 0 that is named is known

Cause: the first era was told from none by its number, so that the second era of a store whose eras begin with 0 had no event, and records of quarantines were not written again.

Change: whether an era is known is kept apart. TestEras has the row, which failed before.

--- a/discovery/eras.go
+++ b/discovery/eras.go
@@ -57,11 +57,11 @@
 	OnChange func()
 
 	mutex sync.Mutex
-	// current is the present era, 0 before the first answer. named is what the platform
-	// calls it, if isNamed is set: the same, unless it fell once.
-	current, named int64
-	isNamed        bool
-	changedAt      time.Time
+	// current is the present era, if isKnown is set. named is what the platform calls it,
+	// if isNamed is set: the same, unless it fell once.
+	current, named   int64
+	isKnown, isNamed bool
+	changedAt        time.Time
 }
 
 // Current returns the present era.
@@ -109,7 +109,7 @@
 func (eras *Eras) Learn(revision int64) {
 	era, _ := SplitRevision(revision)
 	eras.mutex.Lock()
-	if era <= eras.current {
+	if eras.isKnown && era <= eras.current {
 		eras.mutex.Unlock()
 		return
 	}
@@ -122,11 +122,11 @@
 // advance sets the present era, and reports whether a new one begins with it. The caller
 // holds the mutex.
 func (eras *Eras) advance(era int64) bool {
-	if era == eras.current {
+	if eras.isKnown && era == eras.current {
 		return false
 	}
-	isFirst := eras.current == 0
-	eras.current, eras.changedAt = era, time.Now()
+	isFirst := !eras.isKnown
+	eras.current, eras.isKnown, eras.changedAt = era, true, time.Now()
 	return !isFirst
 }
 
--- a/discovery/eras_test.go
+++ b/discovery/eras_test.go
@@ -19,6 +19,7 @@
 func TestEras(t *testing.T) {
 	for _, script := range []string{
 		"answer 3: 3; answer 3: 3; answer 4: 4 8107; answer 6: 6 8107; late 4: -; answer 6: 6",
+		"answer 0: 0; answer 1: 1 8107; learn 1: 1; learn 2: 2 8107",
 		"answer 1: 1; learn 2: 2 8107; late 1: -; answer 2: 2; answer 3: 3 8107",
 		"answer 1: 1; learn 2: 2 8107; answer 3: 3 8107; late 2: -; late 3: 3",
 		"learn 2: 2; answer 2: 2; learn 1: 2; answer 3: 3 8107",
