--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"nutmegfield.example/balance"
 	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
@@ -38,6 +40,13 @@
 	})
 )
 
+// entriesHeld counts targets that are used without an entry, entriesDeparted the entries of
+// targets in a copy that had left.
+var (
+	entriesHeld     = metrics.GetOrCreateCounter(`nutmegfield_target_entries_total{what="held"}`)
+	entriesDeparted = metrics.GetOrCreateCounter(`nutmegfield_target_entries_total{what="departed"}`)
+)
+
 // Targets decodes the platform's entries, which are objects that describe one target
 // each. If an entry vanishes in an outage, its target is held until maxHoldTime after
 // it. If the platform came back from an older copy, the entries of targets that have left
@@ -158,6 +167,10 @@
 		for name, target := range next {
 			departure, ok := targets.departures[name]
 			if ok && departure.startedAt.Equal(target.StartedAt) && now.Sub(departure.at) <= departureMemory {
+				entriesDeparted.Inc()
+				targets.Events.Record(eventTargetEntry, timeline.Event{
+					Target: name, Pool: target.Pool, Detail: "in the copy that the platform came back from, but had left: gets nothing new",
+				})
 				targets.restored[name] = restoredEntry{departure: departure, revision: state.Objects[name].Revision, until: now.Add(maxDepartedTime)}
 			}
 		}
@@ -222,6 +235,7 @@
 				continue
 			}
 			until = outageAt.Add(maxHoldTime)
+			entriesHeld.Inc()
 		}
 		if now.Before(until) {
 			if targets.heldUntil == nil {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -310,7 +310,7 @@
 		exchange.applySummary(summary)
 	}
 	versions := exchange.Versions()
-	if newest := exchange.newest.Load(); newest == nil || message.GetConfiguration() >= newest.version {
+	if message.GetConfiguration() >= exchange.NewestConfiguration() {
 		exchange.newest.Store(&newestConfiguration{version: message.GetConfiguration(), heardAt: time.Now()})
 	}
 	if message.GetConfiguration() == versions.Configuration {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -127,6 +127,31 @@
 	})
 }
 
+// TestNewestConfiguration checks that a host knows the newest configuration that others
+// have, as the platform may have come back from an older copy, and only while it hears them.
+func TestNewestConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		start := func(name string, version int64) *Exchange {
+			return network.start(t, name, func(host *Exchange) {
+				host.Versions = func() Versions { return Versions{Configuration: version} }
+			}, "a")
+		}
+		start("a", 7)
+		start("b", 3)
+		host := start("c", 3)
+		c.Assert(host.NewestConfiguration(), qt.Equals, int64(0))
+		time.Sleep(time.Second)
+		c.Assert(host.NewestConfiguration(), qt.Equals, int64(7))
+		network.mutex.Lock()
+		network.isolated["a"] = true
+		network.mutex.Unlock()
+		time.Sleep(relayedSilenceTimeout + time.Second)
+		c.Assert(host.NewestConfiguration(), qt.Equals, int64(3))
+	})
+}
+
 // TestOutdatedReportsAreDropped checks that reports that arrive after later ones,
 // and those of an earlier incarnation, are dropped.
 func TestOutdatedReportsAreDropped(t *testing.T) {
