discovery, platform/soak: count missing eras only where eras are named

Cause: before a store without eras each answer was counted as one that lacks its era.

Change: an answer without an era counts once an era is known.

--- a/discovery/eras.go
+++ b/discovery/eras.go
@@ -71,10 +71,15 @@
 	return eras.current
 }
 
-// RecordMissing records an answer that names no era, and returns the present one.
+// RecordMissing records an answer that names no era, though others did, and returns the
+// present one.
 func (eras *Eras) RecordMissing() int64 {
-	erasMissing.Inc()
-	return eras.Current()
+	eras.mutex.Lock()
+	defer eras.mutex.Unlock()
+	if eras.isKnown {
+		erasMissing.Inc()
+	}
+	return eras.current
 }
 
 // Observe records the era that an answer names, and returns the one that the answer is
