gateway, quarantine: log the parts of prompts and count untold suspicions

Cause: lines 1104 and 1112 name a request under which a target ended by a hash of the whole request.

Change: 1104 has the ids of the prompt's parts; the gauge nutmegfield_suspicions_untold counts what waits. No change of what is decided.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,7 +39,7 @@
 	})
 	eventAttemptFailed = timeline.Define(timeline.Kind{
 		Number: 1104, Name: "attempt failed", Level: timeline.Info,
-		Meaning: "An attempt at a target brought no usable answer; the detail holds the reason and whether the request is tried again or the retry budget is used up, with the retries that count and those allowed on this host; content is the same for all requests of the same workspace, path and body.",
+		Meaning: "An attempt at a target brought no usable answer; the detail holds the reason and whether the request is tried again or the retry budget is used up, with the retries that count and those allowed on this host; content is the same for all requests of the same workspace, path and body, and parts are the ids of the parts of the prompt.",
 	})
 )
 
@@ -115,6 +115,9 @@
 
 func (forwarding *forwarding) recordFailed(grant *balance.Grant, reason string, retrying bool) {
 	facts := []timeline.Fact{{Key: "content", Value: forwarding.content().String()}}
+	if parts := forwarding.call.Prefix; len(parts) > 0 {
+		facts = append(facts, timeline.Fact{Key: "parts", Value: joinParts(parts)})
+	}
 	switch {
 	case retrying:
 		reason += "; trying again"
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -34,6 +35,15 @@
 	Tokens int
 }
 
+// joinParts returns the ids of parts in order, separated by commas.
+func joinParts(parts []PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // Forward holds the fields that the gateway sets in a forwarded request.
 type Forward struct {
 	// Target is the id of the target that the request is sent to.
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -48,6 +48,7 @@
 			changed = append(changed, known[content])
 		}
 	}
+	countUntold(len(changed))
 	slices.SortFunc(changed, func(one, other *Suspect) int {
 		return cmp.Or(
 			cmp.Compare(other.priority(), one.priority()),
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -15,6 +15,11 @@
 // countLearned counts a change of a suspect that another host reported.
 func countLearned() { metrics.GetOrCreateCounter("nutmegfield_suspicions_learned_total").Inc() }
 
+// countUntold sets the number of changed suspects that other hosts may not know yet.
+func countUntold(count int) {
+	metrics.GetOrCreateGauge("nutmegfield_suspicions_untold", nil).Set(float64(count))
+}
+
 // countKept counts a record of a quarantine that this host has written.
 func countKept() { metrics.GetOrCreateCounter("nutmegfield_quarantines_kept_total").Inc() }
 
