quarantine: call what is suspected a trait

Cause: suspects are known by the content of a request. What requests that crash targets share need not be their whole content, so the type needs a word that covers more.

Change: Content becomes Trait, in names and comments only. Names on the wire, in the store and in events stay.

--- a/exchange/suspicions.go
+++ b/exchange/suspicions.go
@@ -144,7 +144,7 @@
 }
 
 func encodeSuspect(suspect *quarantine.Suspect, now time.Time) *exchangepb.Suspect {
-	message := &exchangepb.Suspect{Content: uint64(suspect.Content)}
+	message := &exchangepb.Suspect{Content: uint64(suspect.Trait)}
 	for i, ending := range suspect.Endings {
 		message.Targets = append(message.Targets, uint32(ending.Target))
 		message.Ages = append(message.Ages, age(ending.At, now))
@@ -162,15 +162,15 @@
 func age(at, now time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
 
 func decodeSuspect(message *exchangepb.Suspect, now time.Time) (*quarantine.Suspect, error) {
-	suspect := &quarantine.Suspect{Content: quarantine.Content(message.GetContent())}
+	suspect := &quarantine.Suspect{Trait: quarantine.Trait(message.GetContent())}
 	targets, ages := message.GetTargets(), message.GetAges()
 	if len(targets) != len(ages) || len(targets) > maxReceivedEndings || len(targets) == 0 && message.GetClearedAge() == 0 {
-		return nil, fmt.Errorf("suspect %s has %d targets and %d ages", suspect.Content, len(targets), len(ages))
+		return nil, fmt.Errorf("suspect %s has %d targets and %d ages", suspect.Trait, len(targets), len(ages))
 	}
 	for i, target := range targets {
 		elapsed := time.Duration(ages[i]) * time.Millisecond
 		if elapsed > maxSuspicionAge {
-			return nil, fmt.Errorf("suspect %s has an ending %s ago", suspect.Content, elapsed)
+			return nil, fmt.Errorf("suspect %s has an ending %s ago", suspect.Trait, elapsed)
 		}
 		suspect.Endings = append(suspect.Endings, quarantine.Ending{
 			Target: quarantine.Incarnation(target), At: now.Add(-elapsed), Certain: message.GetUncertain()&(1<<i) == 0,
@@ -180,7 +180,7 @@
 		suspect.ClearedAt = now.Add(-time.Duration(clearedAge-1) * time.Millisecond)
 	}
 	if slices.Sort(targets); len(slices.Compact(targets)) != len(ages) {
-		return nil, fmt.Errorf("suspect %s has a target twice", suspect.Content)
+		return nil, fmt.Errorf("suspect %s has a target twice", suspect.Trait)
 	}
 	return suspect, nil
 }
--- a/exchange/suspicions_test.go
+++ b/exchange/suspicions_test.go
@@ -90,7 +90,7 @@
 
 // waitQuarantined waits until a host has quarantined a content, and returns how long
 // that took.
-func (fleet *suspicionFleet) waitQuarantined(host *Exchange, content quarantine.Content) time.Duration {
+func (fleet *suspicionFleet) waitQuarantined(host *Exchange, content quarantine.Trait) time.Duration {
 	start := time.Now()
 	for {
 		if _, quarantined := host.Suspects.Find(content); quarantined || time.Since(start) > time.Minute {
@@ -108,18 +108,18 @@
 	for _, count := range []int{3, 8, 64} {
 		t.Run(fmt.Sprintf("hosts%d", count), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const crashing = quarantine.Content(1)
+				const crashing = quarantine.Trait(1)
 				fleet := newSuspicionFleet(t, count)
 				time.Sleep(3 * time.Second)
-				other := quarantine.Content(100)
+				other := quarantine.Trait(100)
 				for target := range quarantine.Incarnation(3) {
-					crash := quarantine.Crash{Content: crashing, Target: target, Evidence: quarantine.Refused}
+					crash := quarantine.Crash{Trait: crashing, Target: target, Evidence: quarantine.Refused}
 					crash.At = time.Now()
 					fleet.hosts[int(target)%count].Suspects.RecordCrash(crash)
 					// The other requests on the target.
 					for range 14 {
 						other++
-						crash.Content = other
+						crash.Trait = other
 						fleet.hosts[rand.IntN(count)].Suspects.RecordCrash(crash)
 					}
 					time.Sleep(400 * time.Millisecond)
@@ -156,14 +156,14 @@
 // while it did not hear the other, and that are not added up afterwards.
 func TestSuspicionsAfterACut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const crashing = quarantine.Content(1)
+		const crashing = quarantine.Trait(1)
 		fleet := newSuspicionFleet(t, 8)
 		time.Sleep(3 * time.Second)
 		fleet.setCut(true)
 		time.Sleep(2 * time.Second)
 		for i, target := range []quarantine.Incarnation{1, 2, 3} {
 			fleet.hosts[i].Suspects.RecordCrash(quarantine.Crash{
-				Content: crashing, Target: target, At: time.Now(), Evidence: quarantine.Refused,
+				Trait: crashing, Target: target, At: time.Now(), Evidence: quarantine.Refused,
 			})
 		}
 		time.Sleep(20 * time.Second)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 	headerWritten bool
 	lastEventID   string
 	// content identifies the request when its caller sends it again.
-	content func() quarantine.Content
+	content func() quarantine.Trait
 	// fallback is a target's server error, passed on if no better answer comes.
 	fallback *bufferedAnswer
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -11,7 +11,7 @@
 const reasonCrashes = "the request crashes targets"
 
 // hashContent returns the request's content.
-func (forwarding *forwarding) hashContent() quarantine.Content {
+func (forwarding *forwarding) hashContent() quarantine.Trait {
 	request := forwarding.request
 	return quarantine.NewContent(
 		[]byte(forwarding.workspaceName()), []byte(request.Method), []byte(request.Host),
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -103,8 +103,8 @@
 		script.dials[script.targets[words[1]].Address] = words[2]
 		script.mutex.Unlock()
 	case "begin":
-		content := NewContent([]byte(words[1]))
-		script.attempts[words[1]] = script.tracker.Begin(script.targets[words[2]], words[1], func() Content { return content })
+		trait := NewContent([]byte(words[1]))
+		script.attempts[words[1]] = script.tracker.Begin(script.targets[words[2]], words[1], func() Trait { return trait })
 	case "heard":
 		script.attempts[words[1]].Heard()
 	case "answered":
@@ -168,7 +168,7 @@
 	target := &balance.Target{ID: "t", StartedAt: time.Now()}
 	b.RunParallel(func(loop *testing.PB) {
 		for loop.Next() {
-			attempt := attempts.Begin(target, "q", func() Content { return 1 })
+			attempt := attempts.Begin(target, "q", func() Trait { return 1 })
 			for range 20 {
 				attempt.Heard()
 			}
@@ -177,7 +177,7 @@
 	})
 }
 
-// BenchmarkNewContent measures the content of a request with a body of 12 kB.
+// BenchmarkNewContent measures the trait of a request with a body of 12 kB.
 func BenchmarkNewContent(b *testing.B) {
 	body := make([]byte, 12_000)
 	for b.Loop() {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -56,8 +56,8 @@
 }
 
 // Keeper keeps quarantines on the platform, for the case that all hosts end at once.
-// Each host that observed a crash of a quarantined content writes its record, as the
-// crashes of one content may be observed by different hosts. The leaders write those
+// Each host that observed a crash of a quarantined trait writes its record, as the
+// crashes of one trait may be observed by different hosts. The leaders write those
 // that are missing. Its fields are set before Run.
 type Keeper struct {
 	Suspects *Suspects
@@ -71,7 +71,7 @@
 
 	// saved holds the number of quarantines in each record that this host has read or
 	// written.
-	saved map[Content]int
+	saved map[Trait]int
 	// isRead is set once the records were read at the start; sweptAt is when they
 	// were last read.
 	isRead  bool
@@ -92,7 +92,7 @@
 		return
 	}
 	keeper.saved = nil
-	if leads || len(keeper.Suspects.ownContents()) > 0 {
+	if leads || len(keeper.Suspects.ownTraits()) > 0 {
 		keeper.isRead = false
 		pause.For(ctx, rand.N(restoreSpread))
 	}
@@ -125,12 +125,12 @@
 			return err
 		}
 	}
-	own := keeper.Suspects.ownContents()
+	own := keeper.Suspects.ownTraits()
 	now := time.Now()
-	for content, suspect := range keeper.Suspects.load() {
-		_, isOwn := own[content]
+	for trait, suspect := range keeper.Suspects.load() {
+		_, isOwn := own[trait]
 		writes := isOwn || leads && suspect.isReconciled(now)
-		if !writes || !suspect.isQuarantined(now) || keeper.saved[content] >= suspect.Quarantines {
+		if !writes || !suspect.isQuarantined(now) || keeper.saved[trait] >= suspect.Quarantines {
 			continue
 		}
 		if err := keeper.save(ctx, suspect); err != nil {
@@ -138,16 +138,16 @@
 		}
 	}
 	known := keeper.Suspects.load()
-	for content := range keeper.saved {
-		if suspect := known[content]; suspect != nil && len(suspect.Endings) > 0 {
+	for trait := range keeper.saved {
+		if suspect := known[trait]; suspect != nil && len(suspect.Endings) > 0 {
 			continue
 		}
-		if _, isOwn := own[content]; isOwn || leads {
-			if err := keeper.remove(ctx, content.String()); err != nil {
+		if _, isOwn := own[trait]; isOwn || leads {
+			if err := keeper.remove(ctx, trait.String()); err != nil {
 				return err
 			}
 		}
-		delete(keeper.saved, content)
+		delete(keeper.saved, trait)
 	}
 	keeper.Suspects.forgetOwn(keeper.saved)
 	return nil
@@ -156,8 +156,8 @@
 // isRecordMissing reports whether a quarantine has no record that this host knows of.
 func (keeper *Keeper) isRecordMissing() bool {
 	now := time.Now()
-	for content, suspect := range keeper.Suspects.load() {
-		if suspect.isReconciled(now) && keeper.saved[content] < suspect.Quarantines {
+	for trait, suspect := range keeper.Suspects.load() {
+		if suspect.isReconciled(now) && keeper.saved[trait] < suspect.Quarantines {
 			return true
 		}
 	}
@@ -215,9 +215,9 @@
 
 func (keeper *Keeper) recordSaved(suspect *Suspect) {
 	if keeper.saved == nil {
-		keeper.saved = map[Content]int{}
+		keeper.saved = map[Trait]int{}
 	}
-	keeper.saved[suspect.Content] = suspect.Quarantines
+	keeper.saved[suspect.Trait] = suspect.Quarantines
 }
 
 func (keeper *Keeper) remove(ctx context.Context, name string) error {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -83,9 +83,9 @@
 	return suspects
 }
 
-func (suspects *Suspects) crash(content Content, targets ...Incarnation) {
+func (suspects *Suspects) crash(trait Trait, targets ...Incarnation) {
 	for _, target := range targets {
-		suspects.RecordCrash(Crash{Content: content, Target: target, At: time.Now(), Evidence: Refused})
+		suspects.RecordCrash(Crash{Trait: trait, Target: target, At: time.Now(), Evidence: Refused})
 	}
 }
 
@@ -176,7 +176,7 @@
 		tell(hosts...)
 		time.Sleep(2 * keepInterval)
 		c.Assert(records.names(), qt.HasLen, 0)
-		c.Assert(hosts[0].ownContents(), qt.HasLen, 0)
+		c.Assert(hosts[0].ownTraits(), qt.HasLen, 0)
 	})
 }
 
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -43,24 +43,24 @@
 	defer suspects.mutex.Unlock()
 	known := suspects.load()
 	var changed []*Suspect
-	for content, transmissions := range suspects.transmissions {
+	for trait, transmissions := range suspects.transmissions {
 		if transmissions < maxTransmissions {
-			changed = append(changed, known[content])
+			changed = append(changed, known[trait])
 		}
 	}
 	countUntold(len(changed))
 	slices.SortFunc(changed, func(one, other *Suspect) int {
 		return cmp.Or(
 			cmp.Compare(other.priority(), one.priority()),
-			cmp.Compare(suspects.transmissions[one.Content], suspects.transmissions[other.Content]),
-			cmp.Compare(one.Content, other.Content),
+			cmp.Compare(suspects.transmissions[one.Trait], suspects.transmissions[other.Trait]),
+			cmp.Compare(one.Trait, other.Trait),
 		)
 	})
 	for _, suspect := range changed {
 		if !add(suspect) {
 			return
 		}
-		suspects.transmissions[suspect.Content]++
+		suspects.transmissions[suspect.Trait]++
 	}
 }
 
@@ -72,9 +72,9 @@
 	}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	for content, suspect := range suspects.load() {
+	for trait, suspect := range suspects.load() {
 		if len(suspect.Endings) > 0 {
-			suspects.transmissions[content] = 0
+			suspects.transmissions[trait] = 0
 		}
 	}
 	suspects.notifyChanged()
@@ -115,7 +115,7 @@
 			quarantined = append(quarantined, suspect)
 		}
 	}
-	slices.SortFunc(quarantined, func(one, other *Suspect) int { return cmp.Compare(one.Content, other.Content) })
+	slices.SortFunc(quarantined, func(one, other *Suspect) int { return cmp.Compare(one.Trait, other.Trait) })
 	for range quarantined {
 		if !add(quarantined[suspects.nextRepeated%len(quarantined)]) {
 			return
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -23,8 +23,8 @@
 // countKept counts a record of a quarantine that this host has written.
 func countKept() { metrics.GetOrCreateCounter("nutmegfield_quarantines_kept_total").Inc() }
 
-// countSuspects sets the numbers of suspected and quarantined contents.
-func countSuspects(known map[Content]*Suspect, now time.Time) {
+// countSuspects sets the numbers of suspected and quarantined traits.
+func countSuspects(known map[Trait]*Suspect, now time.Time) {
 	suspected, quarantined := 0, 0
 	for _, suspect := range known {
 		switch {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// record is the encoding of a quarantined content on the platform. The name of its
-// object is the content.
+// record is the encoding of a quarantined trait on the platform. The name of its
+// object is the trait.
 type record struct {
 	Endings []recordedEnding `json:"endings"`
 }
@@ -26,15 +26,15 @@
 		record.Endings = append(record.Endings, recordedEnding(ending))
 	}
 	if value, err = json.Marshal(record); err != nil {
-		return "", nil, fmt.Errorf("encode the record of %s: %w", suspect.Content, err)
+		return "", nil, fmt.Errorf("encode the record of %s: %w", suspect.Trait, err)
 	}
-	return suspect.Content.String(), value, nil
+	return suspect.Trait.String(), value, nil
 }
 
 // DecodeRecord returns the suspect of a platform's object. Endings in the future, by
 // this host's clock, count as of now.
 func DecodeRecord(name string, value []byte) (*Suspect, error) {
-	content, err := strconv.ParseUint(name, 16, 64)
+	trait, err := strconv.ParseUint(name, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("read the content of record %q: %w", name, err)
 	}
@@ -43,7 +43,7 @@
 		return nil, fmt.Errorf("decode the record of %s: %w", name, err)
 	}
 	now := time.Now()
-	suspect := &Suspect{Content: Content(content)}
+	suspect := &Suspect{Trait: Trait(trait)}
 	for _, ending := range record.Endings {
 		// The difference turns a time of day into one of this process's clock.
 		elapsed := max(0, now.Sub(ending.At))
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -14,27 +14,27 @@
 )
 
 const (
-	// quarantineCrashes is the number of targets that must have ended under a content
+	// quarantineCrashes is the number of targets that must have ended under a trait
 	// before it is quarantined. Other requests that ran on the same target are rarely
 	// on the next two as well.
 	quarantineCrashes = 3
-	// The first quarantine of a content lasts firstQuarantine. Each further one, after
+	// The first quarantine of a trait lasts firstQuarantine. Each further one, after
 	// another crash, lasts quarantineGrowth times as long, up to maxQuarantine, so that
-	// a content crashes at most three more targets in a day.
+	// a trait crashes at most three more targets in a day.
 	firstQuarantine  = 10 * time.Minute
 	quarantineGrowth = 8
 	maxQuarantine    = 24 * time.Hour
-	// trialSpread is the time over which hosts try a content again after its
+	// trialSpread is the time over which hosts try a trait again after its
 	// quarantine, so that the others learn of a crash before they do.
 	trialSpread = time.Minute
-	// suspicionLifetime is how long a content is remembered after its last crash or its
+	// suspicionLifetime is how long a trait is remembered after its last crash or its
 	// last success. After a quarantine it is remembered as long as that lasted.
 	suspicionLifetime = 10 * time.Minute
-	// maxSuspects limits the contents that are remembered.
+	// maxSuspects limits the traits that are remembered.
 	maxSuspects = 1024
-	// maxEndings limits the targets remembered for a content.
+	// maxEndings limits the targets remembered for a trait.
 	maxEndings = 6
-	// expireInterval is how often contents are checked for expiry.
+	// expireInterval is how often traits are checked for expiry.
 	expireInterval = time.Second
 )
 
@@ -62,7 +62,7 @@
 	})
 )
 
-// Ending is the end of a target while it ran a request with some content.
+// Ending is the end of a target while it ran a request with some trait.
 type Ending struct {
 	Target Incarnation
 	At     time.Time
@@ -70,13 +70,13 @@
 	Certain bool
 }
 
-// Suspect is what is known of a content. A Suspect without endings was cleared. It is
+// Suspect is what is known of a trait. A Suspect without endings was cleared. It is
 // immutable.
 type Suspect struct {
-	Content Content
+	Trait Trait
 	// Endings are sorted by time.
 	Endings []Ending
-	// ClearedAt is when a target last served the content; zero for never. Earlier
+	// ClearedAt is when a target last served the trait; zero for never. Earlier
 	// endings don't count.
 	ClearedAt time.Time
 	// Quarantines is the number of quarantines so far, Until the end of the last one
@@ -86,7 +86,7 @@
 	quarantineLength time.Duration
 }
 
-// isQuarantined reports whether requests with the content must be refused.
+// isQuarantined reports whether requests with the trait must be refused.
 func (suspect *Suspect) isQuarantined(now time.Time) bool { return now.Before(suspect.Until) }
 
 // expiresAt returns when the suspect is forgotten.
@@ -104,7 +104,7 @@
 // merge returns the suspect with more endings and a later time of clearing. The
 // result doesn't depend on the order of merges.
 func (suspect *Suspect) merge(endings []Ending, clearedAt time.Time) *Suspect {
-	merged := &Suspect{Content: suspect.Content, ClearedAt: suspect.ClearedAt}
+	merged := &Suspect{Trait: suspect.Trait, ClearedAt: suspect.ClearedAt}
 	if clearedAt.After(merged.ClearedAt) {
 		merged.ClearedAt = clearedAt
 	}
@@ -153,7 +153,7 @@
 	}
 }
 
-// Suspects holds the contents under which targets have ended, as this host and the
+// Suspects holds the traits under which targets have ended, as this host and the
 // others have observed. Its fields are set before use.
 type Suspects struct {
 	// Host is the id of this host.
@@ -162,84 +162,84 @@
 	// LastAnswer returns when a target last answered this host, zero for never.
 	LastAnswer func(target Incarnation) time.Time
 
-	// known holds the suspects by content, uncertain the targets of their uncertain
+	// known holds the suspects by trait, uncertain the targets of their uncertain
 	// endings. Both are replaced, never changed.
-	known     atomic.Pointer[map[Content]*Suspect]
+	known     atomic.Pointer[map[Trait]*Suspect]
 	uncertain atomic.Pointer[map[Incarnation]struct{}]
 
 	// mutex guards changes of known and the fields below.
 	mutex sync.Mutex
-	// transmissions is the number of times that the latest change of a content was
+	// transmissions is the number of times that the latest change of a trait was
 	// taken for the other hosts.
-	transmissions map[Content]int
+	transmissions map[Trait]int
 	// changed is closed at the next change to tell the other hosts, nil if nobody
 	// waits for it.
 	changed chan struct{}
-	// own are the contents of which this host observed a crash. ownChanged is closed
+	// own are the traits of which this host observed a crash. ownChanged is closed
 	// when one of them is quarantined, nil if nobody waits for it.
-	own        map[Content]struct{}
+	own        map[Trait]struct{}
 	ownChanged chan struct{}
-	// trials are the contents of which a request runs after a quarantine.
-	trials map[Content]struct{}
-	// served is the number of targets that have served a suspected content on this host
+	// trials are the traits of which a request runs after a quarantine.
+	trials map[Trait]struct{}
+	// served is the number of targets that have served a suspected trait on this host
 	// since it was last cleared.
-	served map[Content]int
-	// nextRepeated is the position in the round robin of quarantined contents.
+	served map[Trait]int
+	// nextRepeated is the position in the round robin of quarantined traits.
 	nextRepeated int
 }
 
 // load returns the current suspects.
-func (suspects *Suspects) load() map[Content]*Suspect {
+func (suspects *Suspects) load() map[Trait]*Suspect {
 	if known := suspects.known.Load(); known != nil {
 		return *known
 	}
 	return nil
 }
 
-// IsEmpty reports whether no content is remembered, so that none needs to be computed.
+// IsEmpty reports whether no trait is remembered, so that none needs to be computed.
 func (suspects *Suspects) IsEmpty() bool { return len(suspects.load()) == 0 }
 
-// Find returns the suspect with a content, nil if there is none, and whether it is
+// Find returns the suspect with a trait, nil if there is none, and whether it is
 // quarantined.
-func (suspects *Suspects) Find(content Content) (*Suspect, bool) {
-	suspect := suspects.load()[content]
+func (suspects *Suspects) Find(trait Trait) (*Suspect, bool) {
+	suspect := suspects.load()[trait]
 	return suspect, suspect != nil && suspect.isQuarantined(time.Now())
 }
 
-// Admit reports whether a request with a content may run. After a quarantine, one
+// Admit reports whether a request with a trait may run. After a quarantine, one
 // request at a time may, as a trial. Release must be called when the request has
 // ended.
-func (suspects *Suspects) Admit(content Content) (suspect *Suspect, admitted bool, release func()) {
-	suspect, quarantined := suspects.Find(content)
+func (suspects *Suspects) Admit(trait Trait) (suspect *Suspect, admitted bool, release func()) {
+	suspect, quarantined := suspects.Find(trait)
 	if suspect == nil || suspect.Quarantines == 0 {
 		return suspect, true, func() {}
 	}
-	if quarantined || time.Now().Before(suspect.Until.Add(suspects.trialDelay(content))) {
+	if quarantined || time.Now().Before(suspect.Until.Add(suspects.trialDelay(trait))) {
 		return suspect, false, nil
 	}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	if _, ok := suspects.trials[content]; ok {
+	if _, ok := suspects.trials[trait]; ok {
 		return suspect, false, nil
 	}
 	if suspects.trials == nil {
-		suspects.trials = map[Content]struct{}{}
+		suspects.trials = map[Trait]struct{}{}
 	}
-	suspects.trials[content] = struct{}{}
+	suspects.trials[trait] = struct{}{}
 	suspects.Events.Record(eventTrial, timeline.Event{Facts: suspect.Facts(time.Now())})
 	return suspect, true, func() {
 		suspects.mutex.Lock()
 		defer suspects.mutex.Unlock()
-		delete(suspects.trials, content)
+		delete(suspects.trials, trait)
 	}
 }
 
-// trialDelay returns the time from the end of a content's quarantine until this host
+// trialDelay returns the time from the end of a trait's quarantine until this host
 // tries it again.
-func (suspects *Suspects) trialDelay(content Content) time.Duration {
+func (suspects *Suspects) trialDelay(trait Trait) time.Duration {
 	hash := fnv.New32a()
 	// Writes to a hash don't fail.
-	_, _ = hash.Write([]byte(suspects.Host + content.String()))
+	_, _ = hash.Write([]byte(suspects.Host + trait.String()))
 	const steps = 1 << 10
 	return trialSpread * time.Duration(hash.Sum32()%steps) / steps
 }
@@ -251,33 +251,33 @@
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	if suspects.own == nil {
-		suspects.own = map[Content]struct{}{}
+		suspects.own = map[Trait]struct{}{}
 	}
-	suspects.own[crash.Content] = struct{}{}
-	suspects.apply(crash.Content, []Ending{ending}, time.Time{})
+	suspects.own[crash.Trait] = struct{}{}
+	suspects.apply(crash.Trait, []Ending{ending}, time.Time{})
 }
 
-// ownContents returns the contents of which this host observed a crash.
-func (suspects *Suspects) ownContents() map[Content]struct{} {
+// ownTraits returns the traits of which this host observed a crash.
+func (suspects *Suspects) ownTraits() map[Trait]struct{} {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	return maps.Clone(suspects.own)
 }
 
-// forgetOwn drops the contents from the result of ownContents that are no longer
+// forgetOwn drops the traits from the result of ownTraits that are no longer
 // suspected and have no record.
-func (suspects *Suspects) forgetOwn(saved map[Content]int) {
+func (suspects *Suspects) forgetOwn(saved map[Trait]int) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	known := suspects.load()
-	maps.DeleteFunc(suspects.own, func(content Content, _ struct{}) bool {
-		suspect := known[content]
-		_, isSaved := saved[content]
+	maps.DeleteFunc(suspects.own, func(trait Trait, _ struct{}) bool {
+		suspect := known[trait]
+		_, isSaved := saved[trait]
 		return !isSaved && (suspect == nil || len(suspect.Endings) == 0)
 	})
 }
 
-// waitForOwn waits until a content of which this host observed a crash is quarantined,
+// waitForOwn waits until a trait of which this host observed a crash is quarantined,
 // but not longer than a timeout or until the context ends.
 func (suspects *Suspects) waitForOwn(ctx context.Context, timeout time.Duration) {
 	suspects.mutex.Lock()
@@ -289,31 +289,31 @@
 	waitFor(ctx, changed, timeout)
 }
 
-// RecordServed records that a target has served a content. The first time that clears
-// it. A content under which targets ended again afterwards may crash some targets and
+// RecordServed records that a target has served a trait. The first time that clears
+// it. A trait under which targets ended again afterwards may crash some targets and
 // not others; it is cleared once targets have served it on this host as often as others
 // have ended.
-func (suspects *Suspects) RecordServed(content Content) {
-	if suspect := suspects.load()[content]; suspect == nil || len(suspect.Endings) == 0 {
+func (suspects *Suspects) RecordServed(trait Trait) {
+	if suspect := suspects.load()[trait]; suspect == nil || len(suspect.Endings) == 0 {
 		return
 	}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	suspect := suspects.load()[content]
+	suspect := suspects.load()[trait]
 	if suspect == nil || len(suspect.Endings) == 0 {
 		return
 	}
 	if suspects.served == nil {
-		suspects.served = map[Content]int{}
+		suspects.served = map[Trait]int{}
 	}
-	suspects.served[content]++
-	if !suspect.ClearedAt.IsZero() && suspects.served[content] < len(suspect.Endings) {
+	suspects.served[trait]++
+	if !suspect.ClearedAt.IsZero() && suspects.served[trait] < len(suspect.Endings) {
 		suspects.Events.Record(eventServed, timeline.Event{
-			Facts: append(suspect.Facts(time.Now()), timeline.Count("served", suspects.served[content])),
+			Facts: append(suspect.Facts(time.Now()), timeline.Count("served", suspects.served[trait])),
 		})
 		return
 	}
-	if suspects.apply(content, nil, time.Now()) {
+	if suspects.apply(trait, nil, time.Now()) {
 		suspects.recordEnded(suspect, "a target served it")
 	}
 }
@@ -330,19 +330,19 @@
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	known := maps.Clone(suspects.load())
-	for content, suspect := range known {
+	for trait, suspect := range known {
 		kept := slices.DeleteFunc(slices.Clone(suspect.Endings), func(ending Ending) bool {
 			return ending.Target == target && !ending.Certain
 		})
 		switch {
 		case len(kept) == len(suspect.Endings):
 		case len(kept) == 0 && suspect.ClearedAt.IsZero():
-			delete(known, content)
-			delete(suspects.transmissions, content)
+			delete(known, trait)
+			delete(suspects.transmissions, trait)
 			suspects.recordEnded(suspect, "the targets that seemed to have ended answered")
 		default:
-			known[content] = (&Suspect{Content: content, ClearedAt: suspect.ClearedAt}).merge(kept, time.Time{})
-			if known[content].Quarantines < suspect.Quarantines {
+			known[trait] = (&Suspect{Trait: trait, ClearedAt: suspect.ClearedAt}).merge(kept, time.Time{})
+			if known[trait].Quarantines < suspect.Quarantines {
 				suspects.recordEnded(suspect, "quarantine withdrawn: a target that seemed to have ended answered")
 			}
 		}
@@ -357,20 +357,20 @@
 	endings := slices.DeleteFunc(slices.Clone(learned.Endings), func(ending Ending) bool {
 		return !ending.Certain && suspects.LastAnswer(ending.Target).After(ending.At)
 	})
-	if !suspects.apply(learned.Content, endings, learned.ClearedAt) {
+	if !suspects.apply(learned.Trait, endings, learned.ClearedAt) {
 		return
 	}
 	countLearned()
-	suspect := suspects.load()[learned.Content]
+	suspect := suspects.load()[learned.Trait]
 	suspects.Events.Record(eventLearned, timeline.Event{Peer: peer, Facts: suspect.Facts(time.Now())})
 }
 
-// apply merges endings and a time of clearing into what is known of a content. It
+// apply merges endings and a time of clearing into what is known of a trait. It
 // reports whether that changed anything to tell the other hosts.
-func (suspects *Suspects) apply(content Content, endings []Ending, clearedAt time.Time) bool {
-	before := suspects.load()[content]
+func (suspects *Suspects) apply(trait Trait, endings []Ending, clearedAt time.Time) bool {
+	before := suspects.load()[trait]
 	if before == nil {
-		before = &Suspect{Content: content}
+		before = &Suspect{Trait: trait}
 	}
 	after := before.merge(endings, clearedAt)
 	if !after.tellsMoreThan(before) || time.Now().After(after.expiresAt()) {
@@ -378,23 +378,23 @@
 	}
 	known := maps.Clone(suspects.load())
 	if known == nil {
-		known = map[Content]*Suspect{}
+		known = map[Trait]*Suspect{}
 	}
-	known[content] = after
+	known[trait] = after
 	suspects.limit(known)
-	if known[content] == nil {
+	if known[trait] == nil {
 		// There are only more important ones.
 		return false
 	}
 	suspects.store(known)
 	if suspects.transmissions == nil {
-		suspects.transmissions = map[Content]int{}
+		suspects.transmissions = map[Trait]int{}
 	}
-	suspects.transmissions[content] = 0
+	suspects.transmissions[trait] = 0
 	suspects.notifyChanged()
 	if after.Quarantines > before.Quarantines {
 		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
-		if _, ok := suspects.own[content]; ok && suspects.ownChanged != nil {
+		if _, ok := suspects.own[trait]; ok && suspects.ownChanged != nil {
 			close(suspects.ownChanged)
 			suspects.ownChanged = nil
 		}
@@ -417,7 +417,7 @@
 
 // limit drops suspects beyond maxSuspects: first cleared ones, then those that are not
 // quarantined, each by the earliest expiry.
-func (suspects *Suspects) limit(known map[Content]*Suspect) {
+func (suspects *Suspects) limit(known map[Trait]*Suspect) {
 	if len(known) <= maxSuspects {
 		return
 	}
@@ -433,17 +433,17 @@
 		}
 	}
 	first := slices.MinFunc(slices.Collect(maps.Values(known)), func(one, other *Suspect) int {
-		return cmp.Or(cmp.Compare(rank(one), rank(other)), one.expiresAt().Compare(other.expiresAt()), cmp.Compare(one.Content, other.Content))
+		return cmp.Or(cmp.Compare(rank(one), rank(other)), one.expiresAt().Compare(other.expiresAt()), cmp.Compare(one.Trait, other.Trait))
 	})
-	delete(known, first.Content)
-	delete(suspects.transmissions, first.Content)
+	delete(known, first.Trait)
+	delete(suspects.transmissions, first.Trait)
 	if len(first.Endings) > 0 {
 		suspects.recordEnded(first, "there were too many suspects")
 	}
 }
 
 // store replaces the suspects.
-func (suspects *Suspects) store(known map[Content]*Suspect) {
+func (suspects *Suspects) store(known map[Trait]*Suspect) {
 	uncertain := map[Incarnation]struct{}{}
 	for _, suspect := range known {
 		for _, ending := range suspect.Endings {
@@ -452,8 +452,8 @@
 			}
 		}
 	}
-	maps.DeleteFunc(suspects.served, func(content Content, _ int) bool {
-		return known[content] == nil || len(known[content].Endings) == 0
+	maps.DeleteFunc(suspects.served, func(trait Trait, _ int) bool {
+		return known[trait] == nil || len(known[trait].Endings) == 0
 	})
 	suspects.known.Store(&known)
 	suspects.uncertain.Store(&uncertain)
@@ -485,12 +485,12 @@
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	known := maps.Clone(suspects.load())
-	for content, suspect := range known {
+	for trait, suspect := range known {
 		if now.Before(suspect.expiresAt()) {
 			continue
 		}
-		delete(known, content)
-		delete(suspects.transmissions, content)
+		delete(known, trait)
+		delete(suspects.transmissions, trait)
 		if len(suspect.Endings) > 0 {
 			suspects.recordEnded(suspect, "it expired")
 		}
@@ -507,7 +507,7 @@
 		}
 	}
 	facts := []timeline.Fact{
-		{Key: "content", Value: suspect.Content.String()},
+		{Key: "content", Value: suspect.Trait.String()},
 		timeline.Count("crashes", len(suspect.Endings)),
 		timeline.Count("certain", certain),
 	}
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestSuspects runs the scripts of testdata/suspects.txtar: what hosts observe of
-// contents and tell each other, and which requests they refuse. Its commands are
+// traits and tell each other, and which requests they refuse. Its commands are
 // documented at suspectScript.run.
 func TestSuspects(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "suspects.txtar"))
@@ -42,9 +42,9 @@
 
 // run executes a command:
 //
-//	crash HOST CONTENT TARGET [silent]  a target ended under a content
-//	crashes HOST COUNT                  targets ended under many contents
-//	served HOST CONTENT                 a target served a content
+//	crash HOST CONTENT TARGET [silent]  a target ended under a trait
+//	crashes HOST COUNT                  targets ended under many traits
+//	served HOST CONTENT                 a target served a trait
 //	answer HOST TARGET                  a target answered
 //	tell FROM TO                        a host sends what it knows
 //	restart HOST
@@ -69,14 +69,14 @@
 			evidence = Silent
 		}
 		script.host(words[1]).RecordCrash(Crash{
-			Content: Content(number(2)), Target: Incarnation(number(3)), At: time.Now(), Evidence: evidence,
+			Trait: Trait(number(2)), Target: Incarnation(number(3)), At: time.Now(), Evidence: evidence,
 		})
 	case "crashes":
 		for i := range number(2) {
-			script.host(words[1]).RecordCrash(Crash{Content: Content(1000 + i), At: time.Now(), Evidence: Refused})
+			script.host(words[1]).RecordCrash(Crash{Trait: Trait(1000 + i), At: time.Now(), Evidence: Refused})
 		}
 	case "served":
-		script.host(words[1]).RecordServed(Content(number(2)))
+		script.host(words[1]).RecordServed(Trait(number(2)))
 	case "answer":
 		script.answers[words[1]+words[2]] = time.Now()
 		script.host(words[1]).RecordAnswer(Incarnation(number(2)))
@@ -87,7 +87,7 @@
 	case "restart":
 		delete(script.hosts, words[1])
 	case "admit":
-		_, admitted, release := script.host(words[1]).Admit(Content(number(2)))
+		_, admitted, release := script.host(words[1]).Admit(Trait(number(2)))
 		script.Assert(admitted, qt.IsTrue)
 		script.releases = append(script.releases, release)
 	case "release":
@@ -103,7 +103,7 @@
 			host.expire(time.Now())
 		}
 	case "want":
-		_, admitted, release := script.host(words[1]).Admit(Content(number(2)))
+		_, admitted, release := script.host(words[1]).Admit(Trait(number(2)))
 		if admitted {
 			release()
 		}
@@ -131,15 +131,15 @@
 		c := qt.New(t)
 		suspects := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
 		for i := range maxSuspects {
-			suspects.crash(Content(1+i), 1, 2, 3)
+			suspects.crash(Trait(1+i), 1, 2, 3)
 		}
 		suspects.crash(5000, 1)
-		suspects.Learn("b", &Suspect{Content: 5001, Endings: []Ending{{Target: 1, At: time.Now(), Certain: true}}})
-		suspects.Learn("b", &Suspect{Content: 5002, ClearedAt: time.Now()})
+		suspects.Learn("b", &Suspect{Trait: 5001, Endings: []Ending{{Target: 1, At: time.Now(), Certain: true}}})
+		suspects.Learn("b", &Suspect{Trait: 5002, ClearedAt: time.Now()})
 		taken := 0
 		suspects.TakeChanges(func(suspect *Suspect) bool {
 			taken++
-			return suspect.Content < 5000
+			return suspect.Trait < 5000
 		})
 		c.Assert(taken, qt.Equals, maxSuspects)
 		c.Assert(suspects.load(), qt.HasLen, maxSuspects)
--- a/quarantine/content.go
+++ b/quarantine/trait.go
@@ -12,15 +12,15 @@
 	"nutmegfield.example/balance"
 )
 
-// Content identifies all requests with the same workspace, method, host, path, query
-// and body. It is the same on all hosts.
-type Content uint64
+// Trait identifies the requests that have something in common: so far the same content,
+// which is workspace, method, host, path, query and body. It is the same on all hosts.
+type Trait uint64
 
-// String returns the content as it appears in events.
-func (content Content) String() string { return strconv.FormatUint(uint64(content), 16) }
+// String returns the trait as it appears in events.
+func (trait Trait) String() string { return strconv.FormatUint(uint64(trait), 16) }
 
-// NewContent returns the content of requests with the given parts.
-func NewContent(parts ...[]byte) Content {
+// NewContent returns the trait of requests with the given parts of their content.
+func NewContent(parts ...[]byte) Trait {
 	hash := sha256.New()
 	var length [8]byte
 	for _, part := range parts {
@@ -30,7 +30,7 @@
 		_, _ = hash.Write(length[:])
 		_, _ = hash.Write(part)
 	}
-	return Content(binary.LittleEndian.Uint64(hash.Sum(nil)))
+	return Trait(binary.LittleEndian.Uint64(hash.Sum(nil)))
 }
 
 // Incarnation identifies one incarnation of a target. It is the same on all hosts.
