quarantine, gateway: find what requests that crash targets share

Cause: a request was known by its whole content. Requests of which no two are alike never met: each new one crashed servers until its attempts were used up.

Ruled out: quarantines that were withdrawn (the 20 lines 1115 are whole answers of other requests) and messages that are late (the part was not suspected at all).

Change: all traits of a request are suspected when its target ends: content, path and each part of the prompt. The trait under which the most targets ended takes these from the others (explain); what keeps fewer than three is not quarantined, and a quarantine that began before the cause was known is withdrawn. Any success clears what its request shares, also of crashes that a host hears of later. What was served before needs four targets at different moments and a second without a success. A first quarantine of what is shared lasts 10 s; hosts then try one request in turn. explain names the part.

Why it works: requests with the part add their crashes up in one suspect, whose endings contain those of all that stood beside them; the order of likelihood then leaves nothing of the others.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -210,21 +210,27 @@
 // crashesTargets ends the detail of refusals of quarantined requests.
 const crashesTargets = "the request crashes targets"
 
-// crashingCause explains a request that was refused because its content is
-// quarantined, with the targets that ended while they ran such requests, by the lines
-// of all hosts.
+// crashingCause explains a request that was refused because its content, or something that
+// it shares with others, is quarantined, with the targets that ended while they ran such
+// requests, by the lines of all hosts.
 func crashingCause(all []Line, last *Line) string {
 	var endings []string
 	named := map[string]bool{}
 	for _, line := range all {
-		if line.Event == eventSuspected && line.Facts["content"] == last.Facts["content"] && !named[line.Target] {
+		has := line.Facts["content"] == last.Facts["content"] ||
+			slices.Contains(strings.Split(line.Facts["shared"], ","), last.Facts["content"])
+		if line.Event == eventSuspected && has && !named[line.Target] {
 			named[line.Target] = true
 			endings = append(endings, fmt.Sprintf("%s under %s on %s at %s (%s)",
 				line.Target, line.Request, line.Host, line.Time.Format("15:04:05.000"), line.Detail))
 		}
 	}
-	text := fmt.Sprintf("%s: %s targets ended under requests of content %s, %s of them certainly",
-		last.Detail, last.Facts["crashes"], last.Facts["content"], last.Facts["certain"])
+	what := "of content " + last.Facts["content"]
+	if shares := last.Facts["shares"]; shares != "" && shares != "content" {
+		what = fmt.Sprintf("that share the %s (%s)", shares, last.Facts["content"])
+	}
+	text := fmt.Sprintf("%s: %s targets ended under requests %s, %s of them certainly",
+		last.Detail, last.Facts["crashes"], what, last.Facts["certain"])
 	if remaining := last.numericFact("remainingMs"); remaining > 0 {
 		text += fmt.Sprintf(", it is refused for %.0f s more", remaining/1000)
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -52,7 +52,7 @@
 		Versions:       func() Versions { return Versions{Configuration: 1} },
 		OnNewerVersion: func(string) {},
 		OnVerified:     func(int64, time.Time) {},
-		Suspects:       newSuspects(name),
+		Suspects:       newSuspects(),
 	}
 	host.Ledger = &quota.Ledger{Interval: host.Interval}
 	if configure != nil {
--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -124,7 +124,7 @@
 // more rounds.
 func TestWideLinksLead(t *testing.T) {
 	c := qt.New(t)
-	narrow := &Exchange{Host: "a", Zone: "z", Link: 10, Events: &timeline.Recorder{}, Suspects: newSuspects("a")}
+	narrow := &Exchange{Host: "a", Zone: "z", Link: 10, Events: &timeline.Recorder{}, Suspects: newSuspects()}
 	for i, link := range []uint32{200, 10, 200} {
 		name := fmt.Sprintf("b%d", i)
 		c.Assert(narrow.recordHeartbeat(heartbeat{
--- a/exchange/suspicions.go
+++ b/exchange/suspicions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -144,7 +145,9 @@
 }
 
 func encodeSuspect(suspect *quarantine.Suspect, now time.Time) *exchangepb.Suspect {
-	message := &exchangepb.Suspect{Content: uint64(suspect.Trait)}
+	message := &exchangepb.Suspect{
+		Content: uint64(suspect.Trait), Depth: uint32(suspect.Depth), ServedBefore: suspect.ServedBefore,
+	}
 	for i, ending := range suspect.Endings {
 		message.Targets = append(message.Targets, uint32(ending.Target))
 		message.Ages = append(message.Ages, age(ending.At, now))
@@ -162,7 +165,12 @@
 func age(at, now time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
 
 func decodeSuspect(message *exchangepb.Suspect, now time.Time) (*quarantine.Suspect, error) {
-	suspect := &quarantine.Suspect{Trait: quarantine.Trait(message.GetContent())}
+	if message.GetDepth() > math.MaxUint8 {
+		return nil, fmt.Errorf("suspect %x has the depth %d", message.GetContent(), message.GetDepth())
+	}
+	suspect := &quarantine.Suspect{
+		Trait: quarantine.Trait(message.GetContent()), Depth: uint8(message.GetDepth()), ServedBefore: message.GetServedBefore(),
+	}
 	targets, ages := message.GetTargets(), message.GetAges()
 	if len(targets) != len(ages) || len(targets) > maxReceivedEndings || len(targets) == 0 && message.GetClearedAge() == 0 {
 		return nil, fmt.Errorf("suspect %s has %d targets and %d ages", suspect.Trait, len(targets), len(ages))
--- a/exchange/suspicions_test.go
+++ b/exchange/suspicions_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -16,6 +17,8 @@
 	"nutmegfield.example/timeline"
 )
 
+var largeSize = flag.Int("hosts", 0, "a further number of hosts for TestCrashingPartReachesAllHosts")
+
 const (
 	// suspicionTimeout is the time within which all hosts must know of the crash that
 	// quarantines a request.
@@ -72,8 +75,8 @@
 	return host
 }
 
-func newSuspects(host string) *quarantine.Suspects {
-	return &quarantine.Suspects{Host: host, LastAnswer: func(quarantine.Incarnation) time.Time { return time.Time{} }}
+func newSuspects() *quarantine.Suspects {
+	return &quarantine.Suspects{LastAnswer: func(quarantine.Incarnation) time.Time { return time.Time{} }}
 }
 
 func (fleet *suspicionFleet) count(name string, datagram []byte) {
@@ -113,13 +116,13 @@
 				time.Sleep(3 * time.Second)
 				other := quarantine.Trait(100)
 				for target := range quarantine.Incarnation(3) {
-					crash := quarantine.Crash{Trait: crashing, Target: target, Evidence: quarantine.Refused}
+					crash := quarantine.Crash{Traits: quarantine.Traits{Content: crashing}, Target: target, Evidence: quarantine.Refused}
 					crash.At = time.Now()
 					fleet.hosts[int(target)%count].Suspects.RecordCrash(crash)
 					// The other requests on the target.
 					for range 14 {
 						other++
-						crash.Trait = other
+						crash.Traits.Content = other
 						fleet.hosts[rand.IntN(count)].Suspects.RecordCrash(crash)
 					}
 					time.Sleep(400 * time.Millisecond)
@@ -146,6 +149,73 @@
 	}
 }
 
+// TestCrashingPartReachesAllHosts guards against requests that share a part which crashes
+// targets, of which no two are alike, being known on no host: each of five crashes is
+// observed by another host, and all hosts refuse the part in time, but not the parts that
+// other requests on the same targets share with it, whether hosts served those or not. It
+// takes few bytes.
+func TestCrashingPartReachesAllHosts(t *testing.T) {
+	counts := []int{3, 8, 64}
+	if *largeSize > 0 {
+		counts = append(counts, *largeSize)
+	}
+	for _, count := range counts {
+		t.Run(fmt.Sprintf("hosts%d", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newSuspicionFleet(t, count)
+				time.Sleep(5 * time.Second)
+				random := rand.New(rand.NewPCG(1, uint64(count)))
+				content := quarantine.Trait(100)
+				request := func(parts ...string) quarantine.Traits {
+					content++
+					traits := quarantine.Traits{Content: content}
+					for _, part := range append(append([]string{"system"}, parts...), fmt.Sprint("own", content)) {
+						traits.Shared = append(traits.Shared, quarantine.NewShared("part", part))
+					}
+					return traits
+				}
+				for _, host := range fleet.hosts[:(count+1)/2] {
+					host.Suspects.RecordServed(request("clubs").Shared, func() quarantine.Trait { return 0 })
+				}
+				for target := range quarantine.Incarnation(5) {
+					crash := quarantine.Crash{Target: target, Evidence: quarantine.Refused, At: time.Now()}
+					crash.Traits = request("bad", "clubs")
+					fleet.hosts[random.IntN(count)].Suspects.RecordCrash(crash)
+					for range 8 {
+						crash.Traits = request("clubs")
+						fleet.hosts[random.IntN(count)].Suspects.RecordCrash(crash)
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				fifthCrashAt := time.Now().Add(-200 * time.Millisecond)
+				bad, sound := request("bad", "clubs"), request("clubs")
+				for _, host := range fleet.hosts {
+					for host.Suspects.FindQuarantined(bad) == nil && time.Since(fifthCrashAt) < time.Minute {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+				took := time.Since(fifthCrashAt)
+				t.Logf("refused on all hosts %s after the fifth crash", took)
+				fleet.Assert(took < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", took))
+				time.Sleep(2*suspicionTimeout - took)
+				for _, host := range fleet.hosts {
+					fleet.Assert(host.Suspects.FindQuarantined(sound), qt.IsNil)
+				}
+				fleet.byteMutex.Lock()
+				defer fleet.byteMutex.Unlock()
+				most, total := 0, 0
+				for _, seconds := range fleet.bytes {
+					for _, bytes := range seconds {
+						most, total = max(most, bytes), total+bytes
+					}
+				}
+				t.Logf("at most %d bytes a second by a host, %d by each in all", most, total/count)
+				fleet.Assert(most <= maxSuspicionRate, qt.IsTrue, qt.Commentf("%d bytes", most))
+			})
+		})
+	}
+}
+
 func (fleet *suspicionFleet) setCut(isCut bool) {
 	fleet.byteMutex.Lock()
 	defer fleet.byteMutex.Unlock()
@@ -163,7 +233,7 @@
 		time.Sleep(2 * time.Second)
 		for i, target := range []quarantine.Incarnation{1, 2, 3} {
 			fleet.hosts[i].Suspects.RecordCrash(quarantine.Crash{
-				Trait: crashing, Target: target, At: time.Now(), Evidence: quarantine.Refused,
+				Traits: quarantine.Traits{Content: crashing}, Target: target, At: time.Now(), Evidence: quarantine.Refused,
 			})
 		}
 		time.Sleep(20 * time.Second)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -229,7 +229,7 @@
 	})
 	forwarding.recordSent(grant)
 	sentAt := time.Now()
-	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.content)
+	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.traits)
 	answer, err := gateway.Connections.Exchange(attemptContext, grant.Target.Address, &upstream.Request{
 		Method:    forwarding.request.Method,
 		Target:    forwarding.requestTarget(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,8 +129,10 @@
 	// is the id of the last event passed on.
 	headerWritten bool
 	lastEventID   string
-	// content identifies the request when its caller sends it again.
+	// content identifies the request when its caller sends it again; shared is what other
+	// requests may have in common with it.
 	content func() quarantine.Trait
+	shared  []quarantine.Trait
 	// fallback is a target's server error, passed on if no better answer comes.
 	fallback *bufferedAnswer
 }
@@ -158,7 +160,7 @@
 	if !forwarding.readBody() {
 		return
 	}
-	release, admitted := forwarding.admitContent()
+	release, admitted := forwarding.admitTraits()
 	if !admitted {
 		return
 	}
@@ -291,6 +293,7 @@
 	}
 	forwarding.body = body
 	forwarding.content = sync.OnceValue(forwarding.hashContent)
+	forwarding.shared = forwarding.sharedTraits()
 	return true
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -231,7 +231,7 @@
 		Hosts: host.exchange.Hosts, Turn: host.exchange.Turn, StartDelay: delay, OnChange: host.targets.Apply,
 		Within: settings.Platform.TargetsWithin, Patience: targetsPatience,
 	}
-	host.suspects = &quarantine.Suspects{Host: settings.Host.ID, Events: events}
+	host.suspects = &quarantine.Suspects{Turn: host.exchange.Turn, Events: events}
 	host.attempts = &quarantine.Attempts{
 		Dial: kernelHost.Network.Dial, DialTimeout: dialTimeout, Events: events,
 		OnCrash: host.suspects.RecordCrash, OnAnswer: host.suspects.RecordAnswer,
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"nutmegfield.example/quarantine"
+	"nutmegfield.example/timeline"
 )
 
 // reasonCrashes is the reason of refusals of quarantined requests.
@@ -19,37 +21,51 @@
 	)
 }
 
-// admitContent refuses the request and returns false if its content is quarantined.
+// sharedTraits returns what requests with other contents may share with this one: the path,
+// and the parts of the prompt in order.
+func (forwarding *forwarding) sharedTraits() []quarantine.Trait {
+	request := forwarding.request
+	shared := make([]quarantine.Trait, 0, 1+len(forwarding.call.Prefix))
+	shared = append(shared, quarantine.NewShared("path", request.Method+" "+request.Host+forwarding.requestTarget()))
+	for _, part := range forwarding.call.Prefix {
+		shared = append(shared, quarantine.NewShared("part", part.ID))
+	}
+	return shared
+}
+
+// traits returns the request's traits.
+func (forwarding *forwarding) traits() quarantine.Traits {
+	return quarantine.Traits{Content: forwarding.content(), Shared: forwarding.shared}
+}
+
+// admitTraits refuses the request and returns false if one of its traits is quarantined.
 // Else release must be called when the request has ended.
-func (forwarding *forwarding) admitContent() (release func(), admitted bool) {
+func (forwarding *forwarding) admitTraits() (release func(), admitted bool) {
 	suspects := forwarding.gateway.Suspects
 	if suspects.IsEmpty() {
 		return func() {}, true
 	}
-	suspect, admitted, release := suspects.Admit(forwarding.content())
+	suspect, admitted, release := suspects.Admit(forwarding.traits())
 	if !admitted {
 		forwarding.refuseSuspect(suspect)
 	}
 	return release, admitted
 }
 
-// quarantinedSuspect returns the suspect with the request's content if it is
+// quarantinedSuspect returns the suspect with one of the request's traits if it is
 // quarantined, as it may have been after the request was admitted; else nil.
 func (forwarding *forwarding) quarantinedSuspect() *quarantine.Suspect {
 	suspects := forwarding.gateway.Suspects
 	if suspects.IsEmpty() {
 		return nil
 	}
-	if suspect, quarantined := suspects.Find(forwarding.content()); quarantined {
-		return suspect
-	}
-	return nil
+	return suspects.FindQuarantined(forwarding.traits())
 }
 
 // refuseSuspect ends a request that crashes targets. Its caller gets no retry time, as
 // it would be refused again.
 func (forwarding *forwarding) refuseSuspect(suspect *quarantine.Suspect) {
-	facts := suspect.Facts(time.Now())
+	facts := append(suspect.Facts(time.Now()), timeline.Fact{Key: "shares", Value: forwarding.describeTrait(suspect.Trait)})
 	switch {
 	case forwarding.headerWritten:
 		forwarding.abortAnswer(reasonCrashes)
@@ -60,10 +76,25 @@
 	}
 }
 
-// recordServed clears the request's content, which a target has served.
+// describeTrait returns what of this request has the trait, for events.
+func (forwarding *forwarding) describeTrait(trait quarantine.Trait) string {
+	switch index := slices.Index(forwarding.shared, trait); {
+	case index < 0:
+		return "content"
+	case index == 0:
+		return "path"
+	default:
+		return "part " + forwarding.call.Prefix[index-1].ID
+	}
+}
+
+// recordServed clears the request's traits, as a target has served it. Only a success shows
+// that the target has worked on what the request shares with others.
 func (forwarding *forwarding) recordServed(status int) {
-	suspects := forwarding.gateway.Suspects
-	if status < http.StatusInternalServerError && !suspects.IsEmpty() {
-		suspects.RecordServed(forwarding.content())
+	switch {
+	case status < http.StatusMultipleChoices:
+		forwarding.gateway.Suspects.RecordServed(forwarding.shared, forwarding.content)
+	case status < http.StatusInternalServerError:
+		forwarding.gateway.Suspects.RecordServed(nil, forwarding.content)
 	}
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -19,7 +19,7 @@
 func (fixture *fixture) crash(targets ...quarantine.Incarnation) {
 	content := quarantine.NewContent([]byte("clubs"), []byte(http.MethodPost), []byte("h.example"), []byte("/r/a"), []byte("poison"))
 	for _, target := range targets {
-		fixture.gateway.Suspects.RecordCrash(quarantine.Crash{Trait: content, Target: target, At: time.Now(), Evidence: quarantine.Refused})
+		fixture.gateway.Suspects.RecordCrash(quarantine.Crash{Traits: quarantine.Traits{Content: content}, Target: target, At: time.Now(), Evidence: quarantine.Refused})
 	}
 }
 
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -48,7 +48,7 @@
 
 // Crash is the end of a target while it ran a request.
 type Crash struct {
-	Trait  Trait
+	Traits   Traits
 	Target   Incarnation
 	At       time.Time
 	Evidence Evidence
@@ -65,7 +65,7 @@
 	})
 	eventSuspected = timeline.Define(timeline.Kind{
 		Number: 1112, Name: "request suspected", Level: timeline.Info,
-		Meaning: "The target ended while it ran the request, which may have crashed it. The detail is the evidence that the target ended; content is the same for all requests of the same workspace, path and body.",
+		Meaning: "The target ended while it ran the request, which may have crashed it. The detail is the evidence that the target ended; content is the same for all requests of the same workspace, path and body, and each of shared for all that share a path or a part of their prompts.",
 	})
 )
 
@@ -117,7 +117,7 @@
 	attempts  *Attempts
 	target    *trackedTarget
 	request   string
-	trait   func() Trait
+	traits    func() Traits
 	startedAt time.Time
 	failedAt  time.Time
 	// reported is the evidence with which OnCrash was called, empty if it was not.
@@ -127,9 +127,9 @@
 	outlived bool
 }
 
-// Begin starts tracking a request that is about to be sent to a target. Trait is
+// Begin starts tracking a request that is about to be sent to a target. Traits is
 // called only if the attempt fails; it must be safe for concurrent use.
-func (attempts *Attempts) Begin(target *balance.Target, request string, trait func() Trait) *Attempt {
+func (attempts *Attempts) Begin(target *balance.Target, request string, traits func() Traits) *Attempt {
 	attempts.mutex.Lock()
 	defer attempts.mutex.Unlock()
 	incarnation := IncarnationOf(target)
@@ -141,7 +141,7 @@
 		}
 		attempts.targets[incarnation] = tracked
 	}
-	attempt := &Attempt{attempts: attempts, target: tracked, request: request, trait: trait, startedAt: time.Now()}
+	attempt := &Attempt{attempts: attempts, target: tracked, request: request, traits: traits, startedAt: time.Now()}
 	tracked.running[attempt] = struct{}{}
 	return attempt
 }
@@ -243,8 +243,8 @@
 	delete(target.running, attempt)
 	attempt.failedAt = time.Now()
 	// The function would keep the request's body in memory.
-	trait := attempt.trait()
-	attempt.trait = func() Trait { return trait }
+	traits := attempt.traits()
+	attempt.traits = func() Traits { return traits }
 	target.unanswered = append(target.unanswered, attempt)
 	target.isInDoubt.Store(true)
 	if excess := len(target.unanswered) - maxUnanswered; excess > 0 {
@@ -356,7 +356,7 @@
 		}
 		attempt.reported = evidence
 		crashes = append(crashes, Crash{
-			Trait: attempt.trait(), Target: target.incarnation, At: at, Evidence: evidence,
+			Traits: attempt.traits(), Target: target.incarnation, At: at, Evidence: evidence,
 			Request: attempt.request, Pool: target.Pool, TargetID: target.ID, Ran: at.Sub(attempt.startedAt),
 		})
 	}
@@ -382,7 +382,8 @@
 		attempts.Events.Record(eventSuspected, timeline.Event{
 			Request: crash.Request, Pool: crash.Pool, Target: crash.TargetID, Detail: string(crash.Evidence),
 			Facts: []timeline.Fact{
-				{Key: "content", Value: crash.Trait.String()},
+				{Key: "content", Value: crash.Traits.Content.String()},
+				{Key: "shared", Value: joinTraits(crash.Traits.Shared)},
 				timeline.Duration("ran", crash.Ran),
 			},
 		})
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -104,7 +104,7 @@
 		script.mutex.Unlock()
 	case "begin":
 		trait := NewContent([]byte(words[1]))
-		script.attempts[words[1]] = script.tracker.Begin(script.targets[words[2]], words[1], func() Trait { return trait })
+		script.attempts[words[1]] = script.tracker.Begin(script.targets[words[2]], words[1], func() Traits { return Traits{Content: trait} })
 	case "heard":
 		script.attempts[words[1]].Heard()
 	case "answered":
@@ -168,7 +168,7 @@
 	target := &balance.Target{ID: "t", StartedAt: time.Now()}
 	b.RunParallel(func(loop *testing.PB) {
 		for loop.Next() {
-			attempt := attempts.Begin(target, "q", func() Trait { return 1 })
+			attempt := attempts.Begin(target, "q", func() Traits { return Traits{Content: 1} })
 			for range 20 {
 				attempt.Heard()
 			}
--- /dev/null
+++ b/quarantine/culprits.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// usualCrashes is the number of targets that must have ended under a trait that was
+	// served before, one after the other, before it is quarantined. Many requests have
+	// such a trait, so that it is present wherever targets end.
+	usualCrashes = 4
+	// usualBias is the number of endings by which a trait that was not served before is
+	// preferred as the cause of endings.
+	usualBias = 2
+	// usualDelay is the time from the ending that suffices until a trait that was served
+	// before is quarantined; an answer within it clears the trait.
+	usualDelay = time.Second
+	// sharedQuarantine is the length of the first quarantine of a shared trait. It is short,
+	// as many requests may have it and it may not be at fault.
+	sharedQuarantine = 10 * time.Second
+	// sameMoment is the time between two endings of targets below which one cause may have
+	// ended both.
+	sameMoment = 100 * time.Millisecond
+)
+
+// requiredCrashes is the number of endings that quarantine the suspect's trait.
+func (suspect *Suspect) requiredCrashes() int {
+	if suspect.ServedBefore {
+		return usualCrashes
+	}
+	return quarantineCrashes
+}
+
+// counted returns the endings that count towards a quarantine: all, or for a shared trait
+// one of each moment.
+func (suspect *Suspect) counted(endings []Ending) []Ending {
+	if !suspect.Trait.isShared() {
+		return endings
+	}
+	var counted []Ending
+	for _, ending := range endings {
+		if len(counted) == 0 || ending.At.Sub(counted[len(counted)-1].At) >= sameMoment {
+			counted = append(counted, ending)
+		}
+	}
+	return counted
+}
+
+// compareCulprits orders suspects by how likely they are the cause of their endings. Of
+// traits with the same endings it is the one that the fewest requests have.
+func compareCulprits(one, other *Suspect) int {
+	weight := func(suspect *Suspect) int {
+		if suspect.ServedBefore {
+			return len(suspect.Endings) - usualBias
+		}
+		return len(suspect.Endings)
+	}
+	return cmp.Or(
+		cmp.Compare(weight(other), weight(one)),
+		cmp.Compare(other.Depth, one.Depth),
+		cmp.Compare(one.Trait, other.Trait),
+	)
+}
+
+// explain decides which of the suspects that have enough endings are their cause. All
+// requests on a target that ended are suspected, so one that crashes targets makes the
+// traits of those around it suspects as well: a suspect whose endings others explain is not
+// quarantined. The result depends on the suspects alone, so that hosts which know the same
+// agree.
+func explain(known map[Trait]*Suspect) {
+	var candidates []*Suspect
+	for _, suspect := range known {
+		if suspect.Quarantines > 0 {
+			candidates = append(candidates, suspect)
+		}
+	}
+	slices.SortFunc(candidates, compareCulprits)
+	var culprits []*Suspect
+	for _, suspect := range candidates {
+		rest := suspect.Endings
+		for _, culprit := range culprits {
+			if culprit.mayExplain(suspect) {
+				rest = culprit.without(rest)
+			}
+		}
+		isExplained := len(suspect.counted(rest)) < suspect.requiredCrashes()
+		if !isExplained {
+			culprits = append(culprits, suspect)
+		}
+		if suspect.explained != isExplained {
+			changed := *suspect
+			changed.explained = isExplained
+			known[suspect.Trait] = &changed
+		}
+	}
+}
+
+// mayExplain reports whether the suspect's trait may be the cause of another one's endings.
+// Of two contents each is sent again by itself, and shows what it does.
+func (suspect *Suspect) mayExplain(other *Suspect) bool {
+	return suspect.Trait.isShared() || other.Trait.isShared()
+}
+
+// without returns the endings of targets that did not end under the suspect.
+func (suspect *Suspect) without(endings []Ending) []Ending {
+	return slices.DeleteFunc(slices.Clone(endings), func(ending Ending) bool {
+		return slices.ContainsFunc(suspect.Endings, func(own Ending) bool { return own.Target == ending.Target })
+	})
+}
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -139,7 +139,7 @@
 	}
 	known := keeper.Suspects.load()
 	for trait := range keeper.saved {
-		if suspect := known[trait]; suspect != nil && len(suspect.Endings) > 0 {
+		if suspect := known[trait]; suspect != nil && len(suspect.Endings) > 0 && !suspect.explained {
 			continue
 		}
 		if _, isOwn := own[trait]; isOwn || leads {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -85,7 +85,7 @@
 
 func (suspects *Suspects) crash(trait Trait, targets ...Incarnation) {
 	for _, target := range targets {
-		suspects.RecordCrash(Crash{Trait: trait, Target: target, At: time.Now(), Evidence: Refused})
+		suspects.RecordCrash(Crash{Traits: Traits{Content: trait}, Target: target, At: time.Now(), Evidence: Refused})
 	}
 }
 
@@ -106,7 +106,7 @@
 		records.setAway(false)
 		time.Sleep(2 * time.Second)
 		c.Assert(records.names(), qt.DeepEquals, []string{"1", "1e", "3", "noise"})
-		host.RecordServed(3)
+		host.RecordServed(nil, func() Trait { return 3 })
 		time.Sleep(2 * time.Second)
 		c.Assert(records.names(), qt.DeepEquals, []string{"1", "1e", "noise"})
 		calls := records.callCount()
@@ -170,9 +170,9 @@
 		tell(hosts...)
 		synctest.Wait()
 		c.Assert(records.names(), qt.DeepEquals, []string{"1"}, qt.Commentf("without waiting for the next look"))
-		hosts[0].RecordServed(1)
-		hosts[0].RecordServed(1)
-		hosts[0].RecordServed(1)
+		hosts[0].RecordServed(nil, func() Trait { return 1 })
+		hosts[0].RecordServed(nil, func() Trait { return 1 })
+		hosts[0].RecordServed(nil, func() Trait { return 1 })
 		tell(hosts...)
 		time.Sleep(2 * keepInterval)
 		c.Assert(records.names(), qt.HasLen, 0)
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -92,7 +92,7 @@
 // single ending, most of which didn't crash it, last.
 func (suspect *Suspect) priority() int {
 	switch {
-	case suspect.Quarantines > 0:
+	case suspect.Quarantines > 0 && !suspect.explained:
 		return 3
 	case len(suspect.Endings) >= quarantineCrashes-1:
 		return 2
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -10,7 +10,9 @@
 // record is the encoding of a quarantined trait on the platform. The name of its
 // object is the trait.
 type record struct {
-	Endings []recordedEnding `json:"endings"`
+	Endings      []recordedEnding `json:"endings"`
+	Depth        uint8            `json:"depth,omitempty"`
+	ServedBefore bool             `json:"servedBefore,omitempty"`
 }
 
 type recordedEnding struct {
@@ -21,7 +23,7 @@
 
 // EncodeRecord returns the name and the value of the platform's object for a suspect.
 func EncodeRecord(suspect *Suspect) (name string, value []byte, err error) {
-	var record record
+	record := record{Depth: suspect.Depth, ServedBefore: suspect.ServedBefore}
 	for _, ending := range suspect.Endings {
 		record.Endings = append(record.Endings, recordedEnding(ending))
 	}
@@ -43,11 +45,11 @@
 		return nil, fmt.Errorf("decode the record of %s: %w", name, err)
 	}
 	now := time.Now()
-	suspect := &Suspect{Trait: Trait(trait)}
+	suspect := &Suspect{Trait: Trait(trait), Depth: record.Depth, ServedBefore: record.ServedBefore}
 	for _, ending := range record.Endings {
 		// The difference turns a time of day into one of this process's clock.
 		elapsed := max(0, now.Sub(ending.At))
 		suspect.Endings = append(suspect.Endings, Ending{Target: ending.Target, At: now.Add(-elapsed), Certain: ending.Certain})
 	}
-	return suspect.merge(nil, time.Time{}), nil
+	return suspect.merge(&Suspect{}), nil
 }
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -18,22 +17,22 @@
 	// before it is quarantined. Other requests that ran on the same target are rarely
 	// on the next two as well.
 	quarantineCrashes = 3
-	// The first quarantine of a trait lasts firstQuarantine. Each further one, after
+	// The first quarantine of a content lasts firstQuarantine. Each further one, after
 	// another crash, lasts quarantineGrowth times as long, up to maxQuarantine, so that
 	// a trait crashes at most three more targets in a day.
 	firstQuarantine  = 10 * time.Minute
 	quarantineGrowth = 8
 	maxQuarantine    = 24 * time.Hour
-	// trialSpread is the time over which hosts try a trait again after its
+	// trialStep is the time after which one more host tries a trait again after its
 	// quarantine, so that the others learn of a crash before they do.
-	trialSpread = time.Minute
+	trialStep = 2 * time.Second
 	// suspicionLifetime is how long a trait is remembered after its last crash or its
 	// last success. After a quarantine it is remembered as long as that lasted.
 	suspicionLifetime = 10 * time.Minute
 	// maxSuspects limits the traits that are remembered.
 	maxSuspects = 1024
 	// maxEndings limits the targets remembered for a trait.
-	maxEndings = 6
+	maxEndings = 12
 	// expireInterval is how often traits are checked for expiry.
 	expireInterval = time.Second
 )
@@ -41,7 +40,7 @@
 var (
 	eventQuarantined = timeline.Define(timeline.Kind{
 		Number: 1113, Name: "request quarantined", Level: timeline.Warn,
-		Meaning: "Several targets ended while they ran requests with the content, so such requests are refused for the time in the facts. Lines 1112 with the content, on all hosts, name the targets and requests.",
+		Meaning: "Several targets ended while they ran requests of the content, or that share a path or a part of their prompts (the fact kind is shared), and no other requests explain it, so such requests are refused for the time in the facts. Lines 1112 with the fact content as their content or in shared, on all hosts, name the targets and requests.",
 		Action:  "find the caller by the requests of lines 1112, and have it stop or the targets repaired",
 	})
 	eventLearned = timeline.Define(timeline.Kind{
@@ -58,7 +57,7 @@
 	})
 	eventSuspicionEnded = timeline.Define(timeline.Kind{
 		Number: 1115, Name: "suspicion ended", Level: timeline.Info,
-		Meaning: "The content is no longer suspected, for the reason in the detail: a target served it, the targets that seemed to have ended answered, it expired, or there were too many suspects.",
+		Meaning: "The content, or what requests share, is no longer suspected, for the reason in the detail: a target served it, the targets that seemed to have ended answered, other requests explain why targets ended, it expired, or there were too many suspects.",
 	})
 )
 
@@ -79,20 +78,33 @@
 	// ClearedAt is when a target last served the trait; zero for never. Earlier
 	// endings don't count.
 	ClearedAt time.Time
-	// Quarantines is the number of quarantines so far, Until the end of the last one
-	// and quarantineLength its length.
+	// Depth is higher the fewer requests have the trait.
+	Depth uint8
+	// ServedBefore is set for a shared trait that targets served before they ended.
+	ServedBefore bool
+	// Quarantines is the number of quarantines so far, From and Until the times of the
+	// last one and quarantineLength its length.
 	Quarantines      int
-	Until            time.Time
+	From, Until      time.Time
 	quarantineLength time.Duration
+	// explained is set if other traits are the cause of the endings.
+	explained bool
 }
 
 // isQuarantined reports whether requests with the trait must be refused.
-func (suspect *Suspect) isQuarantined(now time.Time) bool { return now.Before(suspect.Until) }
+func (suspect *Suspect) isQuarantined(now time.Time) bool {
+	return suspect.mayCrash(now) && now.Before(suspect.Until)
+}
+
+// mayCrash reports whether the trait is or was quarantined.
+func (suspect *Suspect) mayCrash(now time.Time) bool {
+	return suspect.Quarantines > 0 && !suspect.explained && !now.Before(suspect.From)
+}
 
 // expiresAt returns when the suspect is forgotten.
 func (suspect *Suspect) expiresAt() time.Time {
 	if suspect.Quarantines > 0 {
-		return suspect.Until.Add(suspect.quarantineLength)
+		return suspect.Until.Add(max(suspect.quarantineLength, suspicionLifetime))
 	}
 	last := suspect.ClearedAt
 	if count := len(suspect.Endings); count > 0 {
@@ -101,15 +113,18 @@
 	return last.Add(suspicionLifetime)
 }
 
-// merge returns the suspect with more endings and a later time of clearing. The
-// result doesn't depend on the order of merges.
-func (suspect *Suspect) merge(endings []Ending, clearedAt time.Time) *Suspect {
-	merged := &Suspect{Trait: suspect.Trait, ClearedAt: suspect.ClearedAt}
-	if clearedAt.After(merged.ClearedAt) {
-		merged.ClearedAt = clearedAt
+// merge returns the suspect with what else is known of its trait. The result doesn't
+// depend on the order of merges.
+func (suspect *Suspect) merge(learned *Suspect) *Suspect {
+	merged := &Suspect{
+		Trait: suspect.Trait, ClearedAt: suspect.ClearedAt,
+		Depth: max(suspect.Depth, learned.Depth), ServedBefore: suspect.ServedBefore || learned.ServedBefore,
+	}
+	if learned.ClearedAt.After(merged.ClearedAt) {
+		merged.ClearedAt = learned.ClearedAt
 	}
 	byTarget := map[Incarnation]Ending{}
-	for _, ending := range slices.Concat(suspect.Endings, endings) {
+	for _, ending := range slices.Concat(suspect.Endings, learned.Endings) {
 		known, ok := byTarget[ending.Target]
 		if ok && known.At.Before(ending.At) {
 			ending.At = known.At
@@ -130,19 +145,26 @@
 }
 
 // setQuarantine computes the quarantines from the endings: the first begins with the
-// ending that makes them quarantineCrashes, a further one with an ending after the
-// end of the last. It drops endings beyond maxEndings that began no quarantine.
+// ending that makes them enough, a further one with an ending after the end of the last.
+// It drops endings beyond maxEndings that began no quarantine.
 func (suspect *Suspect) setQuarantine() {
-	length := firstQuarantine
+	length, delay := firstQuarantine, time.Duration(0)
+	if suspect.Trait.isShared() {
+		length = sharedQuarantine
+	}
+	if suspect.ServedBefore {
+		delay = usualDelay
+	}
 	for i := 0; i < len(suspect.Endings); i++ {
 		ending := suspect.Endings[i]
 		switch {
-		case i+1 < quarantineCrashes:
+		case len(suspect.counted(suspect.Endings[:i+1])) < suspect.requiredCrashes():
 		case suspect.Quarantines == 0 || ending.At.After(suspect.Until):
 			suspect.Quarantines++
-			suspect.Until = ending.At.Add(length)
+			suspect.From = ending.At.Add(delay)
+			suspect.Until = suspect.From.Add(length)
 			suspect.quarantineLength = length
-			length = min(maxQuarantine, length*quarantineGrowth)
+			length, delay = min(maxQuarantine, length*quarantineGrowth), 0
 		case len(suspect.Endings) > maxEndings:
 			suspect.Endings = slices.Delete(suspect.Endings, i, i+1)
 			i--
@@ -156,12 +178,14 @@
 // Suspects holds the traits under which targets have ended, as this host and the
 // others have observed. Its fields are set before use.
 type Suspects struct {
-	// Host is the id of this host.
-	Host   string
 	Events *timeline.Recorder
 	// LastAnswer returns when a target last answered this host, zero for never.
 	LastAnswer func(target Incarnation) time.Time
+	// Turn returns the number of hosts that try a trait again before this one, after its
+	// quarantine. It may be nil.
+	Turn func() int
 
+	servedTimes servedTimes
 	// known holds the suspects by trait, uncertain the targets of their uncertain
 	// endings. Both are replaced, never changed.
 	known     atomic.Pointer[map[Trait]*Suspect]
@@ -181,7 +205,7 @@
 	ownChanged chan struct{}
 	// trials are the traits of which a request runs after a quarantine.
 	trials map[Trait]struct{}
-	// served is the number of targets that have served a suspected trait on this host
+	// served is the number of targets that have served a suspected content on this host
 	// since it was last cleared.
 	served map[Trait]int
 	// nextRepeated is the position in the round robin of quarantined traits.
@@ -206,42 +230,72 @@
 	return suspect, suspect != nil && suspect.isQuarantined(time.Now())
 }
 
-// Admit reports whether a request with a trait may run. After a quarantine, one
-// request at a time may, as a trial. Release must be called when the request has
-// ended.
-func (suspects *Suspects) Admit(trait Trait) (suspect *Suspect, admitted bool, release func()) {
-	suspect, quarantined := suspects.Find(trait)
-	if suspect == nil || suspect.Quarantines == 0 {
-		return suspect, true, func() {}
+// FindQuarantined returns a suspect with one of the traits that is quarantined, nil if
+// there is none.
+func (suspects *Suspects) FindQuarantined(traits Traits) *Suspect {
+	var found *Suspect
+	traits.all(func(trait Trait, _ uint8) {
+		if suspect, quarantined := suspects.Find(trait); quarantined {
+			found = suspect
+		}
+	})
+	return found
+}
+
+// Admit reports whether a request with traits may run. After the quarantine of one of them,
+// one request at a time may, as a trial. Release must be called when the request has
+// ended. If it may not run, the suspect is the one because of which.
+func (suspects *Suspects) Admit(traits Traits) (suspect *Suspect, admitted bool, release func()) {
+	now := time.Now()
+	var tried []Trait
+	traits.all(func(trait Trait, _ uint8) {
+		known := suspects.load()[trait]
+		if known == nil || !known.mayCrash(now) {
+			return
+		}
+		if now.Before(known.Until.Add(suspects.trialDelay())) {
+			suspect = known
+		}
+		tried = append(tried, trait)
+	})
+	if len(tried) == 0 {
+		return nil, true, func() {}
 	}
-	if quarantined || time.Now().Before(suspect.Until.Add(suspects.trialDelay(trait))) {
+	if suspect != nil {
 		return suspect, false, nil
 	}
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	if _, ok := suspects.trials[trait]; ok {
-		return suspect, false, nil
+	for _, trait := range tried {
+		if _, ok := suspects.trials[trait]; ok {
+			return suspects.load()[trait], false, nil
+		}
 	}
 	if suspects.trials == nil {
 		suspects.trials = map[Trait]struct{}{}
 	}
-	suspects.trials[trait] = struct{}{}
-	suspects.Events.Record(eventTrial, timeline.Event{Facts: suspect.Facts(time.Now())})
-	return suspect, true, func() {
+	for _, trait := range tried {
+		suspects.trials[trait] = struct{}{}
+		if known := suspects.load()[trait]; known != nil {
+			suspects.Events.Record(eventTrial, timeline.Event{Facts: known.Facts(now)})
+		}
+	}
+	return nil, true, func() {
 		suspects.mutex.Lock()
 		defer suspects.mutex.Unlock()
-		delete(suspects.trials, trait)
+		for _, trait := range tried {
+			delete(suspects.trials, trait)
+		}
 	}
 }
 
-// trialDelay returns the time from the end of a trait's quarantine until this host
-// tries it again.
-func (suspects *Suspects) trialDelay(trait Trait) time.Duration {
-	hash := fnv.New32a()
-	// Writes to a hash don't fail.
-	_, _ = hash.Write([]byte(suspects.Host + trait.String()))
-	const steps = 1 << 10
-	return trialSpread * time.Duration(hash.Sum32()%steps) / steps
+// trialDelay returns the time from the end of a quarantine until this host tries the trait
+// again.
+func (suspects *Suspects) trialDelay() time.Duration {
+	if suspects.Turn == nil {
+		return 0
+	}
+	return time.Duration(suspects.Turn()) * trialStep
 }
 
 // RecordCrash records the end of a target that this host has observed.
@@ -253,8 +307,10 @@
 	if suspects.own == nil {
 		suspects.own = map[Trait]struct{}{}
 	}
-	suspects.own[crash.Trait] = struct{}{}
-	suspects.apply(crash.Trait, []Ending{ending}, time.Time{})
+	crash.Traits.all(func(trait Trait, depth uint8) {
+		suspects.own[trait] = struct{}{}
+		suspects.apply(&Suspect{Trait: trait, Endings: []Ending{ending}, Depth: depth})
+	})
 }
 
 // ownTraits returns the traits of which this host observed a crash.
@@ -289,33 +345,69 @@
 	waitFor(ctx, changed, timeout)
 }
 
-// RecordServed records that a target has served a trait. The first time that clears
-// it. A trait under which targets ended again afterwards may crash some targets and
-// not others; it is cleared once targets have served it on this host as often as others
-// have ended.
-func (suspects *Suspects) RecordServed(trait Trait) {
-	if suspect := suspects.load()[trait]; suspect == nil || len(suspect.Endings) == 0 {
+// RecordServed records that a target has served a request. That clears its shared traits,
+// as no target would have survived a trait that crashes them. It clears the content the
+// first time. A content under which targets ended again afterwards may crash some targets
+// and not others; it is cleared once targets have served it on this host as often as others
+// have ended. Content is called only if there are suspects.
+func (suspects *Suspects) RecordServed(shared []Trait, content func() Trait) {
+	for _, trait := range shared {
+		suspects.servedTimes.record(trait)
+	}
+	if suspects.IsEmpty() {
 		return
 	}
+	for _, trait := range shared {
+		if suspects.isSuspected(trait) {
+			suspects.clear(trait)
+		}
+	}
+	if trait := content(); suspects.isSuspected(trait) {
+		suspects.recordContentServed(trait)
+	}
+}
+
+func (suspects *Suspects) isSuspected(trait Trait) bool {
+	suspect := suspects.load()[trait]
+	return suspect != nil && len(suspect.Endings) > 0
+}
+
+// clear records that a target has just served a trait.
+func (suspects *Suspects) clear(trait Trait) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
+	suspects.clearLocked(trait)
+}
+
+// clearLocked is clear for a caller that holds the mutex.
+func (suspects *Suspects) clearLocked(trait Trait) {
 	suspect := suspects.load()[trait]
 	if suspect == nil || len(suspect.Endings) == 0 {
 		return
 	}
+	if suspects.apply(&Suspect{Trait: trait, ClearedAt: time.Now()}) {
+		suspects.recordEnded(suspect, "a target served it")
+	}
+}
+
+func (suspects *Suspects) recordContentServed(content Trait) {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	suspect := suspects.load()[content]
+	if suspect == nil || len(suspect.Endings) == 0 {
+		return
+	}
 	if suspects.served == nil {
 		suspects.served = map[Trait]int{}
 	}
-	suspects.served[trait]++
-	if !suspect.ClearedAt.IsZero() && suspects.served[trait] < len(suspect.Endings) {
+	suspects.served[content]++
+	if !suspect.ClearedAt.IsZero() && suspects.served[content] < len(suspect.Endings) {
 		suspects.Events.Record(eventServed, timeline.Event{
-			Facts: append(suspect.Facts(time.Now()), timeline.Count("served", suspects.served[trait])),
+			Facts: append(suspect.Facts(time.Now()), timeline.Count("served", suspects.served[content])),
 		})
 		return
 	}
-	if suspects.apply(trait, nil, time.Now()) {
-		suspects.recordEnded(suspect, "a target served it")
-	}
+	suspects.clearLocked(content)
 }
 
 // RecordAnswer withdraws the uncertain endings of a target that has answered.
@@ -341,7 +433,10 @@
 			delete(suspects.transmissions, trait)
 			suspects.recordEnded(suspect, "the targets that seemed to have ended answered")
 		default:
-			known[trait] = (&Suspect{Trait: trait, ClearedAt: suspect.ClearedAt}).merge(kept, time.Time{})
+			remaining := &Suspect{
+				Trait: trait, Endings: kept, ClearedAt: suspect.ClearedAt, Depth: suspect.Depth, ServedBefore: suspect.ServedBefore,
+			}
+			known[trait] = remaining.merge(&Suspect{})
 			if known[trait].Quarantines < suspect.Quarantines {
 				suspects.recordEnded(suspect, "quarantine withdrawn: a target that seemed to have ended answered")
 			}
@@ -357,7 +452,9 @@
 	endings := slices.DeleteFunc(slices.Clone(learned.Endings), func(ending Ending) bool {
 		return !ending.Certain && suspects.LastAnswer(ending.Target).After(ending.At)
 	})
-	if !suspects.apply(learned.Trait, endings, learned.ClearedAt) {
+	told := *learned
+	told.Endings = endings
+	if !suspects.apply(&told) {
 		return
 	}
 	countLearned()
@@ -365,14 +462,20 @@
 	suspects.Events.Record(eventLearned, timeline.Event{Peer: peer, Facts: suspect.Facts(time.Now())})
 }
 
-// apply merges endings and a time of clearing into what is known of a trait. It
-// reports whether that changed anything to tell the other hosts.
-func (suspects *Suspects) apply(trait Trait, endings []Ending, clearedAt time.Time) bool {
+// apply merges what was learned of a trait into what is known. It reports whether that
+// changed anything to tell the other hosts.
+func (suspects *Suspects) apply(learned *Suspect) bool {
+	trait := learned.Trait
 	before := suspects.load()[trait]
 	if before == nil {
 		before = &Suspect{Trait: trait}
 	}
-	after := before.merge(endings, clearedAt)
+	after := before.merge(learned)
+	if trait.isShared() && len(after.Endings) > 0 {
+		if servedAt := suspects.servedTimes.last(trait); !servedAt.IsZero() {
+			after = after.merge(&Suspect{ServedBefore: true, ClearedAt: servedAt})
+		}
+	}
 	if !after.tellsMoreThan(before) || time.Now().After(after.expiresAt()) {
 		return false
 	}
@@ -392,13 +495,6 @@
 	}
 	suspects.transmissions[trait] = 0
 	suspects.notifyChanged()
-	if after.Quarantines > before.Quarantines {
-		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
-		if _, ok := suspects.own[trait]; ok && suspects.ownChanged != nil {
-			close(suspects.ownChanged)
-			suspects.ownChanged = nil
-		}
-	}
 	return true
 }
 
@@ -410,6 +506,7 @@
 // small differences of times.
 func (suspect *Suspect) tellsMoreThan(before *Suspect) bool {
 	return suspect.ClearedAt.Sub(before.ClearedAt) > clearedTolerance || suspect.Quarantines != before.Quarantines ||
+		suspect.ServedBefore != before.ServedBefore || suspect.Depth != before.Depth ||
 		!slices.EqualFunc(suspect.Endings, before.Endings, func(one, other Ending) bool {
 			return one.Target == other.Target && one.Certain == other.Certain
 		})
@@ -442,8 +539,9 @@
 	}
 }
 
-// store replaces the suspects.
+// store replaces the suspects, after it has decided which of them are quarantined.
 func (suspects *Suspects) store(known map[Trait]*Suspect) {
+	explain(known)
 	uncertain := map[Incarnation]struct{}{}
 	for _, suspect := range known {
 		for _, ending := range suspect.Endings {
@@ -455,9 +553,29 @@
 	maps.DeleteFunc(suspects.served, func(trait Trait, _ int) bool {
 		return known[trait] == nil || len(known[trait].Endings) == 0
 	})
+	before := suspects.load()
 	suspects.known.Store(&known)
 	suspects.uncertain.Store(&uncertain)
 	countSuspects(known, time.Now())
+	for trait, suspect := range known {
+		suspects.recordQuarantine(before[trait], suspect)
+	}
+}
+
+// recordQuarantine records that a suspect's quarantine began, or that it was withdrawn.
+func (suspects *Suspects) recordQuarantine(before, after *Suspect) {
+	wasCulprit := before != nil && before.Quarantines > 0 && !before.explained
+	isCulprit := after.Quarantines > 0 && !after.explained
+	switch {
+	case isCulprit && (!wasCulprit || after.Quarantines > before.Quarantines):
+		suspects.Events.Record(eventQuarantined, timeline.Event{Facts: after.Facts(time.Now())})
+		if _, ok := suspects.own[after.Trait]; ok && suspects.ownChanged != nil {
+			close(suspects.ownChanged)
+			suspects.ownChanged = nil
+		}
+	case wasCulprit && after.explained:
+		suspects.recordEnded(before, "quarantine withdrawn: other requests explain why the targets ended")
+	}
 }
 
 func (suspects *Suspects) recordEnded(suspect *Suspect, reason string) {
@@ -510,13 +628,14 @@
 		{Key: "content", Value: suspect.Trait.String()},
 		timeline.Count("crashes", len(suspect.Endings)),
 		timeline.Count("certain", certain),
+		{Key: "kind", Value: suspect.Trait.kind()},
 	}
 	if len(suspect.Endings) > 0 {
 		facts = append(facts,
 			timeline.Duration("firstCrash", now.Sub(suspect.Endings[0].At)),
 			timeline.Duration("lastCrash", now.Sub(suspect.Endings[len(suspect.Endings)-1].At)))
 	}
-	if suspect.isQuarantined(now) {
+	if now.Before(suspect.Until) && !suspect.explained {
 		facts = append(facts, timeline.Duration("remaining", suspect.Until.Sub(now)))
 	}
 	return facts
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -42,16 +42,16 @@
 
 // run executes a command:
 //
-//	crash HOST CONTENT TARGET [silent]  a target ended under a trait
+//	crash HOST REQUEST TARGET [silent]  a target ended under a request
 //	crashes HOST COUNT                  targets ended under many traits
-//	served HOST CONTENT                 a target served a trait
+//	served HOST REQUEST                 a target served a request
 //	answer HOST TARGET                  a target answered
 //	tell FROM TO                        a host sends what it knows
 //	restart HOST
-//	admit HOST CONTENT                  a request is admitted and goes on
+//	admit HOST REQUEST                  a request is admitted and goes on
 //	release                             such requests end
 //	wait DURATION
-//	want HOST CONTENT admitted|refused
+//	want HOST REQUEST admitted|refused
 //	size HOST COUNT                     the number of suspects
 func (script *suspectScript) run(words []string) {
 	if len(words) == 0 || words[0] == "#" {
@@ -69,14 +69,15 @@
 			evidence = Silent
 		}
 		script.host(words[1]).RecordCrash(Crash{
-			Trait: Trait(number(2)), Target: Incarnation(number(3)), At: time.Now(), Evidence: evidence,
+			Traits: script.traits(words[2]), Target: Incarnation(number(3)), At: time.Now(), Evidence: evidence,
 		})
 	case "crashes":
 		for i := range number(2) {
-			script.host(words[1]).RecordCrash(Crash{Trait: Trait(1000 + i), At: time.Now(), Evidence: Refused})
+			script.host(words[1]).RecordCrash(Crash{Traits: Traits{Content: Trait(1000 + i)}, At: time.Now(), Evidence: Refused})
 		}
 	case "served":
-		script.host(words[1]).RecordServed(Trait(number(2)))
+		traits := script.traits(words[2])
+		script.host(words[1]).RecordServed(traits.Shared, func() Trait { return traits.Content })
 	case "answer":
 		script.answers[words[1]+words[2]] = time.Now()
 		script.host(words[1]).RecordAnswer(Incarnation(number(2)))
@@ -87,7 +88,7 @@
 	case "restart":
 		delete(script.hosts, words[1])
 	case "admit":
-		_, admitted, release := script.host(words[1]).Admit(Trait(number(2)))
+		_, admitted, release := script.host(words[1]).Admit(script.traits(words[2]))
 		script.Assert(admitted, qt.IsTrue)
 		script.releases = append(script.releases, release)
 	case "release":
@@ -103,7 +104,7 @@
 			host.expire(time.Now())
 		}
 	case "want":
-		_, admitted, release := script.host(words[1]).Admit(Trait(number(2)))
+		_, admitted, release := script.host(words[1]).Admit(script.traits(words[2]))
 		if admitted {
 			release()
 		}
@@ -115,9 +116,24 @@
 	}
 }
 
+// traits returns the traits of a request, written as its content and the traits that it
+// shares with others, which begin with a letter: 1/prompt,subject.
+func (script *suspectScript) traits(word string) Traits {
+	content, rest, _ := strings.Cut(word, "/")
+	number, err := strconv.Atoi(content)
+	script.Assert(err, qt.IsNil)
+	traits := Traits{Content: Trait(number)}
+	for value := range strings.SplitSeq(rest, ",") {
+		if value != "" {
+			traits.Shared = append(traits.Shared, NewShared("part", value))
+		}
+	}
+	return traits
+}
+
 func (script *suspectScript) host(name string) *Suspects {
 	if script.hosts[name] == nil {
-		script.hosts[name] = &Suspects{Host: name, LastAnswer: func(target Incarnation) time.Time {
+		script.hosts[name] = &Suspects{LastAnswer: func(target Incarnation) time.Time {
 			return script.answers[name+fmt.Sprint(target)]
 		}}
 	}
