gateway: check the target of an answer that ends with its connection

A target that ends closes its connections, so such an answer of a crashing target looks complete: the caller takes a part for the whole, the request is not suspected, and the seeming success clears it.

Ruled out: an answer that ends inside an event or with a reset, which was failed before (scripts cutevent, brokenonce).

A target that leaves is not taken for a crashed one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -369,11 +369,19 @@
 		return forwarding.relayStream(ctx, grant, answer, reply, attempt, silenceTimer)
 	}
 	silenceTimer.reset()
-	return forwarding.relayBuffered(ctx, grant, answer, reply, silenceTimer)
+	return forwarding.relayBuffered(ctx, grant, answer, reply, attempt, silenceTimer)
+}
+
+// reasonEnded is the reason of failures of targets that ended together with their answers.
+const reasonEnded = "the target ended with its answer, which has no length"
+
+// mayBeCut reports whether an answer that seems complete ended because its target did.
+func mayBeCut(answer *upstream.Answer, attempt *quarantine.Attempt) bool {
+	return answer.Unframed && !attempt.Survives(maxCheckWait)
 }
 
 // relayBuffered reads an answer to its end before it passes it on.
-func (forwarding *forwarding) relayBuffered(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relayBuffered(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
 	if answer.Status < http.StatusMultipleChoices && !reply.Sealed {
 		grant.End(balance.Failed)
 		return failed, "the answer has no signature"
@@ -387,6 +395,11 @@
 		return failed, "the answer broke off: " + silenceTimer.failureReason(err)
 	}
 	silenceTimer.stop()
+	if mayBeCut(answer, attempt) {
+		bufferedAnswer.body.release()
+		forwarding.endGrant(ctx, grant, balance.Failed)
+		return failed, reasonEnded
+	}
 	grant.RecordFirstEvent()
 	if answer.Status >= http.StatusInternalServerError {
 		grant.End(balance.Failed)
@@ -414,6 +427,10 @@
 	for {
 		event, err := eventReader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if mayBeCut(answer, attempt) {
+				forwarding.endGrant(ctx, grant, balance.Failed)
+				return failed, reasonEnded
+			}
 			grant.RecordFirstEvent()
 			grant.RecordStreamEnd(count)
 			grant.End(balance.Served)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +83,43 @@
 	c.Assert(fixture.receivedRequests(), qt.HasLen, 1, qt.Commentf("it was sent to a second target"))
 }
 
+// TestAnswerThatEndsWithItsTarget guards against taking an answer without a length for a
+// whole one whose target has ended, and with it the connection.
+func TestAnswerThatEndsWithItsTarget(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		kind, reply string
+		hasEnded    bool
+		want        string
+	}{
+		{kind: "once", reply: unframedReply + "whole\nCLOSE\n", want: "200 whole"},
+		{kind: "once", reply: unframedReply + "who\nCLOSE\n", hasEnded: true, want: "502"},
+		{kind: "streaming", reply: unframedReply + "id: 1\ndata: a\n\nCLOSE\n", want: "200 id: 1 data: a"},
+		{kind: "streaming", reply: unframedReply + "id: 1\ndata: a\n\nCLOSE\n", hasEnded: true, want: "200 id: 1 data: a broken"},
+	} {
+		fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, test.kind) }), 2)
+		fixture.replies = []string{test.reply}
+		var crashes atomic.Int64
+		fixture.gateway.Attempts.OnCrash = func(quarantine.Crash) { crashes.Add(1) }
+		if test.hasEnded {
+			fixture.gateway.Attempts.Dial = fixture.refuseDials
+		}
+		response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x"))
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		got := strings.Join(append([]string{strconv.Itoa(response.StatusCode)}, strings.Fields(string(body))...), " ")
+		if err != nil {
+			got += " broken"
+		}
+		c.Assert(got, qt.Equals, test.want, qt.Commentf("%+v", test))
+		c.Assert(crashes.Load() > 0, qt.Equals, test.hasEnded)
+	}
+}
+
+// unframedReply is the head of an answer without a length.
+const unframedReply = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\n"
+
 // TestServedRequestIsCleared checks that a request that was served is no longer
 // suspected, although three targets ended while they ran it.
 func TestServedRequestIsCleared(t *testing.T) {
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -200,6 +200,28 @@
 	return done
 }
 
+// Survives checks whether the target still runs, and returns false if it is known to have
+// ended. The check may take up to a timeout; without a result the target has survived.
+func (attempt *Attempt) Survives(timeout time.Duration) bool {
+	attempts, target := attempt.attempts, attempt.target
+	attempts.mutex.Lock()
+	if target.endedBy != "" {
+		attempts.mutex.Unlock()
+		return false
+	}
+	check := attempts.startCheck(target)
+	attempts.mutex.Unlock()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-check:
+	case <-timer.C:
+	}
+	attempts.mutex.Lock()
+	defer attempts.mutex.Unlock()
+	return target.endedBy == ""
+}
+
 // Abandoned ends an attempt whose caller left or that timed out. Its target is
 // checked only if it stays silent.
 func (attempt *Attempt) Abandoned() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -84,6 +84,9 @@
 	Body *Body
 	// Length is the declared length of the body in bytes, -1 for none.
 	Length int64
+	// Unframed reports whether the answer has neither a length nor chunks. It ends with
+	// its connection, which also ends if the target does.
+	Unframed bool
 	// Reused reports whether the connection had carried a request before.
 	Reused bool
 }
@@ -144,7 +147,9 @@
 		Header: response.Header,
 		Body:   &Body{content: response.Body},
 		Length: response.ContentLength,
-		Reused: connection.uses > 0,
+
+		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Reused:   connection.uses > 0,
 	}, nil
 }
 
