gateway, platform: log versions of targets and resumed streams

Cause: lines 1103 name the target of each attempt, not the version of its software, and nothing says that a request takes a stream up.

Change: the version of a server's entry is read, and 1103 has it, the event after which a stream goes on and the attempt that began it. No change of what is decided.

--- a/balance/target.go
+++ b/balance/target.go
@@ -12,6 +12,8 @@
 	Pool    string
 	Address string
 	Zone    string
+	// Version is that of the target's software.
+	Version string
 	// Slots is the maximum number of requests that the target runs at once.
 	Slots int
 	// StartedAt is when this incarnation started.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,7 +32,7 @@
 var (
 	eventSent = timeline.Define(timeline.Kind{
 		Number: 1103, Name: "request sent", Level: timeline.Info, Frequent: true,
-		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, how long the target was expected to take, the time between its events as far as it is known, and how many requests this host and the others had in flight there.",
+		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, how long the target was expected to take, the time between its events as far as it is known, how many requests this host and the others had in flight there, the version of the target's software, and, for a stream that goes on, the event after which it does and the caller's attempt that began it.",
 	})
 	eventAnswered = timeline.Define(timeline.Kind{
 		Number: 1108, Name: "request answered", Level: timeline.Info, Frequent: true,
@@ -217,15 +218,11 @@
 	defer silenceTimer.stop()
 	gateway := forwarding.gateway
 	header := endToEndHeader(forwarding.request.Header)
-	lastEventID := forwarding.call.LastEventID
-	if forwarding.lastEventID != "" {
-		lastEventID = forwarding.lastEventID
-	}
 	gateway.Protocol.WriteForward(header, Forward{
 		Target:      grant.Target.ID,
 		Workspace:   forwarding.workspaceName(),
 		Timeout:     time.Until(forwarding.deadline),
-		LastEventID: lastEventID,
+		LastEventID: forwarding.resumedAfter(),
 	})
 	forwarding.recordSent(grant)
 	sentAt := time.Now()
@@ -286,6 +283,12 @@
 	}
 }
 
+// resumedAfter returns the id of the event after which a stream goes on, empty for a new
+// stream.
+func (forwarding *forwarding) resumedAfter() string {
+	return cmp.Or(forwarding.lastEventID, forwarding.call.LastEventID)
+}
+
 func (forwarding *forwarding) recordSent(grant *balance.Grant) {
 	waited := time.Since(forwarding.arrivedAt)
 	countAttempt(grant.Target.Pool, forwarding.sends > 0, waited)
@@ -299,6 +302,9 @@
 			{Key: "workspace", Value: forwarding.workspaceName()},
 			timeline.Count("units", int64(forwarding.quotaUnits)),
 			timeline.Count("attempt", forwarding.sends+1),
+			{Key: "version", Value: grant.Target.Version},
+			{Key: "resumes", Value: forwarding.call.Resumes},
+			{Key: "after", Value: forwarding.resumedAfter()},
 			timeline.Count("promptTokens", forwarding.call.PromptTokens),
 			timeline.Duration("waited", waited),
 			timeline.Duration("expected", grant.Estimate),
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -27,6 +27,9 @@
 	// LastEventID is the id of the event after which a stream resumes, empty
 	// for a new stream.
 	LastEventID string
+	// Resumes is the id of the caller's attempt that brought the first event of a stream
+	// that is resumed, empty if not given.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt that other requests may share.
