--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -40,6 +40,7 @@
 	testLeaving   = "Test-Leaving"
 	testRest      = "Test-Rest"
 	testLastEvent = "Last-Event-Id"
+	testResumes   = "Test-Resumes"
 )
 
 var testProtocol = Protocol{
@@ -47,6 +48,7 @@
 		tokens, err := strconv.Atoi(header.Get(testTokens))
 		return Call{
 			ID: header.Get(testID), Key: header.Get(testKey), LastEventID: header.Get(testLastEvent),
+			Resumes:        header.Get(testResumes),
 			HasTokenCounts: err == nil, PromptTokens: tokens,
 		}
 	},
--- /dev/null
+++ b/gateway/version_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/origin"
+	"nutmegfield.example/route"
+)
+
+// TestStreamGoesOnAtItsVersion guards against streams that go on at a target of another
+// version than the one that began them, within one answer or where a caller takes them up,
+// and against sending one on whose version is not known.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	const (
+		begun  = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\nid: 1\ndata: a\n\nRESET\n"
+		goesOn = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s2\n\nid: 2\ndata: b\n\nCLOSE\n"
+	)
+	for _, test := range []struct {
+		name string
+		// versions are those of the targets, begin the one that began the stream "first".
+		versions []string
+		begin    string
+		resumes  string
+		replies  []string
+		want     string
+		sent     int
+	}{
+		{name: "same answer", versions: []string{"v1", "v1"}, replies: []string{begun, goesOn}, want: "200", sent: 2},
+		{name: "same answer, no other", versions: []string{"v1", "v2"}, replies: []string{begun}, want: "200 broken", sent: 1},
+		{name: "taken up", versions: []string{"v1", "v2"}, begin: "v2", resumes: "first", replies: []string{goesOn}, want: "200", sent: 1},
+		{name: "taken up, gone", versions: []string{"v1", "v2"}, begin: "v3", resumes: "first", want: "503", sent: 0},
+		{name: "taken up, unknown", versions: []string{"v1", "v2"}, begin: "v1", resumes: "other", want: "503", sent: 0},
+		{name: "taken up, not named", versions: []string{"v1", "v2"}, begin: "v1", resumes: "", want: "503", sent: 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, "resumable") }), len(test.versions))
+			for i, version := range test.versions {
+				fixture.targets[i].Version = version
+			}
+			fixture.balancer.SetTargets(fixture.targets, nil)
+			fixture.gateway.Origins.SetTargets(fixture.targets)
+			fixture.replies = test.replies
+			request := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+			if test.begin != "" {
+				target := fixture.targets[0]
+				target.Version = test.begin
+				fixture.gateway.Origins.RecordBegin(origin.NewStream("first"), testPool, target.VersionID())
+				request.Header.Set(testLastEvent, "1")
+				request.Header.Set(testResumes, test.resumes)
+			}
+			response, err := http.DefaultTransport.RoundTrip(request)
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, response.Body)
+			c.Assert(response.Body.Close(), qt.IsNil)
+			got := strconv.Itoa(response.StatusCode)
+			if err != nil {
+				got += " broken"
+			}
+			c.Assert(got, qt.Equals, test.want)
+			c.Assert(fixture.receivedRequests(), qt.HasLen, test.sent)
+		})
+	}
+}
