--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -13,23 +13,24 @@
 // Numbers of the events that an explanation uses. All events are listed in
 // docs/EVENTS.md.
 const (
-	eventStarted       = 101
-	eventRefused       = 1101
-	eventAborted       = 1102
-	eventSent          = 1103
-	eventAttemptFailed = 1104
-	eventAnswered      = 1108
-	eventSuspected     = 1112
-	eventLimited       = 1121
-	eventNotLimited    = 1122
-	eventPeerReporting = 6101
-	eventPeerSilent    = 6102
-	eventPeerLeft      = 6103
-	eventPlatformLost  = 8101
-	eventPlatformBack  = 8102
-	eventTargetChanged = 8103
-	eventRoutesInForce = 8105
-	eventEraBegan      = 8107
+	eventStarted        = 101
+	eventRefused        = 1101
+	eventUnknownVersion = 1127
+	eventAborted        = 1102
+	eventSent           = 1103
+	eventAttemptFailed  = 1104
+	eventAnswered       = 1108
+	eventSuspected      = 1112
+	eventLimited        = 1121
+	eventNotLimited     = 1122
+	eventPeerReporting  = 6101
+	eventPeerSilent     = 6102
+	eventPeerLeft       = 6103
+	eventPlatformLost   = 8101
+	eventPlatformBack   = 8102
+	eventTargetChanged  = 8103
+	eventRoutesInForce  = 8105
+	eventEraBegan       = 8107
 )
 
 // Explanation describes how a request ended, and why, according to the logs.
@@ -160,6 +161,9 @@
 		if strings.HasSuffix(last.Detail, crashesTargets) {
 			return crashingCause(all, &last)
 		}
+		if strings.HasSuffix(last.Detail, unknownVersion) {
+			return unknownVersionCause(requestLines, &last)
+		}
 		return refusedCause(&last, failures)
 	case eventAborted:
 		return "the answer had begun and broke off: " + last.Detail
@@ -240,6 +244,21 @@
 	return text
 }
 
+// unknownVersion ends the detail of refusals of streams whose version nobody knows.
+const unknownVersion = "the version that began the stream is unknown"
+
+// unknownVersionCause explains a stream that did not go on where its caller took it up.
+func unknownVersionCause(requestLines []Line, last *Line) string {
+	text := fmt.Sprintf("%s: it was taken up as the one that %q began", last.Detail, last.Facts["resumes"])
+	for _, line := range requestLines {
+		if line.Event == eventUnknownVersion {
+			text += fmt.Sprintf("; %s hosts were asked, %s answered, and the pool has or recently had several versions",
+				line.Facts["asked"], line.Facts["answers"])
+		}
+	}
+	return text
+}
+
 // noTargetCause explains a request that was refused because no target became free
 // in time.
 func noTargetCause(last *Line, failures []string) string {
