gateway: record no stream whose caller names no attempt

What callers would see: a stream that is taken up without naming the attempt that began it goes on at the version of another one, if that one's attempt had no id either: both have the hash of the empty text.

Found in the reading of the diff. The case is in TestStreamGoesOnAtItsVersion, seen to fail before the change; a stream without an id is not recorded now, and what is taken up without a name goes on only where its pool has one version.

--- a/gateway/version.go
+++ b/gateway/version.go
@@ -51,6 +51,7 @@
 		return
 	}
 	forwarding.version = target.VersionID()
-	stream := origin.NewStream(cmp.Or(forwarding.call.Resumes, forwarding.call.ID))
-	forwarding.gateway.Origins.RecordBegin(stream, target.Pool, forwarding.version)
+	if attempt := cmp.Or(forwarding.call.Resumes, forwarding.call.ID); attempt != "" {
+		forwarding.gateway.Origins.RecordBegin(origin.NewStream(attempt), target.Pool, forwarding.version)
+	}
 }
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -35,6 +35,7 @@
 		{name: "taken up", versions: []string{"v1", "v2"}, begin: "v2", resumes: "first", replies: []string{goesOn}, want: "200", sent: 1},
 		{name: "taken up, gone", versions: []string{"v1", "v2"}, begin: "v3", resumes: "first", want: "503", sent: 0},
 		{name: "taken up, unknown", versions: []string{"v1", "v2"}, begin: "v1", resumes: "other", want: "503", sent: 0},
+		{name: "taken up, not named, one without a name began", versions: []string{"v1", "v2"}, begin: "unnamed", resumes: "", want: "503", sent: 0},
 		{name: "taken up, not named", versions: []string{"v1", "v2"}, begin: "v1", resumes: "", want: "503", sent: 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -47,6 +48,13 @@
 			fixture.gateway.Origins.SetTargets(fixture.targets)
 			fixture.replies = test.replies
 			request := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+			if test.begin == "unnamed" {
+				fixture.replies = []string{"HTTP/1.1 200 OK\nTest-Seal: s1\n\nid: 1\ndata: a\n\nCLOSE\n"}
+				unnamed := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+				unnamed.Header.Del(testID)
+				c.Assert(fixture.sendForStatus(unnamed), qt.Equals, http.StatusOK)
+				fixture.received = nil
+			}
 			if test.begin != "" {
 				target := fixture.targets[0]
 				target.Version = test.begin
