--- a/exchange/origins_test.go
+++ b/exchange/origins_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 		network := newNetwork()
 		names := []string{"10.10.100.100:7600", "10.10.100.101:7600", "10.10.100.102:7600", "10.10.100.103:7600", "10.10.100.104:7600"}
 		hosts := map[string]*Exchange{}
+		var mutex sync.Mutex
 		largest := 0
 		for _, name := range names {
 			hosts[name] = network.start(t, name, func(host *Exchange) {
@@ -34,9 +36,11 @@
 				}
 				send := host.Send
 				host.Send = func(address string, datagram []byte) {
+					mutex.Lock()
 					if datagram[0] == originsMarker {
 						largest = max(largest, len(datagram)+datagramOverhead)
 					}
+					mutex.Unlock()
 					send(address, datagram)
 				}
 				host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}, {Pool: "p", Version: "v2"}})
@@ -46,8 +50,10 @@
 		version := balance.NewVersionID("p", "v1")
 		hosts[names[0]].Origins.RecordBegin(origin.NewStream("s"), "p", version)
 		time.Sleep(100 * time.Millisecond)
+		mutex.Lock()
 		t.Logf("%d bytes", largest)
 		c.Assert(largest <= maxBeginningBytes, qt.IsTrue, qt.Commentf("%d bytes", largest))
+		mutex.Unlock()
 		for _, name := range names {
 			c.Assert(hosts[name].Origins.Find(t.Context(), "r", "s", "p"), qt.Equals, version)
 			c.Assert(hosts[name].Origins.Find(t.Context(), "r", "other", "p"), qt.Equals, balance.VersionID(0))
