quarantine: count targets that end together under a new trait

What callers would see: requests with a crashing part that reach many hosts at once crash five servers at the same moment and are sent on at the next burst (BUDGET): endings within 0.1 s counted as one for each shared trait.

Found in the reading of the diff: TestCrashingRequestIsSentOn/part-midway, which sends to four hosts at once, needs three bursts, nine to twelve servers.

Change: five targets suffice whenever they ended, if the trait was not served before; one that was needs different moments as before. The script "shared part in bursts" fails on the code before.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -20,17 +20,20 @@
 	// sharedQuarantine is the length of the first quarantine of a shared trait. It is short,
 	// as many requests may have it and it may not be at fault.
 	sharedQuarantine = 10 * time.Second
+	// burstCrashes is the number of targets that suffice whenever they ended, if the trait
+	// was not served before.
+	burstCrashes = 5
 	// sameMoment is the time between two endings of targets below which one cause may have
 	// ended both.
 	sameMoment = 100 * time.Millisecond
 )
 
-// requiredCrashes is the number of endings that quarantine the suspect's trait.
-func (suspect *Suspect) requiredCrashes() int {
+// suffice reports whether endings quarantine the suspect's trait.
+func (suspect *Suspect) suffice(endings []Ending) bool {
 	if suspect.ServedBefore {
-		return usualCrashes
+		return len(suspect.counted(endings)) >= usualCrashes
 	}
-	return quarantineCrashes
+	return len(suspect.counted(endings)) >= quarantineCrashes || len(endings) >= burstCrashes
 }
 
 // counted returns the endings that count towards a quarantine: all, or for a shared trait
@@ -85,7 +88,7 @@
 				rest = culprit.without(rest)
 			}
 		}
-		isExplained := len(suspect.counted(rest)) < suspect.requiredCrashes()
+		isExplained := !suspect.suffice(rest)
 		if !isExplained {
 			culprits = append(culprits, suspect)
 		}
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -158,7 +158,7 @@
 	for i := 0; i < len(suspect.Endings); i++ {
 		ending := suspect.Endings[i]
 		switch {
-		case len(suspect.counted(suspect.Endings[:i+1])) < suspect.requiredCrashes():
+		case !suspect.suffice(suspect.Endings[:i+1]):
 		case suspect.Quarantines == 0 || ending.At.After(suspect.Until):
 			suspect.Quarantines++
 			suspect.From = ending.At.Add(delay)
