gateway: bound the parts of a prompt by which a request is known

What callers would see: a header of 64 KiB holds some ten thousand parts. When its target ends, each of them becomes a suspect on the host, at the cost of a copy of all suspects each, and drives others out of the 1,024 that are kept.

Found in the reading of the diff. TestManyParts fails on the code before. The first 31 parts are looked at, and 32 logged.

--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -38,8 +38,9 @@
 	Tokens int
 }
 
-// joinParts returns the ids of parts in order, separated by commas.
+// joinParts returns the ids of the first maxSharedTraits parts in order, separated by commas.
 func joinParts(parts []PromptPart) string {
+	parts = parts[:min(len(parts), maxSharedTraits)]
 	ids := make([]string, len(parts))
 	for i, part := range parts {
 		ids[i] = part.ID
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -12,6 +12,9 @@
 // reasonCrashes is the reason of refusals of quarantined requests.
 const reasonCrashes = "the request crashes targets"
 
+// maxSharedTraits limits the path and parts of a prompt by which a request is known.
+const maxSharedTraits = 32
+
 // hashContent returns the request's content.
 func (forwarding *forwarding) hashContent() quarantine.Trait {
 	request := forwarding.request
@@ -25,9 +28,11 @@
 // and the parts of the prompt in order.
 func (forwarding *forwarding) sharedTraits() []quarantine.Trait {
 	request := forwarding.request
-	shared := make([]quarantine.Trait, 0, 1+len(forwarding.call.Prefix))
+	parts := forwarding.call.Prefix
+	parts = parts[:min(len(parts), maxSharedTraits-1)]
+	shared := make([]quarantine.Trait, 0, 1+len(parts))
 	shared = append(shared, quarantine.NewShared("path", request.Method+" "+request.Host+forwarding.requestTarget()))
-	for _, part := range forwarding.call.Prefix {
+	for _, part := range parts {
 		shared = append(shared, quarantine.NewShared("part", part.ID))
 	}
 	return shared
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -120,6 +120,18 @@
 // unframedReply is the head of an answer without a length.
 const unframedReply = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\n"
 
+// TestManyParts guards against requests whose prompts have so many parts that each crash makes
+// thousands of suspects.
+func TestManyParts(t *testing.T) {
+	c := qt.New(t)
+	forwarding := &forwarding{request: &http.Request{Method: http.MethodPost, Host: "h", RequestURI: "/r"}}
+	for i := range 4 * maxSharedTraits {
+		forwarding.call.Prefix = append(forwarding.call.Prefix, PromptPart{ID: strconv.Itoa(i), Tokens: 1})
+	}
+	c.Assert(forwarding.sharedTraits(), qt.HasLen, maxSharedTraits)
+	c.Assert(strings.Split(joinParts(forwarding.call.Prefix), ","), qt.HasLen, maxSharedTraits)
+}
+
 // TestServedRequestIsCleared checks that a request that was served is no longer
 // suspected, although three targets ended while they ran it.
 func TestServedRequestIsCleared(t *testing.T) {
