gateway, diagnosis: count unreachable targets in refusals

Cause: a refusal on a host that could connect to no target read like one for lack of capacity: free 0, and nothing else.

Change: event 1101 has the number of targets to which the host's last attempts to connect failed, and explain names it. No decision depends on it.

--- a/balance/report.go
+++ b/balance/report.go
@@ -140,6 +140,9 @@
 	// that of those that want no requests from this host for a time.
 	LeavingTargets int
 	RestingTargets int
+	// UnreachableTargets is the number of targets to which this host's last attempts to
+	// connect failed.
+	UnreachableTargets int
 	// ReportAge is the age of the oldest report of another host, 0 if there is none.
 	ReportAge time.Duration
 }
@@ -163,6 +166,9 @@
 		} else if now.Before(targetState.announcement.restUntil) {
 			status.RestingTargets++
 		}
+		if targetState.consecutiveFailures > 0 {
+			status.UnreachableTargets++
+		}
 		if limit := balancer.rate(targetState); limit > 0 && targetState.isEligible(now) {
 			status.LimitedTargets++
 			status.LimitedRate += limit
--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -276,6 +276,9 @@
 	if resting := last.Facts["resting"]; resting != "" && resting != "0" {
 		text += fmt.Sprintf("; %s targets want no requests from this host for a time", resting)
 	}
+	if unreachable := last.Facts["unreachable"]; unreachable != "" && unreachable != "0" {
+		text += fmt.Sprintf("; this host could not connect to %s targets", unreachable)
+	}
 	if last.Facts["returned"] == "true" {
 		text += "; its caller had come back after a refusal and stood behind others of the rank"
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -93,6 +93,7 @@
 			timeline.Fact{Key: "limitedRate", Value: limit.FormatRate(status.LimitedRate)},
 			timeline.Count("leaving", status.LeavingTargets),
 			timeline.Count("resting", status.RestingTargets),
+			timeline.Count("unreachable", status.UnreachableTargets),
 			timeline.Duration("reportAge", status.ReportAge),
 		)
 	}
