platform/soak: test hosts that reach no target

What callers saw: while a host has no link to the targets, nearly all that comes to it is refused with 503, although the other hosts reach the targets and the host reaches them.

The test binary runs the program with a network that keeps a process from addresses, as the stand-ins' proxies can't tell hosts apart.

--- a/command/serve.go
+++ b/command/serve.go
@@ -35,6 +35,9 @@
 	Settings string `long:"settings" env:"NUTMEGFIELD_CONFIG" required:"true" value-name:"FILE" description:"the host's settings"`
 }
 
+// HostNetwork returns the network of the hosts that this process runs. Tests replace it.
+var HostNetwork = kernel.SystemNetwork
+
 func init() {
 	Register(Command{
 		Name:  "serve",
@@ -56,7 +59,7 @@
 	defer func() { _ = writer.Close() }()
 	host := &kernel.Host{
 		Settings: loaded,
-		Network:  kernel.SystemNetwork(),
+		Network:  HostNetwork(),
 		Events: &timeline.Recorder{
 			Host:                loaded.Host.ID,
 			Logger:              &log.Logger{Level: log.ParseLevel(loaded.Log.Level), Writer: writer},
