detour, gateway, exchange: serve callers of hosts that reach no target

What callers saw: while a host had no link to the targets, nearly all that came to it was refused with 503, although other hosts reached the targets and the host reached them.

Cause: a host had no way to a target but its own connections; whether it could use them was not told to anybody.

Its targets do not count as full.

Change: package detour. A host whose connections to up to three targets of a pool all fail takes the pool for out of reach, 0.7 s after its targets fell silent at the latest, and tells the others in its reports. It still decides all itself (quotas, budget, permits, targets, versions), and has another host that reaches the pool send the request once; that host asks its own knowledge of the target just before it sends. What may have been sent is never sent on as if it had not run. Hosts take a bounded number of requests for others, fewer of less important ones, and decline further ones, which end with a true 503. Whether a target still runs is asked of another host too, so that a host's own cut is no evidence against sound targets.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,10 @@
 		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
 		--plugin=$(PROTOC_GEN_GO_DRPC) --go-drpc_out=. --go-drpc_opt=paths=source_relative \
 		exchange.proto
+	cd detour/detourpb && protoc \
+		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
+		--plugin=$(PROTOC_GEN_GO_DRPC) --go-drpc_out=. --go-drpc_opt=paths=source_relative \
+		detour.proto
 
 # Long random runs of whole hosts; SEEDS=200 takes about half an hour.
 .PHONY: soak
--- a/balance/announcement.go
+++ b/balance/announcement.go
@@ -141,6 +141,19 @@
 	return entry == nil || entry.allows(time.Now())
 }
 
+// Find returns the current target of an incarnation and whether it may get requests of this
+// host now, by its entry and by what it said.
+func (balancer *Balancer) Find(incarnation Incarnation) (target Target, isKnown, maySend bool) {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	targetState := balancer.targets[incarnation.Target]
+	if targetState == nil || targetState.Incarnation() != incarnation {
+		return Target{}, false, false
+	}
+	mayGet := !targetState.Leaving && !targetState.replaced && targetState.announcement.allows(time.Now())
+	return targetState.Target, true, mayGet
+}
+
 // restingUntil returns when the first target wants requests again, zero if some target
 // may get them or none will.
 func (pool *pool) restingUntil(now time.Time) time.Time {
--- /dev/null
+++ b/detour/server.go
@@ -0,0 +1,205 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"storj.io/drpc"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/detour/detourpb"
+	"nutmegfield.example/pause"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
+)
+
+const (
+	// maxForwarded is the number of requests that a host sends for others at once.
+	maxForwarded = 256
+	// Each of the first maxSteps ranks below the most important one gets a part of
+	// 1/rankSteps less of that number.
+	rankSteps = 8
+	maxSteps  = 3
+	// replyBytes is the size of the largest part of a body in a reply.
+	replyBytes = 8 << 10
+	// lagInterval is how often a host looks whether its own work is late; while it is by
+	// more than maxLag on average it sends no further requests for others.
+	lagInterval = 50 * time.Millisecond
+	maxLag      = 30 * time.Millisecond
+	lagWeight   = 0.2
+)
+
+var eventSentForHost = timeline.Define(timeline.Kind{
+	Number: 1135, Name: "request of another host sent", Level: timeline.Info, Frequent: true,
+	Meaning: "This host sends a request to a target for the host in the field peer, which reaches no target of the pool. The fact is the number of those that run.",
+})
+
+// Server sends requests of other hosts to targets. Its fields are set before Run.
+type Server struct {
+	Connections *upstream.Connections
+	// Target returns the current target of an incarnation, and whether it may get requests
+	// of this host now.
+	Target func(incarnation balance.Incarnation) (target balance.Target, isKnown, maySend bool)
+	// Reaches reports whether this host reaches a pool.
+	Reaches func(pool string) bool
+	// IsDraining reports whether this host shuts down. It may be nil.
+	IsDraining func() bool
+	// OnFailed is called when a target of a pool could not be connected to, OnAnswer with
+	// the head of each answer; Begin when a request arrives, and its result at the end.
+	OnFailed func(pool string)
+	OnAnswer func(target *balance.Target, answer *upstream.Answer)
+	Begin    func() (end func())
+	Events   *timeline.Recorder
+
+	running atomic.Int64
+	// lag is the average lateness of this host's work in nanoseconds.
+	lag atomic.Int64
+}
+
+// Register adds the calls to a server of other hosts' calls.
+func (server *Server) Register(mux drpc.Mux) error {
+	if err := detourpb.DRPCRegisterDetours(mux, server); err != nil {
+		return fmt.Errorf("register detours: %w", err)
+	}
+	return nil
+}
+
+// Run observes how late this host's work is, until the context ends. It returns nil.
+func (server *Server) Run(ctx context.Context) error {
+	metrics.GetOrCreateGauge("nutmegfield_forwarded_requests", func() float64 { return float64(server.running.Load()) })
+	for {
+		began := time.Now()
+		if !pause.For(ctx, lagInterval) {
+			return nil
+		}
+		late := float64(time.Since(began) - lagInterval)
+		lag := float64(server.lag.Load())
+		server.lag.Store(int64(lag + lagWeight*(late-lag)))
+	}
+}
+
+// Takes reports whether this host sends requests for others at all.
+func (server *Server) Takes() bool { return server.IsDraining == nil || !server.IsDraining() }
+
+// declineReason returns why no request of a rank is taken now, empty if one is.
+func (server *Server) declineReason(rank uint32) string {
+	limit := int64(maxForwarded * (rankSteps - min(rank, maxSteps)) / rankSteps)
+	switch {
+	case !server.Takes():
+		return "the host shuts down"
+	case server.running.Load() > limit:
+		return fmt.Sprintf("the host sends %d requests for others", server.running.Load()-1)
+	case time.Duration(server.lag.Load()) > maxLag:
+		return fmt.Sprintf("the host is %s late", time.Duration(server.lag.Load()).Round(time.Millisecond))
+	default:
+		return ""
+	}
+}
+
+// Forward implements the server's side of the Forward call of other hosts.
+func (server *Server) Forward(request *detourpb.Request, stream detourpb.DRPCDetours_ForwardStream) error {
+	server.running.Add(1)
+	defer server.running.Add(-1)
+	defer server.Begin()()
+	if reason := server.declineReason(request.GetRank()); reason != "" {
+		return server.fail(stream, detourpb.Outcome_DECLINED, reason)
+	}
+	target, isKnown, maySend := server.Target(decodeTarget(request.GetTarget()))
+	switch {
+	case !isKnown:
+		return server.fail(stream, detourpb.Outcome_UNWANTED, "the target is not known")
+	case !maySend:
+		return server.fail(stream, detourpb.Outcome_UNWANTED, "the target wants no requests")
+	case !server.Reaches(target.Pool):
+		return server.fail(stream, detourpb.Outcome_DECLINED, "the host reaches no target either")
+	}
+	server.Events.Record(eventSentForHost, timeline.Event{
+		Request: request.GetId(), Pool: target.Pool, Target: target.ID, Peer: request.GetSender(),
+		Facts: []timeline.Fact{timeline.Count("forwarded", int(server.running.Load()))},
+	})
+	answer, err := server.Connections.Exchange(stream.Context(), target.Address, &upstream.Request{
+		Method: request.GetMethod(), Target: request.GetPath(), Host: request.GetHost(), Header: decodeHeader(request.GetHeader()),
+		Body: request.GetBody(), ID: request.GetId(), FreshOnly: request.GetFreshOnly(),
+		MaySend: func() bool {
+			_, _, maySend := server.Target(decodeTarget(request.GetTarget()))
+			return maySend
+		},
+	})
+	switch {
+	case upstream.Is(err, upstream.Withdrawn):
+		return server.fail(stream, detourpb.Outcome_UNWANTED, err.Error())
+	case upstream.Is(err, upstream.NotSent):
+		server.OnFailed(target.Pool)
+		return server.fail(stream, detourpb.Outcome_UNREACHABLE, err.Error())
+	case err != nil:
+		return server.fail(stream, detourpb.Outcome_UNKNOWN, err.Error())
+	}
+	defer func() { _ = answer.Body.Close() }()
+	server.OnAnswer(&target, answer)
+	return server.passOn(stream, answer)
+}
+
+// passOn passes an answer on as it arrives.
+func (server *Server) passOn(stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer) error {
+	head := &detourpb.Reply{
+		Status: uint32(answer.Status), Header: encodeHeader(answer.Header), Length: answer.Length, Unframed: answer.Unframed,
+	}
+	if err := stream.Send(head); err != nil {
+		return fmt.Errorf("send the head of an answer: %w", err)
+	}
+	buffer := make([]byte, replyBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		reply := &detourpb.Reply{Body: buffer[:n]}
+		isComplete := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+		switch {
+		case isComplete:
+			reply.End = true
+		case err != nil:
+			if n > 0 {
+				if err := stream.Send(reply); err != nil {
+					return fmt.Errorf("send a part of an answer: %w", err)
+				}
+			}
+			return server.fail(stream, detourpb.Outcome_UNKNOWN, err.Error())
+		}
+		if err := stream.Send(reply); err != nil {
+			return fmt.Errorf("send a part of an answer: %w", err)
+		}
+		if isComplete {
+			return nil
+		}
+	}
+}
+
+func (server *Server) fail(stream detourpb.DRPCDetours_ForwardStream, outcome detourpb.Outcome, reason string) error {
+	if err := stream.Send(&detourpb.Reply{Outcome: outcome, Reason: reason}); err != nil {
+		return fmt.Errorf("send the outcome of a request: %w", err)
+	}
+	return nil
+}
+
+// Check implements the server's side of the Check call of other hosts.
+func (server *Server) Check(ctx context.Context, encoded *detourpb.Target) (*detourpb.CheckReply, error) {
+	target, isKnown, _ := server.Target(decodeTarget(encoded))
+	if !isKnown || !server.Reaches(target.Pool) {
+		return &detourpb.CheckReply{Outcome: detourpb.Outcome_DECLINED, Reason: "the host does not reach the target's pool"}, nil
+	}
+	err := server.Connections.Warm(ctx, target.Address)
+	if err == nil {
+		return &detourpb.CheckReply{}, nil
+	}
+	return &detourpb.CheckReply{
+		Outcome: detourpb.Outcome_UNREACHABLE, Reason: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED),
+	}, nil
+}
+
+func decodeTarget(target *detourpb.Target) balance.Incarnation {
+	return balance.Incarnation{Target: target.GetId(), StartedAt: target.GetStartedMs()}
+}
--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -23,6 +23,9 @@
 	eventSuspected      = 1112
 	eventLimited        = 1121
 	eventNotLimited     = 1122
+	eventUnreached      = 1131
+	eventReached        = 1132
+	eventForwarded      = 1133
 	eventPeerReporting  = 6101
 	eventPeerSilent     = 6102
 	eventPeerLeft       = 6103
@@ -130,6 +133,10 @@
 		if targets[line.Target] {
 			return "target " + line.Target, line.Detail
 		}
+	case eventUnreached:
+		return "pool " + line.Facts["pool"], "out of reach"
+	case eventReached:
+		return "pool " + line.Facts["pool"], ""
 	case eventLimited:
 		return "limit of " + line.Target, line.Facts["rate"] + " a second from all hosts"
 	case eventNotLimited:
@@ -149,14 +156,20 @@
 		}
 	}
 	var failures []string
+	over := ""
 	for _, line := range requestLines {
-		if line.Event == eventAttemptFailed {
-			failures = append(failures, line.Target+": "+strings.TrimSuffix(line.Detail, "; trying again"))
+		switch line.Event {
+		case eventSent:
+			over = ""
+		case eventForwarded:
+			over = fmt.Sprintf(" (sent over host %s, as %s reached no target of pool %s)", line.Peer, line.Host, line.Facts["pool"])
+		case eventAttemptFailed:
+			failures = append(failures, line.Target+over+": "+strings.TrimSuffix(line.Detail, "; trying again"))
 		}
 	}
 	switch last.Event {
 	case eventAnswered:
-		return answeredCause(&last, requestLines, failures)
+		return answeredCause(&last, requestLines, failures) + over
 	case eventRefused:
 		if strings.HasSuffix(last.Detail, crashesTargets) {
 			return crashingCause(all, &last)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -73,6 +73,10 @@
 	// OnNewerVersion is called with the address of a host that has newer
 	// objects.
 	OnNewerVersion func(address string)
+	// Unreached returns the pools of which this host reaches no target, and Forwards whether
+	// it sends requests for hosts that reach none. They may be nil.
+	Unreached func() []string
+	Forwards  func() bool
 
 	// livePeers is the number of other hosts that are not silent, knownPeers the
 	// result of KnownPeers, interval that of Interval in nanoseconds.
@@ -84,8 +88,10 @@
 	liveZoneHosts atomic.Int64
 	// newest is the newest configuration that another host reported.
 	newest atomic.Pointer[newestConfiguration]
-	// members is the result of Members; it is replaced, never changed.
-	members atomic.Pointer[limit.Members]
+	// members is the result of Members; it is replaced, never changed. So is forwarders,
+	// the hosts that send requests for others.
+	members    atomic.Pointer[limit.Members]
+	forwarders atomic.Pointer[[]Forwarder]
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -254,6 +260,10 @@
 	if len(summaries) == 0 {
 		report.Peers = exchange.reportedPeers()
 	}
+	if exchange.Unreached != nil {
+		report.Unreached = exchange.Unreached()
+	}
+	report.Forwards = exchange.Forwards != nil && !exchange.leaving && exchange.Forwards()
 	return report
 }
 
@@ -364,6 +374,7 @@
 		host: message.GetHost(), address: message.GetAddress(), zone: message.GetZone(),
 		incarnation: message.GetLife(), sequence: message.GetSequence(), link: message.GetLink(),
 		leaving: message.GetLeaving(), direct: message.GetDirect(),
+		forwards: message.GetForwards(), unreached: message.GetUnreached(),
 	})
 	if !isNewest {
 		return false
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -51,6 +51,10 @@
 	// hasEnded is set if the host is silent and its machine refused a connection to it.
 	hasEnded bool
 	link     uint32
+	// forwards is set if the host sends requests for others, and unreached holds the pools
+	// of which it reaches no target itself.
+	forwards  bool
+	unreached []string
 	// direct is set if the host has reported since the last round, and sends its
 	// reports to each host that it knows.
 	direct bool
@@ -65,6 +69,8 @@
 	incarnation, sequence uint64
 	link                  uint32
 	leaving, direct       bool
+	forwards              bool
+	unreached             []string
 }
 
 // Hosts returns the number of hosts that are not silent, including this one.
@@ -251,6 +257,7 @@
 		}
 	}
 	exchange.knownPeers.Store(int64(knownPeers))
+	exchange.listForwarders()
 	before := exchange.members.Load()
 	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
 		exchange.members.Store(members)
@@ -270,11 +277,15 @@
 		entry.incarnation == heartbeat.incarnation && entry.sequence >= heartbeat.sequence {
 		return false
 	}
-	wasAlive := entry.alive
+	wasAlive, forwarded, unreached := entry.alive, entry.forwards, entry.unreached
 	*entry = peer{
 		host: heartbeat.host, zone: heartbeat.zone, incarnation: heartbeat.incarnation, sequence: heartbeat.sequence,
 		lastReceived: time.Now(), addedAt: entry.addedAt, alive: !heartbeat.leaving, hasLeft: heartbeat.leaving,
 		link: heartbeat.link, direct: heartbeat.direct, rank: entry.rank,
+		forwards: heartbeat.forwards, unreached: heartbeat.unreached,
+	}
+	if forwarded != entry.forwards || !slices.Equal(unreached, entry.unreached) {
+		exchange.listForwarders()
 	}
 	if wasAlive == entry.alive {
 		return true
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -240,6 +240,8 @@
 			Life:     member.report.GetLife(),
 			Sequence: member.report.GetSequence(),
 			Link:     member.report.GetLink(),
+
+			Forwards: member.report.GetForwards(), Unreached: member.report.GetUnreached(),
 		}
 		for _, spend := range member.changedSpends(relay.summaryCount) {
 			index, ok := workspaces[spend.GetWorkspace()]
--- a/exchange/snapshots.go
+++ b/exchange/snapshots.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -25,6 +26,8 @@
 	Build func(request *exchangepb.SnapshotRequest) *exchangepb.Snapshot
 	// Dial opens a connection to a host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Register adds further calls to those that Serve answers. It may be nil.
+	Register func(mux drpc.Mux) error
 }
 
 // Serve answers requests of other hosts until the context ends. It returns an
@@ -34,6 +37,11 @@
 	if err := exchangepb.DRPCRegisterSnapshots(mux, snapshots); err != nil {
 		return fmt.Errorf("register snapshots: %w", err)
 	}
+	if snapshots.Register != nil {
+		if err := snapshots.Register(mux); err != nil {
+			return fmt.Errorf("register further calls: %w", err)
+		}
+	}
 	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serve snapshots: %w", err)
 	}
--- a/exchange/summary.go
+++ b/exchange/summary.go
@@ -87,6 +87,7 @@
 		isNewest := exchange.recordHeartbeat(heartbeat{
 			host: member.GetHost(), address: member.GetAddress(), zone: summary.GetZone(),
 			incarnation: member.GetLife(), sequence: member.GetSequence(), link: member.GetLink(),
+			forwards: member.GetForwards(), unreached: member.GetUnreached(),
 		})
 		if isNewest {
 			updates = append(updates, hostSpends{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
@@ -54,6 +55,8 @@
 	notRun
 	// unreachable: the target read none of the request.
 	unreachable
+	// declined: this host reaches no target, and no other host sent the request for it.
+	declined
 	// failed: the target may have run the request but gave no complete answer.
 	failed
 	// failedWhole: the target ran the request and answered with a server error.
@@ -62,7 +65,7 @@
 
 // String returns the label value for metrics.
 func (verdict verdict) String() string {
-	return [...]string{"done", "notRun", "unreachable", "failed", "failedWhole"}[verdict]
+	return [...]string{"done", "notRun", "unreachable", "declined", "failed", "failedWhole"}[verdict]
 }
 
 // attemptTargets sends the request to one target after another until one answers
@@ -147,6 +150,8 @@
 	switch verdict {
 	case unreachable:
 		return true
+	case declined:
+		return false
 	case notRun:
 	default:
 		if !forwarding.route.Retryable() || runs >= forwarding.route.Attempts {
@@ -232,7 +237,7 @@
 	forwarding.recordSent(grant)
 	sentAt := time.Now()
 	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.traits)
-	answer, err := gateway.Connections.Exchange(attemptContext, grant.Target.Address, &upstream.Request{
+	answer, err := forwarding.exchange(attemptContext, grant, silenceTimer, &upstream.Request{
 		Method:    forwarding.request.Method,
 		Target:    forwarding.requestTarget(),
 		Host:      forwarding.request.Host,
@@ -242,6 +247,11 @@
 		FreshOnly: !forwarding.route.Retryable(),
 		MaySend:   func() bool { return forwarding.maySend(&grant.Target) },
 	})
+	defer silenceTimer.endPath()
+	if upstream.Is(err, detour.Declined) {
+		attempt.Answered()
+		return declined, err.Error()
+	}
 	if upstream.Is(err, upstream.Withdrawn) {
 		attempt.Answered()
 		return unreachable, err.Error()
@@ -259,6 +269,7 @@
 		return failed, silenceTimer.failureReason(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	silenceTimer.heard()
 	reply := gateway.Protocol.ReadReply(answer.Status, answer.Header)
 	gateway.observeLimit(&grant.Target, reply, sentAt)
 	gateway.observeAnnouncement(&grant.Target, reply)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -83,6 +83,15 @@
 
 const testPool = "p"
 
+// checkTarget opens a connection to a target and closes it.
+func checkTarget(ctx context.Context, target *balance.Target) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // fixture is a gateway with targets that send scripted replies.
 type fixture struct {
 	*qt.C
@@ -136,7 +145,7 @@
 		},
 		Balancer: fixture.balancer,
 		Ledger:   fixture.ledger,
-		Attempts: &quarantine.Attempts{Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second},
+		Attempts: &quarantine.Attempts{Check: checkTarget, CheckTimeout: time.Second},
 		Suspects: &quarantine.Suspects{},
 		Limiter:  &limit.Limiter{},
 		Origins:  &origin.Origins{Members: func() []string { return nil }, VerifiedAt: func() time.Time { return time.Time{} }},
@@ -161,9 +170,9 @@
 	return nil
 }
 
-// refuseDials fails as a connection to a target that has ended does.
-func (fixture *fixture) refuseDials(context.Context, string, string) (net.Conn, error) {
-	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+// refuseChecks fails as a connection to a target that has ended does.
+func (fixture *fixture) refuseChecks(context.Context, *balance.Target) error {
+	return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 }
 
 // serveTarget accepts a target's connections and serves each of them.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
@@ -54,6 +55,10 @@
 	Limiter *limit.Limiter
 	// Origins knows the versions that began streams.
 	Origins *origin.Origins
+	// Paths tells which pools this host reaches itself, and Detours sends requests over
+	// other hosts. Both may be nil.
+	Paths   *detour.Paths
+	Detours *detour.Client
 	Events  *timeline.Recorder
 	// Table returns the routes in force, nil before the first are received.
 	Table func() *route.Table
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -17,6 +17,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/route"
 	"nutmegfield.example/upstream"
 )
@@ -175,7 +176,7 @@
 	c.Assert(err, qt.IsNil)
 	host := &host{
 		gateway: fixture.gateway, balancer: fixture.balancer, ledger: fixture.ledger, attempts: fixture.gateway.Attempts,
-		limiter: fixture.gateway.Limiter, origins: fixture.gateway.Origins,
+		limiter: fixture.gateway.Limiter, origins: fixture.gateway.Origins, paths: &detour.Paths{},
 	}
 	host.setTargets(nil)
 	host.setRoutes(route.NewTable(&route.Configuration{Version: 2}))
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -13,6 +13,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/kernel"
@@ -92,8 +93,13 @@
 	tolerance quota.Tolerance
 	exchange  *exchange.Exchange
 	snapshots *exchange.Snapshots
-	routes    *discovery.Routes
-	targets   *discovery.Targets
+	// paths tells which pools this host reaches, detours sends requests over other hosts
+	// and detourServer those of others.
+	paths        *detour.Paths
+	detours      *detour.Client
+	detourServer *detour.Server
+	routes       *discovery.Routes
+	targets      *discovery.Targets
 	// routeFollower and targetFollower follow the platform's objects.
 	routeFollower  *discovery.Follower
 	targetFollower *discovery.Follower
@@ -143,7 +149,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
-			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run,
+			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.paths.Run, host.detourServer.Run,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -237,7 +243,7 @@
 	}
 	host.suspects = &quarantine.Suspects{Turn: host.exchange.Turn, Events: events}
 	host.attempts = &quarantine.Attempts{
-		Dial: kernelHost.Network.Dial, DialTimeout: dialTimeout, Events: events,
+		Check: host.checkTarget, CheckTimeout: 3 * dialTimeout, Events: events,
 		OnCrash: host.suspects.RecordCrash, OnAnswer: host.suspects.RecordAnswer,
 	}
 	host.suspects.LastAnswer = host.attempts.LastAnswer
@@ -286,9 +292,43 @@
 		Refresh: host.refreshRoutes,
 		Notice:  settings.Drain.Notice,
 	}
+	host.addDetours(kernelHost)
 	return host
 }
 
+// addDetours lets requests go over other hosts while this one reaches no target, and sends
+// those of others.
+func (host *host) addDetours(kernelHost *kernel.Host) {
+	gateway := host.gateway
+	host.paths = &detour.Paths{
+		Connect: gateway.Connections.Warm, ConnectTimeout: dialTimeout, Events: gateway.Events,
+		Hosts: func(pool string) int { return len(host.forwarders(pool)) },
+		OnUnreached: func(_ string, addresses []string) {
+			// Nothing that is sent over these connections would get an answer.
+			for _, address := range addresses {
+				gateway.Connections.CloseIdle(address)
+			}
+		},
+	}
+	host.detours = &detour.Client{
+		Host: host.exchange.Host, Hosts: host.forwarders, Dial: kernelHost.Network.Dial, Events: gateway.Events,
+	}
+	host.detourServer = &detour.Server{
+		Connections: gateway.Connections, Target: host.balancer.Find, Reaches: host.paths.Reaches, Events: gateway.Events,
+		IsDraining: gateway.draining.Load, OnFailed: host.paths.Failed,
+		OnAnswer: func(target *balance.Target, answer *upstream.Answer) {
+			gateway.observeAnnouncement(target, gateway.Protocol.ReadReply(answer.Status, answer.Header))
+		},
+		Begin: func() func() {
+			gateway.runningRequests.Add(1)
+			return func() { gateway.runningRequests.Add(-1) }
+		},
+	}
+	gateway.Paths, gateway.Detours = host.paths, host.detours
+	host.snapshots.Register = host.detourServer.Register
+	host.exchange.Unreached, host.exchange.Forwards = host.paths.Unreached, host.detourServer.Takes
+}
+
 // answerMatcher returns a function that matches answers to requests by the id that
 // targets repeat. A target that did not run a request may omit the id.
 func answerMatcher(protocol Protocol) func(*upstream.Request, *http.Response) bool {
@@ -369,6 +409,7 @@
 
 func (host *host) setTargets(targets []balance.Target) {
 	host.attempts.SetTargets(targets)
+	host.paths.SetTargets(targets)
 	host.origins.SetTargets(targets)
 	host.limiter.SetTargets(limitedTargets(targets))
 	host.mutex.Lock()
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -75,7 +75,7 @@
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Idempotent = true }), 2)
 	fixture.crash(1, 2)
 	fixture.replies = []string{"RESET"}
-	fixture.gateway.Attempts.Dial = fixture.refuseDials
+	fixture.gateway.Attempts.Check = fixture.refuseChecks
 	fixture.gateway.Attempts.OnCrash = fixture.gateway.Suspects.RecordCrash
 	status, retryAfter := fixture.post("/r/a", "poison")
 	c.Assert(status, qt.Equals, http.StatusBadGateway)
@@ -102,7 +102,7 @@
 		var crashes atomic.Int64
 		fixture.gateway.Attempts.OnCrash = func(quarantine.Crash) { crashes.Add(1) }
 		if test.hasEnded {
-			fixture.gateway.Attempts.Dial = fixture.refuseDials
+			fixture.gateway.Attempts.Check = fixture.refuseChecks
 		}
 		response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x"))
 		c.Assert(err, qt.IsNil)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/detour"
 )
 
 const (
@@ -27,6 +28,11 @@
 	timer   *time.Timer
 	cancel  context.CancelCauseFunc
 	ctx     context.Context
+	// expire ends the attempt if the request may be sent to another target; nil if it may
+	// not.
+	expire func(cause error)
+	// path watches the connection to the target; nil if the request goes over another host.
+	path *detour.Attempt
 }
 
 // startSilenceTimer returns the context of an attempt and its timer. Runs is the
@@ -39,17 +45,40 @@
 		return ctx, silenceTimer
 	}
 	silenceTimer.timeout = max(silentObjectiveFactor*route.Objective, silentGapFactor*route.EventGap, silentExpectedFactor*grant.Estimate)
-	silenceTimer.timer = time.AfterFunc(silenceTimer.timeout, func() {
+	silenceTimer.expire = func(cause error) {
 		// Without retry budget the attempt goes on, as the target may still answer.
-		if forwarding.reserveRetry() {
-			cancel(errSilent)
+		if ctx.Err() == nil && forwarding.reserveRetry() {
+			cancel(cause)
 		}
-	})
+	}
+	silenceTimer.timer = time.AfterFunc(silenceTimer.timeout, func() { silenceTimer.expire(errSilent) })
 	return ctx, silenceTimer
 }
 
+// expireEarly ends an attempt whose target is silent as this host does not reach it.
+func (silenceTimer *silenceTimer) expireEarly() {
+	if silenceTimer.expire != nil {
+		silenceTimer.expire(errNotReached)
+	}
+}
+
+// heard records that the target has sent something.
+func (silenceTimer *silenceTimer) heard() {
+	if silenceTimer.path != nil {
+		silenceTimer.path.Heard()
+	}
+}
+
+// endPath ends the watch of the connection.
+func (silenceTimer *silenceTimer) endPath() {
+	if silenceTimer.path != nil {
+		silenceTimer.path.End()
+	}
+}
+
 // reset restarts the timer after the target has sent something.
 func (silenceTimer *silenceTimer) reset() {
+	silenceTimer.heard()
 	if silenceTimer.timer != nil && silenceTimer.timer.Stop() {
 		silenceTimer.timer.Reset(silenceTimer.timeout)
 	}
@@ -65,7 +94,7 @@
 // failureReason returns the text for a failed attempt's event: the target's
 // silence if that ended it, else the error.
 func (silenceTimer *silenceTimer) failureReason(err error) string {
-	if cause := context.Cause(silenceTimer.ctx); errors.Is(cause, errSilent) {
+	if cause := context.Cause(silenceTimer.ctx); errors.Is(cause, errSilent) || errors.Is(cause, errNotReached) {
 		return cause.Error()
 	}
 	return err.Error()
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -72,10 +72,10 @@
 // Attempts tracks the requests that this host has sent to targets, to find out which
 // of them ran on a target when it ended. Its fields are set before use.
 type Attempts struct {
-	// Dial opens a connection to a target within DialTimeout.
-	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
-	DialTimeout time.Duration
-	Events      *timeline.Recorder
+	// Check opens a connection to a target within CheckTimeout, and closes it.
+	Check        func(ctx context.Context, target *balance.Target) error
+	CheckTimeout time.Duration
+	Events       *timeline.Recorder
 	// OnCrash is called for each request that a target ran when it ended, and again
 	// when better evidence is found. OnAnswer is called when a target answers. Both
 	// may be nil; they must not call Attempts.
@@ -286,13 +286,10 @@
 }
 
 func (attempts *Attempts) checkTarget(target *trackedTarget) {
-	ctx, cancel := context.WithTimeout(context.Background(), attempts.DialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), attempts.CheckTimeout)
 	defer cancel()
-	conn, err := attempts.Dial(ctx, "tcp", target.Address)
-	if err == nil {
-		// The connection was only opened to see whether the target accepts it.
-		_ = conn.Close()
-	}
+	checked := target.Target
+	err := attempts.Check(ctx, &checked)
 	attempts.mutex.Lock()
 	now := time.Now()
 	result, evidence := attempts.judge(target, err)
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -35,14 +35,14 @@
 					C: qt.New(t), targets: map[string]*balance.Target{}, entries: map[string]*balance.Target{},
 					attempts: map[string]*Attempt{}, dials: map[string]string{},
 				}
-				script.tracker = &Attempts{Dial: script.dial, DialTimeout: 300 * time.Millisecond, OnCrash: script.recordCrash}
+				script.tracker = &Attempts{Check: script.check, CheckTimeout: 300 * time.Millisecond, OnCrash: script.recordCrash}
 				go func() { _ = script.tracker.Run(ctx) }()
 				for line := range strings.Lines(string(file.Data)) {
 					script.run(strings.Fields(line))
 				}
 				cancel()
 				// Checks in progress end.
-				time.Sleep(script.tracker.DialTimeout)
+				time.Sleep(script.tracker.CheckTimeout)
 				synctest.Wait()
 			})
 		})
@@ -139,20 +139,18 @@
 	script.tracker.SetTargets(targets)
 }
 
-func (script *script) dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (script *script) check(ctx context.Context, target *balance.Target) error {
 	script.mutex.Lock()
-	result := script.dials[address]
+	result := script.dials[target.Address]
 	script.mutex.Unlock()
 	switch result {
 	case "refused":
-		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		return &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	case "silent":
 		<-ctx.Done()
-		return nil, fmt.Errorf("dial: %w", ctx.Err())
+		return fmt.Errorf("dial: %w", ctx.Err())
 	}
-	near, far := net.Pipe()
-	_ = far.Close()
-	return near, nil
+	return nil
 }
 
 func (script *script) recordCrash(crash Crash) {
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -82,6 +82,16 @@
 	return connections.dial(ctx, address)
 }
 
+// Warm opens a connection to an address and keeps it for a request.
+func (connections *Connections) Warm(ctx context.Context, address string) error {
+	connection, err := connections.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	connections.keepIdle(connection)
+	return nil
+}
+
 func (connections *Connections) popIdle(address string) *connection {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
@@ -141,6 +151,11 @@
 // others are idle or more than MaxOpen are open.
 func (connections *Connections) putIdle(ended *connection) {
 	ended.uses++
+	connections.keepIdle(ended)
+}
+
+// keepIdle is putIdle for a connection that may not have carried a request.
+func (connections *Connections) keepIdle(ended *connection) {
 	ended.idleSince = time.Now()
 	if ended.noReuse || ended.reader.Buffered() > 0 {
 		ended.close()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -223,6 +223,14 @@
 	stopAbort func() bool
 	readToEnd bool
 	closed    bool
+	// release is called by Close if the body comes from another host.
+	release func()
+}
+
+// NewBody returns the body of an answer that comes over another host. Its content returns
+// io.EOF only at the end of a complete body; release is called once, by Close.
+func NewBody(content io.Reader, release func()) *Body {
+	return &Body{content: content, release: release}
 }
 
 // Read returns io.EOF only at the end of a complete body.
@@ -237,6 +245,9 @@
 // Discard reads a body that nobody needs to its end, so that its connection can be reused.
 // It gives up after maxDiscardBytes or discardTimeout; Close then closes the connection.
 func (body *Body) Discard() {
+	if body.release != nil {
+		return
+	}
 	// Without a deadline, or if the read fails, the connection is not reused.
 	if body.connection.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
 		return
@@ -254,6 +265,10 @@
 		return nil
 	}
 	body.closed = true
+	if body.release != nil {
+		body.release()
+		return nil
+	}
 	if !body.stopAbort() || !body.readToEnd || !body.connection.waitBodyWritten() {
 		body.connection.close()
 		return nil
