balance, exchange, platform: spare servers that fall over when they turn away too much

What callers would see: servers that say Server-Brittle end one after the other under load, and nearly nothing is served until it ends.

Cause: the header was not read. A plain service was sent twice its slots, and hosts that learn of each other's requests with a delay use the same free slots.

Change: while a target of a pool has said within 5 s that it is brittle, none may wait there, and each slot belongs to one host, by the target's id and the order of the known hosts; a slot of another host is used only while the target has far more room than all hosts need meanwhile. A host that is turned away leaves the target alone for a second or longer. Hosts tell what they heard in their reports (2 bytes and the pool's name, only meanwhile), as one without slots hears it from no target.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,7 +97,9 @@
 	Queues []Queue
 	Speeds []Speed
 	// Leaving are targets that recently said to the host that they leave.
-	Leaving    []Incarnation
+	Leaving []Incarnation
+	// Brittle are the pools whose targets recently said to the host that they are.
+	Brittle    []BrittlePool
 	ReceivedAt time.Time
 }
 
@@ -137,7 +139,10 @@
 	// HostCount returns the number of hosts that share the targets, this one
 	// included. Nil means 1.
 	HostCount func() int
-	// ZoneHostCount is the same for the hosts of this host's zone. If it is not nil, targets
+	// HostShare returns this host's number among the hosts that share the targets, from 0
+	// on, and their count. Nil means the only one.
+	HostShare func() (index, count int)
+	// ZoneHostCount is HostCount for the hosts of this host's zone. If it is not nil, targets
 	// of the zone are preferred while reports are delayed.
 	ZoneHostCount func() int
 	// OnZoneChange is called when another zone is considered unreachable, and when
@@ -195,6 +200,12 @@
 	baseLatency float64
 	// refusedFraction is the running average of the fraction of tickets refused.
 	refusedFraction float64
+	// brittleLimit is the number of requests that a target can turn away in a second, as
+	// one said; it holds until brittleUntil.
+	brittleLimit int
+	brittleUntil time.Time
+	// brittleSeenAt is when a target last said so to this host.
+	brittleSeenAt time.Time
 	// observed are the targets that ended requests since their speeds were last reported.
 	observed []*targetState
 	// arrivals counts this host's tickets. averageHoldTime is the running average
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -15,6 +15,8 @@
 // capacity returns the maximum number of requests in flight at a target.
 func (pool *pool) capacity(targetState *targetState) int {
 	switch {
+	case pool.isBrittle(time.Now()):
+		return targetState.Slots
 	case !pool.isEngine:
 		return plainCapacityPerSlot * targetState.Slots
 	case pool.contended:
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -152,6 +152,9 @@
 		targetState.backlogTokens -= grant.promptTokens
 	}
 	targetState.recordEnd(outcome, grant)
+	if now := time.Now(); outcome == Full && pool.isBrittle(now) {
+		targetState.backoffUntil = now.Add(balancer.brittleBackoff(pool))
+	}
 	balancer.dispatch(pool)
 }
 
--- a/balance/report.go
+++ b/balance/report.go
@@ -17,6 +17,7 @@
 	balancer.reports[report.Host] = report
 	balancer.addToSums(report, 1)
 	balancer.learnReported(report)
+	balancer.learnBrittle(report)
 	for _, speed := range report.Speeds {
 		if targetState := balancer.targets[speed.Target]; targetState != nil {
 			targetState.addReport(speed)
@@ -104,7 +105,11 @@
 				Use{Target: id, InFlight: targetState.inFlight, Backlog: targetState.backlogTokens})
 		}
 	}
+	now := time.Now()
 	for _, pool := range balancer.pools {
+		if now.Sub(pool.brittleSeenAt) <= brittleReportTime {
+			report.Brittle = append(report.Brittle, BrittlePool{Pool: pool.name, Limit: pool.brittleLimit})
+		}
 		report.Queues = append(report.Queues, pool.queueReport()...)
 		report.Speeds = append(report.Speeds, pool.takeObserved()...)
 	}
--- a/balance/share.go
+++ b/balance/share.go
@@ -127,6 +127,9 @@
 	if balancer.rate(targetState) > 0 {
 		return balancer.isPermitted(targetState)
 	}
+	if now := time.Now(); pool.isBrittle(now) {
+		return balancer.acceptsBrittle(pool, targetState, now)
+	}
 	return !pool.contended || targetState.remainingShare > 0
 }
 
--- a/exchange/convert.go
+++ b/exchange/convert.go
@@ -103,6 +103,22 @@
 	return messages
 }
 
+func encodeBrittle(pools []balance.BrittlePool) []*exchangepb.BrittlePool {
+	messages := make([]*exchangepb.BrittlePool, len(pools))
+	for i, pool := range pools {
+		messages[i] = &exchangepb.BrittlePool{Pool: pool.Pool, Limit: uint32(pool.Limit)}
+	}
+	return messages
+}
+
+func decodeBrittle(messages []*exchangepb.BrittlePool) []balance.BrittlePool {
+	pools := make([]balance.BrittlePool, len(messages))
+	for i, message := range messages {
+		pools[i] = balance.BrittlePool{Pool: message.GetPool(), Limit: int(message.GetLimit())}
+	}
+	return pools
+}
+
 func decodeLeaving(messages []*exchangepb.LeavingTarget) []balance.Incarnation {
 	incarnations := make([]balance.Incarnation, len(messages))
 	for i, message := range messages {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -92,6 +92,7 @@
 	// the hosts that send requests for others.
 	members    atomic.Pointer[limit.Members]
 	forwarders atomic.Pointer[[]Forwarder]
+	share      atomic.Pointer[share]
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -253,6 +254,7 @@
 		Summaries:      summaries,
 		Link:           exchange.Link,
 		LeavingTargets: encodeLeaving(balanceReport.Leaving),
+		Brittle:        encodeBrittle(balanceReport.Brittle),
 		Direct:         !exchange.usesSummaries(),
 
 		TargetsVerifiedMs: verifiedAge(versions.TargetsVerified),
@@ -343,6 +345,7 @@
 			Speeds: decodeSpeeds(message.GetSpeeds()),
 
 			Leaving: decodeLeaving(message.GetLeavingTargets()),
+			Brittle: decodeBrittle(message.GetBrittle()),
 		})
 	}
 	for _, summary := range message.GetSummaries() {
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -126,6 +126,18 @@
 // this one.
 func (exchange *Exchange) ZoneHosts() int { return max(1, int(exchange.liveZoneHosts.Load())) }
 
+// share is the result of Share.
+type share struct{ index, count int }
+
+// Share returns this host's place in the order of the known hosts that did not leave or end,
+// from 0 on, and their number. Hosts may disagree until they have received the same reports.
+func (exchange *Exchange) Share() (index, count int) {
+	if share := exchange.share.Load(); share != nil {
+		return share.index, share.count
+	}
+	return 0, 1
+}
+
 // Turn returns the number of hosts that are not silent before this one in the order of all.
 // Hosts may disagree on the order until they have received the same reports.
 func (exchange *Exchange) Turn() int { return int(exchange.turn.Load()) }
@@ -243,8 +255,11 @@
 	members := &limit.Members{
 		Others: exchange.livePeerAddresses(), Zones: map[string]string{exchange.Address: exchange.Zone}, Known: 1,
 	}
-	now, knownPeers := time.Now(), 0
+	now, knownPeers, place := time.Now(), 0, 0
 	for address, peer := range exchange.peers {
+		if peer.mayRun(now) && address < exchange.Address {
+			place++
+		}
 		if peer.alive {
 			members.Zones[address] = peer.zone
 		}
@@ -257,6 +272,7 @@
 		}
 	}
 	exchange.knownPeers.Store(int64(knownPeers))
+	exchange.share.Store(&share{index: place, count: members.Known})
 	exchange.listForwarders()
 	before := exchange.members.Load()
 	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -227,7 +227,7 @@
 	}
 	relay.speeds = nil
 	targets, queues, workspaces := map[string]int{}, map[string]*exchangepb.Queue{}, map[string]uint32{}
-	leaving := map[balance.Incarnation]bool{}
+	leaving, brittle := map[balance.Incarnation]bool{}, map[string]*exchangepb.BrittlePool{}
 	now := time.Now()
 	for host, member := range relay.members {
 		if now.Sub(member.lastReceived) > silenceTimeout {
@@ -260,8 +260,12 @@
 		for _, incarnation := range decodeLeaving(member.report.GetLeavingTargets()) {
 			leaving[incarnation] = true
 		}
+		for _, pool := range member.report.GetBrittle() {
+			brittle[pool.GetPool()] = pool
+		}
 	}
 	summary.LeavingTargets = encodeLeaving(slices.Collect(maps.Keys(leaving)))
+	summary.Brittle = slices.Collect(maps.Values(brittle))
 	summary.Queues = slices.Collect(maps.Values(queues))
 	return summary
 }
--- a/exchange/summary.go
+++ b/exchange/summary.go
@@ -108,6 +108,7 @@
 		Speeds: decodeSpeeds(summary.GetSpeeds()),
 
 		Leaving: decodeLeaving(summary.GetLeavingTargets()),
+		Brittle: decodeBrittle(summary.GetBrittle()),
 	}
 	for _, member := range summary.GetMembers() {
 		if member.GetHost() != exchange.Host || member.GetLife() != exchange.Incarnation {
--- a/gateway/announcement.go
+++ b/gateway/announcement.go
@@ -16,6 +16,11 @@
 		Number: 1125, Name: "leaving target learned", Level: timeline.Info,
 		Meaning: "Another host, or the summary of a zone, which the peer names, said that the target leaves. It gets no new requests from this host either.",
 	})
+	eventBrittle = timeline.Define(timeline.Kind{
+		Number: 1136, Name: "targets are brittle", Level: timeline.Warn,
+		Meaning: "A target said that those of its pool end when one has to turn away more requests in a second than the fact limit. Hosts let none wait there and divide the slots among them, until none has said so for 5 s.",
+		Action:  "find out why the targets are in need; more requests are refused meanwhile",
+	})
 	eventTargetRests = timeline.Define(timeline.Kind{
 		Number: 1124, Name: "target rests", Level: timeline.Info, Frequent: true,
 		Meaning: "A target turned a request away and wants no requests from this host for the time in the fact rest.",
@@ -24,6 +29,7 @@
 
 var (
 	leavingAnnounced = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="leaving"}`)
+	brittleAnnounced = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="brittle"}`)
 	restsAnnounced   = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="rest"}`)
 	restsCut         = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restCut"}`)
 	restsUnreadable  = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restUnreadable"}`)
@@ -39,6 +45,12 @@
 		leavingAnnounced.Inc()
 		gateway.Events.Record(eventTargetLeaving, timeline.Event{Pool: target.Pool, Target: target.ID})
 	}
+	if reply.Brittle > 0 && gateway.Balancer.RecordBrittle(target, reply.Brittle) {
+		brittleAnnounced.Inc()
+		gateway.Events.Record(eventBrittle, timeline.Event{
+			Pool: target.Pool, Target: target.ID, Facts: []timeline.Fact{timeline.Count("limit", reply.Brittle)},
+		})
+	}
 	if reply.HasUnreadableRest {
 		restsUnreadable.Inc()
 	}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -204,6 +204,7 @@
 	host.balancer.ReportsDelayed = host.exchange.UsesSummaries
 	host.balancer.PropagationDelay = host.exchange.PropagationDelay
 	host.balancer.HostCount = host.exchange.SharingHosts
+	host.balancer.HostShare = host.exchange.Share
 	host.balancer.ZoneHostCount = host.exchange.ZoneHosts
 	host.ledger.ExpectedPeers = host.exchange.KnownPeers
 	host.balancer.OnZoneChange = func(zone string, isUnreachable bool) {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -78,6 +78,9 @@
 	// names none; HasUnreadableRest reports whether it names one that can't be read.
 	Rest              time.Duration
 	HasUnreadableRest bool
+	// Brittle is the number of requests that the target can turn away in a second without
+	// ending, 0 if it names none.
+	Brittle int
 	// Sealed reports whether the answer carries the target's signature.
 	Sealed bool
 }
