detour: send nothing that waited while the host was paused

What callers would see: a host that sends requests for others is paused for seconds, and sends what it finds then: to targets that have left meanwhile, for callers that have left, with more time than is left.

Cause: the other host's request was sent whenever it was read.

Change: a host that was not at work for half a second declines what it reads in the next 200 ms, and asks again just before it writes.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	go test -race $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 	go test ./peer -run TestMembers -hosts 330
 	go test ./exchange -run TestCrashingPartReachesAllHosts -hosts 300
+	go test ./detour -run TestFewHostsSendForMany -hosts 300
 
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint
--- a/detour/server.go
+++ b/detour/server.go
@@ -33,6 +33,11 @@
 	lagInterval = 50 * time.Millisecond
 	maxLag      = 30 * time.Millisecond
 	lagWeight   = 0.2
+	// maxPause is the longest time without work of a host after which requests that it reads
+	// are sent: what had come before a longer one may have been given up meanwhile.
+	maxPause = 500 * time.Millisecond
+	// afterPause is the time after a pause within which the host reads what came before.
+	afterPause = 200 * time.Millisecond
 )
 
 var eventSentForHost = timeline.Define(timeline.Kind{
@@ -58,8 +63,13 @@
 	Events   *timeline.Recorder
 
 	running atomic.Int64
-	// lag is the average lateness of this host's work in nanoseconds.
-	lag atomic.Int64
+	// lag is the average lateness of this host's work in nanoseconds, awakeAt when it was
+	// last seen at work, in nanoseconds since 1970.
+	lag     atomic.Int64
+	awakeAt atomic.Int64
+	// pausedUntil is when what came before the last pause has been read, also in
+	// nanoseconds since 1970.
+	pausedUntil atomic.Int64
 }
 
 // Register adds the calls to a server of other hosts' calls.
@@ -75,6 +85,10 @@
 	metrics.GetOrCreateGauge("nutmegfield_forwarded_requests", func() float64 { return float64(server.running.Load()) })
 	for {
 		began := time.Now()
+		if server.isOverdue(began) {
+			server.pausedUntil.Store(began.Add(afterPause).UnixNano())
+		}
+		server.awakeAt.Store(began.UnixNano())
 		if !pause.For(ctx, lagInterval) {
 			return nil
 		}
@@ -87,6 +101,19 @@
 // Takes reports whether this host sends requests for others at all.
 func (server *Server) Takes() bool { return server.IsDraining == nil || !server.IsDraining() }
 
+// wasPaused reports whether this host has not worked for a while, and has not been at work
+// again for long.
+func (server *Server) wasPaused() bool {
+	now := time.Now()
+	return server.isOverdue(now) || now.UnixNano() < server.pausedUntil.Load()
+}
+
+// isOverdue reports whether this host was last seen at work longer than maxPause ago.
+func (server *Server) isOverdue(now time.Time) bool {
+	awakeAt := server.awakeAt.Load()
+	return awakeAt != 0 && now.UnixNano()-awakeAt > int64(maxPause)
+}
+
 // declineReason returns why no request of a rank is taken now, empty if one is.
 func (server *Server) declineReason(rank uint32) string {
 	limit := int64(maxForwarded * (rankSteps - min(rank, maxSteps)) / rankSteps)
@@ -95,6 +122,8 @@
 		return "the host shuts down"
 	case server.running.Load() > limit:
 		return fmt.Sprintf("the host sends %d requests for others", server.running.Load()-1)
+	case server.wasPaused():
+		return "the host was paused"
 	case time.Duration(server.lag.Load()) > maxLag:
 		return fmt.Sprintf("the host is %s late", time.Duration(server.lag.Load()).Round(time.Millisecond))
 	default:
@@ -128,7 +157,7 @@
 		Body: request.GetBody(), ID: request.GetId(), FreshOnly: request.GetFreshOnly(),
 		MaySend: func() bool {
 			_, _, maySend := server.Target(decodeTarget(request.GetTarget()))
-			return maySend
+			return maySend && !server.wasPaused()
 		},
 	})
 	switch {
