gateway: withdraw grants of a host that was paused before it wrote

What callers would see: a host that stands still for seconds between the grant of a target and the write sends the request all the same: beyond a limit whose permit has run out, or with more time than its caller still waits (the header is computed before).

Cause: only leaving and resting targets were looked at before the write.

Change: a grant is used within 450 ms, else the request gets another one. Dials take at most 300 ms, so that only a pause takes longer.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,6 +28,9 @@
 	// maxCheckWait limits the wait for the check of a target before a request is
 	// sent on. It is a few round trips between zones.
 	maxCheckWait = 50 * time.Millisecond
+	// maxSendDelay is the time from a grant until the request is written. After a longer
+	// one, such as a pause of this host, the time left and the target's state are others.
+	maxSendDelay = 450 * time.Millisecond
 )
 
 var (
@@ -245,7 +248,7 @@
 		Body:      forwarding.body,
 		ID:        forwarding.call.ID,
 		FreshOnly: !forwarding.route.Retryable(),
-		MaySend:   func() bool { return forwarding.maySend(&grant.Target) },
+		MaySend:   func() bool { return time.Since(sentAt) <= maxSendDelay && forwarding.maySend(&grant.Target) },
 	})
 	defer silenceTimer.endPath()
 	if upstream.Is(err, detour.Declined) {
