origin, exchange, platform: let streams go on after all hosts ended

Cause: which version began a stream was known to hosts only.

Change: while a pool has several versions, one host of each zone writes the streams that begin in its zone to the platform, all of a quarter of a second at once (12 bytes a stream, 64 names a zone that are used again and again), and others tell it (one datagram more a stream). A take-up that no host knows waits up to 1.5 s until the records are read; in large deployments only these hosts read, and are asked. The mark that a pool has several versions is written at once, by the first host of each zone: before, by one host within a second. Records of unknown formats, cut or too large ones are passed over.

Two scripts of TestOrigins begin their stream a little later, so that no record of it is written yet.

--- a/exchange/origins.go
+++ b/exchange/origins.go
@@ -28,8 +28,8 @@
 
 // SendOrigins sends a message about streams to a host, in as many datagrams as it needs.
 func (exchange *Exchange) SendOrigins(address string, message *origin.Message) {
-	beginnings, questions, answers := message.Beginnings, message.Questions, message.Answers
-	for len(beginnings)+len(questions)+len(answers) > 0 {
+	beginnings, questions, answers, records := message.Beginnings, message.Questions, message.Answers, message.Records
+	for len(beginnings)+len(questions)+len(answers)+len(records) > 0 {
 		encoded := &exchangepb.Origins{Address: exchange.Address}
 		for ; len(beginnings) > 0 && len(encoded.GetBeginnings()) < maxOriginItems; beginnings = beginnings[1:] {
 			encoded.Beginnings = append(encoded.Beginnings, &exchangepb.Beginning{
@@ -44,6 +44,11 @@
 		for ; len(answers) > 0 && len(encoded.GetAnswers()) < maxOriginItems; answers = answers[1:] {
 			encoded.Answers = append(encoded.Answers, encodeOriginAnswer(&answers[0]))
 		}
+		for ; len(records) > 0 && len(encoded.GetRecords()) < maxOriginItems; records = records[1:] {
+			encoded.Records = append(encoded.Records, &exchangepb.Beginning{
+				Stream: uint64(records[0].Stream), Version: uint32(records[0].Version),
+			})
+		}
 		datagram, err := proto.MarshalOptions{}.MarshalAppend([]byte{originsMarker}, encoded)
 		if err != nil {
 			// Only text that isn't valid UTF-8 can't be encoded; such a question is lost.
@@ -64,9 +69,9 @@
 		return
 	}
 	switch {
-	case exchange.livePeer(message.GetAddress()) == "" && len(message.GetBeginnings())+len(message.GetAnswers()) > 0:
+	case exchange.livePeer(message.GetAddress()) == "" && len(message.GetBeginnings())+len(message.GetAnswers())+len(message.GetRecords()) > 0:
 		exchange.rejectOrigins(message.GetAddress(), "not a live host")
-	case len(message.GetBeginnings())+len(message.GetQuestions())+len(message.GetAnswers()) > maxReceivedOriginItems:
+	case len(message.GetBeginnings())+len(message.GetQuestions())+len(message.GetAnswers())+len(message.GetRecords()) > maxReceivedOriginItems:
 		exchange.rejectOrigins(message.GetAddress(), "too many items")
 	default:
 		exchange.Origins.Receive(message.GetAddress(), decodeOrigins(message))
@@ -81,7 +86,7 @@
 func encodeOriginAnswer(answer *origin.Answer) *exchangepb.OriginAnswer {
 	return &exchangepb.OriginAnswer{
 		Stream: uint64(answer.Stream), Version: uint32(answer.Version), Only: uint32(answer.Pool.Only),
-		Mixed: answer.Pool.IsMixed, Established: answer.Pool.IsEstablished,
+		Mixed: answer.Pool.IsMixed, Established: answer.Pool.IsEstablished, HasRead: answer.HasRead,
 	}
 }
 
@@ -92,6 +97,11 @@
 			Stream: origin.Stream(beginning.GetStream()), Version: balance.VersionID(beginning.GetVersion()),
 		})
 	}
+	for _, beginning := range message.GetRecords() {
+		decoded.Records = append(decoded.Records, origin.Beginning{
+			Stream: origin.Stream(beginning.GetStream()), Version: balance.VersionID(beginning.GetVersion()),
+		})
+	}
 	for _, question := range message.GetQuestions() {
 		decoded.Questions = append(decoded.Questions, origin.Question{
 			Stream: origin.Stream(question.GetStream()), Pool: question.GetPool(),
@@ -99,7 +109,7 @@
 	}
 	for _, answer := range message.GetAnswers() {
 		decoded.Answers = append(decoded.Answers, origin.Answer{
-			Stream: origin.Stream(answer.GetStream()), Version: balance.VersionID(answer.GetVersion()),
+			Stream: origin.Stream(answer.GetStream()), Version: balance.VersionID(answer.GetVersion()), HasRead: answer.GetHasRead(),
 			Pool: origin.PoolState{
 				Only: balance.VersionID(answer.GetOnly()), IsMixed: answer.GetMixed(), IsEstablished: answer.GetEstablished(),
 			},
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -142,6 +142,22 @@
 // Hosts may disagree on the order until they have received the same reports.
 func (exchange *Exchange) Turn() int { return int(exchange.turn.Load()) }
 
+// ZoneLeader returns the address of the first host in the order of this host's zone, empty if
+// that is this host.
+func (exchange *Exchange) ZoneLeader() string {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if exchange.leads(1) {
+		return ""
+	}
+	for address, peer := range exchange.peers {
+		if peer.alive && peer.zone == exchange.Zone && peer.rank == 0 {
+			return address
+		}
+	}
+	return ""
+}
+
 // MissesZone reports whether all hosts of some zone are silent that this host has heard
 // of within peerRemovalTimeout.
 func (exchange *Exchange) MissesZone() bool {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -73,6 +74,8 @@
 	DecodeTarget func(name string, value []byte) (balance.Target, error)
 	// Marks are those of pools whose targets have several versions.
 	Marks origin.Marks
+	// Streams are the records of streams that began while their pools had several versions.
+	Streams origin.Records
 	// Quarantines are the records of quarantined requests.
 	Quarantines quarantine.Records
 	// Eras are those of the platform; its OnChange is set by the gateway.
@@ -149,7 +152,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
-			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.paths.Run, host.detourServer.Run,
+			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.paths.Run, host.detourServer.Run,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
@@ -257,7 +260,9 @@
 	host.origins = &origin.Origins{
 		Members: func() []string { return host.exchange.Members().Others }, Send: host.exchange.SendOrigins,
 		VerifiedAt: host.targetFollower.VerifiedAt, Marks: sources.Marks, Events: events,
-		KeepsMarks: func() bool { return host.exchange.Turn() == 0 },
+		KeepsMarks: func() bool { return host.exchange.Leads(1) },
+		Records:    sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: host.longestStream,
+		ReadsRecords: func() bool { return !host.exchange.UsesSummaries() },
 	}
 	host.exchange.Origins = host.origins
 	host.limiter = &limit.Limiter{
@@ -441,6 +446,19 @@
 	return max(1, (*limits)[address]/host.exchange.SharingHosts())
 }
 
+// longestStream returns the longest timeout of the routes for streams.
+func (host *host) longestStream() time.Duration {
+	longest := time.Duration(0)
+	if table := host.routes.Table(); table != nil {
+		for i := range table.Configuration.Routes {
+			if route := &table.Configuration.Routes[i]; route.Streaming {
+				longest = max(longest, cmp.Or(route.Timeout, defaultTimeout))
+			}
+		}
+	}
+	return cmp.Or(longest, defaultTimeout)
+}
+
 // serveReadiness answers readiness checks of the load balancer: 503 while draining
 // or without routes, else 200.
 func (host *host) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -12,10 +12,10 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/balance"
-	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 )
 
@@ -90,6 +90,8 @@
 	// Version is 0 if the host does not know the stream.
 	Version balance.VersionID
 	Pool    PoolState
+	// HasRead is set if the host has just read the platform's records.
+	HasRead bool
 }
 
 // Message is what hosts tell each other.
@@ -97,6 +99,8 @@
 	Beginnings []Beginning
 	Questions  []Question
 	Answers    []Answer
+	// Records are streams that the receiver has to record.
+	Records []Beginning
 }
 
 // record is what is known of a stream.
@@ -119,7 +123,17 @@
 	Marks      Marks
 	// KeepsMarks reports whether this host writes marks for all.
 	KeepsMarks func() bool
-	Events     *timeline.Recorder
+	// Records are the platform's records of streams. Recorder returns the address of the
+	// host that writes them for this host's zone, empty for this host; nil means that there
+	// are none. ReadsRecords reports whether this host reads them itself anyway.
+	Records      Records
+	Recorder     func() string
+	ReadsRecords func() bool
+	// Zone is this host's zone.
+	Zone string
+	// Longest returns how long streams last at most; nil means streamLifetime.
+	Longest func() time.Duration
+	Events  *timeline.Recorder
 
 	pools pools
 
@@ -128,9 +142,17 @@
 	// waiting are the questions of this host that wait for answers.
 	waiting map[Stream][]chan<- reply
 	// marksMutex guards what the platform's marks said when they were last read.
-	marksMutex  sync.Mutex
-	marks       map[string]time.Time
-	marksReadAt time.Time
+	// recordsMutex guards unsaved, the streams that this host has to record, and mixed. readMutex is
+	// held while the records are read, last at recordsReadAt.
+	recordsMutex sync.Mutex
+	unsaved      []Beginning
+	// mixed is the result of mixedPools.
+	mixed         chan struct{}
+	readMutex     sync.Mutex
+	recordsReadAt atomic.Pointer[time.Time]
+	marksMutex    sync.Mutex
+	marks         map[string]time.Time
+	marksReadAt   time.Time
 }
 
 // reply is an answer with the address of the host that gave it.
@@ -147,6 +169,11 @@
 		origins.Events.Record(eventVersions, timeline.Event{Pool: pool.name, Detail: pool.describe()})
 	}
 	if len(mixed) > 0 {
+		select {
+		case origins.mixedPools() <- struct{}{}:
+		default:
+			// The last one was not seen to yet.
+		}
 		origins.retell(now)
 	}
 }
@@ -163,6 +190,7 @@
 	}
 	origins.mutex.Unlock()
 	origins.tell(untold)
+	origins.keep(untold)
 }
 
 // tell tells the keepers of streams of them.
@@ -192,7 +220,9 @@
 	origins.remember(stream, &record{version: version, pool: pool, begunAt: now, isOwn: true, isTold: isTold})
 	origins.mutex.Unlock()
 	if isTold {
-		origins.tell([]Beginning{{Stream: stream, Version: version}})
+		beginnings := []Beginning{{Stream: stream, Version: version}}
+		origins.tell(beginnings)
+		origins.keep(beginnings)
 	}
 }
 
@@ -214,9 +244,13 @@
 	for _, beginning := range message.Beginnings {
 		origins.remember(beginning.Stream, &record{version: beginning.Version, begunAt: now})
 	}
+	for _, beginning := range message.Records {
+		origins.remember(beginning.Stream, &record{version: beginning.Version, begunAt: now})
+	}
 	for _, question := range message.Questions {
 		answer.Answers = append(answer.Answers, Answer{
 			Stream: question.Stream, Version: origins.known(question.Stream), Pool: origins.pools.state(question.Pool, now),
+			HasRead: origins.hasRead(),
 		})
 	}
 	for _, answer := range message.Answers {
@@ -229,9 +263,25 @@
 		}
 	}
 	origins.mutex.Unlock()
+	if len(message.Records) > 0 {
+		origins.addUnsaved(message.Records)
+	}
 	if len(answer.Answers) > 0 {
 		origins.Send(address, answer)
 	}
+	if origins.mustRead(answer.Answers) {
+		// A failed read is recorded, and the question comes again.
+		go func() { _ = origins.readRecords(context.Background()) }()
+	}
+}
+
+// mustRead reports whether this host has to read the records for answers without a version:
+// it does so for others, and has not just done it.
+func (origins *Origins) mustRead(answers []Answer) bool {
+	if origins.Recorder == nil || origins.Recorder() != "" || origins.hasRead() {
+		return false
+	}
+	return slices.ContainsFunc(answers, func(answer Answer) bool { return answer.Version == 0 && answer.Pool.Only == 0 })
 }
 
 // known returns the version that began a stream, 0 if it is not known. The caller holds the
@@ -262,6 +312,9 @@
 	if version, from := origins.onlyVersion(ctx, pool, answers); version != 0 {
 		return origins.recordFound(request, pool, version, from)
 	}
+	if version := origins.findRecorded(ctx, Question{Stream: stream, Pool: pool}); version != 0 {
+		return origins.recordFound(request, pool, version, "known to the platform")
+	}
 	countFound("unknown")
 	origins.Events.Record(eventUnknown, timeline.Event{
 		Request: request, Pool: pool,
@@ -413,11 +466,31 @@
 // ends. It returns nil.
 func (origins *Origins) Run(ctx context.Context) error {
 	marked := map[string]time.Time{}
-	for pause.For(ctx, forgetInterval) {
-		origins.forget(time.Now())
+	ticker := time.NewTicker(forgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+		case <-origins.mixedPools():
+			// All hosts may end before the next tick.
+		case <-ticker.C:
+			origins.forget(time.Now())
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
 		origins.keepMarks(ctx, marked)
 	}
-	return nil
+}
+
+// mixedPools receives a value when a pool has got several versions.
+func (origins *Origins) mixedPools() chan struct{} {
+	origins.recordsMutex.Lock()
+	defer origins.recordsMutex.Unlock()
+	if origins.mixed == nil {
+		origins.mixed = make(chan struct{}, 1)
+	}
+	return origins.mixed
 }
 
 func (origins *Origins) forget(now time.Time) {
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -30,7 +30,7 @@
 	for _, file := range archive.Files {
 		t.Run(file.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				script := &script{C: qt.New(t), hosts: map[string]*testHost{}, marks: map[string][]byte{}, random: rand.New(rand.NewPCG(1, 1))}
+				script := &script{C: qt.New(t), hosts: map[string]*testHost{}, marks: map[string][]byte{}, records: map[string][]byte{}, random: rand.New(rand.NewPCG(1, 1))}
 				for line := range strings.Lines(string(file.Data)) {
 					t.Log(line)
 					script.run(t.Context(), strings.Fields(line))
@@ -55,8 +55,11 @@
 	// isAway means that the platform can't be reached, isLossy that messages
 	// are lost.
 	isAway, isLossy bool
-	random          *rand.Rand
-	messages        int
+	// records are those of streams; isLarge means that only one host of the zone reads them.
+	records  map[string][]byte
+	isLarge  bool
+	random   *rand.Rand
+	messages int
 }
 
 type testHost struct {
@@ -73,6 +76,9 @@
 //	start HOST ..., kill HOST ...
 //	cut HOST, heal HOST          it hears no other host
 //	away, back                   the platform
+//	later DURATION COMMAND       away or back, in a while
+//	large                        only one host reads the records of streams
+//	spoil                        adds records that can't be read
 //	lossy                        every third message is lost, at random
 //	begin HOST STREAM VERSION
 //	wait DURATION
@@ -111,6 +117,19 @@
 		set(func() { script.isAway = true })
 	case "back":
 		set(func() { script.isAway = false })
+	case "later":
+		duration, err := time.ParseDuration(words[1])
+		script.Assert(err, qt.IsNil)
+		time.AfterFunc(duration, func() { script.run(ctx, words[2:]) })
+	case "large":
+		script.isLarge = true
+	case "spoil":
+		for name, value := range map[string]string{
+			"text": "no record", "later": `{"format":9,"streams":"AAAAAAAAAAAAAAAA"}`, "cut": `{"format":1,"streams":"AAAA"}`,
+			"large": `{"format":1,"streams":"` + strings.Repeat("AAAA", maxRecordBytes) + `"}`,
+		} {
+			set(func() { script.records[name] = []byte(value) })
+		}
 	case "lossy":
 		set(func() { script.isLossy = true })
 	case "begin":
@@ -174,6 +193,36 @@
 			}
 			return host.verifiedAt
 		},
+		Zone:    "z",
+		Longest: func() time.Duration { return 15 * time.Second },
+		Recorder: func() string {
+			script.mutex.Lock()
+			defer script.mutex.Unlock()
+			if first := slices.Min(slices.Collect(maps.Keys(script.hosts))); first != name {
+				return first
+			}
+			return ""
+		},
+		ReadsRecords: func() bool { return !script.isLarge },
+		Records: Records{
+			List: func(context.Context) (map[string][]byte, error) {
+				script.mutex.Lock()
+				defer script.mutex.Unlock()
+				if script.isAway {
+					return nil, errors.New("away")
+				}
+				return maps.Clone(script.records), nil
+			},
+			Save: func(_ context.Context, name string, value []byte) error {
+				script.mutex.Lock()
+				defer script.mutex.Unlock()
+				if script.isAway {
+					return errors.New("away")
+				}
+				script.records[name] = value
+				return nil
+			},
+		},
 		KeepsMarks: func() bool {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
@@ -204,6 +253,7 @@
 	script.mutex.Unlock()
 	host.origins.SetTargets(script.targets())
 	go func() { _ = host.origins.Run(ctx) }()
+	go func() { _ = host.origins.RunRecords(ctx) }()
 }
 
 // send delivers a message after a millisecond.
