--- a/detour/bench_test.go
+++ b/detour/bench_test.go
@@ -71,7 +71,7 @@
 	var first time.Duration
 	for b.Loop() {
 		began := time.Now()
-		request := &upstream.Request{Method: http.MethodGet, Target: "/path", Host: "h", ID: "1", Header: http.Header{"Id": {"1"}, "X-Deadline-Ms": {"4000"}}}
+		request := &upstream.Request{Method: http.MethodGet, Target: "/path", Host: "h", ID: "1", Header: http.Header{"Id": {"1"}, "Other": {"4000"}}}
 		var answer *upstream.Answer
 		if isDetour {
 			answer, err = client.Exchange(b.Context(), &Call{Request: request, Target: &listed})
--- a/origin/records.go
+++ b/origin/records.go
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, recordWait)
 	defer cancel()
 	for {
-		isRead := false
+		var isRead bool
 		if address := origins.Recorder(); address == "" || origins.ReadsRecords() {
 			isRead = origins.readRecords(ctx) == nil
 		} else {
