gateway: let streams that go on come first, and wait as long as their callers do

What callers saw: when all hosts have ended, all broken streams are taken up at once, while there is little room.

Cause: a stream that is taken up was taken for one that begins, for a caller that came back: last in its rank, and refused after its objective, which its first event had met long before.

Change: within a rank streams that go on come first; they are in time while the caller waits for the next event, as the silence of a target is.

TestStreamsThatGoOnComeFirst fails without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -211,9 +211,7 @@
 		Deadline:     forwarding.deadline,
 		Version:      forwarding.version,
 		Exclude:      forwarding.triedTargets,
-	}
-	if forwarding.route.Objective > 0 && !forwarding.headerWritten {
-		ticket.Due = forwarding.arrivedAt.Add(forwarding.route.Objective)
+		Due:          forwarding.due(),
 	}
 	if engine := forwarding.pool.Engine; engine != nil && engine.EventTokens > 0 {
 		ticket.ExpectedEvents = forwarding.call.ExpectedTokens / engine.EventTokens
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,12 +279,33 @@
 }
 
 // queueTier returns the tier for the balancer's queue: by rank, and within a rank
-// callers that were refused before come last, as their answers are late already.
+// streams that go on come first, as a part of them is delivered, and callers that were
+// refused before last, as their answers are late already.
 func (forwarding *forwarding) queueTier() int {
-	if forwarding.isRetry {
-		return 2*forwarding.rank + 1
+	const placesPerRank = 3
+	switch {
+	case forwarding.resumedAfter() != "":
+		return placesPerRank * forwarding.rank
+	case forwarding.isRetry:
+		return placesPerRank*forwarding.rank + 2
+	default:
+		return placesPerRank*forwarding.rank + 1
+	}
+}
+
+// due returns the time until which the first event, or the answer, is in time; zero if there
+// is none. The first event of a stream that its caller takes up was delivered before: it is
+// in time while the caller still waits for the next one.
+func (forwarding *forwarding) due() time.Time {
+	route := forwarding.route
+	switch {
+	case route.Objective <= 0 || forwarding.headerWritten:
+		return time.Time{}
+	case forwarding.resumedAfter() != "":
+		return forwarding.arrivedAt.Add(max(silentObjectiveFactor*route.Objective, silentGapFactor*route.EventGap))
+	default:
+		return forwarding.arrivedAt.Add(route.Objective)
 	}
-	return 2 * forwarding.rank
 }
 
 // readBody reads the caller's body. It returns false if the body is too long and the
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -75,3 +76,25 @@
 		})
 	}
 }
+
+// TestStreamsThatGoOnComeFirst guards against streams of which callers have a part and that
+// are refused while new ones of their rank begin: when all hosts have ended, all are taken up
+// at once while there is little room.
+func TestStreamsThatGoOnComeFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	route := &route.Route{Objective: 600 * time.Millisecond, EventGap: 500 * time.Millisecond}
+	resumed := &forwarding{route: route, rank: 1, isRetry: true, call: Call{LastEventID: "3"}, arrivedAt: now}
+	begins := &forwarding{route: route, rank: 1, arrivedAt: now}
+	returned := &forwarding{route: route, rank: 1, isRetry: true, arrivedAt: now}
+	important := &forwarding{route: route, isRetry: true, arrivedAt: now}
+	order := []*forwarding{important, resumed, begins, returned}
+	for i := range order[1:] {
+		c.Assert(order[i].queueTier() < order[i+1].queueTier(), qt.IsTrue, qt.Commentf("%d", i))
+	}
+	c.Assert(begins.due().Sub(now), qt.Equals, route.Objective)
+	c.Assert(resumed.due().Sub(now), qt.Equals, 2*time.Second)
+	goesOn := &forwarding{route: route, headerWritten: true, lastEventID: "3", arrivedAt: now}
+	c.Assert(goesOn.due().IsZero(), qt.IsTrue)
+	c.Assert(goesOn.queueTier(), qt.Equals, 0)
+}
