origin, docs: write a record of streams up to three times

Change: the record of a quarter of a second is written again each time that streams were added, up to three times.

--- a/origin/records.go
+++ b/origin/records.go
@@ -20,11 +20,12 @@
 // streams of a short time. Its name is taken again once no stream of that time lasts.
 
 const (
-	// minRecordInterval is the shortest time between two records of a zone; recordSlots of
-	// them are kept.
+	// minRecordInterval is the shortest time whose streams a record of a zone holds;
+	// recordSlots of them are kept. It is written up to writesPerRecord times.
 	minRecordInterval = 250 * time.Millisecond
 	maxRecordInterval = time.Second
 	recordSlots       = 64
+	writesPerRecord   = 3
 	// recordTimeout limits a call to the platform.
 	recordTimeout = time.Second
 	// maxRecorded limits the streams of a record, maxRecordBytes what is read of one.
@@ -134,36 +135,58 @@
 // RunRecords writes the streams that this host records, until the context ends. It returns
 // nil.
 func (origins *Origins) RunRecords(ctx context.Context) error {
-	for pause.For(ctx, origins.recordInterval()) {
-		origins.saveRecord(ctx)
+	current := &openRecord{}
+	for pause.For(ctx, origins.recordInterval()/writesPerRecord) {
+		origins.saveRecord(ctx, current)
 	}
 	return nil
 }
 
-func (origins *Origins) saveRecord(ctx context.Context) {
+// openRecord is the record that streams are added to.
+type openRecord struct {
+	slot    int64
+	streams []Beginning
+	// isSaved is set while the platform has all of its streams.
+	isSaved bool
+}
+
+// add adds streams at a time. Those of the record before that are not saved yet move on.
+func (openRecord *openRecord) add(beginnings []Beginning, slot int64) {
+	if slot != openRecord.slot && openRecord.isSaved {
+		openRecord.streams = nil
+	}
+	openRecord.slot = slot
+	if len(beginnings) > 0 {
+		openRecord.isSaved = false
+		openRecord.streams = append(openRecord.streams, beginnings...)
+		openRecord.streams = openRecord.streams[max(0, len(openRecord.streams)-maxRecorded):]
+	}
+}
+
+func (origins *Origins) saveRecord(ctx context.Context, current *openRecord) {
 	origins.recordsMutex.Lock()
 	unsaved := origins.unsaved
 	origins.unsaved = nil
 	origins.recordsMutex.Unlock()
-	if len(unsaved) == 0 {
+	now := time.Now()
+	current.add(unsaved, now.UnixMilli()/origins.recordInterval().Milliseconds()%recordSlots)
+	if len(current.streams) == 0 || current.isSaved {
 		return
 	}
-	now := time.Now()
-	slot := now.UnixMilli() / origins.recordInterval().Milliseconds() % recordSlots
-	value, err := encodeRecord(unsaved, now)
+	value, err := encodeRecord(current.streams, now)
 	if err == nil {
 		saveContext, cancel := context.WithTimeout(ctx, recordTimeout)
 		defer cancel()
-		err = origins.Records.Save(saveContext, origins.Zone+"-"+strconv.FormatInt(slot, 10), value)
+		err = origins.Records.Save(saveContext, origins.Zone+"-"+strconv.FormatInt(current.slot, 10), value)
 	}
 	if err != nil {
 		metrics.GetOrCreateCounter("nutmegfield_stream_records_failed_total").Inc()
 		origins.Events.Record(eventRecordFailed, timeline.Event{
-			Detail: err.Error(), Facts: []timeline.Fact{timeline.Count("streams", len(unsaved))},
+			Detail: err.Error(), Facts: []timeline.Fact{timeline.Count("streams", len(current.streams))},
 		})
-		origins.addUnsaved(unsaved)
 		return
 	}
+	current.isSaved = true
 	metrics.GetOrCreateCounter("nutmegfield_stream_records_total").Inc()
 	metrics.GetOrCreateCounter("nutmegfield_stream_record_bytes_total").Add(len(value))
 }
