detour, gateway: wait for requests of other hosts before a host ends

What callers would see: a host that sends requests for others is stopped, and what it sends is cut as soon as its own callers have their answers.

Cause: the drain waited for its own callers only. Found in the reading of the diff.

Change: Server.Wait, after the shutdown of the callers' server. The script 'a host that shuts down waits for what it sends for others' of exchanges.txtar shows it.

Also from that reading, without a change of what is decided: no list of hosts is made in each round of reports, the longest timeout of streams is computed when routes change, and the clock is not read for each target in a dispatch.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -204,8 +204,10 @@
 	// one said; it holds until brittleUntil.
 	brittleLimit int
 	brittleUntil time.Time
-	// brittleSeenAt is when a target last said so to this host.
+	// brittleSeenAt is when a target last said so to this host. holdsBack is set while the
+	// targets are brittle; dispatch updates it.
 	brittleSeenAt time.Time
+	holdsBack     bool
 	// observed are the targets that ended requests since their speeds were last reported.
 	observed []*targetState
 	// arrivals counts this host's tickets. averageHoldTime is the running average
--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -38,7 +38,7 @@
 	pool := balancer.getOrCreatePool(target.Pool)
 	isNews := !pool.isBrittle(now)
 	pool.brittleLimit, pool.brittleUntil = max(1, limit), now.Add(brittleLifetime)
-	pool.brittleSeenAt = now
+	pool.brittleSeenAt, pool.holdsBack = now, true
 	return isNews
 }
 
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -15,7 +15,7 @@
 // capacity returns the maximum number of requests in flight at a target.
 func (pool *pool) capacity(targetState *targetState) int {
 	switch {
-	case pool.isBrittle(time.Now()):
+	case pool.holdsBack:
 		return targetState.Slots
 	case !pool.isEngine:
 		return plainCapacityPerSlot * targetState.Slots
--- a/balance/dispatch.go
+++ b/balance/dispatch.go
@@ -19,6 +19,7 @@
 		return
 	}
 	now := time.Now()
+	pool.holdsBack = pool.isBrittle(now)
 	balancer.updateShare(pool, now)
 	dispatchRound := &dispatchRound{pool: pool, now: now, freeCapacity: balancer.freeCapacity(pool, now), averages: pool.averages(), restingUntil: pool.restingUntil(now)}
 	remaining := pool.waiting[:0]
--- a/balance/share.go
+++ b/balance/share.go
@@ -127,8 +127,8 @@
 	if balancer.rate(targetState) > 0 {
 		return balancer.isPermitted(targetState)
 	}
-	if now := time.Now(); pool.isBrittle(now) {
-		return balancer.acceptsBrittle(pool, targetState, now)
+	if pool.holdsBack {
+		return balancer.acceptsBrittle(pool, targetState, time.Now())
 	}
 	return !pool.contended || targetState.remainingShare > 0
 }
--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -240,6 +240,7 @@
 //	wait DURATION
 //	send WANT               WANT is the status and body, or the kind of the error; runs is the target's
 //	leave                   sends a request whose caller leaves after 100 ms
+//	stop                    both hosts shut down while a request runs, and wait for it
 //	check WANT
 //	runs COUNT, closed COUNT
 func (script *exchangeScript) run(line string) {
@@ -274,6 +275,24 @@
 		ctx, cancel := context.WithTimeout(script.Context(), 100*time.Millisecond)
 		defer cancel()
 		script.Assert(script.send(ctx), qt.Equals, rest, comment)
+	case "stop":
+		answers := make(chan string)
+		go func() { answers <- script.send(script.Context()) }()
+		time.Sleep(10 * time.Millisecond)
+		for _, host := range script.hosts {
+			host.draining.Store(true)
+		}
+		for _, host := range script.hosts {
+			ctx, cancel := context.WithTimeout(script.Context(), 5*time.Second)
+			script.Assert(host.server.Wait(ctx), qt.IsNil, comment)
+			cancel()
+		}
+		select {
+		case answer := <-answers:
+			script.Assert(answer, qt.Equals, rest, comment)
+		case <-time.After(time.Millisecond):
+			script.Fatalf("the hosts did not wait")
+		}
 	case "check":
 		script.Assert(script.describe(script.client.Check(script.Context(), &script.target.Target)), qt.Equals, rest, comment)
 	case "runs":
--- a/detour/server.go
+++ b/detour/server.go
@@ -33,6 +33,8 @@
 	lagInterval = 50 * time.Millisecond
 	maxLag      = 30 * time.Millisecond
 	lagWeight   = 0.2
+	// waitInterval is how often a host that shuts down looks whether requests of others run.
+	waitInterval = 20 * time.Millisecond
 	// maxPause is the longest time without work of a host after which requests that it reads
 	// are sent: what had come before a longer one may have been given up meanwhile.
 	maxPause = 500 * time.Millisecond
@@ -98,6 +100,17 @@
 	}
 }
 
+// Wait waits until no request of another host is sent any more. It returns an error if the
+// context ends first.
+func (server *Server) Wait(ctx context.Context) error {
+	for server.running.Load() > 0 {
+		if !pause.For(ctx, waitInterval) {
+			return fmt.Errorf("wait for the requests of other hosts: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
 // Takes reports whether this host sends requests for others at all.
 func (server *Server) Takes() bool { return server.IsDraining == nil || !server.IsDraining() }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -89,9 +89,9 @@
 	// newest is the newest configuration that another host reported.
 	newest atomic.Pointer[newestConfiguration]
 	// members is the result of Members; it is replaced, never changed. So is forwarders,
-	// the hosts that send requests for others.
+	// which Forwarders makes when it is called.
 	members    atomic.Pointer[limit.Members]
-	forwarders atomic.Pointer[[]Forwarder]
+	forwarders atomic.Pointer[forwarderList]
 	share      atomic.Pointer[share]
 
 	mutex sync.Mutex
--- a/exchange/forwarders.go
+++ b/exchange/forwarders.go
@@ -1,9 +1,9 @@
 package exchange
 
-import (
-	"slices"
-	"strings"
-)
+import "time"
+
+// forwardersLifetime is how long a list of forwarders is used.
+const forwardersLifetime = 50 * time.Millisecond
 
 // Forwarder is another host that sends requests to targets for hosts that reach none.
 type Forwarder struct {
@@ -12,23 +12,26 @@
 	Unreached []string
 }
 
+// forwarderList is the list of forwarders at a time.
+type forwarderList struct {
+	forwarders []Forwarder
+	listedAt   time.Time
+}
+
 // Forwarders returns the live hosts that send requests for others. The result must not be
 // changed.
 func (exchange *Exchange) Forwarders() []Forwarder {
-	if forwarders := exchange.forwarders.Load(); forwarders != nil {
-		return *forwarders
+	if list := exchange.forwarders.Load(); list != nil && time.Since(list.listedAt) < forwardersLifetime {
+		return list.forwarders
 	}
-	return nil
-}
-
-// listForwarders updates the result of Forwarders. The caller holds the mutex.
-func (exchange *Exchange) listForwarders() {
-	var forwarders []Forwarder
+	list := &forwarderList{listedAt: time.Now()}
+	exchange.mutex.Lock()
 	for address, peer := range exchange.peers {
 		if peer.alive && peer.forwards {
-			forwarders = append(forwarders, Forwarder{Host: peer.host, Address: address, Zone: peer.zone, Unreached: peer.unreached})
+			list.forwarders = append(list.forwarders, Forwarder{Host: peer.host, Address: address, Zone: peer.zone, Unreached: peer.unreached})
 		}
 	}
-	slices.SortFunc(forwarders, func(one, other Forwarder) int { return strings.Compare(one.Host, other.Host) })
-	exchange.forwarders.Store(&forwarders)
+	exchange.mutex.Unlock()
+	exchange.forwarders.Store(list)
+	return list.forwarders
 }
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -289,7 +289,6 @@
 	}
 	exchange.knownPeers.Store(int64(knownPeers))
 	exchange.share.Store(&share{index: place, count: members.Known})
-	exchange.listForwarders()
 	before := exchange.members.Load()
 	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
 		exchange.members.Store(members)
@@ -309,16 +308,13 @@
 		entry.incarnation == heartbeat.incarnation && entry.sequence >= heartbeat.sequence {
 		return false
 	}
-	wasAlive, forwarded, unreached := entry.alive, entry.forwards, entry.unreached
+	wasAlive := entry.alive
 	*entry = peer{
 		host: heartbeat.host, zone: heartbeat.zone, incarnation: heartbeat.incarnation, sequence: heartbeat.sequence,
 		lastReceived: time.Now(), addedAt: entry.addedAt, alive: !heartbeat.leaving, hasLeft: heartbeat.leaving,
 		link: heartbeat.link, direct: heartbeat.direct, rank: entry.rank,
 		forwards: heartbeat.forwards, unreached: heartbeat.unreached,
 	}
-	if forwarded != entry.forwards || !slices.Equal(unreached, entry.unreached) {
-		exchange.listForwarders()
-	}
 	if wasAlive == entry.alive {
 		return true
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -38,6 +39,9 @@
 	pause.For(ctx, gateway.Notice)
 	// Requests that still run when the context ends are cut off; the event counts them.
 	err := gateway.Shutdown(ctx)
+	if gateway.WaitForwarded != nil {
+		err = errors.Join(err, gateway.WaitForwarded(ctx))
+	}
 	gateway.Events.Record(eventDrained, timeline.Event{Detail: strconv.FormatInt(gateway.runningRequests.Load(), 10)})
 	if err != nil {
 		return fmt.Errorf("wait for running requests: %w", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Notice time.Duration
 	// Shutdown stops accepting requests and waits for the running ones.
 	Shutdown func(ctx context.Context) error
+	// WaitForwarded waits for the requests that this host sends for others. It may be nil.
+	WaitForwarded func(ctx context.Context) error
 
 	waitTracker     waitTracker
 	bufferRoom      bufferRoom
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -116,6 +116,8 @@
 	maxConnections map[string]int
 	// connectionLimits are those of each address; the map is replaced, never changed.
 	connectionLimits atomic.Pointer[map[string]int]
+	// longestStream is the longest timeout of the routes for streams, in nanoseconds.
+	longestStream atomic.Int64
 	// snapshotRequestedAt is when another host was last asked for a snapshot.
 	snapshotRequestedAt time.Time
 }
@@ -261,7 +263,7 @@
 		Members: func() []string { return host.exchange.Members().Others }, Send: host.exchange.SendOrigins,
 		VerifiedAt: host.targetFollower.VerifiedAt, Marks: sources.Marks, Events: events,
 		KeepsMarks: func() bool { return host.exchange.Leads(1) },
-		Records:    sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: host.longestStream,
+		Records:    sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: func() time.Duration { return time.Duration(host.longestStream.Load()) },
 		ReadsRecords: func() bool { return !host.exchange.UsesSummaries() },
 	}
 	host.exchange.Origins = host.origins
@@ -331,6 +333,7 @@
 		},
 	}
 	gateway.Paths, gateway.Detours = host.paths, host.detours
+	gateway.WaitForwarded = host.detourServer.Wait
 	host.snapshots.Register = host.detourServer.Register
 	host.exchange.Unreached, host.exchange.Forwards = host.paths.Unreached, host.detourServer.Takes
 }
@@ -401,6 +404,7 @@
 		limits[workspace.Name] = host.tolerance.Bucket(quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst})
 	}
 	host.ledger.SetLimits(limits)
+	host.longestStream.Store(int64(longestTimeout(table)))
 	engines, maxConnections := map[string]bool{}, map[string]int{}
 	for _, pool := range table.Configuration.Pools {
 		engines[pool.Name] = pool.Engine != nil
@@ -446,14 +450,12 @@
 	return max(1, (*limits)[address]/host.exchange.SharingHosts())
 }
 
-// longestStream returns the longest timeout of the routes for streams.
-func (host *host) longestStream() time.Duration {
+// longestTimeout returns the longest timeout of the routes for streams.
+func longestTimeout(table *route.Table) time.Duration {
 	longest := time.Duration(0)
-	if table := host.routes.Table(); table != nil {
-		for i := range table.Configuration.Routes {
-			if route := &table.Configuration.Routes[i]; route.Streaming {
-				longest = max(longest, cmp.Or(route.Timeout, defaultTimeout))
-			}
+	for i := range table.Configuration.Routes {
+		if route := &table.Configuration.Routes[i]; route.Streaming {
+			longest = max(longest, cmp.Or(route.Timeout, defaultTimeout))
 		}
 	}
 	return cmp.Or(longest, defaultTimeout)
