balance: keep to own slots of brittle targets after a pause

Cause: it knew of no request of the others, as their reports were old, and took the targets for nearly idle.

Change: slots of other hosts are used only while their reports are fresh.

--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -15,6 +15,9 @@
 	// brittleLifetime is the time for which the targets of a pool count as brittle after one
 	// has said so.
 	brittleLifetime = 5 * time.Second
+	// freshReports is the largest age of reports that are relied on, relative to the time in
+	// which they arrive.
+	freshReports = 3
 	// brittleReportTime is the time for which a host tells the others what a target said.
 	brittleReportTime = time.Second
 	// brittleBackoff is the shortest backoff of a brittle target that refused a request as
@@ -64,10 +67,22 @@
 	if targetState.inFlight < balancer.ownSlots(targetState) {
 		return true
 	}
+	if !balancer.hearsOthers(now) {
+		return false
+	}
 	unseen := balancer.unseenRequests(pool, now, balancer.hostCount()) / float64(max(1, len(pool.targets)))
 	return targetState.totalInFlight()+1+int(math.Ceil(herdFactor*unseen)) < targetState.Slots
 }
 
+// hearsOthers reports whether this host knows what the others have in flight: it is the only
+// one, or all reports that it has are fresh. After a pause it has none, or old ones.
+func (balancer *Balancer) hearsOthers(now time.Time) bool {
+	if balancer.hostCount() == 1 {
+		return true
+	}
+	return len(balancer.reports) > 0 && balancer.oldestReportAge(now) <= freshReports*balancer.propagationDelay()
+}
+
 // ownSlots returns the number of a target's slots that belong to this host. Hosts that know
 // the same hosts agree on that.
 func (balancer *Balancer) ownSlots(targetState *targetState) int {
--- a/balance/brittle_test.go
+++ b/balance/brittle_test.go
@@ -67,3 +67,26 @@
 		c.Assert(grants(), qt.Equals, 2*target.Slots)
 	})
 }
+
+// TestBrittlePoolAfterAPause guards against a host that was paused and uses the slots of
+// others, as it knows of none of their requests.
+func TestBrittlePoolAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		balancer := &Balancer{
+			HostShare: func() (int, int) { return 0, 2 }, HostCount: func() int { return 2 },
+			PropagationDelay: func() time.Duration { return 45 * time.Millisecond },
+		}
+		target := Target{ID: "t", Pool: "p", Address: "a", Slots: 8}
+		balancer.SetTargets([]Target{target}, nil)
+		balancer.RecordBrittle(&target, 3)
+		pool := balancer.pools["p"]
+		state := balancer.targets["t"]
+		state.inFlight = balancer.ownSlots(state)
+		c.Assert(balancer.acceptsBrittle(pool, state, time.Now()), qt.IsFalse, qt.Commentf("nothing is heard"))
+		balancer.ApplyReport(&Report{Host: "other"})
+		c.Assert(balancer.acceptsBrittle(pool, state, time.Now()), qt.IsTrue)
+		time.Sleep(time.Second)
+		c.Assert(balancer.acceptsBrittle(pool, state, time.Now()), qt.IsFalse, qt.Commentf("what is known is old"))
+	})
+}
