--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/balance"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/route"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
 )
 
 // TestGrantOfAPausedHostIsNotUsed guards against a host that was paused between the grant of
@@ -33,3 +39,46 @@
 	c.Assert(dialled[0], qt.Not(qt.Equals), dialled[1])
 	c.Assert(fixture.receivedRequests(), qt.HasLen, 1)
 }
+
+// TestOwnCutIsNoEvidence guards against targets that are held to have ended, and requests that
+// are held to have crashed them, as this host alone does not reach them.
+func TestOwnCutIsNoEvidence(t *testing.T) {
+	c := qt.New(t)
+	target := &balance.Target{ID: "t", Pool: testPool, Address: "target"}
+	for _, test := range []struct {
+		name string
+		// others are the addresses of the pool's other targets that accept connections.
+		others     []string
+		isEvidence bool
+	}{
+		{name: "the host reaches no target"},
+		{name: "the host reaches another target", others: []string{"other"}, isEvidence: true},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			refuse := func(context.Context, string, string) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			targets := []balance.Target{*target}
+			for _, address := range test.others {
+				targets = append(targets, balance.Target{ID: address, Pool: testPool, Address: address})
+			}
+			host := &host{
+				gateway: &Gateway{Connections: &upstream.Connections{Dial: refuse}},
+				detours: &detour.Client{Hosts: func(string) []detour.Host { return nil }},
+				paths: &detour.Paths{
+					ConnectTimeout: dialTimeout, Events: &timeline.Recorder{},
+					Connect: func(_ context.Context, address string) error {
+						if address == target.Address {
+							return syscall.ECONNREFUSED
+						}
+						return nil
+					},
+				},
+			}
+			host.paths.SetTargets(targets)
+			err := host.checkTarget(c.Context(), target)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(errors.Is(err, syscall.ECONNREFUSED), qt.Equals, test.isEvidence)
+		})
+	}
+}
