exchange: test that all hosts learn who reaches a pool

Cause: what hosts tell of their paths was tested by processes only, summaries of zones by the run with 40 hosts.

--- a/exchange/relay_test.go
+++ b/exchange/relay_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +36,11 @@
 func newFleet(t *testing.T) *fleet { return newFleetOf(t, fleetHosts) }
 
 func newFleetOf(t *testing.T, hosts int) *fleet {
+	return newFleetWith(t, hosts, func(int, *Exchange) {})
+}
+
+// newFleetWith is newFleetOf with further settings of each host, by its number.
+func newFleetWith(t *testing.T, hosts int, configure func(number int, host *Exchange)) *fleet {
 	fleet := &fleet{C: qt.New(t), network: newNetwork()}
 	var names []string
 	for i := range hosts {
@@ -47,6 +54,7 @@
 			host.Balancer.RandIntN = func(bound int) int { return bound - 1 }
 			host.Balancer.SetTargets([]balance.Target{{ID: "t", Pool: "p", Slots: 1000}}, nil)
 			host.Ledger.SetLimits(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: 1e6}})
+			configure(i, host)
 		}, names...)
 		fleet.hosts = append(fleet.hosts, host)
 	}
@@ -189,6 +197,51 @@
 	}
 }
 
+// TestPathsReachAllHosts guards against hosts that ask others to send requests which reach the
+// targets no more than they do, or shut down, and against hosts that don't know that targets
+// are brittle: within a second all know what one host says.
+func TestPathsReachAllHosts(t *testing.T) {
+	for _, hosts := range []int{3, fleetHosts} {
+		synctest.Test(t, func(t *testing.T) {
+			var unreached, drains atomic.Bool
+			fleet := newFleetWith(t, hosts, func(number int, host *Exchange) {
+				host.Forwards = func() bool { return number != 0 || !drains.Load() }
+				host.Unreached = func() []string {
+					if number == 0 && unreached.Load() {
+						return []string{"p"}
+					}
+					return nil
+				}
+			})
+			first := fleet.hosts[0]
+			want := func(isListed, isUnreached bool) {
+				time.Sleep(time.Second)
+				for _, host := range fleet.hosts[1:] {
+					index := slices.IndexFunc(host.Forwarders(), func(forwarder Forwarder) bool { return forwarder.Host == first.Host })
+					comment := qt.Commentf("%s of %d", host.Host, hosts)
+					fleet.Assert(index >= 0, qt.Equals, isListed, comment)
+					if isListed {
+						fleet.Assert(slices.Contains(host.Forwarders()[index].Unreached, "p"), qt.Equals, isUnreached, comment)
+					}
+				}
+			}
+			time.Sleep(time.Second)
+			want(true, false)
+			unreached.Store(true)
+			want(true, true)
+			unreached.Store(false)
+			want(true, false)
+			first.Balancer.RecordBrittle(&balance.Target{ID: "t", Pool: "p"}, 3)
+			want(true, false)
+			for _, host := range fleet.hosts[1:] {
+				fleet.Assert(host.Balancer.RecordBrittle(&balance.Target{ID: "t", Pool: "p"}, 3), qt.IsFalse, qt.Commentf("%s of %d", host.Host, hosts))
+			}
+			drains.Store(true)
+			want(false, false)
+		})
+	}
+}
+
 // TestObservationsReachAllHosts guards against hosts that don't know which targets are slow,
 // as each observes them too seldom: the streams of one host tell all others within a second
 // that a target does not keep pace. A single observation may be lost, as a summary that was
