balance: leave brittle targets alone for longer after a refusal

Cause: the backoff lets all hosts together cause as many refusals a second as the target bears, one each; a host may have several requests on their way. Found in the reading.

Change: twice the backoff.

--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -99,5 +99,6 @@
 
 // brittleBackoff returns the backoff after a target of the pool refused a request as full.
 func (balancer *Balancer) brittleBackoff(pool *pool) time.Duration {
-	return max(brittleBackoff, brittleBackoff*time.Duration(balancer.hostCount())/time.Duration(max(1, pool.brittleLimit)))
+	// Hosts may have several requests on their way when the first is refused.
+	return max(brittleBackoff, 2*brittleBackoff*time.Duration(balancer.hostCount())/time.Duration(max(1, pool.brittleLimit)))
 }
