--- a/gateway/part.go
+++ b/gateway/part.go
@@ -312,7 +312,7 @@
 		Connect: gateway.Connections.Warm, ConnectTimeout: dialTimeout, Events: gateway.Events,
 		Hosts: func(pool string) int { return len(host.forwarders(pool)) },
 		OnUnreached: func(_ string, addresses []string) {
-			// Nothing that is sent over these connections would get an answer.
+			// They may hang, or be closed already. Requests go over other hosts now.
 			for _, address := range addresses {
 				gateway.Connections.CloseIdle(address)
 			}
