gateway: ask others at once whether a target out of reach still runs

What callers could get: an answer without a length that came over another host, cut where its target ended, as if it were whole. The check of the target must end within 50 ms, and began with an own connection, which hangs for 300 ms while the host reaches no target.

Change: the own connection is left out while the pool is out of reach.

--- a/gateway/path.go
+++ b/gateway/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 
 	"nutmegfield.example/balance"
@@ -44,16 +45,12 @@
 // checkTarget opens a connection to a target, to see whether it still runs. If this host
 // reaches no target of the pool, another host does so.
 func (host *host) checkTarget(ctx context.Context, target *balance.Target) error {
-	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := host.gateway.Connections.Dial(dialContext, "tcp", target.Address)
-	if err == nil {
-		// The connection was only opened to see whether the target accepts it.
-		_ = conn.Close()
-		return nil
-	}
-	if host.paths.Confirm(ctx, target.Pool) {
-		return err
+	// An own connection to a target out of reach may hang for longer than is waited.
+	if host.paths.Reaches(target.Pool) {
+		err := host.connectTo(ctx, target)
+		if err == nil || host.paths.Confirm(ctx, target.Pool) {
+			return err
+		}
 	}
 	checkErr := host.detours.Check(ctx, target)
 	if upstream.Is(checkErr, detour.Declined) {
@@ -63,5 +60,18 @@
 	return checkErr
 }
 
+// connectTo opens a connection to a target and closes it.
+func (host *host) connectTo(ctx context.Context, target *balance.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := host.gateway.Connections.Dial(ctx, "tcp", target.Address)
+	if err != nil {
+		return fmt.Errorf("connect to %s: %w", target.Address, err)
+	}
+	// It was only opened to see whether the target accepts it.
+	_ = conn.Close()
+	return nil
+}
+
 // errNotReached means that this host reaches no target of a pool.
 var errNotReached = errors.New("this host reaches no target of the pool")
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -82,3 +82,31 @@
 		})
 	}
 }
+
+// TestCheckOfATargetOutOfReachIsQuick guards against answers without a length that are taken
+// for whole although their target has ended with them: the check must end within maxCheckWait,
+// and a connection of a host that reaches no target hangs for longer.
+func TestCheckOfATargetOutOfReachIsQuick(t *testing.T) {
+	c := qt.New(t)
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	target := &balance.Target{ID: "t", Pool: testPool, Address: "target"}
+	host := &host{
+		gateway: &Gateway{Connections: &upstream.Connections{
+			Dial: func(ctx context.Context, _, _ string) (net.Conn, error) { return nil, hang(ctx) },
+		}},
+		detours: &detour.Client{Hosts: func(string) []detour.Host { return nil }},
+		paths: &detour.Paths{
+			ConnectTimeout: dialTimeout, Events: &timeline.Recorder{},
+			Connect: func(ctx context.Context, _ string) error { return hang(ctx) },
+		},
+	}
+	host.paths.SetTargets([]balance.Target{*target})
+	c.Assert(host.paths.Confirm(c.Context(), testPool), qt.IsFalse)
+	began := time.Now()
+	err := host.checkTarget(c.Context(), target)
+	c.Assert(errors.Is(err, errNotReached), qt.IsTrue)
+	c.Assert(time.Since(began) < maxCheckWait, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+}
