detour, gateway: notice the own cut by the requests of others

What callers would see: a host that sends requests for others is cut off from the targets, too. If its own callers are idle, it goes on taking requests, which hang on its kept connections until a new one fails.

Change: requests of others are watched as own ones are. TestForwardingHostNoticesItsOwnCut fails without the watch.

--- a/detour/bench_test.go
+++ b/detour/bench_test.go
@@ -50,6 +50,7 @@
 		Connections: connections, Reaches: func(string) bool { return true }, Events: &timeline.Recorder{},
 		Target:   func(balance.Incarnation) (balance.Target, bool, bool) { return listed, true, true },
 		OnFailed: func(string) {}, OnAnswer: func(*balance.Target, *upstream.Answer) {}, Begin: func() func() { return func() {} },
+		Watch: func(string) *Attempt { return &Attempt{} },
 	}
 	mux := drpcmux.New()
 	if err := server.Register(mux); err != nil {
--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -159,6 +159,7 @@
 		OnFailed:   func(string) { fixture.failed.Add(1) },
 		OnAnswer:   func(*balance.Target, *upstream.Answer) {},
 		Begin:      func() func() { return func() {} },
+		Watch:      func(string) *Attempt { return &Attempt{} },
 		Events:     &timeline.Recorder{},
 	}
 	mux := drpcmux.New()
@@ -370,6 +371,40 @@
 	}
 }
 
+// TestForwardingHostNoticesItsOwnCut guards against a host that gets requests of others only,
+// loses its own links, too, and goes on taking requests that hang on its kept connections.
+func TestForwardingHostNoticesItsOwnCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		script := newExchangeScript(ctx, t)
+		paths := &Paths{
+			ConnectTimeout: 300 * time.Millisecond, Events: &timeline.Recorder{},
+			Connect: func(ctx context.Context, _ string) error {
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		}
+		paths.SetTargets([]balance.Target{script.target.Target})
+		go func() { _ = paths.Run(ctx) }()
+		server := script.hosts["a"].server
+		server.Reaches, server.OnFailed = paths.Reaches, paths.Failed
+		server.Watch = func(pool string) *Attempt { return paths.Begin(pool, func() {}) }
+		script.listed = script.listed[:1]
+		script.target.delay = 2 * time.Second
+		go func() { script.send(ctx) }()
+		time.Sleep(time.Second)
+		c.Assert(paths.Reaches(testPool), qt.IsFalse)
+		c.Assert(script.send(ctx), qt.Equals, "declined")
+		time.Sleep(2 * time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		for _, host := range script.hosts {
+			host.server.Connections.CloseStale()
+		}
+	})
+}
+
 // TestFewHostsSendForMany guards against a herd on the few hosts that reach a pool: they take
 // what they can, decline the rest at once, and are not asked again and again.
 func TestFewHostsSendForMany(t *testing.T) {
--- a/detour/server.go
+++ b/detour/server.go
@@ -55,6 +55,8 @@
 	Target func(incarnation balance.Incarnation) (target balance.Target, isKnown, maySend bool)
 	// Reaches reports whether this host reaches a pool.
 	Reaches func(pool string) bool
+	// Watch starts watching a request to a target of a pool, as for one of this host's own.
+	Watch func(pool string) *Attempt
 	// IsDraining reports whether this host shuts down. It may be nil.
 	IsDraining func() bool
 	// OnFailed is called when a target of a pool could not be connected to, OnAnswer with
@@ -165,6 +167,8 @@
 		Request: request.GetId(), Pool: target.Pool, Target: target.ID, Peer: request.GetSender(),
 		Facts: []timeline.Fact{timeline.Count("forwarded", int(server.running.Load()))},
 	})
+	watched := server.Watch(target.Pool)
+	defer watched.End()
 	answer, err := server.Connections.Exchange(stream.Context(), target.Address, &upstream.Request{
 		Method: request.GetMethod(), Target: request.GetPath(), Host: request.GetHost(), Header: decodeHeader(request.GetHeader()),
 		Body: request.GetBody(), ID: request.GetId(), FreshOnly: request.GetFreshOnly(),
@@ -183,12 +187,13 @@
 		return server.fail(stream, detourpb.Outcome_UNKNOWN, err.Error())
 	}
 	defer func() { _ = answer.Body.Close() }()
+	watched.Heard()
 	server.OnAnswer(&target, answer)
-	return server.passOn(stream, answer)
+	return server.passOn(stream, answer, watched)
 }
 
 // passOn passes an answer on as it arrives.
-func (server *Server) passOn(stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer) error {
+func (server *Server) passOn(stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer, watched *Attempt) error {
 	head := &detourpb.Reply{
 		Status: uint32(answer.Status), Header: encodeHeader(answer.Header), Length: answer.Length, Unframed: answer.Unframed,
 	}
@@ -198,6 +203,9 @@
 	buffer := make([]byte, replyBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			watched.Heard()
+		}
 		reply := &detourpb.Reply{Body: buffer[:n]}
 		isComplete := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 		switch {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -323,6 +323,7 @@
 	}
 	host.detourServer = &detour.Server{
 		Connections: gateway.Connections, Target: host.balancer.Find, Reaches: host.paths.Reaches, Events: gateway.Events,
+		Watch:      func(pool string) *detour.Attempt { return host.paths.Begin(pool, func() {}) },
 		IsDraining: gateway.draining.Load, OnFailed: host.paths.Failed,
 		OnAnswer: func(target *balance.Target, answer *upstream.Answer) {
 			gateway.observeAnnouncement(target, gateway.Protocol.ReadReply(answer.Status, answer.Header))
