origin: read records once at a time for others

What would happen: while the platform does not answer, a host that reads the records of streams for many others starts a read for each of their questions, ten a second and stream; they wait for each other and are gathered without a bound.

Change: one read for others at a time. On the code before TestRecordsAreReadOnceAtATime did not end within 10 minutes (a thousand reads wait for one lock, so that the paused clock stands still).

--- a/origin/origins.go
+++ b/origin/origins.go
@@ -150,9 +150,11 @@
 	mixed         chan struct{}
 	readMutex     sync.Mutex
 	recordsReadAt atomic.Pointer[time.Time]
-	marksMutex    sync.Mutex
-	marks         map[string]time.Time
-	marksReadAt   time.Time
+	// isReading is set while the records are read for other hosts.
+	isReading   atomic.Bool
+	marksMutex  sync.Mutex
+	marks       map[string]time.Time
+	marksReadAt time.Time
 }
 
 // reply is an answer with the address of the host that gave it.
@@ -269,9 +271,12 @@
 	if len(answer.Answers) > 0 {
 		origins.Send(address, answer)
 	}
-	if origins.mustRead(answer.Answers) {
-		// A failed read is recorded, and the question comes again.
-		go func() { _ = origins.readRecords(context.Background()) }()
+	if origins.mustRead(answer.Answers) && origins.isReading.CompareAndSwap(false, true) {
+		go func() {
+			defer origins.isReading.Store(false)
+			// A failed read is recorded, and the question comes again.
+			_ = origins.readRecords(context.Background())
+		}()
 	}
 }
 
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -267,3 +268,25 @@
 	}
 	time.AfterFunc(time.Millisecond, func() { receiver.origins.Receive(from, message) })
 }
+
+// TestRecordsAreReadOnceAtATime guards against a host that reads the records for many others
+// and gathers a read for each of their questions while the platform does not answer.
+func TestRecordsAreReadOnceAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var reads atomic.Int64
+		origins := &Origins{
+			Events: &timeline.Recorder{}, Send: func(string, *Message) {}, Recorder: func() string { return "" },
+			Records: Records{List: func(ctx context.Context) (map[string][]byte, error) {
+				reads.Add(1)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}},
+		}
+		for i := range 1000 {
+			origins.Receive("host", &Message{Questions: []Question{{Stream: Stream(i), Pool: testPool}}})
+		}
+		time.Sleep(5 * time.Second)
+		c.Assert(reads.Load(), qt.Equals, int64(1))
+	})
+}
