balance: end the backoff of brittle targets with their brittleness

What callers would see: with 300 hosts a target that refused one request while it was brittle is left alone for 200 s (at a limit of 3) by the host that sent it, also when it is sound again.

Change: that backoff counts only while the pool is brittle, and is 10 s at most. TestBrittleBackoffEndsWithBrittleness fails without the change.

--- a/balance/brittle.go
+++ b/balance/brittle.go
@@ -21,8 +21,10 @@
 	// brittleReportTime is the time for which a host tells the others what a target said.
 	brittleReportTime = time.Second
 	// brittleBackoff is the shortest backoff of a brittle target that refused a request as
-	// full; it is longer where hosts would together refuse too many a second.
-	brittleBackoff = time.Second
+	// full; it is longer where hosts would together be refused too often in a second, up to
+	// maxBrittleBackoff.
+	brittleBackoff    = time.Second
+	maxBrittleBackoff = 10 * time.Second
 )
 
 // BrittlePool is a pool whose targets are brittle.
@@ -61,7 +63,7 @@
 // acceptsBrittle reports whether this host may send one more request to a target of a
 // brittle pool.
 func (balancer *Balancer) acceptsBrittle(pool *pool, targetState *targetState, now time.Time) bool {
-	if targetState.totalInFlight() >= targetState.Slots {
+	if targetState.totalInFlight() >= targetState.Slots || now.Before(targetState.brittleBackoffUntil) {
 		return false
 	}
 	if targetState.inFlight < balancer.ownSlots(targetState) {
@@ -100,5 +102,6 @@
 // brittleBackoff returns the backoff after a target of the pool refused a request as full.
 func (balancer *Balancer) brittleBackoff(pool *pool) time.Duration {
 	// Hosts may have several requests on their way when the first is refused.
-	return max(brittleBackoff, 2*brittleBackoff*time.Duration(balancer.hostCount())/time.Duration(max(1, pool.brittleLimit)))
+	backoff := 2 * brittleBackoff * time.Duration(balancer.hostCount()) / time.Duration(max(1, pool.brittleLimit))
+	return min(max(brittleBackoff, backoff), maxBrittleBackoff)
 }
--- a/balance/brittle_test.go
+++ b/balance/brittle_test.go
@@ -90,3 +90,38 @@
 		c.Assert(balancer.acceptsBrittle(pool, state, time.Now()), qt.IsFalse, qt.Commentf("what is known is old"))
 	})
 }
+
+// TestBrittleBackoffEndsWithBrittleness guards against targets that hosts of a large deployment
+// leave alone for minutes, also when they are sound again, as one refused a request while it
+// was brittle.
+func TestBrittleBackoffEndsWithBrittleness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		balancer := &Balancer{HostCount: func() int { return 300 }}
+		target := Target{ID: "t", Pool: "p", Address: "a", Slots: 8}
+		balancer.SetTargets([]Target{target}, nil)
+		go func() { _ = balancer.Run(t.Context()) }()
+		acquire := func() (*Grant, error) {
+			return balancer.Acquire(t.Context(), &Ticket{Pool: "p", Due: time.Now().Add(100 * time.Millisecond), Deadline: time.Now().Add(100 * time.Millisecond)})
+		}
+		balancer.RecordBrittle(&target, 1)
+		grant, err := acquire()
+		c.Assert(err, qt.IsNil)
+		grant.End(Full)
+		time.Sleep(time.Second)
+		_, err = acquire()
+		c.Assert(err, qt.IsNotNil, qt.Commentf("the target is left alone"))
+		time.Sleep(brittleLifetime)
+		grant, err = acquire()
+		c.Assert(err, qt.IsNil, qt.Commentf("the target is sound again"))
+		grant.Cancel()
+		balancer.RecordBrittle(&target, 1)
+		for range 10 {
+			time.Sleep(time.Second)
+			balancer.RecordBrittle(&target, 1)
+		}
+		grant, err = acquire()
+		c.Assert(err, qt.IsNil, qt.Commentf("the backoff has a bound"))
+		grant.Cancel()
+	})
+}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -153,7 +153,7 @@
 	}
 	targetState.recordEnd(outcome, grant)
 	if now := time.Now(); outcome == Full && pool.isBrittle(now) {
-		targetState.backoffUntil = now.Add(balancer.brittleBackoff(pool))
+		targetState.brittleBackoffUntil = now.Add(balancer.brittleBackoff(pool))
 	}
 	balancer.dispatch(pool)
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -87,8 +87,10 @@
 	consecutiveFailures int
 	// consecutiveRefusals is the number of requests refused as full since the last answer.
 	consecutiveRefusals int
-	// backoffUntil is when the backoff ends.
-	backoffUntil time.Time
+	// backoffUntil is when the backoff ends, brittleBackoffUntil that of a brittle target that
+	// was full.
+	backoffUntil        time.Time
+	brittleBackoffUntil time.Time
 	// replaced is true once another incarnation answered at the address.
 	replaced     bool
 	announcement *announcement
