detour: keep no connection to a host that declined

What would happen: each host that reaches no target keeps its connections to the few that do, also those that were declined at once: 1,120 to one of them from 300 hosts, of 3,900 sockets that it has for callers and targets too.

Change: such a connection is closed; and what is known of hosts that are no longer asked is forgotten. TestFewHostsSendForMany with 300 hosts fails without the first (3,015 open to three hosts, of 2,925 allowed); 1,629 now, 554 to one, and 6,368 instead of 3,018 opened in four seconds.

--- a/detour/client.go
+++ b/detour/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -189,7 +190,11 @@
 
 func (client *Client) recordDeclined(host Host, call *Call, err error) {
 	client.mutex.Lock()
-	client.state(host).restUntil = time.Now().Add(pause.Jitter(declinedRest))
+	now := time.Now()
+	maps.DeleteFunc(client.states, func(_ string, state *hostState) bool {
+		return state.running == 0 && !now.Before(state.restUntil)
+	})
+	client.state(host).restUntil = now.Add(pause.Jitter(declinedRest))
 	client.mutex.Unlock()
 	countDetour("declined")
 	client.Events.Record(eventDeclined, timeline.Event{
@@ -277,7 +282,8 @@
 		return nil, upstream.Unknown.Wrap(err, "read from host %s", exchange.host.ID)
 	}
 	if err := decodeOutcome(reply); err != nil {
-		exchange.hasEnded = true
+		// A host that takes no more should not keep the connections of all that ask it.
+		exchange.hasEnded = !upstream.Is(err, Declined)
 		return nil, err
 	}
 	return &upstream.Answer{
--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -37,8 +37,9 @@
 	mutex   sync.Mutex
 	serve   map[string]func(net.Conn)
 	refused map[string]bool
-	// dials and bytes count the connections and bytes to hosts.
-	dials, bytes atomic.Int64
+	// dials and bytes count the connections and bytes to hosts, open those that are open and
+	// mostOpen the most at once.
+	dials, bytes, open, mostOpen atomic.Int64
 }
 
 func (network *network) dial(_ context.Context, _, address string) (net.Conn, error) {
@@ -53,7 +54,8 @@
 	go serve(far)
 	if strings.HasPrefix(address, "host") {
 		network.dials.Add(1)
-		return &countedConn{Conn: near, bytes: &network.bytes}, nil
+		network.mostOpen.Store(max(network.mostOpen.Load(), network.open.Add(1)))
+		return &countedConn{Conn: near, bytes: &network.bytes, onClose: sync.OnceFunc(func() { network.open.Add(-1) })}, nil
 	}
 	return near, nil
 }
@@ -61,6 +63,15 @@
 type countedConn struct {
 	net.Conn
 	bytes *atomic.Int64
+	// onClose is called by Close. It may be nil.
+	onClose func()
+}
+
+func (conn *countedConn) Close() error {
+	if conn.onClose != nil {
+		conn.onClose()
+	}
+	return conn.Conn.Close()
 }
 
 func (conn *countedConn) Read(buffer []byte) (int, error) {
@@ -414,6 +425,8 @@
 		seconds       = 4
 		answerTime    = 400 * time.Millisecond
 		declineRepeat = 5
+		// maxOpenPerHost is a quarter of the descriptors for sockets of the users' machines.
+		maxOpenPerHost = 975
 	)
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -459,6 +472,8 @@
 		total := int64(*hostCount * rate * seconds)
 		c.Logf("%d hosts over %d: %d of %d served, %d declined; at most %d at once on one; %d connections, %.0f bytes a request",
 			*hostCount, reaching, served.Load(), total, declined.Load(), most.Load(), network.dials.Load(), float64(network.bytes.Load())/float64(max(1, served.Load())))
+		c.Logf("at most %d connections were open at once", network.mostOpen.Load())
+		c.Check(network.mostOpen.Load() <= int64(reaching*maxOpenPerHost), qt.IsTrue, qt.Commentf("%d", network.mostOpen.Load()))
 		c.Check(other.Load(), qt.Equals, int64(0))
 		c.Check(served.Load()+declined.Load(), qt.Equals, total)
 		// Requests beyond the bound are refused while they are counted.
