--- a/detour/paths.go
+++ b/detour/paths.go
@@ -36,7 +36,7 @@
 var (
 	eventUnreached = timeline.Define(timeline.Kind{
 		Number: 1131, Name: "pool out of reach", Level: timeline.Warn,
-		Meaning: "This host could connect to none of several targets of the pool. Its requests go over hosts that reach the targets, as far as there are any; the fact hosts is their number.",
+		Meaning: "This host could connect to none of several targets of the pool. Its requests go over hosts that reach the targets, as far as there are any; the facts are their number, that of the targets that were tried, and the last error.",
 		Action:  "if other hosts reach the targets, look at this host's network; its callers are served over others meanwhile",
 	})
 	eventReached = timeline.Define(timeline.Kind{
@@ -222,22 +222,24 @@
 	for _, address := range addresses {
 		go func() { results <- paths.Connect(ctx, address) }()
 	}
-	isReached := len(addresses) == 0
+	var failure error
 	for range addresses {
-		if err := <-results; err == nil {
-			isReached = true
+		if failure = <-results; failure == nil {
 			break
 		}
 	}
 	metrics.GetOrCreateCounter("nutmegfield_path_checks_total").Inc()
-	paths.setReached(entry, isReached)
+	paths.setReached(entry, len(addresses), failure)
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
 	entry.check = nil
 	close(done)
 }
 
-func (paths *Paths) setReached(entry *pool, isReached bool) {
+// setReached records the result of a check: the pool is out of reach if it ended with a
+// failure.
+func (paths *Paths) setReached(entry *pool, tried int, failure error) {
+	isReached := failure == nil
 	if entry.unreached.Swap(!isReached) == !isReached {
 		return
 	}
@@ -255,7 +257,9 @@
 	if paths.Hosts != nil {
 		hosts = paths.Hosts(entry.name)
 	}
-	paths.Events.Record(eventUnreached, timeline.Event{Pool: entry.name, Facts: []timeline.Fact{timeline.Count("hosts", hosts)}})
+	paths.Events.Record(eventUnreached, timeline.Event{Pool: entry.name, Facts: []timeline.Fact{
+		timeline.Count("hosts", hosts), timeline.Count("tried", tried), {Key: "error", Value: failure.Error()},
+	}})
 	if paths.OnUnreached != nil {
 		paths.OnUnreached(entry.name, *entry.addresses.Load())
 	}
