--- a/exchange/snapshots.go
+++ b/exchange/snapshots.go
@@ -14,9 +14,14 @@
 	"nutmegfield.example/exchange/exchangepb"
 )
 
-// fetchTimeout is the timeout of a request for a snapshot, including the connection
-// setup.
-const fetchTimeout = 700 * time.Millisecond
+const (
+	// stallTimeout is how long a request for a snapshot waits for the connection, and for
+	// each further piece of the answer.
+	stallTimeout = 700 * time.Millisecond
+	// fetchTimeout limits the whole request. Large routes take half a second over the
+	// narrowest links that hosts have, more while callers use the link as well.
+	fetchTimeout = 5 * time.Second
+)
 
 // Snapshots serves the platform's objects that this host has (the configuration and
 // the targets) to other hosts, and requests those that other hosts have. Its fields
@@ -55,19 +60,29 @@
 	return snapshots.Build(request), nil
 }
 
+// stallConn is a connection whose reads fail once nothing has arrived for stallTimeout.
+type stallConn struct{ net.Conn }
+
+func (stallConn stallConn) Read(buffer []byte) (int, error) {
+	if err := stallConn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
+		return 0, fmt.Errorf("limit the wait for a snapshot: %w", err)
+	}
+	return stallConn.Conn.Read(buffer)
+}
+
 // Request fetches from the host at an address the objects that are newer than this
-// host's. It returns an error if the host is unreachable or doesn't answer within
-// fetchTimeout.
+// host's. It returns an error if the host is unreachable, sends nothing for stallTimeout or
+// has not sent all within fetchTimeout.
 func (snapshots *Snapshots) Request(
 	ctx context.Context, address string, request *exchangepb.SnapshotRequest,
 ) (*exchangepb.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	conn, err := snapshots.Dial(ctx, "tcp", address)
+	conn, err := snapshots.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	client := drpcconn.New(conn)
+	client := drpcconn.New(stallConn{conn})
 	defer func() { _ = client.Close() }()
 	snapshot, err := exchangepb.NewDRPCSnapshotsClient(client).Fetch(ctx, request)
 	if err != nil {
@@ -75,3 +90,9 @@
 	}
 	return snapshot, nil
 }
+
+func (snapshots *Snapshots) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, stallTimeout)
+	defer cancel()
+	return snapshots.Dial(ctx, "tcp", address)
+}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -118,8 +118,10 @@
 	connectionLimits atomic.Pointer[map[string]int]
 	// longestStream is the longest timeout of the routes for streams, in nanoseconds.
 	longestStream atomic.Int64
-	// snapshotRequestedAt is when another host was last asked for a snapshot.
+	// snapshotRequestedAt is when another host was last asked for a snapshot;
+	// isFetchingSnapshot is set until it has answered or failed to.
 	snapshotRequestedAt time.Time
+	isFetchingSnapshot  bool
 }
 
 func newPart(kernelHost *kernel.Host) (*kernel.Part, error) {
--- a/gateway/snapshots.go
+++ b/gateway/snapshots.go
@@ -17,7 +17,7 @@
 
 var eventSnapshotFailed = timeline.Define(timeline.Kind{
 	Number: 6104, Name: "snapshot request failed", Level: timeline.Info,
-	Meaning: "Another host has newer routes or targets, and the request for its snapshot failed.",
+	Meaning: "Another host has newer routes or targets, and the request for its snapshot failed. If it has newer routes, this host reads them from the platform.",
 })
 
 // objectVersions returns the versions of routes and targets that reports to other
@@ -81,22 +81,32 @@
 }
 
 // requestSnapshot asks a host with newer objects for them, at most once per
-// snapshotInterval.
+// snapshotInterval and one host at a time: several transfers of large routes over a narrow
+// link would delay each other until none is complete in time.
 func (host *host) requestSnapshot(address string) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	if time.Since(host.snapshotRequestedAt) < snapshotInterval {
+	if host.isFetchingSnapshot || time.Since(host.snapshotRequestedAt) < snapshotInterval {
 		return
 	}
-	host.snapshotRequestedAt = time.Now()
+	host.snapshotRequestedAt, host.isFetchingSnapshot = time.Now(), true
 	go host.fetchSnapshot(address)
 }
 
 func (host *host) fetchSnapshot(address string) {
+	defer func() {
+		host.mutex.Lock()
+		defer host.mutex.Unlock()
+		host.isFetchingSnapshot = false
+	}()
 	known := &exchangepb.SnapshotRequest{Targets: host.targetFollower.State().Revision, RoutesVersion: host.routes.Version()}
 	snapshot, err := host.snapshots.Request(context.Background(), address, known)
 	if err != nil {
 		host.gateway.Events.Record(eventSnapshotFailed, timeline.Event{Peer: address, Detail: err.Error()})
+		if host.exchange.NewestConfiguration() > host.routes.Version() {
+			// A failed read is recorded by the follower.
+			_ = host.routeFollower.Refresh(context.Background())
+		}
 		return
 	}
 	host.applySnapshot(known.GetTargets(), snapshot)
