exchange, discovery: let reads of the platform grow old

Callers may see: requests that are denied by routes that are no longer in force, for as long as the ways between hosts are slow. Cause: a read that found the routes to be the newest is told with its age, and each host that hears of it takes the way for 20 ms. Where a datagram takes longer, the read seems younger than it is, also when it comes back to the host that told of it. Evidence: with 400 ms a datagram three hosts that don't read the platform take a read of 15 s ago for one of 1.3 s ago. Change: a read has an id in reports. A host that has heard of a read ignores it when it hears of it again. Packages exchange, discovery, gateway, platform and origin pass with -race.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -172,9 +172,8 @@
 	// StartDelay is how long a host that starts waits for another one's state before it
 	// asks the platform itself.
 	StartDelay time.Duration
-	// OnRead is called after each listing, with its revision and the time before it was
-	// requested. It may be nil.
-	OnRead func(revision int64, at time.Time)
+	// OnRead is called after each listing, with its revision. It may be nil.
+	OnRead func(revision int64, verification Verification)
 	// ShouldWatch reports whether this host has to watch the platform. One that
 	// does not receives changes from the hosts that do.
 	ShouldWatch func() bool
@@ -186,9 +185,9 @@
 	state State
 	// answeredAt is when the platform last answered this host.
 	answeredAt time.Time
-	// verifiedAt is the last time at which the state is known to have been the
-	// platform's newest.
-	verifiedAt time.Time
+	// verified is the last read that found the state to be the platform's newest.
+	verified   Verification
+	heardReads heardReads
 	startedAt  time.Time
 	// platformLost is set from the first failed request until the next answer.
 	platformLost bool
@@ -293,11 +292,11 @@
 	return time.Duration(fraction * float64(cmp.Or(follower.Within, defaultWithin)))
 }
 
-// ReadUnlessAt marks the state as verified at a time if it is complete up to the revision
-// that the platform had then, and lists the objects if not.
-func (follower *Follower) ReadUnlessAt(ctx context.Context, revision int64, at time.Time) error {
+// ReadUnlessAt marks the state as verified by a read of other objects if it is complete up to
+// the revision that the platform had then, and lists the objects if not.
+func (follower *Follower) ReadUnlessAt(ctx context.Context, revision int64, verification Verification) error {
 	if state := follower.State(); state.Revision >= revision {
-		follower.MarkVerified(at)
+		follower.MarkVerified(verification)
 		return nil
 	}
 	return follower.read(ctx)
@@ -315,19 +314,22 @@
 // VerifiedAt returns the last time at which the state is known, from a read of this
 // or another host, to have been the platform's newest. It is zero before the first
 // read.
-func (follower *Follower) VerifiedAt() time.Time {
+func (follower *Follower) VerifiedAt() time.Time { return follower.Verified().At }
+
+// Verified returns the read of VerifiedAt.
+func (follower *Follower) Verified() Verification {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	return follower.verifiedAt
+	return follower.verified
 }
 
-// MarkVerified records that the state was the platform's newest at a time. It
-// ignores a time before the one recorded.
-func (follower *Follower) MarkVerified(at time.Time) {
+// MarkVerified records that a read found the state to be the platform's newest. It
+// ignores a read before the one recorded, and one that it was told of before.
+func (follower *Follower) MarkVerified(verification Verification) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	if at.After(follower.verifiedAt) {
-		follower.verifiedAt = at
+	if follower.heardReads.add(verification.ID) && verification.At.After(follower.verified.At) {
+		follower.verified = verification
 	}
 }
 
@@ -354,16 +356,16 @@
 func (follower *Follower) readOnce(ctx context.Context, shared *sharedRead) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	startedAt := time.Now()
+	verification := NewVerification()
 	listing, err := follower.Source.List(ctx)
 	shared.err = err
 	if err != nil {
 		follower.recordFailure(err)
 	} else {
 		follower.replace(listing, follower.recordAnswer())
-		follower.MarkVerified(startedAt)
+		follower.MarkVerified(verification)
 		if follower.OnRead != nil {
-			follower.OnRead(listing.Revision, startedAt)
+			follower.OnRead(listing.Revision, verification)
 		}
 	}
 	follower.mutex.Lock()
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -212,13 +212,13 @@
 				Kind: "test", Source: Source{List: list, Watch: fakePlatform.watch}, Events: &timeline.Recorder{}, Outage: &Outage{},
 				Hosts: func() int { return len(reads) }, Turn: func() int { return turn }, Within: 2 * time.Second,
 				ShouldWatch: func() bool { return false }, OnChange: func(State) {},
-				OnRead: func(revision int64, at time.Time) {
+				OnRead: func(revision int64, verification Verification) {
 					state := followers[turn].State()
 					for _, other := range followers {
 						if other.State().Revision < revision {
 							other.Replace(Listing{Revision: revision, Objects: slices.Collect(maps.Values(state.Objects))})
 						}
-						other.MarkVerified(at)
+						other.MarkVerified(verification)
 					}
 				},
 			})
@@ -270,12 +270,12 @@
 				Kind: "test", Source: Source{List: fakePlatform.list, Watch: fakePlatform.watch}, Events: &timeline.Recorder{}, Outage: &Outage{},
 				Hosts: func() int { return hosts }, Turn: func() int { return turn }, Within: within,
 				ShouldWatch: func() bool { return false }, OnChange: func(State) {},
-				OnRead: func(revision int64, at time.Time) {
+				OnRead: func(revision int64, verification Verification) {
 					listing := Listing{Revision: revision, Objects: slices.Collect(maps.Values(followers[turn].State().Objects))}
 					for i, other := range followers {
 						if i != turn {
 							other.Replace(listing)
-							other.MarkVerified(at)
+							other.MarkVerified(verification)
 						}
 					}
 				},
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/origin"
@@ -65,11 +66,11 @@
 	// and the targets) that this host has.
 	Versions func() Versions
 	// OnVerified is called when a peer with the same configuration version reports
-	// that at the given time the platform had no newer one.
-	OnVerified func(version int64, at time.Time)
-	// OnTargetsVerified is called when a peer reports that at the given time the platform
-	// had no newer change of a target than this host has. It may be nil.
-	OnTargetsVerified func(at time.Time)
+	// a read that found no newer one on the platform.
+	OnVerified func(version int64, verification discovery.Verification)
+	// OnTargetsVerified is called when a peer reports a read that found no newer change of
+	// a target on the platform than this host has. It may be nil.
+	OnTargetsVerified func(verification discovery.Verification)
 	// OnNewerVersion is called with the address of a host that has newer
 	// objects.
 	OnNewerVersion func(address string)
@@ -108,18 +109,17 @@
 
 // Versions are the versions of the platform's objects that a host has.
 type Versions struct {
-	// Configuration is the version in force. Verified is when any host last
-	// read from the platform that there is no newer one.
+	// Configuration is the version in force. Verified is the last read of any host that
+	// found no newer one on the platform.
 	Configuration int64
-	Verified      time.Time
+	Verified      discovery.Verification
 	// LastTargetChange is the revision of the last change of a target that this
 	// host has read. TargetsRevision is the revision up to which it has all
 	// changes.
 	LastTargetChange int64
 	TargetsRevision  int64
-	// TargetsVerified is when any host last read from the platform that there is no newer
-	// change of a target.
-	TargetsVerified time.Time
+	// TargetsVerified is the last read of any host that found no newer change of a target.
+	TargetsVerified discovery.Verification
 }
 
 // newestConfiguration is a version of the configuration that a host reported.
@@ -250,14 +250,16 @@
 		Queues:         encodeQueues(balanceReport.Queues),
 		Speeds:         encodeSpeeds(balanceReport.Speeds),
 		Spends:         encodeSpends(spends),
-		VerifiedMs:     uint32(min(time.Since(versions.Verified).Milliseconds(), math.MaxUint32)),
+		VerifiedMs:     uint32(min(time.Since(versions.Verified.At).Milliseconds(), math.MaxUint32)),
 		Summaries:      summaries,
 		Link:           exchange.Link,
 		LeavingTargets: encodeLeaving(balanceReport.Leaving),
 		Brittle:        encodeBrittle(balanceReport.Brittle),
 		Direct:         !exchange.usesSummaries(),
 
-		TargetsVerifiedMs: verifiedAge(versions.TargetsVerified),
+		TargetsVerifiedMs: verifiedAge(versions.TargetsVerified.At),
+		VerifiedId:        versions.Verified.ID,
+		TargetsVerifiedId: versions.TargetsVerified.ID,
 	}
 	if len(summaries) == 0 {
 		report.Peers = exchange.reportedPeers()
@@ -357,11 +359,11 @@
 	}
 	if message.GetConfiguration() == versions.Configuration {
 		age := time.Duration(message.GetVerifiedMs())*time.Millisecond + reportDelay
-		exchange.OnVerified(versions.Configuration, time.Now().Add(-age))
+		exchange.OnVerified(versions.Configuration, discovery.Verification{At: time.Now().Add(-age), ID: message.GetVerifiedId()})
 	}
 	if verified := message.GetTargetsVerifiedMs(); verified > 0 && message.GetTargets() <= versions.TargetsRevision && exchange.OnTargetsVerified != nil {
 		age := time.Duration(verified)*time.Millisecond + reportDelay
-		exchange.OnTargetsVerified(time.Now().Add(-age))
+		exchange.OnTargetsVerified(discovery.Verification{At: time.Now().Add(-age), ID: message.GetTargetsVerifiedId()})
 	}
 	if message.GetConfiguration() > versions.Configuration || message.GetTargets() > versions.TargetsRevision {
 		exchange.OnNewerVersion(message.GetAddress())
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/quota"
@@ -51,7 +52,7 @@
 		Balancer:       &balance.Balancer{},
 		Versions:       func() Versions { return Versions{Configuration: 1} },
 		OnNewerVersion: func(string) {},
-		OnVerified:     func(int64, time.Time) {},
+		OnVerified:     func(int64, discovery.Verification) {},
 		Suspects:       newSuspects(),
 	}
 	host.Ledger = &quota.Ledger{Interval: host.Interval}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -203,7 +203,7 @@
 		OnNewerVersion: host.requestSnapshot,
 		OnVerified:     host.confirmVersion,
 
-		OnTargetsVerified: func(at time.Time) { host.targetFollower.MarkVerified(at) },
+		OnTargetsVerified: func(verification discovery.Verification) { host.targetFollower.MarkVerified(verification) },
 	}
 	host.ledger.Interval = host.exchange.Interval
 	host.ledger.Incarnation = host.exchange.Incarnation
--- a/gateway/snapshots.go
+++ b/gateway/snapshots.go
@@ -26,18 +26,18 @@
 	targets := host.targetFollower.State()
 	return exchange.Versions{
 		Configuration:    host.routes.Version(),
-		Verified:         host.routeFollower.VerifiedAt(),
+		Verified:         host.routeFollower.Verified(),
 		LastTargetChange: targets.ChangedRevision,
 		TargetsRevision:  targets.Revision,
-		TargetsVerified:  host.targetFollower.VerifiedAt(),
+		TargetsVerified:  host.targetFollower.Verified(),
 	}
 }
 
 // checkTargets verifies the targets after a read of the routes, by the revision that the
 // platform had then: mostly nothing has changed, and they need not be read as well.
-func (host *host) checkTargets(revision int64, at time.Time) {
+func (host *host) checkTargets(revision int64, verification discovery.Verification) {
 	// A failed read is recorded, and poll reads them later.
-	go func() { _ = host.targetFollower.ReadUnlessAt(context.Background(), revision, at) }()
+	go func() { _ = host.targetFollower.ReadUnlessAt(context.Background(), revision, verification) }()
 }
 
 // buildSnapshot returns the routes and targets that are newer than the revisions of
@@ -60,11 +60,11 @@
 	return snapshot
 }
 
-// confirmVersion marks the routes in force as verified at a time when another host
-// has seen the same version to be the newest.
-func (host *host) confirmVersion(version int64, at time.Time) {
+// confirmVersion marks the routes in force as verified by a read that found the same version
+// to be the newest.
+func (host *host) confirmVersion(version int64, verification discovery.Verification) {
 	if version > 0 && version == host.routes.Version() {
-		host.routeFollower.MarkVerified(at)
+		host.routeFollower.MarkVerified(verification)
 	}
 }
 
