gateway: keep other answers out of a stream that has begun

Cause: after a stream had broken off, the answer of the next target was written to the caller whatever it was. Only server errors were not passed on. A 404, 410 or redirect was written as text after the last event, and ended the answer as a complete one, as did a 204, a 304 and a 200 without an event. A 200 of another content type or encoding was read as events.

Change: once the head of a stream is written, an answer has to be a 200 of the head's media type, without an encoding, with the target's signature and with at least one event. All else is a failed attempt: event 1140 says why, and another target is asked within the route's attempts and the retry budget. If none goes on, the caller's connection is closed as for any stream that breaks off. Comments before the first event of such an answer are dropped, as they show nothing of what follows.

What callers saw: the text of the error between the events of their stream, and streams that looked complete and were not.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,7 +34,7 @@
 	})
 	eventAborted = timeline.Define(timeline.Kind{
 		Number: 1102, Name: "answer aborted", Level: timeline.Info,
-		Meaning: "An answer that had begun could not be completed; the caller's connection was closed.",
+		Meaning: "An answer that had begun could not be completed; the caller's connection was closed. The fact is the id of the last event that the caller has.",
 	})
 )
 
@@ -125,7 +125,11 @@
 // abortAnswer closes the caller's connection, so that an answer that has begun
 // can't be mistaken for a complete one.
 func (forwarding *forwarding) abortAnswer(reason string) {
-	forwarding.gateway.Events.Record(eventAborted, timeline.Event{Request: forwarding.call.ID, Detail: reason})
+	forwarding.gateway.Events.Record(eventAborted, timeline.Event{
+		Request: forwarding.call.ID,
+		Detail:  reason,
+		Facts:   []timeline.Fact{{Key: "after", Value: forwarding.resumedAfter()}},
+	})
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,8 @@
 	declined
 	// failed: the target may have run the request but gave no complete answer.
 	failed
-	// failedWhole: the target ran the request and answered with a server error.
+	// failedWhole: the target ran the request and answered with a server error, or with
+	// something else than the rest of a stream that had begun.
 	failedWhole
 )
 
@@ -388,6 +389,10 @@
 		return notRun, "the target did not run the request: " + http.StatusText(answer.Status)
 	}
 	forwarding.mayHaveRun = true
+	if fault := forwarding.headFault(answer, reply); fault != (continuationFault{}) {
+		answer.Body.Discard()
+		return failedWhole, forwarding.refuseContinuation(grant, answer, fault)
+	}
 	if forwarding.route.Streaming && answer.Status == http.StatusOK {
 		return forwarding.relayStream(ctx, grant, answer, reply, attempt, silenceTimer)
 	}
@@ -446,7 +451,7 @@
 	}
 	eventReader := eventReader{reader: bufio.NewReader(answer.Body), buffer: buffer{room: &forwarding.gateway.bufferRoom}}
 	defer eventReader.buffer.release()
-	count := 0
+	count, continues := 0, forwarding.hasPassedEvent
 	for {
 		event, err := eventReader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -454,6 +459,9 @@
 				forwarding.endGrant(ctx, grant, balance.Failed)
 				return failed, reasonEnded
 			}
+			if count == 0 && forwarding.hasPassedEvent {
+				return failedWhole, forwarding.refuseContinuation(grant, answer, continuationFault{faultNoEvent, "no event"})
+			}
 			grant.RecordFirstEvent()
 			grant.RecordStreamEnd(count)
 			grant.End(balance.Served)
@@ -477,12 +485,17 @@
 				forwarding.timeToFirstEvent = time.Since(forwarding.arrivedAt)
 			}
 		}
+		if continues && count == 0 {
+			// A comment, which does not show that the answer continues the stream.
+			continue
+		}
 		if !isAfter(event.id, forwarding.lastEventID) {
 			grant.End(balance.Failed)
 			return failed, "the stream repeats an event"
 		}
 		forwarding.recordVersion(&grant.Target)
 		forwarding.writeStreamHeader(answer)
+		forwarding.hasPassedEvent = forwarding.hasPassedEvent || !event.isBlank
 		if event.id != "" {
 			forwarding.lastEventID = event.id
 		}
@@ -504,6 +517,7 @@
 		return
 	}
 	forwarding.headerWritten = true
+	forwarding.headType = answer.Header.Get("Content-Type")
 	header := forwarding.writer.Header()
 	maps.Copy(header, endToEndHeader(answer.Header))
 	if strings.EqualFold(forwarding.request.Method, http.MethodHead) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,10 +135,13 @@
 	lacksRetry bool
 	// triedTargets are the ids of the targets tried so far.
 	triedTargets []string
-	// headerWritten reports whether the answer's header is written; lastEventID
-	// is the id of the last event passed on.
+	// headerWritten reports whether the answer's header is written, headType is its content
+	// type; lastEventID is the id of the last event passed on.
 	headerWritten bool
+	headType      string
 	lastEventID   string
+	// hasPassedEvent reports whether an event was passed on.
+	hasPassedEvent bool
 	// version is that of the targets at which the stream goes on, 0 for a new stream.
 	version balance.VersionID
 	// content identifies the request when its caller sends it again; shared is what other
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,3 +35,8 @@
 func countFailedAttempt(pool, target string, verdict verdict) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("nutmegfield_failed_attempts_total{pool=%q,target=%q,verdict=%q}", pool, target, verdict.String())).Inc()
 }
+
+// countRefusedContinuation counts an answer of a target that did not continue a stream.
+func countRefusedContinuation(pool, target, fault string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("nutmegfield_refused_continuations_total{pool=%q,target=%q,fault=%q}", pool, target, fault)).Inc()
+}
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -19,7 +19,8 @@
 // TestScripts runs testdata/*.txtar. The section route holds words for
 // applyRouteKind, targets the number of targets, call the caller's request, and want
 // what the caller and the targets receive; all others are the targets' replies in
-// order. In replies, ID stands for the request's id; CLOSE closes the connection,
+// order. Those whose names begin with "case" are alternatives: the script runs once for
+// each of them. In replies, ID stands for the request's id; CLOSE closes the connection,
 // RESET resets it, HOLD sends nothing more until the gateway closes it, and ENDLESS and
 // TRICKLE send a text again and again until then.
 func TestScripts(t *testing.T) {
@@ -27,13 +28,28 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
 	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) { runScript(qt.New(t), file) })
+		archive, err := txtar.ParseFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			hasCases := false
+			for _, section := range archive.Files {
+				if name, ok := strings.CutPrefix(section.Name, casePrefix); ok {
+					hasCases = true
+					t.Run(name, func(t *testing.T) { runScript(qt.New(t), archive, section.Name) })
+				}
+			}
+			if !hasCases {
+				runScript(qt.New(t), archive, "")
+			}
+		})
 	}
 }
 
-func runScript(c *qt.C, file string) {
-	archive, err := txtar.ParseFile(file)
-	c.Assert(err, qt.IsNil)
+// casePrefix begins the names of sections that are alternatives.
+const casePrefix = "case "
+
+// runScript runs a script with one of its alternatives.
+func runScript(c *qt.C, archive *txtar.Archive, alternative string) {
 	var kind, call, want string
 	targets := 2
 	var replies []string
@@ -50,7 +66,9 @@
 		case "want":
 			want = text
 		default:
-			replies = append(replies, string(section.Data))
+			if section.Name == alternative || !strings.HasPrefix(section.Name, casePrefix) {
+				replies = append(replies, string(section.Data))
+			}
 		}
 	}
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, kind) }), targets)
@@ -108,6 +126,8 @@
 			route.Streaming = true
 		case "resumable":
 			route.Streaming, route.Resumable = true, true
+		case "thrice":
+			route.Attempts = 3
 		case "anonymous":
 			route.Anonymous = true
 		case "short":
