gateway: check the place of the events that continue a stream

Cause: the ids of a continuation only had to rise, and an event without an id passed any check. Where a caller had taken a stream up, the event that it named was not compared with at all. A target that went on some events later, or anew, was believed.

Change: where the ids that this host passed on were consecutive integers, the first event of a continuation must have the next one; where they had gaps, a higher one. Where a caller takes a stream up, this host has passed on nothing, and the first id must be higher than the one that the caller names. An event without an id is not passed on in a continuation. A stream of which no event had an id is not asked for anywhere else, as the request would name no place to go on from, and its target is not given up for silence.

What callers saw: streams with missing, repeated or foreign events.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,7 +102,10 @@
 		case failed, failedWhole:
 			runs++
 		}
-		retrying := ctx.Err() == nil && unreachableCount < maxUnreachable && forwarding.sends < maxSends && forwarding.mayRetry(verdict, runs)
+		if !forwarding.canContinue() {
+			reason += "; no target can go on after events without ids"
+		}
+		retrying := ctx.Err() == nil && unreachableCount < maxUnreachable && forwarding.sends < maxSends && forwarding.canContinue() && forwarding.mayRetry(verdict, runs)
 		countFailedAttempt(grant.Target.Pool, grant.Target.ID, verdict)
 		forwarding.recordFailed(grant, forwarding.failureReason(ctx, reason), retrying)
 		if !retrying {
@@ -451,7 +454,7 @@
 	}
 	eventReader := eventReader{reader: bufio.NewReader(answer.Body), buffer: buffer{room: &forwarding.gateway.bufferRoom}}
 	defer eventReader.buffer.release()
-	count, continues := 0, forwarding.hasPassedEvent
+	count, continues := 0, forwarding.continues()
 	for {
 		event, err := eventReader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -485,9 +488,14 @@
 				forwarding.timeToFirstEvent = time.Since(forwarding.arrivedAt)
 			}
 		}
-		if continues && count == 0 {
-			// A comment, which does not show that the answer continues the stream.
-			continue
+		if continues {
+			if count == 0 {
+				// A comment, which does not show that the answer continues the stream.
+				continue
+			}
+			if fault := forwarding.eventFault(event, count == 1 && !event.isBlank); fault != (continuationFault{}) {
+				return failed, forwarding.refuseContinuation(grant, answer, fault)
+			}
 		}
 		if !isAfter(event.id, forwarding.lastEventID) {
 			grant.End(balance.Failed)
@@ -495,9 +503,8 @@
 		}
 		forwarding.recordVersion(&grant.Target)
 		forwarding.writeStreamHeader(answer)
-		forwarding.hasPassedEvent = forwarding.hasPassedEvent || !event.isBlank
-		if event.id != "" {
-			forwarding.lastEventID = event.id
+		if forwarding.recordPassed(event); !forwarding.canContinue() {
+			silenceTimer.stop()
 		}
 		if _, err := forwarding.writer.Write(event.bytes); err != nil {
 			grant.Cancel()
--- /dev/null
+++ b/gateway/continuation_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/budget"
+	"nutmegfield.example/limit"
+	"nutmegfield.example/quarantine"
+	"nutmegfield.example/route"
+	"nutmegfield.example/upstream"
+)
+
+// FuzzContinuation answers a continuation with arbitrary bytes. The caller must get the events
+// before it and, if anything else, events of the next ids; an answer that ends as complete
+// must have one of these.
+func FuzzContinuation(f *testing.F) {
+	const (
+		begun = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTest-Id: q1\r\nTest-Seal: s1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+		head  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTest-Id: q1\r\nTest-Seal: s2\r\n"
+	)
+	f.Add([]byte("HTTP/1.1 404 Not Found\r\nTest-Id: q1\r\nContent-Length: 7\r\n\r\nforeign"))
+	f.Add([]byte(head + "\r\nid: 3\ndata: c\n\nid: 4\r\ndata: d\r\n\r\n"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 3\ndata: c\n\n\n\r\n0\r\n\r\n"))
+	f.Add([]byte(head + "Content-Length: 40\r\n\r\n: beat\n\nid: 5\ndata: foreign\n\n"))
+	f.Add([]byte(head + "\r\n: beat\r\rdata: foreign\r\r\n\nid: 3\r\rdata: foreign\n\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\ndata: foreign\n\nid: 3\ndata: c\n\n"))
+	fixture := newFixture(qt.New(f), testConfiguration(func(route *route.Route) { applyRouteKind(route, "resumable") }), 2)
+	gateway := fixture.gateway
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		c := qt.New(t)
+		// An earlier answer may have limited the targets, or used the budget.
+		gateway.Balancer = &balance.Balancer{}
+		gateway.Balancer.SetTargets(fixture.targets, nil)
+		gateway.Limiter = &limit.Limiter{}
+		gateway.Budget = &budget.Budget{Ratio: 1, Window: time.Second, Spare: 10, Hosts: func() int { return 1 }, StartedAt: time.Now().Add(-time.Minute)}
+		gateway.Attempts = &quarantine.Attempts{Check: func(context.Context, *balance.Target) error { return nil }, CheckTimeout: time.Second}
+		answers := make(chan []byte, 2)
+		answers <- []byte(begun)
+		answers <- answer
+		gateway.Connections = &upstream.Connections{DialTimeout: time.Second, Matches: answerMatcher(testProtocol)}
+		gateway.Connections.Dial = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer func() { _ = far.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+					_, _ = far.Write(<-answers)
+				}
+			}()
+			return near, nil
+		}
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h.example/r/a", strings.NewReader("x"))
+		request.Header.Set(testID, "q1")
+		request.Header.Set(testKey, "k")
+		recorder := httptest.NewRecorder()
+		isComplete := serveUntilAborted(gateway, recorder, request)
+		c.Assert(answers, qt.HasLen, 0)
+		rest, ok := strings.CutPrefix(recorder.Body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%q", recorder.Body))
+		ids := eventIDs(rest)
+		c.Assert(isComplete && len(ids) == 0, qt.IsFalse, qt.Commentf("%q", answer))
+		last := int64(2)
+		for i, text := range ids {
+			id, err := strconv.ParseInt(text, 10, 64)
+			c.Assert(err == nil || i > 0, qt.IsTrue, qt.Commentf("%q", rest))
+			c.Assert(id == last+1 || i > 0 && (id > last || err != nil), qt.IsTrue, qt.Commentf("%q", rest))
+			last = max(last, id)
+		}
+	})
+}
+
+// serveUntilAborted serves a request and reports whether the answer ended as complete.
+func serveUntilAborted(gateway *Gateway, writer http.ResponseWriter, request *http.Request) (isComplete bool) {
+	defer func() {
+		switch cause := recover().(type) {
+		case nil:
+		case error:
+			if !errors.Is(cause, http.ErrAbortHandler) {
+				panic(cause)
+			}
+		default:
+			panic(cause)
+		}
+	}()
+	gateway.ServeHTTP(writer, request)
+	return true
+}
+
+// eventIDs returns the ids of the events in a text as callers parse them, without those that
+// are comments only. It is empty for an event without an id, and for an unfinished one.
+func eventIDs(text string) []string {
+	text = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
+	var ids []string
+	id, isBlank := "", true
+	for line := range strings.Lines(text) {
+		switch name, value, _ := strings.Cut(strings.TrimSuffix(line, "\n"), ":"); {
+		case line == "\n":
+			if !isBlank {
+				ids = append(ids, id)
+			}
+			id, isBlank = "", true
+		case name == "id":
+			id, isBlank = strings.TrimSpace(value), false
+		case name != "":
+			isBlank = false
+		}
+	}
+	if !isBlank {
+		ids = append(ids, "")
+	}
+	return ids
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,8 +140,9 @@
 	headerWritten bool
 	headType      string
 	lastEventID   string
-	// hasPassedEvent reports whether an event was passed on.
-	hasPassedEvent bool
+	// hasPassedEvent reports whether an event was passed on, hasGaps whether the ids of
+	// those that were are not consecutive integers.
+	hasPassedEvent, hasGaps bool
 	// version is that of the targets at which the stream goes on, 0 for a new stream.
 	version balance.VersionID
 	// content identifies the request when its caller sends it again; shared is what other
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -13,16 +13,18 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rogpeppe/go-internal/txtar"
 
+	"nutmegfield.example/origin"
 	"nutmegfield.example/route"
 )
 
 // TestScripts runs testdata/*.txtar. The section route holds words for
 // applyRouteKind, targets the number of targets, call the caller's request, and want
-// what the caller and the targets receive; all others are the targets' replies in
-// order. Those whose names begin with "case" are alternatives: the script runs once for
-// each of them. In replies, ID stands for the request's id; CLOSE closes the connection,
-// RESET resets it, HOLD sends nothing more until the gateway closes it, and ENDLESS and
-// TRICKLE send a text again and again until then.
+// what the caller and the targets receive; after is the event after which the caller
+// takes a stream up. All others are the targets' replies in order. Those whose names begin
+// with "case" are alternatives: the script runs once for each of them. In replies, ID
+// stands for the request's id; CLOSE closes the connection, RESET resets it, HOLD sends
+// nothing more until the gateway closes it, and ENDLESS and TRICKLE send a text again and
+// again until then.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	qt.Assert(t, err, qt.IsNil)
@@ -50,7 +52,7 @@
 
 // runScript runs a script with one of its alternatives.
 func runScript(c *qt.C, archive *txtar.Archive, alternative string) {
-	var kind, call, want string
+	var kind, call, after, want string
 	targets := 2
 	var replies []string
 	for _, section := range archive.Files {
@@ -63,6 +65,8 @@
 			c.Assert(err, qt.IsNil)
 		case "call":
 			call = text
+		case "after":
+			after = text
 		case "want":
 			want = text
 		default:
@@ -81,6 +85,11 @@
 	request.Header.Set("Connection", "X-Hop")
 	request.Header.Set("X-Hop", "1")
 	request.Header.Set("X-Other", "2")
+	if after != "" {
+		request.Header.Set(testLastEvent, after)
+		request.Header.Set(testResumes, "first")
+		fixture.gateway.Origins.RecordBegin(origin.NewStream("first"), testPool, fixture.targets[0].VersionID())
+	}
 	response, err := http.DefaultTransport.RoundTrip(request)
 	var seen strings.Builder
 	if err != nil {
