diagnosis: explain streams that no target continued

Cause: a stream that ended because the answers of further targets could not continue it was explained by the last reason alone.

Change: explain names the event after which the stream ended, and for each target that was asked what its answer was, if event 1140 is among the request's lines and nothing was passed on after it.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -25,6 +25,7 @@
 	eventNotLimited     = 1122
 	eventUnreached      = 1131
 	eventReached        = 1132
+	eventNotContinued   = 1140
 	eventForwarded      = 1133
 	eventPeerReporting  = 6101
 	eventPeerSilent     = 6102
@@ -179,7 +180,7 @@
 		}
 		return refusedCause(&last, failures)
 	case eventAborted:
-		return "the answer had begun and broke off: " + last.Detail
+		return abortedCause(&last, requestLines, failures)
 	case eventSent:
 		return unansweredCause(all, &last)
 	case eventAttemptFailed:
@@ -189,6 +190,23 @@
 	}
 }
 
+// abortedCause explains an answer that had begun and was not completed. If an answer was
+// refused as it did not continue the stream after the caller's last event, this is the cause.
+func abortedCause(last *Line, requestLines []Line, failures []string) string {
+	isRefused := func(line Line) bool {
+		return line.Event == eventNotContinued && line.Facts["after"] == last.Facts["after"]
+	}
+	if !slices.ContainsFunc(requestLines, isRefused) {
+		return "the answer had begun and broke off: " + last.Detail
+	}
+	text := strings.Join(failures, "; ")
+	if !strings.HasSuffix(text, last.Detail) {
+		// Something else kept the stream from another target.
+		text += "; " + last.Detail
+	}
+	return fmt.Sprintf("the stream had begun and ended after event %s, as no target continued it: %s", last.Facts["after"], text)
+}
+
 // answeredCause explains a request that was answered, with the times from its
 // lines and the attempts that failed before.
 func answeredCause(last *Line, requestLines []Line, failures []string) string {
