gateway: read lines of events that are longer than the buffer

Cause: a line of more than 4,096 bytes comes in parts, of which the last was read as a line of its own. Where it began with "id:" it named the event, and where it began with a colon the event could count as a comment, which a continuation does not begin with.

Change: lines are read from the event's buffer once they are complete.

What callers saw: a stream with such an event was broken off as repeating one, or went on after an event that it does not have.

Measured: TestLongLines failed before and passes.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -30,9 +30,10 @@
 	buffer := &eventReader.buffer
 	buffer.bytes = buffer.bytes[:0]
 	next := event{isBlank: true}
+	lineStart := 0
 	for {
-		line, err := eventReader.reader.ReadSlice('\n')
-		if err := buffer.write(line); err != nil {
+		part, err := eventReader.reader.ReadSlice('\n')
+		if err := buffer.write(part); err != nil {
 			return event{}, err
 		}
 		switch {
@@ -43,26 +44,21 @@
 		case err != nil:
 			return event{}, err
 		}
+		// A line longer than the reader's buffer has come in parts.
+		line := buffer.bytes[lineStart:]
+		lineStart = len(buffer.bytes)
+		if string(line) == "\n" || string(line) == "\r\n" {
+			next.bytes = buffer.bytes
+			return next, nil
+		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			next.id = string(bytes.TrimSpace(value))
 		}
-		if len(text) == 0 && bytes.HasSuffix(line, []byte("\n")) && endsWithEmptyLine(buffer.bytes) {
-			next.bytes = buffer.bytes
-			return next, nil
-		}
 		next.isBlank = next.isBlank && bytes.HasPrefix(text, []byte(":"))
 	}
 }
 
-// endsWithEmptyLine reports whether the last line is empty. A line longer than the
-// reader's buffer arrives in pieces, whose last one may be just a line break.
-func endsWithEmptyLine(buffer []byte) bool {
-	buffer = bytes.TrimSuffix(buffer, []byte("\n"))
-	buffer = bytes.TrimSuffix(buffer, []byte("\r"))
-	return len(buffer) == 0 || buffer[len(buffer)-1] == '\n'
-}
-
 // isAfter reports whether an event's id comes after the last one. A non-numeric
 // id only has to differ from it.
 func isAfter(id, last string) bool {
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/iotest"
 
@@ -45,3 +46,19 @@
 	c.Assert(room.shared.Load(), qt.Equals, int64(0))
 	return texts
 }
+
+// TestLongLines guards against lines longer than the reader's buffer whose end is taken for a
+// line of its own: for the id of the event, or for a comment.
+func TestLongLines(t *testing.T) {
+	c := qt.New(t)
+	const readerBytes = 4096
+	long := "data: " + strings.Repeat("x", readerBytes-len("data: "))
+	for _, end := range []string{"id: 7", ": no comment"} {
+		var room bufferRoom
+		reader := eventReader{reader: bufio.NewReader(strings.NewReader(long + end + "\n\n")), buffer: buffer{room: &room}}
+		event, err := reader.next()
+		c.Assert(err, qt.IsNil)
+		c.Assert(event.id, qt.Equals, "")
+		c.Assert(event.isBlank, qt.IsFalse, qt.Commentf("%q", end))
+	}
+}
