upstream: take answers as a request's own only if they name it

Cause: a refusal without a request's id was taken as the answer to whatever request its connection carried then. A target that writes an earlier refusal again on a kept connection so had requests that it ran sent to a second target, and callers were told that they did not run. A copy that names the request was believed, too, where a caller sends the id again.

Change: connections.Identify reads which request an answer names, and package upstream decides. An answer has to name the request's id. One that says that the request did not run may omit it only as the first answer on a connection that has carried no other request. What else names none is skipped, with event 1145. A request without an id, or with one that the target has refused before, goes over a new connection. After a refusal that names none, each request to the target goes over a connection of its own for a minute, so that such refusals can be believed; one that may be repeated is given up 150 ms after it, one that may run once waits. Hosts check answers that come over other hosts in the same way, and send no request without an id over them.

Result: with the earlier rule 21 of 29 cases of TestCopiesOfRefusals fail, as do TestSkippedAnswersAnnounceNothing, TestSkippedAnswerIsRecorded, four scripts of gateway and five exchanges of detour; they pass now. TestRestingTargetGetsNothing had a target refuse without an id on a kept connection, which hosts can't believe any more; it names the request now.

--- a/detour/bench_test.go
+++ b/detour/bench_test.go
@@ -44,12 +44,13 @@
 	}))
 	defer target.Close()
 	dial := (&net.Dialer{}).DialContext
-	connections := &upstream.Connections{Dial: dial, DialTimeout: time.Second, Matches: func(*upstream.Request, *http.Response) bool { return true }}
+	connections := &upstream.Connections{Dial: dial, DialTimeout: time.Second, Identify: identify}
 	listed := balance.Target{ID: "t", Pool: testPool, Address: target.Listener.Addr().String(), StartedAt: time.UnixMilli(1)}
 	server := &Server{
 		Connections: connections, Reaches: func(string) bool { return true }, Events: &timeline.Recorder{},
 		Target:   func(balance.Incarnation) (balance.Target, bool, bool) { return listed, true, true },
-		OnFailed: func(string) {}, OnAnswer: func(*balance.Target, *upstream.Answer) {}, Begin: func() func() { return func() {} },
+		OnFailed: func(string) {}, OnAnswer: func(*balance.Target, *upstream.Answer) {},
+		OnSkipped: func(string, *balance.Target, upstream.Skipped) {}, Begin: func() func() { return func() {} },
 		Watch: func(string) *Attempt { return &Attempt{} },
 	}
 	mux := drpcmux.New()
@@ -63,7 +64,7 @@
 	go func() { _ = drpcserver.New(mux).Serve(b.Context(), listener) }()
 	var bytes atomic.Int64
 	client := &Client{
-		Host: "me", Events: &timeline.Recorder{}, Hosts: func(string) []Host { return []Host{{ID: "a", Address: listener.Addr().String()}} },
+		Host: "me", Events: &timeline.Recorder{}, Identify: identify, Hosts: func(string) []Host { return []Host{{ID: "a", Address: listener.Addr().String()}} },
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			return &countedConn{Conn: conn, bytes: &bytes}, err
--- a/detour/client.go
+++ b/detour/client.go
@@ -73,8 +73,10 @@
 	// Hosts returns the other hosts that reach a pool.
 	Hosts func(pool string) []Host
 	// Dial opens a connection to a host.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	Events *timeline.Recorder
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Identify reads from the head of an answer which request it belongs to.
+	Identify func(status int, header http.Header) upstream.Identity
+	Events   *timeline.Recorder
 
 	mutex sync.Mutex
 	// states are kept by the addresses of hosts.
@@ -102,6 +104,10 @@
 	if len(call.Body) > MaxBodyBytes {
 		return nil, Declined.New("the body of %d bytes is too long for a detour", len(call.Body))
 	}
+	if call.ID == "" {
+		// This host could not tell whether an answer is its own.
+		return nil, Declined.New("a request without an id is not sent over another host")
+	}
 	err := error(Declined.New("no other host that reaches pool %s takes requests", call.Target.Pool))
 	var tried []string
 	for range maxTriedHosts {
@@ -286,12 +292,34 @@
 		exchange.hasEnded = !upstream.Is(err, Declined)
 		return nil, err
 	}
+	header := decodeHeader(reply.GetHeader())
+	if err := exchange.checkOwn(call, int(reply.GetStatus()), header); err != nil {
+		return nil, err
+	}
 	return &upstream.Answer{
-		Status: int(reply.GetStatus()), Header: decodeHeader(reply.GetHeader()), Length: reply.GetLength(), Unframed: reply.GetUnframed(),
+		Status: int(reply.GetStatus()), Header: header, Length: reply.GetLength(), Unframed: reply.GetUnframed(),
 		Body: upstream.NewBody(exchange, exchange.release),
 	}, nil
 }
 
+// checkOwn returns an error if an answer does not name the request. The other host reads the
+// target's connections, and may be one of an earlier build that believes refusals which name
+// none.
+func (exchange *exchange) checkOwn(call *Call, status int, header http.Header) error {
+	identity := exchange.client.Identify(status, header)
+	if identity.ID == call.ID {
+		return nil
+	}
+	skipped := upstream.Skipped{Status: status, Doubt: upstream.NamesAnother, NotRun: identity.NotRun}
+	if identity.ID == "" {
+		skipped.Doubt = upstream.NamesNone
+	}
+	if call.OnSkipped != nil {
+		call.OnSkipped(skipped)
+	}
+	return upstream.Unknown.New("the answer over host %s, with status %d, %s", exchange.host.ID, status, skipped.Doubt)
+}
+
 // Read reads the body of the answer.
 func (exchange *exchange) Read(buffer []byte) (int, error) {
 	for len(exchange.unread) == 0 {
@@ -363,7 +391,7 @@
 func encodeRequest(sender string, call *Call) *detourpb.Request {
 	return &detourpb.Request{
 		Sender: sender, Target: encodeTarget(call.Target), Method: call.Method, Path: call.Request.Target, Host: call.Host,
-		Header: encodeHeader(call.Header), Body: call.Body, Id: call.ID, FreshOnly: call.FreshOnly, Rank: uint32(max(0, call.Rank)),
+		Header: encodeHeader(call.Header), Body: call.Body, Id: call.ID, FreshOnly: call.Once, Rank: uint32(max(0, call.Rank)),
 	}
 }
 
--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -145,6 +145,8 @@
 	reaches  atomic.Bool
 	draining atomic.Bool
 	failed   atomic.Int64
+	// skipped counts the answers that were not taken as a request's own.
+	skipped atomic.Int64
 }
 
 func newHostFixture(ctx context.Context, network *network, address string, targets []*testTarget) *hostFixture {
@@ -153,9 +155,7 @@
 	fixture.server = &Server{
 		Connections: &upstream.Connections{
 			Dial: network.dial, DialTimeout: 300 * time.Millisecond,
-			Matches: func(request *upstream.Request, response *http.Response) bool {
-				return response.Header.Get("Id") == request.ID
-			},
+			Identify: identify,
 		},
 		Target: func(incarnation balance.Incarnation) (balance.Target, bool, bool) {
 			for _, target := range targets {
@@ -169,6 +169,7 @@
 		IsDraining: fixture.draining.Load,
 		OnFailed:   func(string) { fixture.failed.Add(1) },
 		OnAnswer:   func(*balance.Target, *upstream.Answer) {},
+		OnSkipped:  func(string, *balance.Target, upstream.Skipped) { fixture.skipped.Add(1) },
 		Begin:      func() func() { return func() {} },
 		Watch:      func(string) *Attempt { return &Attempt{} },
 		Events:     &timeline.Recorder{},
@@ -184,6 +185,11 @@
 	return fixture
 }
 
+// identify reads the header fields of test targets.
+func identify(_ int, header http.Header) upstream.Identity {
+	return upstream.Identity{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+}
+
 func newTestTarget(network *network, id string) *testTarget {
 	target := &testTarget{
 		Target: balance.Target{ID: id, Pool: testPool, Address: "target " + id, StartedAt: time.UnixMilli(7)},
@@ -226,6 +232,9 @@
 	client  *Client
 	number  int
 	maySend bool
+	// once and noID say what is sent, skipped counts the answers that were not taken.
+	once, noID bool
+	skipped    int
 }
 
 func newExchangeScript(ctx context.Context, t *testing.T) *exchangeScript {
@@ -237,6 +246,7 @@
 	}
 	script.client = &Client{
 		Host: "me", Hosts: func(string) []Host { return script.listed }, Dial: network.dial, Events: &timeline.Recorder{},
+		Identify: identify,
 	}
 	return script
 }
@@ -248,9 +258,13 @@
 //	delay DURATION          before it does
 //	target down             connections to the target are refused
 //	host NAME down, draining, unreached, unwanted, paused
+//	host NAME old           its build believes refusals that name no request
 //	withdrawn               the request may not be sent any more
 //	wait DURATION
 //	send WANT               WANT is the status and body, or the kind of the error; runs is the target's
+//	once WANT               the same for a request that may run once
+//	unnamed WANT            the same for a request without an id
+//	skipped COUNT           answers that the client did not take as a request's own
 //	leave                   sends a request whose caller leaves after 100 ms
 //	stop                    both hosts shut down while a request runs, and wait for it
 //	check WANT
@@ -283,6 +297,16 @@
 		script.maySend = false
 	case "send":
 		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
+	case "once":
+		script.once = true
+		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
+		script.once = false
+	case "unnamed":
+		script.noID = true
+		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
+		script.noID = false
+	case "skipped":
+		script.Assert(strconv.Itoa(script.skipped), qt.Equals, rest, comment)
 	case "leave":
 		ctx, cancel := context.WithTimeout(script.Context(), 100*time.Millisecond)
 		defer cancel()
@@ -335,6 +359,14 @@
 		host.reaches.Store(false)
 	case "unwanted":
 		host.unwanted.Store(true)
+	case "old":
+		host.server.Connections.Identify = func(status int, header http.Header) upstream.Identity {
+			identity := identify(status, header)
+			if identity.ID == "" && identity.NotRun {
+				identity.ID = "r" + strconv.Itoa(script.number)
+			}
+			return identity
+		}
 	case "paused":
 		host.server.awakeAt.Store(time.Now().Add(-time.Minute).UnixNano())
 	default:
@@ -345,11 +377,16 @@
 func (script *exchangeScript) send(ctx context.Context) string {
 	script.number++
 	id := "r" + strconv.Itoa(script.number)
+	header := http.Header{"Id": {id}}
+	if script.noID {
+		id, header = "", http.Header{}
+	}
 	answer, err := script.client.Exchange(ctx, &Call{
 		Target: &script.target.Target,
 		Request: &upstream.Request{
-			Method: http.MethodPost, Target: "/path?query", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), ID: id,
-			MaySend: func() bool { return script.maySend },
+			Method: http.MethodPost, Target: "/path?query", Host: "h", Header: header, Body: []byte("body"), ID: id,
+			MaySend: func() bool { return script.maySend }, Once: script.once,
+			OnSkipped: func(upstream.Skipped) { script.skipped++ },
 		},
 	})
 	if err != nil {
@@ -444,7 +481,7 @@
 		var served, declined, other, most atomic.Int64
 		var group sync.WaitGroup
 		for i := range *hostCount {
-			client := &Client{Host: fmt.Sprintf("c%d", i), Hosts: func(string) []Host { return listed }, Dial: network.dial, Events: &timeline.Recorder{}}
+			client := &Client{Host: fmt.Sprintf("c%d", i), Hosts: func(string) []Host { return listed }, Dial: network.dial, Events: &timeline.Recorder{}, Identify: identify}
 			for j := range rate * seconds {
 				group.Go(func() {
 					time.Sleep(time.Duration(j)*time.Second/rate + time.Duration(i)*time.Millisecond/4)
--- a/detour/server.go
+++ b/detour/server.go
@@ -60,11 +60,13 @@
 	// IsDraining reports whether this host shuts down. It may be nil.
 	IsDraining func() bool
 	// OnFailed is called when a target of a pool could not be connected to, OnAnswer with
-	// the head of each answer; Begin when a request arrives, and its result at the end.
-	OnFailed func(pool string)
-	OnAnswer func(target *balance.Target, answer *upstream.Answer)
-	Begin    func() (end func())
-	Events   *timeline.Recorder
+	// the head of each answer, OnSkipped with each that is not taken as the request's own;
+	// Begin when a request arrives, and its result at the end.
+	OnFailed  func(pool string)
+	OnAnswer  func(target *balance.Target, answer *upstream.Answer)
+	OnSkipped func(request string, target *balance.Target, skipped upstream.Skipped)
+	Begin     func() (end func())
+	Events    *timeline.Recorder
 
 	running atomic.Int64
 	// lag is the average lateness of this host's work in nanoseconds, awakeAt when it was
@@ -171,11 +173,12 @@
 	defer watched.End()
 	answer, err := server.Connections.Exchange(stream.Context(), target.Address, &upstream.Request{
 		Method: request.GetMethod(), Target: request.GetPath(), Host: request.GetHost(), Header: decodeHeader(request.GetHeader()),
-		Body: request.GetBody(), ID: request.GetId(), FreshOnly: request.GetFreshOnly(),
+		Body: request.GetBody(), ID: request.GetId(), Once: request.GetFreshOnly(),
 		MaySend: func() bool {
 			_, _, maySend := server.Target(decodeTarget(request.GetTarget()))
 			return maySend && !server.wasPaused()
 		},
+		OnSkipped: func(skipped upstream.Skipped) { server.OnSkipped(request.GetId(), &target, skipped) },
 	})
 	switch {
 	case upstream.Is(err, upstream.Withdrawn):
--- a/gateway/announcement_test.go
+++ b/gateway/announcement_test.go
@@ -13,7 +13,7 @@
 	"nutmegfield.example/route"
 )
 
-const fullReply = "HTTP/1.1 503 Service Unavailable\nTest-Not-Run: 1\nTest-Rest: 3s\nContent-Length: 0\n\n"
+const fullReply = "HTTP/1.1 503 Service Unavailable\nTest-Id: ID\nTest-Not-Run: 1\nTest-Rest: 3s\nContent-Length: 0\n\n"
 
 // TestLeavingTargetGetsNothingNew guards against requests to a target after an answer that
 // said that it leaves. When all do, callers are told to come back.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -75,7 +75,7 @@
 		forwarding.abortAnswer(reason)
 	case forwarding.fallback != nil:
 		forwarding.writeBuffered(forwarding.fallback)
-	case forwarding.mayHaveRun && ctx.Err() != nil:
+	case forwarding.mayHaveRun && ctx.Err() != nil && !forwarding.hasSkipped:
 		forwarding.refuse(http.StatusGatewayTimeout, 0, "no answer in time", cause)
 	case forwarding.mayHaveRun:
 		forwarding.refuse(http.StatusBadGateway, 0, "no whole answer", cause)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -243,14 +243,16 @@
 	sentAt := time.Now()
 	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.traits)
 	answer, err := forwarding.exchange(attemptContext, grant, silenceTimer, &upstream.Request{
-		Method:    forwarding.request.Method,
-		Target:    forwarding.requestTarget(),
-		Host:      forwarding.request.Host,
-		Header:    header,
-		Body:      forwarding.body,
-		ID:        forwarding.call.ID,
-		FreshOnly: !forwarding.route.Retryable(),
-		MaySend:   func() bool { return time.Since(sentAt) <= maxSendDelay && forwarding.maySend(&grant.Target) },
+		Method:  forwarding.request.Method,
+		Target:  forwarding.requestTarget(),
+		Host:    forwarding.request.Host,
+		Header:  header,
+		Body:    forwarding.body,
+		ID:      forwarding.call.ID,
+		Once:    !forwarding.route.Retryable(),
+		MaySend: func() bool { return time.Since(sentAt) <= maxSendDelay && forwarding.maySend(&grant.Target) },
+
+		OnSkipped: func(skipped upstream.Skipped) { forwarding.recordSkipped(&grant.Target, skipped) },
 	})
 	defer silenceTimer.endPath()
 	if upstream.Is(err, detour.Declined) {
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -49,7 +49,7 @@
 		answers := make(chan []byte, 2)
 		answers <- []byte(begun)
 		answers <- answer
-		gateway.Connections = &upstream.Connections{DialTimeout: time.Second, Matches: answerMatcher(testProtocol)}
+		gateway.Connections = &upstream.Connections{DialTimeout: time.Second, Identify: identify(testProtocol)}
 		gateway.Connections.Dial = func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			go func() {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -141,7 +141,7 @@
 	fixture.gateway = &Gateway{
 		Protocol: testProtocol,
 		Connections: &upstream.Connections{
-			Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second, Matches: answerMatcher(testProtocol),
+			Dial: (&net.Dialer{}).DialContext, DialTimeout: time.Second, Identify: identify(testProtocol),
 		},
 		Balancer: fixture.balancer,
 		Ledger:   fixture.ledger,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,8 @@
 	// mayHaveRun reports whether one of them may have begun to run it.
 	sends      int
 	mayHaveRun bool
+	// hasSkipped means that an answer that may be this request's was not taken as such.
+	hasSkipped bool
 	// retry is the permission for the next target, nil for none; hasEnded means that it
 	// won't be needed.
 	retry    atomic.Pointer[budget.Retry]
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -280,7 +280,7 @@
 			Dial:        kernelHost.Network.Dial,
 			DialTimeout: dialTimeout,
 			MaxOpen:     host.maxOpenConnections,
-			Matches:     answerMatcher(protocol),
+			Identify:    identify(protocol),
 		},
 		Balancer: host.balancer,
 		Ledger:   host.ledger,
@@ -322,6 +322,7 @@
 	}
 	host.detours = &detour.Client{
 		Host: host.exchange.Host, Hosts: host.forwarders, Dial: kernelHost.Network.Dial, Events: gateway.Events,
+		Identify: gateway.Connections.Identify,
 	}
 	host.detourServer = &detour.Server{
 		Connections: gateway.Connections, Target: host.balancer.Find, Reaches: host.paths.Reaches, Events: gateway.Events,
@@ -330,6 +331,7 @@
 		OnAnswer: func(target *balance.Target, answer *upstream.Answer) {
 			gateway.observeAnnouncement(target, gateway.Protocol.ReadReply(answer.Status, answer.Header))
 		},
+		OnSkipped: gateway.recordSkipped,
 		Begin: func() func() {
 			gateway.runningRequests.Add(1)
 			return func() { gateway.runningRequests.Add(-1) }
@@ -341,15 +343,6 @@
 	host.exchange.Unreached, host.exchange.Forwards = host.paths.Unreached, host.detourServer.Takes
 }
 
-// answerMatcher returns a function that matches answers to requests by the id that
-// targets repeat. A target that did not run a request may omit the id.
-func answerMatcher(protocol Protocol) func(*upstream.Request, *http.Response) bool {
-	return func(request *upstream.Request, response *http.Response) bool {
-		reply := protocol.ReadReply(response.StatusCode, response.Header)
-		return reply.ID == request.ID || reply.ID == "" && reply.NotRun
-	}
-}
-
 // seedAddresses returns the addresses of the seeds, with SeedPort as the port if it
 // is set.
 func seedAddresses(peers *settings.Peers) []string {
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -20,11 +20,12 @@
 // TestScripts runs testdata/*.txtar. The section route holds words for
 // applyRouteKind, targets the number of targets, call the caller's request, and want
 // what the caller and the targets receive; after is the event after which the caller
-// takes a stream up. All others are the targets' replies in order. Those whose names begin
-// with "case" are alternatives: the script runs once for each of them. In replies, ID
-// stands for the request's id; CLOSE closes the connection, RESET resets it, HOLD sends
-// nothing more until the gateway closes it, and ENDLESS and TRICKLE send a text again and
-// again until then.
+// takes a stream up, earlier is a request with the id q0 that is sent before, and id the id
+// of the caller's request if it is not q1. All others are the targets' replies in order.
+// Those whose names begin with "case" are alternatives: the script runs once for each of
+// them. In replies, ID stands for the request's id; CLOSE closes the connection, RESET
+// resets it, HOLD sends nothing more until the gateway closes it, and ENDLESS and TRICKLE
+// send a text again and again until then.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	qt.Assert(t, err, qt.IsNil)
@@ -52,7 +53,8 @@
 
 // runScript runs a script with one of its alternatives.
 func runScript(c *qt.C, archive *txtar.Archive, alternative string) {
-	var kind, call, after, want string
+	var kind, earlier, call, after, want string
+	id := "q1"
 	targets := 2
 	var replies []string
 	for _, section := range archive.Files {
@@ -63,6 +65,10 @@
 		case "targets":
 			_, err := fmt.Sscan(text, &targets)
 			c.Assert(err, qt.IsNil)
+		case "earlier":
+			earlier = text
+		case "id":
+			id = text
 		case "call":
 			call = text
 		case "after":
@@ -79,9 +85,14 @@
 	fixture.replies = replies
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	method, rest, _ := strings.Cut(call, " ")
-	path, body, _ := strings.Cut(rest, " ")
-	request := fixture.newRequest(ctx, method, path, body)
+	if earlier != "" {
+		response, err := http.DefaultTransport.RoundTrip(newScriptRequest(ctx, fixture, earlier, "q0"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+	}
+	request := newScriptRequest(ctx, fixture, call, id)
 	request.Header.Set("Connection", "X-Hop")
 	request.Header.Set("X-Hop", "1")
 	request.Header.Set("X-Other", "2")
@@ -113,6 +124,19 @@
 	c.Assert(trimLines(seen.String()), qt.Equals, trimLines(want))
 }
 
+// newScriptRequest returns the request that a line of a script describes. An empty id is left
+// out.
+func newScriptRequest(ctx context.Context, fixture *fixture, line, id string) *http.Request {
+	method, rest, _ := strings.Cut(line, " ")
+	path, body, _ := strings.Cut(rest, " ")
+	request := fixture.newRequest(ctx, method, path, body)
+	request.Header.Set(testID, id)
+	if id == "" {
+		request.Header.Del(testID)
+	}
+	return request
+}
+
 // trimLines trims each line and drops the empty ones.
 func trimLines(text string) string {
 	var lines []string
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -51,8 +51,8 @@
 	// accepts from all hosts together, 0 for no limit. While more are open, none is
 	// kept idle. It may be nil.
 	MaxOpen func(address string) int
-	// Matches reports whether an answer belongs to the request.
-	Matches func(request *Request, response *http.Response) bool
+	// Identify reads from the head of an answer which request it belongs to.
+	Identify func(status int, header http.Header) Identity
 
 	mutex sync.Mutex
 	// idle holds the idle connections by address, open the number of all open ones.
@@ -63,17 +63,22 @@
 	// such a reset was last observed.
 	shortestIdleReset time.Duration
 	lastIdleReset     time.Time
+	// unnamedUntil is until when connections to an address are not reused, as the target
+	// there refuses requests without naming them. refused are the requests that targets
+	// refused.
+	unnamedUntil map[string]time.Time
+	refused      refusedIDs
 }
 
-// acquire returns an idle connection that is still usable, or a new one. If
-// freshOnly, it reuses no connection that was idle for longer than MaxFreshIdle.
-func (connections *Connections) acquire(ctx context.Context, address string, freshOnly bool) (*connection, error) {
-	for {
+// acquire returns an idle connection that is still usable, or a new one. A request that may
+// run once reuses no connection that was idle for longer than MaxFreshIdle.
+func (connections *Connections) acquire(ctx context.Context, address string, request *Request) (*connection, error) {
+	for !connections.needsNew(address, request) {
 		connection := connections.popIdle(address)
 		if connection == nil {
 			break
 		}
-		if idleBefore := time.Since(connection.idleSince); idleBefore <= connections.idleLimit(freshOnly) && connection.isUsable() {
+		if idleBefore := time.Since(connection.idleSince); idleBefore <= connections.idleLimit(request.Once) && connection.isUsable() {
 			connection.idleBefore = idleBefore
 			return connection, nil
 		}
@@ -92,11 +97,13 @@
 	return nil
 }
 
+// popIdle returns an idle connection, nil if there is none or the target refuses requests
+// without naming them.
 func (connections *Connections) popIdle(address string) *connection {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	idle := connections.idle[address]
-	if len(idle) == 0 {
+	if len(idle) == 0 || connections.isUnnamedLocked(address) {
 		return nil
 	}
 	connection := idle[len(idle)-1]
@@ -148,7 +155,8 @@
 
 // putIdle keeps a connection for reuse after its answer has been read completely. It
 // closes the connection if it must not be reused, has unread input, maxIdlePerTarget
-// others are idle or more than MaxOpen are open.
+// others are idle, more than MaxOpen are open or the target refuses requests without naming
+// them.
 func (connections *Connections) putIdle(ended *connection) {
 	ended.uses++
 	connections.keepIdle(ended)
@@ -167,7 +175,8 @@
 	}
 	connections.mutex.Lock()
 	idle := connections.idle[ended.address]
-	full := len(idle) >= maxIdlePerTarget || maxOpen > 0 && connections.open[ended.address] > maxOpen
+	full := len(idle) >= maxIdlePerTarget || maxOpen > 0 && connections.open[ended.address] > maxOpen ||
+		ended.carried > 0 && connections.isUnnamedLocked(ended.address)
 	if !full {
 		if connections.idle == nil {
 			connections.idle = map[string][]*connection{}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,9 +34,6 @@
 func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
 
 const (
-	// maxForeignAnswers is the number of answers to other requests that are
-	// skipped before the connection is closed.
-	maxForeignAnswers = 4
 	// maxInlineBodyBytes is the size of the largest body that is written before the
 	// answer is read; a target may answer before it has read a longer one.
 	maxInlineBodyBytes = 16 << 10
@@ -47,10 +43,8 @@
 	// readBufferBytes is the size of a connection's read buffer, large enough for
 	// most response headers.
 	readBufferBytes = 4 << 10
-	// maxHeadBytes limits the status line and header of an answer, maxSkippedBytes the
-	// bodies of answers to other requests.
-	maxHeadBytes    = 64 << 10
-	maxSkippedBytes = 256 << 10
+	// maxHeadBytes limits the status line and header of an answer.
+	maxHeadBytes = 64 << 10
 	// maxDiscardBytes and discardTimeout limit the read of a body that nobody needs, for
 	// the sake of its connection.
 	maxDiscardBytes = 16 << 10
@@ -65,15 +59,19 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the id that the target must repeat in its answer.
+	// ID is the id that the target must repeat in its answer. A request without one goes
+	// over a new connection, on which only the first answer is taken as its own.
 	ID string
-	// FreshOnly requires a connection that is new or was idle for at most
-	// MaxFreshIdle. When one breaks that was idle for longer, it is unknown
-	// whether the target has read the request.
-	FreshOnly bool
+	// Once means that the request may run only once. It goes over a connection that is new
+	// or was idle for at most MaxFreshIdle: when one breaks that was idle for longer, it is
+	// unknown whether the target has read the request.
+	Once bool
 	// MaySend reports, just before the request is written, whether it still may be. Nil
 	// means that it may.
 	MaySend func() bool
+	// OnSkipped is called with each answer that is not taken as the request's own. It may
+	// be nil.
+	OnSkipped func(Skipped)
 }
 
 // Answer is a target's answer. Its body must be closed.
@@ -95,7 +93,7 @@
 // read. Its errors are of type NotSent or Unknown. If the context ends, the
 // connection is closed.
 func (connections *Connections) Exchange(ctx context.Context, address string, request *Request) (*Answer, error) {
-	connection, err := connections.acquire(ctx, address, request.FreshOnly)
+	connection, err := connections.acquire(ctx, address, request)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connect to %s", address)
 	}
@@ -116,6 +114,8 @@
 
 func (connections *Connections) exchange(ctx context.Context, connection *connection, request *Request) (*Answer, error) {
 	sent := time.Now()
+	carried := connection.carried
+	connection.carried++
 	head := connections.encodeHead(request)
 	if len(request.Body) <= maxInlineBodyBytes {
 		head = append(head, request.Body...)
@@ -134,7 +134,8 @@
 			connection.bodyWritten <- err
 		}()
 	}
-	response, err := connections.readMatching(connection, request)
+	matching := &matching{connections: connections, connection: connection, request: request, carried: carried, isFirst: carried == 0}
+	response, err := matching.read()
 	if err != nil {
 		if connection.wasResetWhileIdle(err, time.Since(sent)) {
 			connections.recordIdleReset(connection.idleBefore)
@@ -175,44 +176,6 @@
 	return buffer.Bytes()
 }
 
-var (
-	// errForeignAnswers is returned when a connection delivers only answers to other
-	// requests.
-	errForeignAnswers = errors.New("the connection delivers answers to other requests")
-	errHeadTooLong    = errors.New("the answer's header is too long")
-	errSkippedTooLong = errors.New("another request's answer is too long")
-)
-
-// readMatching reads answers until one belongs to the request.
-func (connections *Connections) readMatching(connection *connection, request *Request) (*http.Response, error) {
-	sentRequest := &http.Request{Method: request.Method}
-	skippedBytes := int64(0)
-	for range maxForeignAnswers {
-		connection.input.startHead()
-		response, err := http.ReadResponse(connection.reader, sentRequest)
-		connection.input.endHead()
-		if err != nil {
-			return nil, fmt.Errorf("read the answer's header: %w", err)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if connections.Matches(request, response) {
-			return response, nil
-		}
-		// A connection that delivered another request's answer is not reused.
-		connection.noReuse = true
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes-skippedBytes))
-		if err != nil {
-			return nil, fmt.Errorf("skip another request's answer: %w", err)
-		}
-		if skippedBytes += n; skippedBytes >= maxSkippedBytes {
-			return nil, errSkippedTooLong
-		}
-	}
-	return nil, errForeignAnswers
-}
-
 // Body is an answer's body. Its Close keeps the connection for reuse or closes it.
 type Body struct {
 	content     io.Reader
@@ -314,9 +277,10 @@
 	// bodyWritten receives the result of writing a body concurrently; nil if the
 	// body was written before the answer was read.
 	bodyWritten chan error
-	// uses is the number of answers that were read completely.
-	uses      int
-	idleSince time.Time
+	// uses is the number of answers that were read completely, carried that of the requests
+	// that were written, also in part.
+	uses, carried int
+	idleSince     time.Time
 	// idleBefore is how long it had been idle before its current use.
 	idleBefore time.Duration
 	// keepAlive is the idle timeout stated by the target, 0 for none.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -58,19 +58,19 @@
 	return &Connections{
 		Dial:        (&net.Dialer{}).DialContext,
 		DialTimeout: time.Second,
-		Matches: func(request *Request, response *http.Response) bool {
-			return response.Header.Get("Id") == request.ID
+		Identify: func(_ int, header http.Header) Identity {
+			return Identity{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
 		},
 	}
 }
 
-func exchange(connections *Connections, address string, body []byte, freshOnly bool) (string, error) {
-	return exchangeWithID(connections, address, testID, body, freshOnly)
+func exchange(connections *Connections, address string, body []byte, once bool) (string, error) {
+	return exchangeWithID(connections, address, testID, body, once)
 }
 
-func exchangeWithID(connections *Connections, address, id string, body []byte, freshOnly bool) (string, error) {
+func exchangeWithID(connections *Connections, address, id string, body []byte, once bool) (string, error) {
 	answer, err := connections.Exchange(context.Background(), address, &Request{
-		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: body, ID: id, FreshOnly: freshOnly,
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: body, ID: id, Once: once,
 	})
 	if err != nil {
 		return "", err
