protocol: resume streams by event streams in order only

Cause: an engine's answer to a resumption counted as a stream if its content type began with text/event-stream, whatever its encoding. An end mark with the number of a later event ended the stream as complete, and a carriage return within an event was passed on, after which callers read another event.

Change: the media type must be text/event-stream, without an encoding. An end mark beyond the next event, or a carriage return within a line, is garbled, so that the stream is resumed again.

What callers saw: a stream that looked complete without its last events.

--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -105,8 +106,12 @@
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: stream, Usage: stream.currentUsage}
 }
 
+// isStream reports whether an answer consists of server-sent events as they are.
 func isStream(response *http.Response) bool {
-	return strings.HasPrefix(response.Header.Get("Content-Type"), streamType)
+	// A type whose parameters can't be read is returned with an error.
+	mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	encoding := response.Header.Get("Content-Encoding")
+	return mediaType == streamType && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
 // plainAnswer returns an answer that is not a completion, such as an error,
--- a/protocol/events.go
+++ b/protocol/events.go
@@ -112,6 +112,10 @@
 func (event *event) parseField(line []byte, hasData bool) (bool, error) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
+	if bytes.IndexByte(value, '\r') >= 0 {
+		// It would end the line for the caller, who could read another event from it.
+		return false, Garbled.New("a carriage return within a line")
+	}
 	switch string(name) {
 	case "id":
 		offset, err := strconv.ParseInt(string(value), 10, 64)
--- a/protocol/stream.go
+++ b/protocol/stream.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return stream.classifyError(err)
 	}
-	if event.isEnd() {
+	if event.isEnd() && event.offset <= stream.nextOffset {
 		stream.pending = event.append(stream.pending[:0])
 		stream.err = io.EOF
 		stream.detach()
--- a/protocol/stream_test.go
+++ b/protocol/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,10 +21,11 @@
 // streamCase is one case of testdata/streams.txt. Each conn line lists the items
 // that the engine sends on one connection: N an event with offset N, other:N an event of another request,
 // usage:N an event with the token usage, garbage:N malformed JSON, huge:N an event over
-// the limit, none an event without an id, beat a comment, slow nothing for 9 s,
-// silent nothing until the client disconnects, break the end of the connection,
-// done the last event. Instead of a stream it sends 404, 200, json or leaving;
-// hang and abort send no header.
+// the limit, none an event without an id, returns:N an event with carriage returns that hide
+// another, beat a comment, slow nothing for 9 s, silent nothing until the client disconnects,
+// break the end of the connection, done the last event, end:N the same with an id. A first
+// item type:X or encoding:X is of the header. Instead of a stream it sends 404, 200,
+// status:N, json or leaving; hang and abort send no header.
 type streamCase struct {
 	name, got, end, resumed, cancelled string
 	conns                              []string
@@ -116,6 +118,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header().Set("Content-Type", streamType)
+	switch kind, value, _ := strings.Cut(words[0], ":"); kind {
+	case "status":
+		status, _ := strconv.Atoi(value)
+		writer.WriteHeader(status)
+		return
+	case "type":
+		writer.Header()["Content-Type"] = []string{value}
+		words = words[1:]
+	case "encoding":
+		writer.Header().Set("Content-Encoding", value)
+		words = words[1:]
+	}
 	for _, word := range words {
 		fakeEngine.sendItem(writer, received, word)
 		_ = http.NewResponseController(writer).Flush()
@@ -140,6 +154,10 @@
 		_, _ = fmt.Fprintf(writer, "id: %s\ndata: {\"id\n\n", offset)
 	case "huge":
 		_, _ = fmt.Fprintf(writer, "id: %s\ndata: %s\n\n", offset, strings.Repeat("x", 2*testLimits.MaxEventBytes))
+	case "returns":
+		_, _ = fmt.Fprintf(writer, "id: %s\ndata: {\"id\":%q,\r\r\"other\":1}\n\n", offset, ownID)
+	case "end":
+		_, _ = fmt.Fprintf(writer, "id: %s\ndata: [DONE]\n\n", offset)
 	case "beat":
 		_, _ = io.WriteString(writer, ": beat\n\n")
 	case "slow":
