gateway: pass on no status that says "not run" without the mark

Cause: 408, 421, 429 and 503 from a host promise that the request has not run. A target's own ones were passed on without the mark that it did not run the request, so that callers sent requests again that had run.

Change: such an answer ends the attempt as one that may have run. A request that may run once gets 502 without the target's signature; one that may be repeated goes to another target, and gets 502 if none answers better. The platform's 421 is a mark of its own: servers check the expected instance before anything else.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,8 +62,9 @@
 	declined
 	// failed: the target may have run the request but gave no complete answer.
 	failed
-	// failedWhole: the target ran the request and answered with a server error, or with
-	// something else than the rest of a stream that had begun.
+	// failedWhole: the target may have run the request, and answered with a server error, a
+	// status that would tell the caller that it did not run, or something else than the rest
+	// of a stream that had begun.
 	failedWhole
 )
 
@@ -398,6 +399,9 @@
 		answer.Body.Discard()
 		return failedWhole, forwarding.refuseContinuation(grant, answer, fault)
 	}
+	if upstream.SaysNotRun(answer.Status) {
+		return forwarding.dropUnmarked(grant, answer)
+	}
 	if forwarding.route.Streaming && answer.Status == http.StatusOK {
 		return forwarding.relayStream(ctx, grant, answer, reply, attempt, silenceTimer)
 	}
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -46,3 +46,15 @@
 	forwarding.hasSkipped = forwarding.hasSkipped || skipped.Doubt != upstream.NamesAnother
 	forwarding.gateway.recordSkipped(forwarding.call.ID, target, skipped)
 }
+
+// dropUnmarked ends an attempt at a target whose answer has a status that would tell the caller
+// that the request did not run, without the mark that it did not.
+func (forwarding *forwarding) dropUnmarked(grant *balance.Grant, answer *upstream.Answer) (verdict, string) {
+	answer.Body.Discard()
+	outcome := balance.Served
+	if answer.Status >= http.StatusInternalServerError {
+		outcome = balance.Failed
+	}
+	grant.End(outcome)
+	return failedWhole, fmt.Sprintf("the target answered %s without saying that the request did not run", http.StatusText(answer.Status))
+}
