diagnosis: name answers that were not believed

Cause: a 502 or 504 after an answer that names no request could not be traced to it.

Change: explain adds the lines 1145 of all hosts to the cause of such a refusal.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -27,6 +27,7 @@
 	eventReached        = 1132
 	eventNotContinued   = 1140
 	eventForwarded      = 1133
+	eventSkipped        = 1145
 	eventPeerReporting  = 6101
 	eventPeerSilent     = 6102
 	eventPeerLeft       = 6103
@@ -156,7 +157,7 @@
 			last = line
 		}
 	}
-	var failures []string
+	var failures, skipped []string
 	over := ""
 	for _, line := range requestLines {
 		switch line.Event {
@@ -166,6 +167,8 @@
 			over = fmt.Sprintf(" (sent over host %s, as %s reached no target of pool %s)", line.Peer, line.Host, line.Facts["pool"])
 		case eventAttemptFailed:
 			failures = append(failures, line.Target+over+": "+strings.TrimSuffix(line.Detail, "; trying again"))
+		case eventSkipped:
+			skipped = append(skipped, skippedText(&line))
 		}
 	}
 	switch last.Event {
@@ -178,7 +181,11 @@
 		if strings.HasSuffix(last.Detail, unknownVersion) {
 			return unknownVersionCause(requestLines, &last)
 		}
-		return refusedCause(&last, failures)
+		text := refusedCause(&last, failures)
+		if len(skipped) > 0 && saysNothing(last.Detail) {
+			text += "; " + strings.Join(skipped, "; ")
+		}
+		return text
 	case eventAborted:
 		return abortedCause(&last, requestLines, failures)
 	case eventSent:
@@ -242,6 +249,21 @@
 	}
 }
 
+// saysNothing reports whether a refusal has a status that leaves open whether the request ran.
+func saysNothing(detail string) bool {
+	return strings.HasPrefix(detail, "502") || strings.HasPrefix(detail, "504")
+}
+
+// skippedText tells of an answer that was not taken as the request's own.
+func skippedText(line *Line) string {
+	says := ""
+	if line.Facts["notRun"] == "true" {
+		says = ", which says that the request did not run,"
+	}
+	return fmt.Sprintf("an answer of %s with status %s%s was not believed on a connection that had carried %s other requests: it %s",
+		line.Target, line.Facts["status"], says, line.Facts["carried"], line.Detail)
+}
+
 // crashesTargets ends the detail of refusals of quarantined requests.
 const crashesTargets = "the request crashes targets"
 
