gateway: play the scripts on continuations over another host

Answers that come over another host are judged by the host that has the caller, as those of its own connections. Nothing tested that: a change of either path could have let other answers through.

TestScriptsOverAnotherHost plays the scripts on streams that go on at a gateway that reaches no target.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -15,9 +15,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
@@ -160,6 +163,42 @@
 	return fixture
 }
 
+// reachOverAnotherHost keeps the gateway from all targets, so that another host sends its
+// requests.
+func (fixture *fixture) reachOverAnotherHost() {
+	server := &detour.Server{
+		Connections: fixture.gateway.Connections,
+		Target: func(incarnation balance.Incarnation) (balance.Target, bool, bool) {
+			return *fixture.target(incarnation.Target), true, true
+		},
+		Reaches:  func(string) bool { return true },
+		Watch:    func(string) *detour.Attempt { return &detour.Attempt{} },
+		OnFailed: func(string) {},
+		OnAnswer: func(*balance.Target, *upstream.Answer) {},
+		Begin:    func() func() { return func() {} },
+		Events:   &timeline.Recorder{},
+	}
+	mux := drpcmux.New()
+	fixture.Assert(server.Register(mux), qt.IsNil)
+	fixture.gateway.Detours = &detour.Client{
+		Host:  "a",
+		Hosts: func(string) []detour.Host { return []detour.Host{{ID: "b", Address: "b"}} },
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _ = drpcserver.New(mux).ServeOne(fixture.Context(), far) }()
+			return near, nil
+		},
+		Events: &timeline.Recorder{},
+	}
+	fixture.gateway.Paths = &detour.Paths{
+		Connect:        func(context.Context, string) error { return syscall.EHOSTUNREACH },
+		ConnectTimeout: time.Second,
+		Events:         &timeline.Recorder{},
+	}
+	fixture.gateway.Paths.SetTargets(fixture.targets)
+	fixture.Assert(fixture.gateway.Paths.Confirm(fixture.Context(), testPool), qt.IsFalse)
+}
+
 // target returns the target with an id.
 func (fixture *fixture) target(id string) *balance.Target {
 	for i := range fixture.targets {
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -27,7 +27,20 @@
 // resets it, HOLD sends nothing more until the gateway closes it, and ENDLESS and TRICKLE
 // send a text again and again until then.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
+	runScripts(t, "testdata/*.txtar", func(*fixture) {})
+}
+
+// TestScriptsOverAnotherHost runs the scripts on streams that go on, at a host that reaches
+// no target, so that another host passes the answers on to it.
+func TestScriptsOverAnotherHost(t *testing.T) {
+	for _, pattern := range []string{"testdata/continued*.txtar", "testdata/takenup*.txtar", "testdata/withoutids.txtar", "testdata/resume.txtar"} {
+		runScripts(t, pattern, func(fixture *fixture) { fixture.reachOverAnotherHost() })
+	}
+}
+
+// runScripts runs the scripts of the files that a pattern matches, after prepare.
+func runScripts(t *testing.T, pattern string, prepare func(*fixture)) {
+	files, err := filepath.Glob(pattern)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
 	for _, file := range files {
@@ -38,11 +51,11 @@
 			for _, section := range archive.Files {
 				if name, ok := strings.CutPrefix(section.Name, casePrefix); ok {
 					hasCases = true
-					t.Run(name, func(t *testing.T) { runScript(qt.New(t), archive, section.Name) })
+					t.Run(name, func(t *testing.T) { runScript(qt.New(t), archive, section.Name, prepare) })
 				}
 			}
 			if !hasCases {
-				runScript(qt.New(t), archive, "")
+				runScript(qt.New(t), archive, "", prepare)
 			}
 		})
 	}
@@ -52,7 +65,7 @@
 const casePrefix = "case "
 
 // runScript runs a script with one of its alternatives.
-func runScript(c *qt.C, archive *txtar.Archive, alternative string) {
+func runScript(c *qt.C, archive *txtar.Archive, alternative string, prepare func(*fixture)) {
 	var kind, earlier, call, after, want string
 	id := "q1"
 	targets := 2
@@ -83,6 +96,7 @@
 	}
 	fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, kind) }), targets)
 	fixture.replies = replies
+	prepare(fixture)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	if earlier != "" {
