protocol: believe a leaving engine only if it names the request

Cause: an entry host took 503 with Nutmegfield-Leaving as the answer to whatever request its connection carried. A copy of an earlier refusal on a kept connection so gave the record of a request back that ran, and a resend under its key ran it a second time.

Change: the refusal has to name the request in Nutmegfield-Request, or to come on a connection that has carried no other. Another one leaves the outcome unknown: the record says so, and resends don't run.

Result: TestCopyOfALeavingRefusal failed before (leaving) and passes. Engines that don't name the request yet: callers whose request is refused on a kept connection hear unknown where they heard failed.

--- a/protocol/dispatch_test.go
+++ b/protocol/dispatch_test.go
@@ -235,3 +235,38 @@
 		qt.Check(t, streams, qt.DeepEquals, []Stream{{Request: newCall("").Request, Offset: 3, UnreadSeconds: 1.5}})
 	})
 }
+
+// TestCopyOfALeavingRefusal guards against an engine that writes the refusal of an earlier
+// request again while it runs the next one of the connection: that one would be said not to
+// have run, and its caller's resend would run it twice. A copy names another request or none.
+func TestCopyOfALeavingRefusal(t *testing.T) {
+	own := newCall("").Request.String()
+	for _, test := range []struct{ named, want string }{
+		{"", "garbled"}, {"01", "garbled"}, {own, "leaving"},
+	} {
+		for _, stream := range []bool{false, true} {
+			received := 0
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if request.Method == http.MethodDelete {
+					return
+				}
+				received++
+				writer.Header().Set(leavingHeader, "true")
+				if received > 1 && test.named != "" {
+					writer.Header().Set("Nutmegfield-Request", test.named)
+				}
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			})
+			inBubble(t, handler, func(t *testing.T, network *network) {
+				client := newEngine(testLimits, network.dial)
+				call := newCall(http.MethodPost)
+				call.Stream = stream
+				_, err := dispatchAll(client, call)
+				qt.Check(t, errorName(err), qt.Equals, "leaving")
+				_, err = dispatchAll(client, call)
+				qt.Check(t, errorName(err), qt.Equals, test.want, qt.Commentf("named %q, stream %v: %v", test.named, stream, err))
+				qt.Check(t, received, qt.Equals, 2)
+			})
+		}
+	}
+}
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -35,8 +35,11 @@
 const cancelTimeout = 2 * time.Second
 
 // leavingHeader is set by an engine that is leaving and refuses a request
-// without running it.
-const leavingHeader = "Nutmegfield-Leaving"
+// without running it. requestHeader names the request, in calls and in refusals.
+const (
+	leavingHeader = "Nutmegfield-Leaving"
+	requestHeader = "Nutmegfield-Request"
+)
 
 // engine is the client of model engines: chat completions as JSON or
 // server-sent events, and the engine's control calls under /engine.
@@ -52,10 +55,10 @@
 	if call.Stream {
 		headerTimeout = engine.limits.SilenceTimeout
 	}
-	response, err := send(ctx, engine.transport, address, call, headerTimeout)
+	response, isReused, err := send(ctx, engine.transport, address, call, headerTimeout)
 	switch {
 	case err == nil:
-		return engine.newAnswer(ctx, address, call, response)
+		return engine.newAnswer(ctx, address, call, response, isReused)
 	case Is(err, NotSent):
 		return nil, err
 	case call.Stream && ctx.Err() == nil:
@@ -67,14 +70,21 @@
 }
 
 // newAnswer returns the answer for a response, or an error if the engine is leaving
-// or the response is not of the type that the call expects.
-func (engine *engine) newAnswer(ctx context.Context, address string, call *Call, response *http.Response) (*Answer, error) {
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(leavingHeader) != "" {
-		_ = response.Body.Close()
-		return nil, Leaving.New("%s is leaving and accepts no new requests", address)
-	}
+// or the response is not of the type that the call expects. IsReused reports whether the
+// connection had carried another request before.
+func (engine *engine) newAnswer(ctx context.Context, address string, call *Call, response *http.Response, isReused bool) (*Answer, error) {
 	abandon := func() { engine.abandon(ctx, address, call.Request) }
+	refuses := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(leavingHeader) != ""
+	named := response.Header.Get(requestHeader)
 	switch {
+	case refuses && (named == call.Request.String() || named == "" && !isReused):
+		_ = response.Body.Close()
+		return nil, Leaving.New("%s is leaving and accepts no new requests", address)
+	case refuses:
+		// It may be the copy of an earlier refusal, and the request may run.
+		_ = response.Body.Close()
+		abandon()
+		return nil, Garbled.New("%s: a refusal that names request %q", address, named)
 	case response.StatusCode != http.StatusOK:
 		return plainAnswer(response, engine.limits), nil
 	case call.Stream != isStream(response):
--- a/protocol/service.go
+++ b/protocol/service.go
@@ -25,7 +25,7 @@
 }
 
 func (service *service) dispatch(ctx context.Context, address string, call *Call) (*Answer, error) {
-	response, err := send(ctx, service.transport, address, call, service.limits.HeaderTimeout)
+	response, _, err := send(ctx, service.transport, address, call, service.limits.HeaderTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/protocol/transport.go
+++ b/protocol/transport.go
@@ -60,6 +60,8 @@
 	// writtenBefore is the number of bytes written to the connection before this
 	// request.
 	writtenBefore int64
+	// isReused means that the connection had carried another request before.
+	isReused bool
 }
 
 // gotConn is called with the connection before the first byte is written. It
@@ -80,6 +82,15 @@
 	defer sendTrace.mutex.Unlock()
 	sendTrace.connection = connection
 	sendTrace.writtenBefore = writtenBefore
+	sendTrace.isReused = info.Reused
+}
+
+// wasReused reports whether the request went over a connection that had carried another one
+// before, so that the answer may be the copy of an earlier one.
+func (sendTrace *sendTrace) wasReused() bool {
+	sendTrace.mutex.Lock()
+	defer sendTrace.mutex.Unlock()
+	return sendTrace.isReused
 }
 
 // abort prevents further writes of a failed request and reports whether a byte of
@@ -92,32 +103,33 @@
 
 // send sends the call to the target at most once. The header of the answer must
 // arrive within headerTimeout; 0 means no limit. The error is NotSent if no byte was
-// sent, otherwise Silent or Broken.
-func send(ctx context.Context, transport *http.Transport, address string, call *Call, headerTimeout time.Duration) (*http.Response, error) {
+// sent, otherwise Silent or Broken. IsReused reports whether the connection had carried
+// another request before.
+func send(ctx context.Context, transport *http.Transport, address string, call *Call, headerTimeout time.Duration) (response *http.Response, isReused bool, err error) {
 	sendTrace := &sendTrace{call: call}
 	ctx, cancel := context.WithCancelCause(ctx)
 	trace := &httptrace.ClientTrace{GotConn: sendTrace.gotConn}
 	httpRequest, err := newHTTPRequest(httptrace.WithClientTrace(ctx, trace), address, call)
 	if err != nil {
 		cancel(nil)
-		return nil, err
+		return nil, false, err
 	}
 	silenceTimer := newSilenceTimer(headerTimeout, cancel)
-	response, err := transport.RoundTrip(httpRequest)
+	response, err = transport.RoundTrip(httpRequest)
 	silenceTimer.stop()
 	if err == nil {
 		response.Body = &cancelBody{ReadCloser: response.Body, cancel: cancel}
-		return response, nil
+		return response, sendTrace.wasReused(), nil
 	}
 	cause := context.Cause(ctx)
 	cancel(nil)
 	switch {
 	case !sendTrace.abort():
-		return nil, NotSent.Wrap(err, "send to %s", address)
+		return nil, false, NotSent.Wrap(err, "send to %s", address)
 	case Is(cause, Silent):
-		return nil, Silent.Wrap(err, "send to %s", address)
+		return nil, false, Silent.Wrap(err, "send to %s", address)
 	default:
-		return nil, Broken.Wrap(errors.Join(err, cause), "send to %s", address)
+		return nil, false, Broken.Wrap(errors.Join(err, cause), "send to %s", address)
 	}
 }
 
@@ -131,7 +143,7 @@
 	for key, values := range call.Header {
 		httpRequest.Header[key] = values
 	}
-	httpRequest.Header.Set("Nutmegfield-Request", call.Request.String())
+	httpRequest.Header.Set(requestHeader, call.Request.String())
 	return httpRequest, nil
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -142,6 +142,7 @@
 	stream := engine.start(job, body.Model, request)
 	if stream == nil {
 		writer.Header().Set("Nutmegfield-Leaving", "true")
+		writer.Header().Set("Nutmegfield-Request", id)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
