gateway: give the scripts over another host what detours need

Cause: two changes met: the scripts on continuations play over another host, and detours check which request an answer names. Change: the fixture sets the functions for it. Result: package gateway passes.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -177,6 +177,8 @@
 		OnAnswer: func(*balance.Target, *upstream.Answer) {},
 		Begin:    func() func() { return func() {} },
 		Events:   &timeline.Recorder{},
+
+		OnSkipped: fixture.gateway.recordSkipped,
 	}
 	mux := drpcmux.New()
 	fixture.Assert(server.Register(mux), qt.IsNil)
@@ -188,7 +190,8 @@
 			go func() { _ = drpcserver.New(mux).ServeOne(fixture.Context(), far) }()
 			return near, nil
 		},
-		Events: &timeline.Recorder{},
+		Identify: fixture.gateway.Connections.Identify,
+		Events:   &timeline.Recorder{},
 	}
 	fixture.gateway.Paths = &detour.Paths{
 		Connect:        func(context.Context, string) error { return syscall.EHOSTUNREACH },
