gateway, platform: hand targets the id that they have to name

Cause: the id of a request was left to the caller's header. A caller that lists its field among those of its connection, or sends two of them, leaves the target without the id by which its answer is known.

Change: the gateway writes the id that it matches answers by.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -235,6 +235,7 @@
 	gateway := forwarding.gateway
 	header := endToEndHeader(forwarding.request.Header)
 	gateway.Protocol.WriteForward(header, Forward{
+		ID:          forwarding.call.ID,
 		Target:      grant.Target.ID,
 		Workspace:   forwarding.workspaceName(),
 		Timeout:     time.Until(forwarding.deadline),
--- a/gateway/doubt_test.go
+++ b/gateway/doubt_test.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
 )
 
@@ -55,3 +57,14 @@
 	c.Check(strings.Contains(details[eventAttemptFailed.Number], "after an answer with status 503 that names no request"), qt.IsTrue, qt.Commentf("%v", details))
 	c.Check(details[eventRefused.Number], qt.Equals, "502 no whole answer")
 }
+
+// TestTargetGetsTheIDThatItHasToName guards against a target that can't name a request in its
+// answer, as the caller has listed the field of the id among those of its own connection.
+func TestTargetGetsTheIDThatItHasToName(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Timeout = time.Second }), 1)
+	fixture.replies = []string{okReply}
+	request := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+	request.Header.Set("Connection", testID)
+	c.Check(fixture.sendForStatus(request), qt.Equals, http.StatusOK)
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -57,6 +57,9 @@
 	},
 	WriteForward: func(header http.Header, forward Forward) {
 		header.Del(testKey)
+		if forward.ID != "" {
+			header.Set(testID, forward.ID)
+		}
 		header.Set(testTarget, forward.Target)
 		if forward.Workspace != "" {
 			header.Set(testWorkspace, forward.Workspace)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -50,6 +50,8 @@
 
 // Forward holds the fields that the gateway sets in a forwarded request.
 type Forward struct {
+	// ID is the id of the request, which its answer must name, empty for none.
+	ID string
 	// Target is the id of the target that the request is sent to.
 	Target string
 	// Workspace is the name of the caller's workspace, empty for none.
