upstream, detour, gateway: test what else could send a request twice

Cause: the report of requests that ran twice names no logs, so that other ways than copies of refusals had to be looked for.

Change: tests for three of them: a connection that breaks while the request is written, a host that is gone while it sends for another one, and each verdict and timer of an attempt for routes whose requests may run once.

--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -37,6 +37,8 @@
 	mutex   sync.Mutex
 	serve   map[string]func(net.Conn)
 	refused map[string]bool
+	// toHosts are the connections that were opened to hosts.
+	toHosts []net.Conn
 	// dials and bytes count the connections and bytes to hosts, open those that are open and
 	// mostOpen the most at once.
 	dials, bytes, open, mostOpen atomic.Int64
@@ -55,11 +57,23 @@
 	if strings.HasPrefix(address, "host") {
 		network.dials.Add(1)
 		network.mostOpen.Store(max(network.mostOpen.Load(), network.open.Add(1)))
+		network.mutex.Lock()
+		network.toHosts = append(network.toHosts, near)
+		network.mutex.Unlock()
 		return &countedConn{Conn: near, bytes: &network.bytes, onClose: sync.OnceFunc(func() { network.open.Add(-1) })}, nil
 	}
 	return near, nil
 }
 
+// cut breaks the connections to hosts.
+func (network *network) cut() {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	for _, conn := range network.toHosts {
+		_ = conn.Close()
+	}
+}
+
 type countedConn struct {
 	net.Conn
 	bytes *atomic.Int64
@@ -266,6 +280,7 @@
 //	unnamed WANT            the same for a request without an id
 //	skipped COUNT           answers that the client did not take as a request's own
 //	leave                   sends a request whose caller leaves after 100 ms
+//	cut WANT                sends a request that may run once; the connections to the hosts break while it runs
 //	stop                    both hosts shut down while a request runs, and wait for it
 //	check WANT
 //	runs COUNT, closed COUNT
@@ -301,6 +316,11 @@
 		script.once = true
 		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
 		script.once = false
+	case "cut":
+		script.once = true
+		time.AfterFunc(10*time.Millisecond, script.network.cut)
+		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
+		script.once = false
 	case "unnamed":
 		script.noID = true
 		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/balance"
 	"nutmegfield.example/budget"
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
@@ -36,3 +37,23 @@
 		c.Assert(named, qt.Equals, step.want, qt.Commentf("spare %v", step.spare))
 	}
 }
+
+// TestOnceIsSentAgainOnlyIfItDidNotRun guards against a request that may run once and is sent to
+// a second target although the first one may have run it.
+func TestOnceIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(nil), 1)
+	for verdict := done; verdict <= failedWhole; verdict++ {
+		for _, streaming := range []bool{false, true} {
+			forwarding := &forwarding{
+				gateway: fixture.gateway, route: &route.Route{Attempts: 4, Streaming: streaming}, pool: &route.Pool{Name: testPool},
+			}
+			want := verdict == notRun || verdict == unreachable
+			c.Check(forwarding.mayRetry(verdict, 0), qt.Equals, want, qt.Commentf("%s", verdict))
+			_, silenceTimer := forwarding.startSilenceTimer(t.Context(), &balance.Grant{}, 0)
+			c.Check(silenceTimer.expire, qt.IsNil)
+			silenceTimer.expireEarly()
+			c.Check(silenceTimer.ctx.Err(), qt.IsNil)
+		}
+	}
+}
--- a/upstream/match_test.go
+++ b/upstream/match_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -272,3 +273,30 @@
 	c.Assert(refused.has("b", strconv.Itoa(3*maxRefusedIDs-1)), qt.IsFalse)
 	c.Assert(refused.add("a", strconv.Itoa(3*maxRefusedIDs-1)), qt.IsTrue)
 }
+
+// cutConn fails in its first write, after some bytes.
+type cutConn struct {
+	net.Conn
+	written int
+}
+
+func (cutConn *cutConn) Write([]byte) (int, error) {
+	return cutConn.written, &net.OpError{Op: "write", Err: syscall.EPIPE}
+}
+
+// TestPartlyWrittenRequestMayHaveRun guards against a request that is sent to a second target
+// after a connection broke while it was written: the first may have read enough of it to run it.
+func TestPartlyWrittenRequestMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	for written, isNotSent := range map[int]bool{0: true, 1: false, 400: false} {
+		near, far := net.Pipe()
+		connections := newConnections()
+		connections.Dial = func(context.Context, string, string) (net.Conn, error) {
+			return &cutConn{Conn: near, written: written}, nil
+		}
+		_, err := connections.Exchange(c.Context(), "target", newCopyRequest(http.MethodPost, "1", true))
+		c.Check(Is(err, NotSent), qt.Equals, isNotSent, qt.Commentf("%d bytes", written))
+		c.Check(Is(err, Unknown), qt.Equals, !isNotSent, qt.Commentf("%d bytes", written))
+		c.Check(far.Close(), qt.IsNil)
+	}
+}
