kernel: reset aborted connections of HTTP/1.0 callers

Cause: an answer that breaks off is ended by closing the caller's connection. For a caller of HTTP/1.0 the end of the connection is that of the answer.

Change: gateway and entry hosts reset such a connection.

What callers saw: a stream that had broken off and looked complete.

Measured: TestAbortedAnswerOfHTTP10 failed before and passes; so do ./gateway, ./entry and ./kernel with -race. At entry hosts the reset is not tested, as their tests have no TCP connections.

--- a/entry/server.go
+++ b/entry/server.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"strings"
 
+	"nutmegfield.example/kernel"
 	"nutmegfield.example/request"
 	"nutmegfield.example/timeline"
 )
@@ -67,7 +68,7 @@
 	var job *job
 	defer func() {
 		if cause := recover(); cause != nil {
-			entry.answerPanic(callerWriter, job, cause)
+			entry.answerPanic(callerWriter, received, job, cause)
 		}
 	}()
 	body, counted, problem := entry.readBody(callerWriter, received)
@@ -85,13 +86,13 @@
 	defer entry.jobs.remove(job)
 	entry.run(received.Context(), callerWriter, job)
 	if job.abort {
-		panic(http.ErrAbortHandler)
+		kernel.AbortAnswer(callerWriter, received)
 	}
 }
 
 // answerPanic answers a request whose handling panicked. If the answer has begun,
 // the connection is aborted, so that the caller can't take it for complete.
-func (entry *Entry) answerPanic(callerWriter *callerWriter, job *job, cause any) {
+func (entry *Entry) answerPanic(callerWriter *callerWriter, received *http.Request, job *job, cause any) {
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
@@ -107,7 +108,7 @@
 	detail := fmt.Sprintf("%v\n%s", cause, debug.Stack())
 	entry.Events.Record(eventPanicked, timeline.Event{Request: id.String(), Detail: detail})
 	if callerWriter.headerWritten {
-		panic(http.ErrAbortHandler)
+		kernel.AbortAnswer(callerWriter, received)
 	}
 	problem := badRequest(http.StatusInternalServerError, "the host failed on this request")
 	problem.Outcome = outcome
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"nutmegfield.example/kernel"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/timeline"
 )
@@ -130,7 +131,7 @@
 		Detail:  reason,
 		Facts:   []timeline.Fact{{Key: "after", Value: forwarding.resumedAfter()}},
 	})
-	panic(http.ErrAbortHandler)
+	kernel.AbortAnswer(forwarding.writer, forwarding.request)
 }
 
 // writeBuffered writes a buffered answer to the caller.
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,3 +123,23 @@
 	}
 	return ids
 }
+
+// TestAbortedAnswerOfHTTP10 guards against a stream that breaks off and looks complete to a
+// caller of HTTP/1.0, for whom the end of the connection is that of the answer.
+func TestAbortedAnswerOfHTTP10(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, "streaming") }), 1)
+	for _, step := range []struct {
+		end  string
+		want error
+	}{{"CLOSE", nil}, {"id: 2\nCLOSE", syscall.ECONNRESET}} {
+		fixture.replies = []string{"HTTP/1.1 200 OK\nContent-Type: text/event-stream\nTest-Id: ID\nTest-Seal: s1\n\nid: 1\ndata: a\n\n" + step.end + "\n"}
+		conn, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "GET /r/a HTTP/1.0\r\nHost: h.example\r\nTest-Id: q1\r\nTest-Key: k\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(conn)
+		c.Check(errors.Is(err, step.want), qt.IsTrue, qt.Commentf("%s: %v", step.end, err))
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+}
