platform: read the store's objects one by one

Cause: a page of a list and the answer to a watch were decoded as a whole, so that one value failed all of it: nested deeper than 10,000, of another type, a number too large, a control character, or a revision out of range. The host followed nothing from then on, also after a restart.

Use of a known target whose entry is so ends at once and is not held as after an outage; hosts tell each other of such entries without their values. What is kept of a kind is bounded, and so is the memory of reported revisions. A list may take longer than a second as long as its pages come; of later pages the rest behind a long object is not read.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -34,9 +34,18 @@
 const (
 	// watchWait is how long one watch request waits for a change.
 	watchWait = 25 * time.Second
-	// readTimeout is the timeout of a list request. The platform answers within
-	// milliseconds, a slow one within half a second.
-	readTimeout = time.Second
+	// ReadTimeout is the timeout of a request for one page of a list. The platform answers
+	// within milliseconds, a slow one within half a second.
+	ReadTimeout = time.Second
+	// maxReadTime limits a list of all pages. Most lists have one page; a thousand pages of
+	// one large object each need some seconds, and over a link of 10 Mbit/s two minutes.
+	maxReadTime = 2 * time.Minute
+	// A list that took longer than longRead is not repeated for pollPause times as long, so
+	// that it leaves most of a narrow link and of a slow processor to other work, or for
+	// gonePause times as long if changes are not known without it.
+	longRead  = 2 * ReadTimeout
+	pollPause = 4
+	gonePause = 1
 	// minBackoff and maxBackoff bound the pause, before jitter, after a failed watch.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -79,12 +88,20 @@
 	// of NewRevision.
 	Revision int64
 	Value    []byte
+	// Unreadable is the reason why the object can't be read, empty if it can. Its value is
+	// not kept then.
+	Unreadable string
+	// IsUndated is set if the object's own revision can't be read. Revision is then that of
+	// the answer with the object.
+	IsUndated bool
 }
 
 // Listing holds all objects of a kind at a revision of the platform.
 type Listing struct {
 	Objects  []Object
 	Revision int64
+	// LeftOut is the number of objects that are not in the listing, as there are too many.
+	LeftOut int
 }
 
 // Change is one write of an object or, if Removed is set, its removal.
@@ -193,6 +210,11 @@
 	platformLost bool
 	// pendingRead is the list request in progress, nil for none.
 	pendingRead *sharedRead
+	// readEndedAt is when the last list ended that took long, and readTime what it took.
+	readEndedAt time.Time
+	readTime    time.Duration
+	// isCrowded is set while objects are left out.
+	isCrowded bool
 }
 
 // sharedRead is a list request in progress, whose callers wait for done.
@@ -240,10 +262,11 @@
 	if revision == 0 {
 		return follower.Refresh(ctx)
 	}
-	watchContext, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	watchContext, cancel := context.WithTimeout(ctx, watchWait+ReadTimeout)
 	defer cancel()
 	changes, err := follower.Source.Watch(watchContext, revision, watchWait)
 	if Is(err, Gone) {
+		follower.awaitRead(ctx, gonePause)
 		return follower.read(ctx)
 	}
 	if err != nil {
@@ -270,6 +293,7 @@
 		if follower.Turn != nil && time.Now().Before(follower.nextPoll()) {
 			continue
 		}
+		follower.awaitRead(ctx, pollPause)
 		// read records a failure itself.
 		if follower.read(ctx) != nil && follower.Turn != nil {
 			pause.For(ctx, pause.Jitter(min(everyHost, follower.fraction(maxFailedFraction))))
@@ -352,9 +376,19 @@
 	}
 }
 
+// awaitRead waits until a list that took long may be repeated, after a multiple of its time.
+func (follower *Follower) awaitRead(ctx context.Context, factor int) {
+	follower.mutex.Lock()
+	until := follower.readEndedAt.Add(time.Duration(factor) * follower.readTime)
+	follower.mutex.Unlock()
+	if remaining := time.Until(until); remaining > 0 {
+		pause.For(ctx, remaining)
+	}
+}
+
 // readOnce lists all objects, applies the listing and completes the shared read.
 func (follower *Follower) readOnce(ctx context.Context, shared *sharedRead) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	verification := NewVerification()
 	listing, err := follower.Source.List(ctx)
@@ -370,6 +404,9 @@
 	}
 	follower.mutex.Lock()
 	follower.pendingRead = nil
+	if elapsed := time.Since(verification.At); elapsed > longRead {
+		follower.readEndedAt, follower.readTime = time.Now(), elapsed
+	}
 	follower.mutex.Unlock()
 	close(shared.done)
 }
@@ -430,9 +467,30 @@
 	}
 	objects := make(map[string]Object, len(listing.Objects))
 	for _, object := range listing.Objects {
-		objects[object.Name] = object
+		objects[object.Name] = follower.keepRevision(object)
 	}
-	follower.setObjects(objects, listing.Revision, outageAt)
+	leftOut := listing.LeftOut + follower.setObjects(objects, listing.Revision, outageAt)
+	if leftOut > 0 && !follower.isCrowded {
+		follower.Events.Record(eventLeftOut, timeline.Event{
+			Detail: follower.Kind, Facts: []timeline.Fact{timeline.Count("leftOut", leftOut)},
+		})
+	}
+	follower.isCrowded = leftOut > 0
+}
+
+// keepRevision returns an object of a listing. The revision of a listing is no reason to take
+// an undated object as changed: it gets the one that it has in the state, if that is of the
+// same era. The caller holds the mutex.
+func (follower *Follower) keepRevision(object Object) Object {
+	current, ok := follower.state.Objects[object.Name]
+	if !ok || !object.IsUndated || current.Unreadable != object.Unreadable {
+		return object
+	}
+	era, _ := SplitRevision(object.Revision)
+	if before, _ := SplitRevision(current.Revision); before == era {
+		object.Revision = current.Revision
+	}
+	return object
 }
 
 // applyChanges applies the answer of a watch if it is newer than the state.
@@ -448,7 +506,10 @@
 			delete(objects, change.Object.Name)
 			continue
 		}
-		if current, ok := objects[change.Object.Name]; !ok || current.Revision < change.Object.Revision {
+		// Changes are in the order of their revisions. The revision of an undated object is
+		// that of the answer, so that other hosts are told of it, and may be higher than that
+		// of a later change.
+		if current, ok := objects[change.Object.Name]; !ok || current.IsUndated || current.Revision < change.Object.Revision {
 			objects[change.Object.Name] = change.Object
 		}
 	}
@@ -457,26 +518,28 @@
 
 // setObjects sets the state's objects and revision, and calls OnChange if the
 // objects differ from the previous ones. In a new era they do, as their revisions are of
-// that era. The caller holds the mutex.
-func (follower *Follower) setObjects(objects map[string]Object, revision int64, outageAt time.Time) {
+// that era. It returns the number of objects that are left out. The caller holds the mutex.
+func (follower *Follower) setObjects(objects map[string]Object, revision int64, outageAt time.Time) (leftOut int) {
 	era, _ := SplitRevision(revision)
 	before, _ := SplitRevision(follower.state.Revision)
 	isRestored := follower.state.Revision > 0 && era > before
+	objects, leftOut = trim(objects)
 	if isRestored {
 		outageAt = time.Now()
 	}
 	same := follower.state.Revision > 0 && maps.EqualFunc(follower.state.Objects, objects, func(one, other Object) bool {
-		return one.Revision == other.Revision
+		return one.Revision == other.Revision && (one.Unreadable == "") == (other.Unreadable == "")
 	})
 	same = same && !isRestored
 	follower.state.Revision = revision
 	if same {
-		return
+		return leftOut
 	}
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
 	follower.state.OutageAt, follower.state.IsRestored = outageAt, isRestored
 	follower.OnChange(follower.state)
+	return leftOut
 }
 
 // recordAnswer records that the platform answered. It returns the time of the last
--- a/discovery/routes.go
+++ b/discovery/routes.go
@@ -16,7 +16,7 @@
 	})
 	eventRoutesUnreadable = timeline.Define(timeline.Kind{
 		Number: 8106, Name: "routes unreadable", Level: timeline.Error,
-		Meaning: "The platform's object with the routes can't be decoded; the version in force stays.",
+		Meaning: "The platform's object with the routes can't be decoded; the detail has its key, its revision and the reason. The version in force stays.",
 		Action:  "write a configuration that this program can read",
 	})
 )
@@ -34,10 +34,8 @@
 
 	inForce atomic.Pointer[routesInForce]
 
-	mutex sync.Mutex
-	// unreadableRevision is the last revision of the object that could not be
-	// decoded, kept to record its event once.
-	unreadableRevision int64
+	mutex    sync.Mutex
+	reporter Reporter
 }
 
 // routesInForce are the routes in force with the value that they were decoded from.
@@ -90,12 +88,16 @@
 func (routes *Routes) apply(object Object) {
 	routes.mutex.Lock()
 	defer routes.mutex.Unlock()
-	configuration, err := routes.Decode(object.Value)
-	if err != nil {
-		if routes.unreadableRevision != object.Revision {
-			routes.unreadableRevision = object.Revision
-			routes.Events.Record(eventRoutesUnreadable, timeline.Event{Detail: err.Error()})
+	var configuration *route.Configuration
+	if object.Unreadable == "" {
+		var err error
+		if configuration, err = routes.Decode(object.Value); err != nil {
+			object.Unreadable = err.Error()
 		}
+	}
+	if object.Unreadable != "" {
+		routes.reporter.Kind, routes.reporter.Event, routes.reporter.Events = "routes", eventRoutesUnreadable, routes.Events
+		routes.reporter.Report([]Object{object})
 		return
 	}
 	if configuration.Version <= routes.Version() {
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +38,8 @@
 	})
 	eventTargetUnreadable = timeline.Define(timeline.Kind{
 		Number: 8104, Name: "target entry unreadable", Level: timeline.Warn,
-		Meaning: "An entry among the targets can't be decoded as a target; it is ignored.",
+		Meaning: "An entry among the targets can't be decoded as a target; the detail has its key, its revision and the reason. A known target whose entry it is gets nothing new, and what it runs goes on.",
+		Action:  "find out who wrote the entry; the target is used again once its entry is written again",
 	})
 )
 
@@ -70,10 +73,8 @@
 	departures map[string]departure
 	restored   map[string]restoredEntry
 	// state is the last state that was applied.
-	state State
-	// unreadableRevisions maps entries to their last revision that could not be
-	// decoded, to record its event once.
-	unreadableRevisions map[string]int64
+	state    State
+	reporter Reporter
 }
 
 // departure is what is remembered of a target that was leaving or gone.
@@ -105,8 +106,8 @@
 }
 
 // Apply replaces the targets with those of a new state. It ignores entries that
-// can't be decoded, and holds targets whose entries vanished in an outage until
-// maxHoldTime after it.
+// can't be decoded, so that the use of their targets ends, and holds targets whose entries
+// vanished in an outage until maxHoldTime after it.
 func (targets *Targets) Apply(state State) {
 	targets.mutex.Lock()
 	defer targets.mutex.Unlock()
@@ -116,18 +117,24 @@
 func (targets *Targets) apply(state State) {
 	targets.state = state
 	next := make(map[string]balance.Target, len(state.Objects))
+	unreadable := map[string]Object{}
 	for name, object := range state.Objects {
-		target, err := targets.Decode(name, object.Value)
-		if err != nil {
-			targets.recordUnreadable(object, err)
-			continue
+		if object.Unreadable == "" {
+			target, err := targets.Decode(name, object.Value)
+			if err == nil {
+				next[name] = target
+				continue
+			}
+			object.Unreadable = err.Error()
 		}
-		next[name] = target
+		unreadable[name] = object
 	}
+	targets.reporter.Kind, targets.reporter.Event, targets.reporter.Events = "targets", eventTargetUnreadable, targets.Events
+	targets.reporter.Report(slices.Collect(maps.Values(unreadable)))
 	targets.depart(next, state)
-	targets.holdVanished(next, state.OutageAt)
+	targets.holdVanished(next, unreadable, state.OutageAt)
 	dropReplaced(next)
-	targets.recordChanges(next)
+	targets.recordChanges(next, unreadable)
 	targets.recordDepartures(next)
 	targets.targets = next
 	targets.publish()
@@ -221,11 +228,13 @@
 }
 
 // holdVanished adds to next the targets that have no entry any more but are still
-// to be held after an outage. Targets that were leaving are not held.
-func (targets *Targets) holdVanished(next map[string]balance.Target, outageAt time.Time) {
+// to be held after an outage. Targets that were leaving are not held, nor are those whose
+// entries can't be read: the outage is not the cause of that.
+func (targets *Targets) holdVanished(next map[string]balance.Target, unreadable map[string]Object, outageAt time.Time) {
 	now := time.Now()
 	for name, target := range targets.targets {
-		if _, ok := next[name]; ok {
+		_, isUnreadable := unreadable[name]
+		if _, ok := next[name]; ok || isUnreadable {
 			delete(targets.heldUntil, name)
 			continue
 		}
@@ -273,7 +282,7 @@
 
 // recordChanges records an event for each target that is new or gone, changed its
 // leaving state, or has a new start time or address.
-func (targets *Targets) recordChanges(next map[string]balance.Target) {
+func (targets *Targets) recordChanges(next map[string]balance.Target, unreadable map[string]Object) {
 	for name, target := range next {
 		before, found := targets.targets[name]
 		switch {
@@ -286,25 +295,17 @@
 		}
 	}
 	for name := range targets.targets {
-		if _, ok := next[name]; !ok {
-			targets.Events.Record(eventTargetEntry, timeline.Event{Target: name, Detail: "gone"})
+		if _, ok := next[name]; ok {
+			continue
 		}
+		detail := "gone"
+		if _, ok := unreadable[name]; ok {
+			detail = "unreadable: gets nothing new"
+		}
+		targets.Events.Record(eventTargetEntry, timeline.Event{Target: name, Detail: detail})
 	}
 }
 
-// recordUnreadable records an event for an entry that can't be decoded, once for
-// each of its revisions.
-func (targets *Targets) recordUnreadable(object Object, err error) {
-	if targets.unreadableRevisions[object.Name] == object.Revision {
-		return
-	}
-	if targets.unreadableRevisions == nil {
-		targets.unreadableRevisions = map[string]int64{}
-	}
-	targets.unreadableRevisions[object.Name] = object.Revision
-	targets.Events.Record(eventTargetUnreadable, timeline.Event{Target: object.Name, Detail: err.Error()})
-}
-
 // publish calls OnChange with the current targets.
 func (targets *Targets) publish() {
 	list := make([]balance.Target, 0, len(targets.targets))
--- a/exchange/snapshots.go
+++ b/exchange/snapshots.go
@@ -8,8 +8,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"nutmegfield.example/exchange/exchangepb"
 )
@@ -21,6 +23,9 @@
 	// fetchTimeout limits the whole request. Large routes take half a second over the
 	// narrowest links that hosts have, more while callers use the link as well.
 	fetchTimeout = 5 * time.Second
+	// maxSnapshotBytes limits a snapshot: the configuration, and all that a host keeps of the
+	// targets.
+	maxSnapshotBytes = 16 << 20
 )
 
 // Snapshots serves the platform's objects that this host has (the configuration and
@@ -82,7 +87,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	client := drpcconn.New(stallConn{conn})
+	client := drpcconn.NewWithOptions(stallConn{conn}, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxSnapshotBytes},
+	}})
 	defer func() { _ = client.Close() }()
 	snapshot, err := exchangepb.NewDRPCSnapshotsClient(client).Fetch(ctx, request)
 	if err != nil {
--- a/gateway/snapshots.go
+++ b/gateway/snapshots.go
@@ -123,9 +123,25 @@
 	}
 	listing := discovery.Listing{Revision: snapshot.GetRevision()}
 	for _, entry := range snapshot.GetTargets() {
-		listing.Objects = append(listing.Objects, discovery.Object{
-			Name: entry.GetName(), Revision: entry.GetRevision(), Value: entry.GetValue(),
-		})
+		if object := host.readTarget(entry, listing.Revision); discovery.CheckName(object.Name) == nil {
+			listing.Objects = append(listing.Objects, object)
+		}
 	}
 	host.targetFollower.ApplyDelta(after, listing, snapshot.GetNames())
 }
+
+// readTarget returns the object of a target's entry in a snapshot that is complete up to a
+// revision. A host that can't read an entry passes it on without its value.
+func (host *host) readTarget(entry *exchangepb.TargetEntry, revision int64) discovery.Object {
+	object := discovery.Object{Name: entry.GetName(), Revision: entry.GetRevision(), Value: entry.GetValue()}
+	if len(object.Value) == 0 {
+		object.Unreadable = "the host that told of it could not read it"
+	} else if _, err := host.targets.Decode(object.Name, object.Value); err != nil {
+		object.Unreadable, object.Value = err.Error(), nil
+	}
+	if object.Revision <= 0 || object.Revision > revision+discovery.MaxRevisionLead {
+		object.Unreadable, object.Value = "the revision is out of range", nil
+		object.Revision, object.IsUndated = revision, true
+	}
+	return object
+}
