--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -478,3 +479,32 @@
 	routes.Apply(State{})
 	c.Assert(routes.Version(), qt.Equals, int64(6))
 }
+
+// TestUnreadableRoutes checks that an object that can't be read is reported once for each
+// revision, and figures that were ignored with the version that took effect without them.
+func TestUnreadableRoutes(t *testing.T) {
+	c := qt.New(t)
+	events := &timeline.Recorder{}
+	routes := &Routes{
+		Name: "main", Events: events, OnChange: func(*route.Table) {},
+		Decode: func(value []byte) (*route.Configuration, error) {
+			if string(value) == "?" {
+				return nil, Errors.NewType("bad").New("odd")
+			}
+			return &route.Configuration{Version: 2, Ignored: []string{"limits.body_bytes -1"}}, nil
+		},
+	}
+	for _, object := range []Object{
+		{Revision: 1, Value: []byte("?")}, {Revision: 1, Value: []byte("?")}, {Revision: 2, Unreadable: "long"}, {Revision: 3, Value: []byte("2")},
+	} {
+		object.Name = "main"
+		routes.Apply(State{Objects: map[string]Object{"main": object}})
+	}
+	var details []string
+	for _, event := range events.Events() {
+		details = append(details, strconv.Itoa(event.Number)+" "+event.Detail)
+	}
+	c.Assert(details, qt.DeepEquals, []string{
+		"8106 routes/main, revision 1: discovery.bad: odd", "8106 routes/main, revision 2: long", "8105 2", "8112 limits.body_bytes -1",
+	})
+}
--- a/discovery/routes.go
+++ b/discovery/routes.go
@@ -2,9 +2,12 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
 )
@@ -19,6 +22,11 @@
 		Meaning: "The platform's object with the routes can't be decoded; the detail has its key, its revision and the reason. The version in force stays.",
 		Action:  "write a configuration that this program can read",
 	})
+	eventFiguresIgnored = timeline.Define(timeline.Kind{
+		Number: 8112, Name: "figures of the routes ignored", Level: timeline.Error,
+		Meaning: "The version of the routes in the fact took effect without the figures in the detail, which are out of their range and count as not given.",
+		Action:  "write a configuration with other figures, as docs/operators/platform.md lists them",
+	})
 )
 
 // Routes decodes the platform's object that holds the routes, and keeps the newest
@@ -105,6 +113,13 @@
 	}
 	table := route.NewTable(configuration)
 	routes.inForce.Store(&routesInForce{table: table, value: object.Value})
-	routes.Events.Record(eventRoutesInForce, timeline.Event{Detail: strconv.FormatInt(configuration.Version, 10)})
+	version := strconv.FormatInt(configuration.Version, 10)
+	routes.Events.Record(eventRoutesInForce, timeline.Event{Detail: version})
+	if len(configuration.Ignored) > 0 {
+		metrics.GetOrCreateCounter("nutmegfield_routes_figures_ignored_total").Add(len(configuration.Ignored))
+		routes.Events.Record(eventFiguresIgnored, timeline.Event{
+			Detail: truncate(strings.Join(configuration.Ignored, ", ")), Facts: []timeline.Fact{{Key: "version", Value: version}},
+		})
+	}
 	routes.OnChange(table)
 }
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -13,6 +13,8 @@
 	Pools      []Pool      `json:"pools"`
 	Workspaces []Workspace `json:"workspaces"`
 	Limits     Limits      `json:"limits"`
+	// Ignored names the figures that were out of their range, and count as not given.
+	Ignored []string `json:"ignored,omitempty"`
 }
 
 // Route sends the requests for a host and a path prefix to pools.
