gateway: learn no speed from events that are refused

Cause: the time to the first event of a continuation counted for the target's speed before the event was checked. A target that answers continuations at once with other events looked quick.

Change: the event is checked first.

Measured: TestRefusedEventsTellNoSpeed failed before and passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -489,12 +489,6 @@
 			attempt.Heard()
 			count++
 		}
-		if count == 1 && !event.isBlank {
-			grant.RecordFirstEvent()
-			if !forwarding.headerWritten {
-				forwarding.timeToFirstEvent = time.Since(forwarding.arrivedAt)
-			}
-		}
 		if continues {
 			if count == 0 {
 				// A comment, which does not show that the answer continues the stream.
@@ -504,6 +498,12 @@
 				return failed, forwarding.refuseContinuation(grant, answer, fault)
 			}
 		}
+		if count == 1 && !event.isBlank {
+			grant.RecordFirstEvent()
+			if !forwarding.headerWritten {
+				forwarding.timeToFirstEvent = time.Since(forwarding.arrivedAt)
+			}
+		}
 		if !isAfter(event.id, forwarding.lastEventID) {
 			grant.End(balance.Failed)
 			return failed, "the stream repeats an event"
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -143,3 +143,22 @@
 		c.Assert(conn.Close(), qt.IsNil)
 	}
 }
+
+// TestRefusedEventsTellNoSpeed guards against a target that answers continuations at once with
+// other events, and is then preferred as a quick one.
+func TestRefusedEventsTellNoSpeed(t *testing.T) {
+	c := qt.New(t)
+	const head = "HTTP/1.1 200 OK\nContent-Type: text/event-stream\nTest-Id: ID\nTest-Seal: s1\n\n"
+	for _, step := range []struct {
+		next string
+		want int
+	}{{"id: 2", 2}, {"id: 3", 1}} {
+		fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, "resumable") }), 2)
+		fixture.balancer.SetTargets(fixture.targets, map[string]bool{testPool: true})
+		fixture.replies = []string{head + "id: 1\ndata: a\n\nRESET\n", head + step.next + "\ndata: b\n\nCLOSE\n"}
+		request := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+		request.Header.Set(testTokens, "500")
+		fixture.sendForStatus(request)
+		c.Check(fixture.balancer.Report().Speeds, qt.HasLen, step.want)
+	}
+}
