exchange: leave out what can't be in other hosts' reports

Cause: a host with a fault could end the service of the others: an infinite or undefined number of units emptied a quota on all hosts, a count of 2^32 made a target full, a queue of 65,536 tiers and names without end took memory, and an absurd bandwidth made its sender the leader of its zone.

Change: counts, numbers, names and lists of a report are checked once, when it arrives. What is out of range is left out and counted, the rest is applied; event 8113 names the sender at most once a minute. Known peers and pools known from reports are bounded.

--- a/balance/report.go
+++ b/balance/report.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ApplyReport replaces the previous report of the same host, which has no requests
 // in flight at targets that the report doesn't name.
@@ -11,6 +14,7 @@
 		balancer.reports = map[string]*Report{}
 	}
 	report.ReceivedAt = time.Now()
+	report.Queues = slices.DeleteFunc(report.Queues, func(queue Queue) bool { return !balancer.hasRoom(queue.Pool) })
 	if previous := balancer.reports[report.Host]; previous != nil {
 		balancer.addToSums(previous, -1)
 	}
@@ -26,6 +30,18 @@
 	balancer.dispatchAll()
 }
 
+// maxPools limits the pools of which reports of other hosts may tell this one.
+const maxPools = 1024
+
+// hasRoom reports whether a pool is known or may be added.
+func (balancer *Balancer) hasRoom(pool string) bool {
+	if balancer.pools[pool] == nil && len(balancer.pools) >= maxPools {
+		return false
+	}
+	balancer.getOrCreatePool(pool)
+	return true
+}
+
 // RemoveHost drops the report of a host that has shut down.
 func (balancer *Balancer) RemoveHost(host string) {
 	balancer.mutex.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -105,6 +105,8 @@
 	round     uint64
 	leaving   bool
 	relay     relay
+	// rejectedAt is when the last event about reports of an address was recorded.
+	rejectedAt map[string]time.Time
 }
 
 // Versions are the versions of the platform's objects that a host has.
@@ -330,6 +332,9 @@
 		// The datagram is not from a host of this system.
 		return
 	}
+	if !exchange.check(message) {
+		return
+	}
 	if !exchange.accept(message) {
 		return
 	}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -103,6 +103,9 @@
 		exchange.peers = map[string]*peer{}
 	}
 	entry := exchange.peers[address]
+	if entry == nil && len(exchange.peers) >= maxKnownPeers {
+		return nil
+	}
 	if entry == nil {
 		entry = &peer{addedAt: time.Now()}
 		exchange.peers[address] = entry
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -295,7 +295,8 @@
 			summary.Backlog = append(summary.Backlog, 0)
 		}
 		summary.Open[index] += use.GetOpen()
-		summary.Backlog[index] += use.GetBacklog()
+		// The limits of reports let only this sum overflow.
+		summary.Backlog[index] = uint32(min(uint64(summary.Backlog[index])+uint64(use.GetBacklog()), math.MaxUint32))
 	}
 }
 
