exchange: give the test of absurd reports verifications

Cause: two changes met: reports identify reads of the platform, and the test of absurd reports has a host of its own. Change: the host's OnVerified takes a verification. Result: package exchange passes.

--- a/exchange/check_test.go
+++ b/exchange/check_test.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/discovery"
 	"nutmegfield.example/exchange/exchangepb"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/origin"
@@ -24,7 +24,7 @@
 	host := &Exchange{
 		Host: "a", Incarnation: 1, Address: "a", Zone: "z", Link: 10, Events: &timeline.Recorder{},
 		Send: func(string, []byte) {}, Versions: func() Versions { return Versions{Configuration: 1} },
-		Balancer: &balance.Balancer{}, Suspects: newSuspects(), OnVerified: func(int64, time.Time) {}, OnNewerVersion: func(string) {},
+		Balancer: &balance.Balancer{}, Suspects: newSuspects(), OnVerified: func(int64, discovery.Verification) {}, OnNewerVersion: func(string) {},
 	}
 	host.Ledger = &quota.Ledger{Interval: host.Interval}
 	host.Ledger.SetLimits(map[string]quota.Limit{"w": {Rate: 1, Burst: 100}})
