quarantine: let one record keep nothing from the others

Cause: a record that can't be removed ended the reading of the others, whose quarantines the host then did not know, and a record that can't be decoded was reported again with each read, once a second at hosts that are cut off.

Change: reading goes on, and each revision is reported once.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -38,14 +38,16 @@
 	})
 	eventRecordUnreadable = timeline.Define(timeline.Kind{
 		Number: 1117, Name: "record of a quarantine unreadable", Level: timeline.Warn,
-		Meaning: "A record among the quarantines on the platform can't be decoded; it is ignored.",
+		Meaning: "A record among the quarantines on the platform can't be decoded; the detail has the reason, the fact revision its revision. It is ignored.",
 	})
 )
 
 // Record is a record of a quarantine on the platform.
 type Record struct {
-	Name  string
-	Value []byte
+	Name string
+	// Revision changes with each write of the record.
+	Revision int64
+	Value    []byte
 }
 
 // Records are the platform's calls for records of quarantines.
@@ -76,6 +78,9 @@
 	// were last read.
 	isRead  bool
 	sweptAt time.Time
+	// unreadable holds the revisions of the records that could not be decoded when they were
+	// last read, by name: each is reported once.
+	unreadable map[string]int64
 	// isRestored is set when the platform came back from an older copy, until that is dealt
 	// with.
 	isRestored atomic.Bool
@@ -170,7 +175,8 @@
 	return suspect.isQuarantined(now) && now.Sub(suspect.Until.Add(-suspect.quarantineLength)) > reconcileDelay
 }
 
-// read applies all records, and removes those that have expired.
+// read applies all records, and removes those that have expired. It returns the error of the
+// first that can't be removed, but goes on with the others.
 func (keeper *Keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
@@ -179,10 +185,18 @@
 		return fmt.Errorf("read quarantines: %w", err)
 	}
 	keeper.isRead, keeper.sweptAt = true, time.Now()
+	var failed error
+	reported := keeper.unreadable
+	keeper.unreadable = map[string]int64{}
 	for _, record := range records {
 		suspect, err := DecodeRecord(record.Name, record.Value)
 		if err != nil {
-			keeper.Events.Record(eventRecordUnreadable, timeline.Event{Detail: err.Error()})
+			if revision, ok := reported[record.Name]; !ok || revision != record.Revision {
+				keeper.Events.Record(eventRecordUnreadable, timeline.Event{
+					Detail: err.Error(), Facts: []timeline.Fact{timeline.Count("revision", record.Revision)},
+				})
+			}
+			keeper.unreadable[record.Name] = record.Revision
 			continue
 		}
 		if time.Now().Before(suspect.expiresAt()) {
@@ -190,11 +204,11 @@
 			keeper.recordSaved(suspect)
 			continue
 		}
-		if err := keeper.remove(ctx, record.Name); err != nil {
-			return err
+		if err := keeper.remove(ctx, record.Name); err != nil && failed == nil {
+			failed = err
 		}
 	}
-	return nil
+	return failed
 }
 
 func (keeper *Keeper) save(ctx context.Context, suspect *Suspect) error {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/timeline"
 )
 
 // fakeRecords is a stand-in of the platform's records.
@@ -22,6 +25,9 @@
 	values   map[string][]byte
 	isAway   bool
 	calls    int
+	// stuck is the name of a record that can't be removed.
+	stuck  string
+	events *timeline.Recorder
 }
 
 var errAway = errors.New("away")
@@ -61,7 +67,7 @@
 // start starts a host that keeps its quarantines there.
 func (fakeRecords *fakeRecords) start(ctx context.Context, leads bool) *Suspects {
 	suspects := &Suspects{LastAnswer: func(Incarnation) time.Time { return time.Time{} }}
-	keeper := &Keeper{Suspects: suspects, Leads: func() bool { return leads }, IsCutOff: fakeRecords.isCutOff.Load, Records: Records{
+	keeper := &Keeper{Suspects: suspects, Leads: func() bool { return leads }, IsCutOff: fakeRecords.isCutOff.Load, Events: fakeRecords.events, Records: Records{
 		List: func(context.Context) (records []Record, err error) {
 			err = fakeRecords.do(func() {
 				for name, value := range fakeRecords.values {
@@ -74,6 +80,9 @@
 			return fakeRecords.do(func() { fakeRecords.values[record.Name] = record.Value })
 		},
 		Remove: func(_ context.Context, name string) error {
+			if name == fakeRecords.stuck {
+				return errAway
+			}
 			return fakeRecords.do(func() { delete(fakeRecords.values, name) })
 		},
 	}}
@@ -139,6 +148,41 @@
 	})
 }
 
+// TestOddRecords guards against records that keep a host from reading the others, and are
+// reported again with each read.
+func TestOddRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		records := &fakeRecords{stuck: "2", values: map[string][]byte{
+			"2": []byte(`{"endings":[{"target":1,"at":"0001-01-01T00:00:00Z"}]}`), "3": []byte(strings.Repeat("[", 20_000)), "": nil,
+			"4": []byte(`{"endings":[{"target":-1}]}`), "5": []byte(`{"depth":300}`),
+		}, events: &timeline.Recorder{}}
+		var good []Trait
+		for trait := Trait(0x10); trait < 0x20; trait++ {
+			name, value, err := EncodeRecord(&Suspect{Trait: trait, Endings: []Ending{{Target: 1, At: time.Now()}, {Target: 2, At: time.Now()}, {Target: 3, At: time.Now()}}})
+			c.Assert(err, qt.IsNil)
+			records.values[name] = value
+			good = append(good, trait)
+		}
+		records.isCutOff.Store(true)
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		host := records.start(ctx, false)
+		for _, trait := range good {
+			_, quarantined := host.Find(trait)
+			c.Check(quarantined, qt.IsTrue, qt.Commentf("%s", trait))
+		}
+		time.Sleep(time.Minute)
+		unreadable := 0
+		for _, event := range records.events.Events() {
+			if event.Number == 1117 {
+				unreadable++
+			}
+		}
+		c.Check(unreadable, qt.Equals, 4)
+	})
+}
+
 // tell lets each of the hosts learn what the others know.
 func tell(hosts ...*Suspects) {
 	for _, host := range hosts {
