origin: let an unreadable mark hold up streams for a time only

Cause: a mark that can't be read, or of the year 9999, counted as one of now with each read, so that streams of the pool that no host knew never went on.

Change: it counts as of the time when this host first read that value.

TestUnreadableMarks failed before.

--- a/origin/marks.go
+++ b/origin/marks.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmegfield.example/timeline"
 )
 
@@ -16,6 +18,8 @@
 	markTimeout = time.Second
 	// marksLifetime is how long the marks that were read are used.
 	marksLifetime = time.Second
+	// maxMarkLead is how far the time of a mark may be ahead of this host's clock.
+	maxMarkLead = time.Minute
 )
 
 var (
@@ -43,6 +47,12 @@
 	MixedAt time.Time `json:"mixedAt"`
 }
 
+// unreadableMark is a mark that can't be read.
+type unreadableMark struct {
+	hash    uint64
+	firstAt time.Time
+}
+
 // keepMarks writes the marks of pools with several versions, if this host does so for all.
 func (origins *Origins) keepMarks(ctx context.Context, marked map[string]time.Time) {
 	now := time.Now()
@@ -98,12 +108,18 @@
 	if err != nil {
 		return fmt.Errorf("read marks: %w", err)
 	}
-	origins.marks, origins.marksReadAt = map[string]time.Time{}, time.Now()
+	now := time.Now()
+	before := origins.unreadableMarks
+	origins.marks, origins.marksReadAt, origins.unreadableMarks = map[string]time.Time{}, now, map[string]unreadableMark{}
 	for pool, value := range values {
 		var mark mark
-		if err := json.Unmarshal(value, &mark); err != nil {
-			// A mark that can't be read may be one of now.
-			mark.MixedAt = time.Now()
+		if err := json.Unmarshal(value, &mark); err != nil || mark.MixedAt.After(now.Add(maxMarkLead)) {
+			// It may be one of the time when it was first read, but of no later one.
+			unreadable, ok := before[pool]
+			if hash := xxhash.Sum64(value); !ok || unreadable.hash != hash {
+				unreadable = unreadableMark{hash: hash, firstAt: now}
+			}
+			origins.unreadableMarks[pool], mark.MixedAt = unreadable, unreadable.firstAt
 		}
 		origins.marks[pool] = mark.MixedAt
 	}
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -155,6 +155,8 @@
 	marksMutex  sync.Mutex
 	marks       map[string]time.Time
 	marksReadAt time.Time
+	// unreadableMarks are those of marks that can't be read, by pool.
+	unreadableMarks map[string]unreadableMark
 }
 
 // reply is an answer with the address of the host that gave it.
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -290,3 +290,30 @@
 		c.Assert(reads.Load(), qt.Equals, int64(1))
 	})
 }
+
+// TestUnreadableMarks guards against marks that keep the streams of a pool from going on for
+// ever, or those of another pool. One that can't be read may be of the time when it was found.
+func TestUnreadableMarks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		marks := map[string][]byte{
+			"deep": []byte(strings.Repeat("[", 20_000)), "null": nil, "text": []byte(`{"mixedAt":5}`), "far": []byte(`{"mixedAt":"9999-12-31T23:59:59Z"}`),
+			"old": []byte(`{"mixedAt":"1998-12-31T23:59:59Z"}`),
+		}
+		origins := &Origins{Events: &timeline.Recorder{}, Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return marks, nil }}}
+		expect := func(want map[string]bool) {
+			for pool, isUnmarked := range want {
+				c.Check(origins.isUnmarked(t.Context(), pool), qt.Equals, isUnmarked, qt.Commentf("%s after %s", pool, time.Now()))
+			}
+		}
+		for range 40 {
+			expect(map[string]bool{"deep": false, "null": false, "text": false, "far": false, "old": true, "none": true})
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		expect(map[string]bool{"deep": true, "null": true, "text": true, "far": true})
+		marks["deep"] = []byte("[[")
+		time.Sleep(2 * time.Second)
+		expect(map[string]bool{"deep": false, "null": true})
+	})
+}
