--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -59,7 +59,11 @@
 	})
 	gateway.Protocol.WriteRefusal(forwarding.writer.Header(), forwarding.call, after)
 	forwarding.writer.Header().Set("Content-Length", "0")
-	forwarding.writer.WriteHeader(status)
+	if forwarding.hasBody {
+		forwarding.conn.Refuse(forwarding.writer, status)
+		return
+	}
+	forwarding.conn.RefuseUnread(forwarding.writer, forwarding.request, status)
 }
 
 // answerUnserved ends a request for which no target gave a usable answer: with a
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,6 +92,11 @@
 			forwarding.refuseSuspect(suspect)
 			return
 		}
+		if !forwarding.beginRun() {
+			grant.Cancel()
+			forwarding.answerUnserved(ctx, reasonGaveWay)
+			return
+		}
 		forwarding.triedTargets = append(forwarding.triedTargets, grant.Target.ID)
 		verdict, reason := forwarding.attempt(ctx, grant, runs)
 		if verdict == done {
@@ -345,6 +350,7 @@
 
 func (forwarding *forwarding) recordAnswered(grant *balance.Grant, status int) {
 	forwarding.recordServed(status)
+	forwarding.conn.Holder().Serve()
 	took := time.Since(forwarding.arrivedAt)
 	countAnswer(grant.Target.Pool, grant.Target.ID, status, forwarding.timeToFirstEvent, took)
 	forwarding.gateway.Events.Record(eventAnswered, timeline.Event{
--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"nutmegfield.example/memory"
 )
 
 const (
@@ -25,15 +27,29 @@
 
 // bufferRoom counts the bytes that buffers hold together, so that targets whose answers
 // don't end can't fill the host's memory. The zero value is ready for use.
-type bufferRoom struct{ shared atomic.Int64 }
+type bufferRoom struct {
+	shared atomic.Int64
+	// budget counts all of them as a part of the host's memory. It may be nil.
+	budget *memory.Budget
+}
 
 // take counts the growth of a buffer between capacities, and reports whether there is room.
 func (bufferRoom *bufferRoom) take(from, to int) bool {
+	size := memory.Small
+	if to > ownBufferBytes {
+		size = memory.Large
+	}
+	if to < from {
+		bufferRoom.budget.Give(memory.Answers, int64(from-to))
+	} else if !bufferRoom.budget.Take(memory.Answers, int64(to-from), size) {
+		return false
+	}
 	growth := int64(max(to, ownBufferBytes) - max(from, ownBufferBytes))
 	if bufferRoom.shared.Add(growth) <= maxSharedBytes {
 		return true
 	}
 	bufferRoom.shared.Add(-growth)
+	bufferRoom.budget.Give(memory.Answers, int64(to-from))
 	return false
 }
 
--- /dev/null
+++ b/gateway/callers.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"nutmegfield.example/errorkind"
+	"nutmegfield.example/kernel"
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
+	"nutmegfield.example/timeline"
+)
+
+// noMemoryRetryAfter is the retry time for callers for whose requests there is no memory. Those
+// that make no progress have given way until then.
+const noMemoryRetryAfter = time.Second
+
+// Reasons of refusals for want of memory or progress.
+const (
+	reasonNoMemory   = "no memory for the request"
+	reasonNoBodyRoom = "no memory for the body"
+	reasonGaveWay    = "the request gave way to others"
+	reasonSlowBody   = "the body did not come in time"
+)
+
+// The listeners of a gateway, in the order of boundListeners.
+const (
+	peersListener = iota
+	readinessListener
+	callersListener
+	operatorsListener
+)
+
+// smallHeaderBytes limits heads at the listeners for the balancer's checks and operators.
+const smallHeaderBytes = 4 << 10
+
+// boundListeners bounds what callers can make the host hold at each of its listeners.
+func (host *host) boundListeners(kernelHost *kernel.Host, listeners []net.Listener) {
+	settings := kernelHost.Settings
+	plan := memory.NewPlan(int64(settings.Host.Memory*(1<<20)), settings.Host.Descriptors)
+	plan.SetHeapLimit()
+	host.gateway.bufferRoom.budget = plan.Callers
+	smallLimits := func() listener.Limits { return listener.Limits{HeaderBytes: smallHeaderBytes} }
+	for number, bounds := range []struct {
+		name   string
+		budget *memory.Budget
+		limits func() listener.Limits
+	}{
+		peersListener:     {"peers", plan.Peers, smallLimits},
+		readinessListener: {"readiness", plan.Readiness, smallLimits},
+		callersListener:   {"callers", plan.Callers, host.callerLimits},
+		operatorsListener: {"operators", plan.Operators, smallLimits},
+	} {
+		if number == peersListener {
+			continue
+		}
+		listeners[number] = &listener.Listener{
+			Listener: listeners[number], Budget: bounds.budget, Limits: bounds.limits, RetryAfter: noMemoryRetryAfter,
+			IsSmall: listener.IsSmall(plan.Machine),
+		}
+	}
+}
+
+// callerLimits returns the limits of the routes in force for the heads of callers.
+func (host *host) callerLimits() listener.Limits {
+	table := host.routes.Table()
+	if table == nil {
+		return listener.Limits{}
+	}
+	limits := &table.Configuration.Limits
+	return listener.Limits{HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+}
+
+// begin counts the memory of the request. It returns false if there is none and the request was
+// refused. End must be called in any case.
+func (forwarding *forwarding) begin() (end func(), begun bool) {
+	end, begun = forwarding.conn.Begin(forwarding.writer, forwarding.request)
+	if !begun {
+		forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonNoMemory)
+	}
+	return end, begun
+}
+
+// describe tells the listener what it needs to choose who gives way. Cancel ends the wait of
+// the request.
+func (forwarding *forwarding) describe(cancel context.CancelFunc) {
+	if forwarding.conn == nil {
+		return
+	}
+	forwarding.conn.Holder().Describe(&memory.Details{
+		Workspace: forwarding.workspaceName(), Declared: forwarding.request.ContentLength,
+		Deadline: forwarding.deadline, Due: forwarding.due(), Cancel: cancel,
+	})
+}
+
+// readBody reads the caller's body. It returns false if the request was refused. Release must
+// be called in any case.
+func (forwarding *forwarding) readBody() (release func(), ok bool) {
+	limit := int64(defaultMaxBodyBytes)
+	if table := forwarding.gateway.Table(); table != nil && table.Configuration.Limits.BodyBytes > 0 {
+		limit = int64(table.Configuration.Limits.BodyBytes)
+	}
+	body, err := forwarding.conn.ReadBody(forwarding.request, limit, forwarding.deadline)
+	if err != nil {
+		forwarding.refuseBody(err)
+		return body.Release, false
+	}
+	forwarding.body, forwarding.hasBody = body.Bytes, true
+	forwarding.content = sync.OnceValue(forwarding.hashContent)
+	forwarding.shared = forwarding.sharedTraits()
+	return body.Release, true
+}
+
+// refuseBody refuses a request whose body was not read to its end.
+func (forwarding *forwarding) refuseBody(err error) {
+	cause := timeline.Fact{Key: "cause", Value: err.Error()}
+	switch {
+	case errorkind.Is(err, listener.TooLong):
+		forwarding.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long", cause)
+	case errorkind.Is(err, listener.TooSlow):
+		forwarding.writer.Header().Set("Connection", "close")
+		forwarding.refuse(http.StatusRequestTimeout, 0, reasonSlowBody, cause)
+	case errorkind.Is(err, listener.NoRoom):
+		forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonNoBodyRoom, cause)
+	case errorkind.Is(err, listener.GaveWay):
+		forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonGaveWay, cause)
+	default:
+		// The caller has left, so there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// beginRun marks the request as one that is sent to a target, and gives way to no other any
+// more. It returns false if it has given way and must be refused.
+func (forwarding *forwarding) beginRun() bool { return forwarding.conn.Holder().Enter(memory.Running) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,12 +4,9 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +14,7 @@
 	"nutmegfield.example/budget"
 	"nutmegfield.example/detour"
 	"nutmegfield.example/limit"
+	"nutmegfield.example/listener"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
@@ -87,6 +85,7 @@
 		gateway:   gateway,
 		writer:    writer,
 		request:   request,
+		conn:      listener.Of(request),
 		call:      gateway.Protocol.ReadCall(request.Header),
 		arrivedAt: time.Now(),
 	}
@@ -98,9 +97,11 @@
 
 // forwarding is the state of one caller's request while it is forwarded.
 type forwarding struct {
-	gateway   *Gateway
-	writer    http.ResponseWriter
-	request   *http.Request
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	// conn is the caller's connection, nil in tests without a listener.
+	conn      *listener.Conn
 	call      Call
 	arrivedAt time.Time
 
@@ -118,9 +119,11 @@
 	// events in the stream of the last attempt.
 	timeToFirstEvent time.Duration
 	eventCount       int
-	body             []byte
-	quotaUnits       float64
-	deadline         time.Time
+	// body is that of the request; hasBody means that it was read whole.
+	body       []byte
+	hasBody    bool
+	quotaUnits float64
+	deadline   time.Time
 
 	// sends is the number of targets that may have read the request;
 	// mayHaveRun reports whether one of them may have begun to run it.
@@ -172,10 +175,17 @@
 
 func (forwarding *forwarding) run() {
 	defer forwarding.releaseFallback()
-	if !forwarding.admit() {
+	endRequest, begun := forwarding.begin()
+	defer endRequest()
+	if !begun || !forwarding.admit() {
 		return
 	}
-	if !forwarding.readBody() {
+	ctx, cancel := context.WithDeadline(forwarding.request.Context(), forwarding.deadline)
+	defer cancel()
+	forwarding.describe(cancel)
+	releaseBody, hasBody := forwarding.readBody()
+	defer releaseBody()
+	if !hasBody {
 		return
 	}
 	release, admitted := forwarding.admitTraits()
@@ -183,8 +193,6 @@
 		return
 	}
 	defer release()
-	ctx, cancel := context.WithDeadline(forwarding.request.Context(), forwarding.deadline)
-	defer cancel()
 	if !forwarding.findVersion(ctx) {
 		return
 	}
@@ -288,13 +296,14 @@
 
 // queueTier returns the tier for the balancer's queue: by rank, and within a rank
 // streams that go on come first, as a part of them is delivered, and callers that were
-// refused before last, as their answers are late already.
+// refused before last, as their answers are late already, with those that don't wait for the
+// answer to the request before.
 func (forwarding *forwarding) queueTier() int {
 	const placesPerRank = 3
 	switch {
 	case forwarding.resumedAfter() != "":
 		return placesPerRank * forwarding.rank
-	case forwarding.isRetry:
+	case forwarding.isRetry || forwarding.conn.IsPipelined():
 		return placesPerRank*forwarding.rank + 2
 	default:
 		return placesPerRank*forwarding.rank + 1
@@ -316,29 +325,6 @@
 	}
 }
 
-// readBody reads the caller's body. It returns false if the body is too long and the
-// request was refused.
-func (forwarding *forwarding) readBody() bool {
-	limit := int64(defaultMaxBodyBytes)
-	if table := forwarding.gateway.Table(); table != nil && table.Configuration.Limits.BodyBytes > 0 {
-		limit = int64(table.Configuration.Limits.BodyBytes)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(forwarding.writer, forwarding.request.Body, limit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		forwarding.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
-		return false
-	case err != nil:
-		// The caller has left, so there is nobody to answer.
-		panic(http.ErrAbortHandler)
-	}
-	forwarding.body = body
-	forwarding.content = sync.OnceValue(forwarding.hashContent)
-	forwarding.shared = forwarding.sharedTraits()
-	return true
-}
-
 // takeQuota takes the request's units from the workspace's quota. It returns false
 // if the quota is exceeded and the request was refused.
 func (forwarding *forwarding) takeQuota() bool {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -19,6 +19,7 @@
 	"nutmegfield.example/exchange"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/limit"
+	"nutmegfield.example/listener"
 	"nutmegfield.example/operator"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/pause"
@@ -146,6 +147,7 @@
 	}
 	host := newHost(kernelHost, *protocol, sources)
 	host.exchange.Send = kernel.DatagramSender(datagrams)
+	host.boundListeners(kernelHost, listeners)
 	callers := newServer(listeners[2], host.gateway)
 	host.gateway.Shutdown = callers.Shutdown
 	run := func(ctx context.Context) error {
@@ -159,11 +161,11 @@
 			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.paths.Run, host.detourServer.Run,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
-				return serve(ctx, newServer(listeners[1], http.HandlerFunc(host.serveReadiness)))
+				return serve(ctx, newServer(listeners[1], listener.Handler(http.HandlerFunc(host.serveReadiness))))
 			},
 			func(ctx context.Context) error { return serve(ctx, callers) },
 			func(ctx context.Context) error {
-				return serve(ctx, newServer(listeners[3], operator.NewMux(kernelHost.Events)))
+				return serve(ctx, newServer(listeners[3], listener.Handler(operator.NewMux(kernelHost.Events))))
 			},
 		} {
 			group.Go(func() { host.recordFailure(part(ctx)) })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,19 +9,22 @@
 	"net/url"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"nutmegfield.example/listener"
 )
 
-func newServer(listener net.Listener, handler http.Handler) *khttp.Server {
+func newServer(accepting net.Listener, handler http.Handler) *khttp.Server {
 	// Without an endpoint the transport lists the machine's network interfaces,
 	// which not every machine permits.
-	endpoint := &url.URL{Scheme: "http", Host: listener.Addr().String()}
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0), khttp.Filter(
+	endpoint := &url.URL{Scheme: "http", Host: accepting.Addr().String()}
+	server := khttp.NewServer(khttp.Listener(accepting), khttp.Endpoint(endpoint), khttp.Timeout(0), khttp.Filter(
 		// Bypass the transport's router, which would rewrite paths.
 		func(http.Handler) http.Handler { return handler },
 	))
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
+	listener.Bind(server.Server)
 	return server
 }
 
--- /dev/null
+++ b/listener/conn.go
@@ -0,0 +1,280 @@
+package listener
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"nutmegfield.example/memory"
+)
+
+// errGone is the cause of a read or write of a connection that has given way, or whose head was
+// refused. Net/http answers nothing then.
+var errGone = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection has ended")}
+
+// past is a deadline that ends a read or write at once.
+var past = time.Unix(1, 0)
+
+// Conn is a connection of a caller.
+type Conn struct {
+	net.Conn
+	// holder counts what is held for the connection.
+	holder   *memory.Holder
+	listener *Listener
+
+	// The following are used by the goroutine that reads the connection.
+	head headReader
+	// headCost is what was taken for the head, headDeadline when it must be complete.
+	headCost     int64
+	headDeadline time.Time
+
+	// pipelined is by how many more requests came before the answer to the one before than
+	// after it; hasNext means that a part of the next one has come, hasRest that something was
+	// read with the last head.
+	pipelined        int
+	hasNext, hasRest atomic.Bool
+
+	isClosed atomic.Bool
+	isLarge  bool
+}
+
+// Holder returns what counts the memory of the connection, nil for a nil Conn.
+func (conn *Conn) Holder() *memory.Holder {
+	if conn == nil {
+		return nil
+	}
+	return conn.holder
+}
+
+// startHead begins a head.
+func (conn *Conn) startHead() {
+	conn.head.start()
+	conn.headDeadline = time.Time{}
+	conn.hasRest.Store(false)
+}
+
+// limitHead sets the deadline of a head whose first bytes have come.
+func (conn *Conn) limitHead() {
+	if timeout := conn.listener.limits().HeaderTimeout; timeout > 0 {
+		conn.headDeadline = time.Now().Add(timeout)
+		_ = conn.Conn.SetReadDeadline(conn.headDeadline)
+	}
+}
+
+// Read reads what the caller sends. While that is a head, it is counted before it is parsed.
+func (conn *Conn) Read(buffer []byte) (int, error) {
+	n, err := conn.Conn.Read(buffer)
+	if n > 0 {
+		if refused := conn.observe(buffer[:n]); refused != nil {
+			return 0, refused
+		}
+	}
+	if err != nil && conn.holder.Phase() == memory.Head && conn.head.size > 0 && errors.Is(err, os.ErrDeadlineExceeded) && conn.holder.Enter(memory.Closing) {
+		conn.refuse(http.StatusRequestTimeout, "the head did not come in time")
+		return n, errGone
+	}
+	return n, err
+}
+
+// observe counts bytes that were read. It returns an error if the head was refused.
+func (conn *Conn) observe(part []byte) error {
+	switch conn.holder.Phase() {
+	case memory.Idle:
+		if !conn.holder.Enter(memory.Head) {
+			return errGone
+		}
+		conn.startHead()
+		fallthrough
+	case memory.Head:
+		conn.holder.Receive(len(part))
+		if conn.headDeadline.IsZero() {
+			conn.limitHead()
+		}
+		conn.head.read(part)
+		if conn.head.hasRest() {
+			conn.hasRest.Store(true)
+		}
+		return conn.checkHead()
+	case memory.Gone:
+		return errGone
+	case memory.Body:
+		conn.holder.Receive(len(part))
+		conn.head.skip(part)
+	default:
+		conn.hasNext.Store(true)
+		conn.head.skip(part)
+	}
+	return nil
+}
+
+// checkHead counts the memory of the head. It returns an error if it was refused.
+func (conn *Conn) checkHead() error {
+	status, reason := 0, ""
+	limit := conn.listener.limits().HeaderBytes
+	if conn.head.lines > maxFields || limit > 0 && conn.head.size > limit+bufferBytes {
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, "the head is too long"
+	} else if cost := conn.head.cost(); cost > conn.headCost {
+		if conn.holder.TakeHead(cost - conn.headCost) {
+			conn.headCost = cost
+		} else {
+			status, reason = http.StatusServiceUnavailable, "no memory for the head"
+		}
+	}
+	if status == 0 {
+		return nil
+	}
+	if conn.holder.Enter(memory.Closing) {
+		conn.refuse(status, reason)
+	}
+	return errGone
+}
+
+// refuse answers a request whose head was not read to its end, and discards what still comes
+// for a while.
+func (conn *Conn) refuse(status int, reason string) {
+	conn.listener.refused(status, reason)
+	_ = conn.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	if _, err := conn.Conn.Write(conn.listener.refusal(status)); err != nil {
+		return
+	}
+	_ = conn.CloseWrite()
+	_ = conn.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{conn.Conn}, lingerBytes), make([]byte, bufferBytes))
+}
+
+// onlyReader hides the other methods of a reader, by which io.Copy would avoid the buffer.
+type onlyReader struct{ io.Reader }
+
+// Write writes in pieces, each of which the caller must take within the listener's timeout.
+func (conn *Conn) Write(part []byte) (int, error) {
+	conn.holder.BeginWrite()
+	defer conn.holder.EndWrite()
+	written := 0
+	for {
+		_ = conn.Conn.SetWriteDeadline(time.Now().Add(conn.listener.writeTimeout()))
+		n, err := conn.Conn.Write(part[written:min(written+maxWriteBytes, len(part))])
+		written += n
+		if err != nil || written == len(part) {
+			return written, err
+		}
+		conn.holder.BeginWrite()
+	}
+}
+
+// SetReadDeadline sets the deadline for reads. That of a head is the one of its limits if that
+// is earlier.
+func (conn *Conn) SetReadDeadline(deadline time.Time) error {
+	switch conn.holder.Phase() {
+	case memory.Gone:
+		return nil
+	case memory.Head:
+		if !deadline.IsZero() && !conn.headDeadline.IsZero() && conn.headDeadline.Before(deadline) {
+			deadline = conn.headDeadline
+		}
+	case memory.Idle:
+		timeout := conn.listener.limits().IdleTimeout
+		conn.holder.SetIdleTimeout(timeout)
+		if limited := time.Now().Add(timeout); timeout > 0 && limited.Before(deadline) {
+			deadline = limited
+		}
+	}
+	return conn.Conn.SetReadDeadline(deadline)
+}
+
+// SetWriteDeadline does nothing: each write has a deadline of its own.
+func (conn *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// CloseWrite ends the writes of the connection.
+func (conn *Conn) CloseWrite() error {
+	if writer, ok := conn.Conn.(interface{ CloseWrite() error }); ok {
+		return writer.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and gives back its memory.
+func (conn *Conn) Close() error {
+	if !conn.isClosed.CompareAndSwap(false, true) {
+		return nil
+	}
+	err := conn.Conn.Close()
+	conn.holder.Close()
+	return err
+}
+
+// evict ends what the connection does, as it must give way.
+func (conn *Conn) evict(phase memory.Phase) {
+	switch phase {
+	case memory.Body:
+		// The handler notices, and refuses the request.
+		_ = conn.Conn.SetReadDeadline(past)
+	case memory.Queued, memory.Waiting:
+		// The handler notices.
+	case memory.Head:
+		if conn.holder.Received() > 0 {
+			_ = conn.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+			_, _ = conn.Conn.Write(conn.listener.refusal(http.StatusRequestTimeout))
+		}
+		_ = conn.Close()
+	default:
+		_ = conn.Close()
+	}
+}
+
+// Begin begins a request. It returns false if there is no memory for it: it must be refused then.
+// End must be called at its end.
+func (conn *Conn) Begin(writer http.ResponseWriter, request *http.Request) (end func(), ok bool) {
+	if conn == nil {
+		return func() {}, true
+	}
+	// A head that came whole with the request before was never read by itself.
+	isPipelined := conn.holder.Phase() == memory.Idle
+	if !conn.holder.Enter(memory.Waiting) {
+		// The connection has given way, and is closed.
+		panic(http.ErrAbortHandler)
+	}
+	conn.countPipelined(writer, request, isPipelined)
+	wait := minRoomWait
+	for began := time.Now(); !conn.holder.Take(memory.Requests, memory.RequestCost, memory.Small); wait = min(2*wait, maxRoomWait) {
+		// Others have been told to give way.
+		if time.Since(began) >= requestPatience {
+			return func() {}, false
+		}
+		time.Sleep(wait)
+	}
+	return conn.end, true
+}
+
+// end ends a request.
+func (conn *Conn) end() {
+	conn.holder.Describe(nil)
+	conn.holder.Give(memory.Requests, memory.RequestCost)
+}
+
+// countPipelined closes the connection after the answer if its caller sends one request after
+// the other without waiting for answers.
+func (conn *Conn) countPipelined(writer http.ResponseWriter, request *http.Request, isPipelined bool) {
+	if conn.hasNext.Swap(false) || isPipelined || conn.hasRest.Load() && request.ContentLength == 0 {
+		conn.pipelined++
+	} else {
+		conn.pipelined = max(0, conn.pipelined-1)
+	}
+	if conn.pipelined >= maxPipelined {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
+// IsPipelined reports whether the caller sent the present request before it got the answer to
+// the one before.
+func (conn *Conn) IsPipelined() bool { return conn != nil && conn.pipelined > 0 }
+
+// endRequest is called when the answer to a request was written.
+func (conn *Conn) endRequest() {
+	conn.holder.GiveHeads()
+	conn.headCost = 0
+	conn.holder.Enter(memory.Idle)
+}
--- /dev/null
+++ b/listener/listener.go
@@ -0,0 +1,173 @@
+// Package listener accepts connections of callers that may misbehave: it bounds what each can
+// make the host hold, and ends those that must give way to others.
+package listener
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"nutmegfield.example/memory"
+)
+
+const (
+	// defaultWriteTimeout limits the write of each maxWriteBytes to a caller: on a link of 64
+	// kbit/s, the slowest that is served, they take 8 s.
+	defaultWriteTimeout = 10 * time.Second
+	maxWriteBytes       = 64 << 10
+	// refuseTimeout limits the write of a refusal. The send buffer of the connection has room
+	// for it.
+	refuseTimeout = 50 * time.Millisecond
+	// acceptPatience is how long a new connection waits for room, unless another one was
+	// refused within refusalMemory: waiting longer would keep others from being accepted.
+	acceptPatience = 25 * time.Millisecond
+	acceptInterval = 6 * time.Millisecond
+	refusalMemory  = 250 * time.Millisecond
+	// lingerTime and lingerBytes bound what is still read after a refusal, so that a reset
+	// does not destroy it on its way.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+	// maxFields limits the lines of a head.
+	maxFields = 4096
+	// maxPipelined is by how many more requests a caller may send before it gets the answer to
+	// the one before than after it. The connection is closed then.
+	maxPipelined = 4
+)
+
+// Limits bound the heads of requests.
+type Limits struct {
+	// HeaderBytes is the size of the largest head, 0 for no limit. Some more is read.
+	HeaderBytes int
+	// HeaderTimeout limits the time for a head, IdleTimeout that between two requests; 0 for
+	// no limit but that of the server.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Listener accepts connections within a budget. Its fields are set before use.
+type Listener struct {
+	net.Listener
+	Budget *memory.Budget
+	// Limits returns the limits in force. It may be nil.
+	Limits func() Limits
+	// IsSmall means that the machine needs small receive buffers.
+	IsSmall bool
+	// WriteTimeout limits the write of each 64 KiB; 0 means 10 s.
+	WriteTimeout time.Duration
+	// RetryAfter is told to callers that are refused for want of memory.
+	RetryAfter time.Duration
+	// OnRefused is called when a connection or head is refused. It may be nil.
+	OnRefused func(status int, reason string)
+
+	once        sync.Once
+	lastRefused time.Time
+}
+
+// Accept returns the next connection for which there is room. It refuses others. Only one
+// goroutine may call it.
+func (listener *Listener) Accept() (net.Conn, error) {
+	if listener.IsSmall {
+		listener.once.Do(func() { boundListener(listener.Listener) })
+	}
+	for {
+		raw, err := listener.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := listener.admit(raw); conn != nil {
+			return conn, nil
+		}
+		listener.refused(http.StatusServiceUnavailable, "too many connections")
+		_ = raw.SetWriteDeadline(time.Now().Add(refuseTimeout))
+		_, _ = raw.Write(listener.refusal(http.StatusServiceUnavailable))
+		_ = raw.Close()
+	}
+}
+
+// admit returns the connection, nil if there is no room for it.
+func (listener *Listener) admit(raw net.Conn) *Conn {
+	conn := &Conn{Conn: raw, listener: listener}
+	conn.holder = listener.Budget.NewHolder(conn.evict, conn.hasInput)
+	for waited := time.Duration(0); ; waited += acceptInterval {
+		// If there is no room, others are told to give way.
+		if conn.holder.Open(memory.ConnectionCost) {
+			bound(raw, listener.writeTimeout())
+			return conn
+		}
+		if waited >= acceptPatience || time.Since(listener.lastRefused) < refusalMemory {
+			listener.lastRefused = time.Now()
+			return nil
+		}
+		time.Sleep(acceptInterval)
+	}
+}
+
+func (listener *Listener) limits() Limits {
+	if listener.Limits == nil {
+		return Limits{}
+	}
+	return listener.Limits()
+}
+
+func (listener *Listener) writeTimeout() time.Duration {
+	return cmp.Or(listener.WriteTimeout, defaultWriteTimeout)
+}
+
+func (listener *Listener) refused(status int, reason string) {
+	if listener.OnRefused != nil {
+		listener.OnRefused(status, reason)
+	}
+}
+
+// refusal returns an answer that the listener gives itself. All of them mean that the request
+// has not run.
+func (listener *Listener) refusal(status int) []byte {
+	retry := ""
+	if status == http.StatusServiceUnavailable && listener.RetryAfter > 0 {
+		retry = "Retry-After: " + strconv.FormatFloat(listener.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), retry)
+}
+
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
+// Bind lets a server tell the connections of the listener what they do.
+func Bind(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if conn, ok := conn.(*Conn); ok && state == http.StateIdle {
+			conn.endRequest()
+		}
+	}
+}
+
+// Of returns the connection of a request, nil if it comes over none of a Listener. The
+// methods of a nil Conn that requests use do nothing.
+func Of(request *http.Request) *Conn {
+	conn, _ := request.Context().Value(connKey{}).(*Conn)
+	return conn
+}
+
+// Handler admits requests that need nothing but their own memory: their bodies are not read.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		conn := Of(request)
+		end, ok := conn.Begin(writer, request)
+		defer end()
+		if !ok {
+			writer.Header().Set("Content-Length", "0")
+			conn.RefuseUnread(writer, request, http.StatusServiceUnavailable)
+			return
+		}
+		conn.Discard(writer, request)
+		next.ServeHTTP(writer, request)
+		conn.Linger(writer, request)
+	})
+}
--- /dev/null
+++ b/listener/listener_test.go
@@ -0,0 +1,275 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/memory"
+)
+
+// fixture is a server behind a listener. It answers with the number of bytes of a body, with a
+// refusal, or with answerBytes for the path /long.
+type fixture struct {
+	*qt.C
+	listener *Listener
+	address  string
+	mutex    sync.Mutex
+	refusals []string
+}
+
+const (
+	testBodyBytes = 1 << 20
+	answerBytes   = 8 << 20
+)
+
+func newFixture(t *testing.T, edit func(listener *Listener)) *fixture {
+	c := qt.New(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	budget := &memory.Budget{}
+	budget.Parts[memory.Connections] = 8 * memory.ConnectionCost
+	budget.Parts[memory.Heads] = 1 << 20
+	budget.Parts[memory.Bodies] = 4 << 20
+	budget.Parts[memory.Requests] = 8 * memory.RequestCost
+	fixture := &fixture{C: c, address: raw.Addr().String()}
+	fixture.listener = &Listener{Listener: raw, Budget: budget, IsSmall: true, RetryAfter: time.Second, OnRefused: func(status int, reason string) {
+		fixture.mutex.Lock()
+		defer fixture.mutex.Unlock()
+		fixture.refusals = append(fixture.refusals, fmt.Sprint(status, " ", reason))
+	}}
+	if edit != nil {
+		edit(fixture.listener)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	Bind(server)
+	go func() { _ = server.Serve(fixture.listener) }()
+	c.Cleanup(func() {
+		_ = server.Close()
+		fixture.waitUntil("nothing is held", func() bool {
+			for _, kind := range []memory.Kind{memory.Connections, memory.Heads, memory.Bodies, memory.Requests} {
+				if budget.Held(kind) != 0 {
+					return false
+				}
+			}
+			return budget.Holders() == 0
+		})
+	})
+	return fixture
+}
+
+func (fixture *fixture) waitUntil(state string, isReached func() bool) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if isReached() {
+			return
+		}
+	}
+	fixture.Errorf("not so within 10 s: %s", state)
+}
+
+func (fixture *fixture) serve(writer http.ResponseWriter, request *http.Request) {
+	conn := Of(request)
+	end, ok := conn.Begin(writer, request)
+	defer end()
+	if !ok || request.URL.Path == "/refused" {
+		conn.RefuseUnread(writer, request, http.StatusServiceUnavailable)
+		return
+	}
+	body, err := conn.ReadBody(request, testBodyBytes, time.Now().Add(5*time.Second))
+	defer body.Release()
+	if err != nil {
+		fixture.Logf("%s: %v", request.URL.Path, err)
+		conn.RefuseUnread(writer, request, http.StatusServiceUnavailable)
+		return
+	}
+	conn.Holder().Enter(memory.Running)
+	if request.URL.Path == "/long" {
+		_, _ = writer.Write(make([]byte, answerBytes))
+		return
+	}
+	_, _ = fmt.Fprintf(writer, "%d %d", len(body.Bytes), bytes.Count(body.Bytes, []byte("x")))
+	conn.Holder().Serve()
+}
+
+// dial opens a connection on which a text is sent.
+func (fixture *fixture) dial(text string) net.Conn {
+	conn, err := net.Dial("tcp", fixture.address)
+	fixture.Assert(err, qt.IsNil)
+	fixture.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	fixture.Assert(err, qt.IsNil)
+	return conn
+}
+
+// answer reads the answer on a connection and returns its status and body, 0 if there is none.
+func (fixture *fixture) answer(conn net.Conn) (status int, body string) {
+	fixture.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(content)
+}
+
+func post(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, length)
+}
+
+// TestBodies guards against bodies that come otherwise than they were sent, of any length and
+// framing, one after the other on a connection.
+func TestBodies(t *testing.T) {
+	fixture := newFixture(t, nil)
+	for _, size := range []int{1, 4095, 4096, 4097, 36 << 10, 36<<10 + 1, 300000, testBodyBytes} {
+		body := strings.Repeat("x", size)
+		conn := fixture.dial(post("/", size) + body)
+		status, text := fixture.answer(conn)
+		fixture.Check(status, qt.Equals, http.StatusOK)
+		fixture.Check(text, qt.Equals, fmt.Sprintf("%d %d", size, size))
+		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body)
+		fixture.Assert(err, qt.IsNil)
+		status, text = fixture.answer(conn)
+		fixture.Check(status, qt.Equals, http.StatusOK)
+		fixture.Check(text, qt.Equals, fmt.Sprintf("%d %d", size, size))
+	}
+	fixture.Check(fixture.refusals, qt.HasLen, 0)
+}
+
+// TestRefusalsArrive guards against refusals that are lost because the connection is reset
+// while the caller still sends: it would not know that its request has not run.
+func TestRefusalsArrive(t *testing.T) {
+	fixture := newFixture(t, nil)
+	many := strings.Repeat("a:\r\n", 5000)
+	for _, test := range []struct {
+		name, text string
+		status     int
+	}{
+		{"unread body", post("/refused", 8<<20) + strings.Repeat("x", 100<<10), 503},
+		{"short unread body", post("/refused", 10) + "0123456789", 503},
+		{"short body that stops", post("/refused", 10) + "01234", 503},
+		{"body over the limit", post("/", 2<<20) + strings.Repeat("x", 200<<10), 503},
+		{"chunks over the limit", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 2<<20), 503},
+		{"too many fields", "GET / HTTP/1.1\r\nHost: h\r\n" + many + many, 503},
+	} {
+		conn := fixture.dial("")
+		go func() { _, _ = io.WriteString(conn, test.text) }()
+		began := time.Now()
+		status, text := fixture.answer(conn)
+		fixture.Check(status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, text))
+		fixture.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", test.name))
+	}
+}
+
+// TestManyFields guards against a crowd that makes the host hold maps of very many fields, and
+// against the refusal of a single request of legal size.
+func TestManyFields(t *testing.T) {
+	fixture := newFixture(t, func(listener *Listener) {
+		listener.Limits = func() Limits { return Limits{HeaderBytes: 16 << 10} }
+	})
+	legal := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1800)
+	status, _ := fixture.answer(fixture.dial(legal + "\r\n"))
+	fixture.Check(status, qt.Equals, http.StatusOK)
+	fixture.waitUntil("the first one has ended", func() bool { return fixture.listener.Budget.Held(memory.Heads) == 0 })
+	fixture.dial(legal)
+	fixture.waitUntil("fields are held", func() bool { return fixture.listener.Budget.Held(memory.Heads) > 600<<10 })
+	status, _ = fixture.answer(fixture.dial(legal + "\r\n"))
+	fixture.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = fixture.answer(fixture.dial("GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 30<<10)))
+	fixture.Check(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// TestHeadsThatStop guards against callers that are not told that their slow heads have not
+// run, and against waiting longer than the limits in force.
+func TestHeadsThatStop(t *testing.T) {
+	fixture := newFixture(t, func(listener *Listener) {
+		listener.Limits = func() Limits {
+			return Limits{HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
+		}
+	})
+	conn := fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _ := fixture.answer(conn)
+	fixture.Check(status, qt.Equals, http.StatusOK)
+	time.Sleep(100 * time.Millisecond)
+	_, err := io.WriteString(conn, "GET / HTT")
+	fixture.Assert(err, qt.IsNil)
+	status, text := fixture.answer(conn)
+	fixture.Check(status, qt.Equals, http.StatusRequestTimeout, qt.Commentf("%s", text))
+	conn = fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _ = fixture.answer(conn)
+	fixture.Check(status, qt.Equals, http.StatusOK)
+	began := time.Now()
+	_, text = fixture.answer(conn)
+	fixture.Check(text, qt.Equals, "unexpected EOF")
+	fixture.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
+// TestNewConnectionsFindRoom guards against callers that can't connect because others hold all
+// connections without making progress.
+func TestNewConnectionsFindRoom(t *testing.T) {
+	fixture := newFixture(t, nil)
+	var crowd []net.Conn
+	for range 8 {
+		crowd = append(crowd, fixture.dial("GET / HT"))
+	}
+	fixture.waitUntil("all are accepted", func() bool { return fixture.listener.Budget.Holders() == 8 })
+	time.Sleep(150 * time.Millisecond)
+	status, text := fixture.answer(fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	fixture.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	status, _ = fixture.answer(crowd[0])
+	fixture.Check(status, qt.Equals, http.StatusRequestTimeout)
+}
+
+// TestBodiesFindRoom guards against callers whose bodies are refused because others hold all
+// memory without making progress.
+func TestBodiesFindRoom(t *testing.T) {
+	fixture := newFixture(t, nil)
+	var crowd []net.Conn
+	for range 4 {
+		crowd = append(crowd, fixture.dial(post("/", 900<<10)+strings.Repeat("x", 900<<10-1)))
+	}
+	fixture.waitUntil("the bodies are read", func() bool { return fixture.listener.Budget.Held(memory.Bodies) > 2<<20 })
+	time.Sleep(150 * time.Millisecond)
+	status, text := fixture.answer(fixture.dial(post("/", 900<<10) + strings.Repeat("x", 900<<10)))
+	fixture.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	status, _ = fixture.answer(crowd[0])
+	fixture.Check(status, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// TestUnreadAnswers guards against callers that hold an answer for good by not reading it.
+func TestUnreadAnswers(t *testing.T) {
+	fixture := newFixture(t, func(listener *Listener) { listener.WriteTimeout = 300 * time.Millisecond })
+	fixture.dial("GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	fixture.waitUntil("the request runs", func() bool { return fixture.listener.Budget.Held(memory.Requests) > 0 })
+	fixture.waitUntil("it has ended", func() bool { return fixture.listener.Budget.Held(memory.Requests) == 0 })
+	fixture.waitUntil("its connection has ended", func() bool { return fixture.listener.Budget.Holders() == 0 })
+}
+
+// TestPipelined guards against callers that send one request after the other without reading:
+// few of them run, and all of those are answered.
+func TestPipelined(t *testing.T) {
+	fixture := newFixture(t, nil)
+	conn := fixture.dial(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 300))
+	reader := bufio.NewReader(conn)
+	answers := 0
+	for ; ; answers++ {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		fixture.Assert(err, qt.IsNil)
+	}
+	fixture.Check(answers > 1 && answers <= maxPipelined+2, qt.IsTrue, qt.Commentf("%d answers", answers))
+}
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -14,6 +14,8 @@
 	Head Phase = iota
 	// Idle: a request was answered, and the next one has not begun.
 	Idle
+	// Queued: the request waits for memory for its body, of which nothing was read.
+	Queued
 	// Body: the body of a request is read.
 	Body
 	// Waiting: the request is complete and was not sent to any target.
@@ -28,7 +30,7 @@
 
 // String returns the name of the phase in scripts and events.
 func (phase Phase) String() string {
-	return [...]string{"head", "idle", "body", "waiting", "running", "closing", "gone"}[phase]
+	return [...]string{"head", "idle", "queued", "body", "waiting", "running", "closing", "gone"}[phase]
 }
 
 // progressBytes is the number of bytes that count as progress. Single bytes don't: a caller
@@ -51,8 +53,9 @@
 // find room for all.
 type Holder struct {
 	budget *Budget
-	// onEvict is called, once, when the holder must give way, with its phase until then.
+	// onEvict and hasInput are the arguments of NewHolder.
 	onEvict  func(phase Phase)
+	hasInput func() bool
 	held     [kinds]atomic.Int64
 	isClosed atomic.Bool
 
@@ -71,14 +74,21 @@
 	idleTimeout atomic.Int64
 }
 
-// Open registers a connection. It returns nil if there is no room for another one. Close must
-// be called at its end. OnEvict is called, at most once, when the connection must give way: it
-// must end whatever the connection does in the given phase, without waiting.
-func (budget *Budget) Open(cost int64, onEvict func(phase Phase)) *Holder {
-	if !budget.take(Connections, cost, false) {
-		return nil
+// NewHolder returns the holder of a connection that is not open yet. OnEvict is called, at most
+// once, when the connection must give way: it must end whatever the connection does in the
+// given phase, without waiting. HasInput reports whether the caller has sent something that was
+// not read yet, so that it has not stalled; it may be nil.
+func (budget *Budget) NewHolder(onEvict func(phase Phase), hasInput func() bool) *Holder {
+	return &Holder{budget: budget, onEvict: onEvict, hasInput: hasInput}
+}
+
+// Open counts the connection, which costs some bytes. It returns false if there is no room for
+// another one. Close must be called at its end.
+func (holder *Holder) Open(cost int64) bool {
+	budget := holder.budget
+	if !budget.take(Connections, cost, Small, false) {
+		return false
 	}
-	holder := &Holder{budget: budget, onEvict: onEvict}
 	holder.held[Connections].Store(cost)
 	now := time.Now().UnixNano()
 	holder.began.Store(now)
@@ -89,7 +99,7 @@
 		budget.holders = map[*Holder]struct{}{}
 	}
 	budget.holders[holder] = struct{}{}
-	return holder
+	return true
 }
 
 // Close ends the connection. What a request holds must be given back by it.
@@ -143,6 +153,12 @@
 	}
 }
 
+// IsPatient reports whether a body of the connection may wait for room: not while others have
+// to give way, unless a request of the connection was served.
+func (holder *Holder) IsPatient() bool {
+	return holder.hasServed.Load() || !holder.budget.isPressed(Bodies)
+}
+
 // Serve records that a request of the connection was served.
 func (holder *Holder) Serve() {
 	if holder != nil {
@@ -195,11 +211,11 @@
 
 // Take counts bytes of a request. It returns false if there is no room for them. They must be
 // given back by Give, also when the connection has ended.
-func (holder *Holder) Take(kind Kind, bytes int64, isLarge bool) bool {
+func (holder *Holder) Take(kind Kind, bytes int64, size Size) bool {
 	if holder == nil {
 		return true
 	}
-	if !holder.budget.take(kind, bytes, isLarge) {
+	if !holder.budget.take(kind, bytes, size, holder.hasServed.Load()) {
 		return false
 	}
 	holder.held[kind].Add(bytes)
@@ -221,7 +237,7 @@
 	if holder == nil {
 		return true
 	}
-	if !holder.budget.take(Heads, bytes, false) {
+	if !holder.budget.take(Heads, bytes, Small, false) {
 		return false
 	}
 	holder.held[Heads].Add(bytes)
@@ -247,6 +263,11 @@
 
 // evict lets the holder give way if it is still in the phase in which it was chosen.
 func (holder *Holder) evict(phase Phase) bool {
+	if (phase == Head || phase == Body) && holder.hasInput != nil && holder.hasInput() {
+		// The host is behind, not the caller.
+		holder.Progress()
+		return false
+	}
 	if !holder.phase.CompareAndSwap(uint32(phase), uint32(Gone)) {
 		return false
 	}
@@ -281,3 +302,6 @@
 	}
 	return candidate
 }
+
+// Received returns the bytes of the present phase that the caller has sent.
+func (holder *Holder) Received() int64 { return holder.received.Load() }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -34,13 +34,16 @@
 }
 
 const (
-	// largeDivisor: what is large may take the part of its kind but for one in largeDivisor,
-	// so that small bodies and answers find room beside large ones.
-	largeDivisor = 4
-	// From shortNumerator/shortDivisor of a part on, holders give way until only
-	// reliefNumerator/shortDivisor is taken. The room between is for those that arrive
-	// meanwhile.
-	shortNumerator, reliefNumerator, shortDivisor = 7, 6, 8
+	// eighths is the number by which parts are divided. Small bodies and answers may take all
+	// of a part, large ones largeEighths. While others have to give way, large ones on
+	// connections that served no request may take only unprovenEighths: a crowd of new
+	// connections can't keep out callers that were served before.
+	eighths, largeEighths, unprovenEighths = 8, 7, 5
+	// Beyond shortEighths of what may be taken, holders give way until reliefEighths are.
+	// The room between is for those that arrive meanwhile.
+	shortEighths, reliefEighths = 7, 6
+	// pressedTime is how long after holders had to give way a part counts as short.
+	pressedTime = 5 * time.Second
 	// reliefInterval is the shortest time between two looks for holders that give way to
 	// the same kind. A look costs about 50 ns for each connection.
 	reliefInterval = 5 * time.Millisecond
@@ -53,10 +56,13 @@
 	// OnGaveWay is called after holders were told to give way. It may be nil.
 	OnGaveWay func(relief Relief)
 
-	held     [kinds]atomic.Int64
-	refused  [kinds]atomic.Int64
-	gaveWay  [kinds]atomic.Int64
+	held    [kinds]atomic.Int64
+	refused [kinds]atomic.Int64
+	gaveWay [kinds]atomic.Int64
+	// relieved is when holders were last chosen for a kind, pressed when some gave way; in
+	// nanoseconds since 1970.
 	relieved [kinds]atomic.Int64
+	pressed  [kinds]atomic.Int64
 
 	mutex   sync.Mutex
 	holders map[*Holder]struct{}
@@ -93,22 +99,45 @@
 	return len(budget.holders)
 }
 
-// take counts bytes of a kind. It returns false if there is no room for them.
-func (budget *Budget) take(kind Kind, bytes int64, isLarge bool) bool {
+// Size says how much of a part may be taken for something.
+type Size uint8
+
+// The sizes.
+const (
+	Small Size = iota
+	Large
+)
+
+// limit returns the bytes of a kind up to which something may be taken.
+func (budget *Budget) limit(kind Kind, size Size, isProven bool) int64 {
 	part := budget.Parts[kind]
-	limit := part
-	if isLarge {
-		limit -= part / largeDivisor
+	switch {
+	case size == Small:
+		return part
+	case isProven || !budget.isPressed(kind):
+		return part / eighths * largeEighths
+	default:
+		return part / eighths * unprovenEighths
 	}
+}
+
+// isPressed reports whether holders had to give way to a kind not long ago.
+func (budget *Budget) isPressed(kind Kind) bool {
+	return time.Now().UnixNano()-budget.pressed[kind].Load() < int64(pressedTime)
+}
+
+// take counts bytes of a kind. It returns false if there is no room for them.
+func (budget *Budget) take(kind Kind, bytes int64, size Size, isProven bool) bool {
+	limit := budget.limit(kind, size, isProven)
 	held := budget.held[kind].Add(bytes)
 	if held > limit {
 		budget.held[kind].Add(-bytes)
 		budget.refused[kind].Add(1)
-		budget.Relieve(kind)
+		budget.Relieve(kind, bytes)
 		return false
 	}
-	if held > limit/shortDivisor*shortNumerator {
-		budget.Relieve(kind)
+	if held > budget.Parts[kind]/eighths*shortEighths {
+		budget.Relieve(kind, 0)
 	}
 	return true
 }
@@ -117,8 +146,8 @@
 
 // Take counts bytes of a kind that no holder needs to be chosen for. It returns false if there
 // is no room for them. A nil budget has room for all.
-func (budget *Budget) Take(kind Kind, bytes int64, isLarge bool) bool {
-	return budget == nil || budget.take(kind, bytes, isLarge)
+func (budget *Budget) Take(kind Kind, bytes int64, size Size) bool {
+	return budget == nil || budget.take(kind, bytes, size, true)
 }
 
 // Give returns bytes taken by Take.
@@ -128,8 +157,9 @@
 	}
 }
 
-// Relieve lets holders give way to a kind, unless that has just been done.
-func (budget *Budget) Relieve(kind Kind) {
+// Relieve lets holders give way to a kind, and to further bytes of it, unless that has just been
+// done.
+func (budget *Budget) Relieve(kind Kind, further int64) {
 	now := time.Now()
 	if now.UnixNano()-budget.relieved[kind].Load() < int64(reliefInterval) || !budget.relieving.TryLock() {
 		return
@@ -139,9 +169,9 @@
 	part := budget.Parts[kind]
 	relief := Relief{Kind: kind, Held: budget.held[kind].Load(), Part: part}
 	budget.gather(kind, now)
-	freed := relief.Held - part/shortDivisor*reliefNumerator
+	needed := max(relief.Held-part/eighths*reliefEighths, further)
 	for _, i := range Order(kind, part, budget.candidates) {
-		if relief.Freed >= freed {
+		if relief.Freed >= needed {
 			break
 		}
 		candidate := &budget.candidates[i]
@@ -159,6 +189,7 @@
 	if relief.Chosen == 0 {
 		return
 	}
+	budget.pressed[kind].Store(now.UnixNano())
 	budget.gaveWay[kind].Add(int64(relief.Chosen))
 	if budget.OnGaveWay != nil {
 		budget.OnGaveWay(relief)
--- a/memory/order.go
+++ b/memory/order.go
@@ -12,9 +12,9 @@
 	// was idle) on a link of 64 kbit/s, the slowest one that is served, on which 4 KiB take
 	// half a second.
 	stallTime = 2 * time.Second
-	// quietTime is the shortest time without progress after which a caller gives way to
-	// others. A crowd that fills the budget within stallTime would refuse all others until
-	// then.
+	// quietTime is the shortest time without progress after which a caller of whom no request
+	// was served gives way to others. A crowd that fills the budget within stallTime would
+	// keep out all others until then.
 	quietTime = 100 * time.Millisecond
 	// rateTime is the age of a body at which its rate says when it will be complete.
 	rateTime = time.Second
@@ -90,8 +90,11 @@
 		return (kind == Connections || kind == Heads) && candidate.Quiet >= quietTime
 	case Idle:
 		return kind == Connections && (candidate.IsOverdue || candidate.Age >= idleTime)
+	case Queued:
+		return kind == Connections || kind == Requests
 	case Body:
-		return kind != Heads && kind != Answers && (candidate.isStalled() || kind == Bodies && candidate.Quiet >= quietTime)
+		return kind != Heads && kind != Answers &&
+			(candidate.isStalled() || !candidate.IsProven && candidate.Quiet >= quietTime)
 	case Waiting:
 		return kind != Heads && kind != Answers && candidate.IsLate
 	case Running:
@@ -115,7 +118,7 @@
 		return 2
 	case candidate.Phase == Idle && !candidate.IsProven:
 		return 3
-	case candidate.Phase == Head || candidate.Phase == Body:
+	case candidate.Phase == Head || candidate.Phase == Body || candidate.Phase == Queued:
 		return 4
 	case candidate.Phase == Idle:
 		return 5
--- a/memory/plan.go
+++ b/memory/plan.go
@@ -21,12 +21,12 @@
 	programBytes = 16 << 20
 	// systemPermille is the part of the machine's memory for what the system holds for
 	// connections: bytes received and not read, or written and not acknowledged.
-	systemPermille = 200
+	systemPermille = 250
 	// minHeapPermille keeps the collector from running without end on tiny machines.
 	minHeapPermille = 500
-	// minBodiesBytes has room for one of the largest legal bodies, also where only three in
-	// four bytes are for large ones.
-	minBodiesBytes = 6 << 20
+	// minBodiesBytes has room for one of the largest legal bodies, also on a new connection
+	// while others have to give way.
+	minBodiesBytes = 7 << 20
 	// reservedDescriptors are for the store, other hosts, listeners and the runtime.
 	reservedDescriptors = 256
 	// The listeners but that of callers serve few: the balancer's checks, operators, hosts.
--- a/settings/host.go
+++ b/settings/host.go
@@ -22,8 +22,19 @@
 	Zone string `yaml:"zone"`
 	// Role is RoleEntry or RoleGateway.
 	Role string `yaml:"role" default:"entry"`
+	// Memory is the memory of the machine in MiB that the process may use, Descriptors the
+	// number of files and connections that it may open; 0 means what the system says.
+	Memory      float64 `yaml:"memory"`
+	Descriptors int     `yaml:"descriptors"`
 }
 
+const (
+	// minMemory is the least memory in MiB: the program and its own state take as much.
+	minMemory = 32
+	// minDescriptors are enough for a few callers beside the host's own connections.
+	minDescriptors = 512
+)
+
 func (host *Host) check(checker *checker) {
 	checker.checkRequired("host.id", host.ID)
 	checker.checkRequired("host.zone", host.Zone)
@@ -32,4 +43,10 @@
 		checker.addFault("host.role", "is %q, allowed: %v", host.Role, roles)
 	}
 	checker.checkIdentifier("host.zone", host.Zone)
+	if host.Memory != 0 && host.Memory < minMemory {
+		checker.addFault("host.memory", "is %g MiB, must be 0 or at least %d", host.Memory, minMemory)
+	}
+	if host.Descriptors != 0 && host.Descriptors < minDescriptors {
+		checker.addFault("host.descriptors", "is %d, must be 0 or at least %d", host.Descriptors, minDescriptors)
+	}
 }
