objects: let one element or version keep nothing from the others

Cause: the lists of objects and of hosts were decoded as a whole, so that one odd element failed them. A version out of the range of int64 was read as the highest one, after which every other was taken as outdated, and a configuration of such a version, from the platform or a peer, could not be followed by another. A lease with an absurd term was waited for without an event, and the fencing number after an absurd one was negative.

Change: lists are read one by one with package fragment, and versions, terms and fencing numbers are checked where they are decoded.

--- a/configuration/relay.go
+++ b/configuration/relay.go
@@ -227,7 +227,7 @@
 // requests the text if the version is newer than any seen here, unless a request for
 // that version or a newer one is still being repeated.
 func (relay *Relay) ObserveVersion(host string, version int64) {
-	if version <= relay.highestSeen() {
+	if version <= relay.highestSeen() || version > objects.MaxVersion {
 		return
 	}
 	relay.mutex.Lock()
@@ -294,6 +294,11 @@
 // seen. It returns false if the version is lower than the highest one seen or the
 // text can't be decoded.
 func (relay *Relay) applyText(version int64, text []byte, fromPlatform bool) bool {
+	if version > objects.MaxVersion {
+		// It would be taken as newer than all that follow.
+		unreadableCount.Add(1)
+		return false
+	}
 	if seen := relay.highestSeen(); version <= seen {
 		if version < seen {
 			olderCount.Add(1)
--- a/configuration/relay_test.go
+++ b/configuration/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -339,3 +340,24 @@
 		})
 	}
 }
+
+// TestAbsurdVersionIsIgnored guards against a version after which no other one takes effect,
+// whether the platform or a peer names it.
+func TestAbsurdVersionIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fleet := newFleet(c, 8, 2)
+		fleet.startAll()
+		good := fleet.apply(fmt.Sprintf(configurationText, 1))
+		fleet.waitForVersion(good)
+		for _, host := range fleet.runningHosts {
+			for _, text := range []string{"", "tiers: [", fmt.Sprintf(configurationText, 3)} {
+				host.relay.Receive("b001", &peerpb.Envelope{Configurations: []*peerpb.Configuration{{Version: math.MaxInt64, Text: []byte(text)}}})
+			}
+		}
+		time.Sleep(time.Minute)
+		c.Assert(fleet.lowestVersion(), qt.Equals, good)
+		fleet.waitForVersion(fleet.apply(fmt.Sprintf(configurationText, 2)))
+		fleet.stopAll()
+	})
+}
--- a/objects/client.go
+++ b/objects/client.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"nutmegfield.example/errorkind"
+	"nutmegfield.example/fragment"
 )
 
 // Errors of this package.
@@ -47,15 +48,22 @@
 	InvalidLease = Errors.NewType("foreign")
 )
 
-// MaxObjectBytes is the largest value that the platform stores.
-const MaxObjectBytes = 1 << 20
+const (
+	// MaxObjectBytes is the largest value that the platform stores.
+	MaxObjectBytes = 1 << 20
+	// MaxVersion is the highest version of an object. A higher one would be taken as newer
+	// than all that follow; the platform counts writes.
+	MaxVersion = 1 << 53
+)
 
 // calls and failures count the calls by name; a watch is one call. oldReads counts
-// the objects read with an outdated version.
+// the objects read with an outdated version, unreadable the elements of lists that could not
+// be read.
 var (
-	calls    = expvar.NewMap("platformCalls")
-	failures = expvar.NewMap("platformFailures")
-	oldReads = expvar.NewInt("platformOldReads")
+	calls      = expvar.NewMap("platformCalls")
+	failures   = expvar.NewMap("platformFailures")
+	oldReads   = expvar.NewInt("platformOldReads")
+	unreadable = expvar.NewInt("platformUnreadable")
 )
 
 // Object is one versioned value. Version 0 means that it does not exist.
@@ -130,6 +138,9 @@
 	if err != nil {
 		return 0, fmt.Errorf("put %s/%s: %w", object.Kind, object.Name, err)
 	}
+	if answer.version < 0 {
+		return 0, AnswerLost.New("put %s/%s: the version in the answer can't be read", object.Kind, object.Name)
+	}
 	client.versions.record(object.Kind, object.Name, answer.version)
 	return answer.version, nil
 }
@@ -172,13 +183,24 @@
 	return object, true, nil
 }
 
-// List reads all objects of a kind. It fails with Refused or Unavailable.
+// List reads all objects of a kind that can be read. It fails with Refused or Unavailable.
 func (client *Client) List(ctx context.Context, kind string) ([]Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, client.Timeout)
 	defer cancel()
 	var objects []Object
 	err := client.retryRead(ctx, func() error {
-		return client.readJSON(ctx, "list", "/objects/"+url.PathEscape(kind), &objects)
+		objects = nil
+		return client.readList(ctx, "list", "/objects/"+url.PathEscape(kind), func(text []byte) error {
+			var object Object
+			if err := json.Unmarshal(text, &object); err != nil {
+				return fmt.Errorf("decode an object: %w", err)
+			}
+			if object.Version < 1 || object.Version > MaxVersion || len(object.Value) > MaxObjectBytes {
+				return Refused.New("%s has version %d and %d bytes", object.Name, object.Version, len(object.Value))
+			}
+			objects = append(objects, object)
+			return nil
+		})
 	})
 	if err != nil {
 		return nil, fmt.Errorf("list %s: %w", kind, err)
@@ -191,14 +213,25 @@
 	return objects, nil
 }
 
-// Hosts reads the platform's list of live and leaving hosts, which may be out
-// of date. It fails with Refused or Unavailable.
+// Hosts reads those of the platform's list of live and leaving hosts that can be read. It may
+// be out of date. It fails with Refused or Unavailable.
 func (client *Client) Hosts(ctx context.Context) ([]ListedHost, error) {
 	ctx, cancel := context.WithTimeout(ctx, client.Timeout)
 	defer cancel()
 	var hosts []ListedHost
 	err := client.retryRead(ctx, func() error {
-		return client.readJSON(ctx, "hosts", "/hosts", &hosts)
+		hosts = nil
+		return client.readList(ctx, "hosts", "/hosts", func(text []byte) error {
+			var host ListedHost
+			if err := json.Unmarshal(text, &host); err != nil {
+				return fmt.Errorf("decode a host: %w", err)
+			}
+			if host.ID == "" || host.Address == "" || max(len(host.ID), len(host.Address), len(host.Zone)) > maxHostBytes {
+				return Refused.New("no host")
+			}
+			hosts = append(hosts, host)
+			return nil
+		})
 	})
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
@@ -221,21 +254,38 @@
 	return err
 }
 
-func (client *Client) readJSON(ctx context.Context, name, path string, value any) error {
+// maxHostBytes limits the texts of an entry in the list of hosts.
+const maxHostBytes = 256
+
+// readList reads an answer that is a list, and calls read with the text of each element. Those
+// for which it fails are left out: one that can't be decoded keeps nothing from the others.
+func (client *Client) readList(ctx context.Context, name, path string, read func(text []byte) error) error {
 	answer, err := client.call(ctx, name, http.MethodGet, path, nil, nil)
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(answer.body, value); err != nil {
-		return Unavailable.Wrap(err, "decode the answer")
+	splitter := &fragment.Splitter{OnElement: func(text []byte) error {
+		if err := read(text); err != nil {
+			unreadable.Add(1)
+		}
+		return nil
+	}}
+	if _, err := splitter.Write(answer.body); err != nil {
+		return Unavailable.Wrap(err, "split the answer")
+	}
+	if _, err := splitter.Rest(); err != nil {
+		return Unavailable.Wrap(err, "split the answer")
 	}
 	return nil
 }
 
 // checkVersion records the version of an object that was read. It fails with
 // OutdatedVersion if a higher one was seen before, and with Refused if the
-// object is too large.
+// object is too large or its version out of range.
 func (client *Client) checkVersion(object Object) error {
+	if object.Version < 0 || object.Version > MaxVersion {
+		return Refused.New("the version of %s/%s can't be read", object.Kind, object.Name)
+	}
 	if len(object.Value) > MaxObjectBytes {
 		return Refused.New("%s/%s is larger than %d bytes", object.Kind, object.Name, MaxObjectBytes)
 	}
@@ -296,7 +346,7 @@
 		return answer{}, noAnswerError(method, err)
 	}
 	result := answer{status: response.StatusCode, body: body}
-	result.version, _ = strconv.ParseInt(strings.Trim(response.Header.Get("ETag"), `"`), 10, 64)
+	result.version = readVersion(response.Header.Get("ETag"))
 	result.written, _ = http.ParseTime(response.Header.Get("Last-Modified"))
 	switch {
 	case response.StatusCode == http.StatusNotModified, response.StatusCode < 300:
@@ -314,6 +364,18 @@
 	}
 }
 
+// readVersion returns the version in a header, 0 if there is none, -1 if it is out of range.
+func readVersion(text string) int64 {
+	version, err := strconv.ParseInt(strings.Trim(text, `"`), 10, 64)
+	if err == nil && version >= 0 && version <= MaxVersion {
+		return version
+	}
+	if err == nil || errors.Is(err, strconv.ErrRange) {
+		return -1
+	}
+	return 0
+}
+
 // noAnswerError wraps the error of a call without a usable answer: Unavailable
 // for a read, AnswerLost for a write.
 func noAnswerError(method string, err error) error {
--- a/objects/lease.go
+++ b/objects/lease.go
@@ -18,6 +18,8 @@
 	LeaseKind = "lease"
 	// LeaseTerm is the usual term of a lease.
 	LeaseTerm = 10 * time.Second
+	// maxLeaseTerm limits the terms of other hosts: a lease is free only after its term.
+	maxLeaseTerm = time.Hour
 	// LeaseMargin is the usual Lease.Margin.
 	LeaseMargin = 2 * time.Second
 	// renewalsPerTerm is the average number of renewals within a term.
@@ -40,7 +42,7 @@
 	})
 	eventLeaseInvalid = timeline.Define(timeline.Kind{
 		Number: 5004, Name: "lease refused", Level: timeline.Error,
-		Meaning: "The object of the lease in the detail can't be decoded or belongs to another zone; it is left unchanged.",
+		Meaning: "The object of the lease in the detail can't be decoded, belongs to another zone or has a number out of range; it is left unchanged.",
 		Action:  "find out what writes the object; delete it if it is not needed",
 	})
 )
@@ -186,6 +188,9 @@
 	if record.Zone != lease.Zone {
 		return current, record, lease.recordInvalid("it belongs to zone " + record.Zone)
 	}
+	if record.FencingNumber < 0 || record.FencingNumber > MaxVersion || !record.Released && (record.Term <= 0 || record.Term > maxLeaseTerm) {
+		return current, record, lease.recordInvalid(fmt.Sprintf("fencing number %d or term %s is out of range", record.FencingNumber, record.Term))
+	}
 	if record.FencingNumber < lease.fencingNumber {
 		return current, record, OutdatedVersion.New("fencing number %d of lease %s is lower than %d", record.FencingNumber, lease.Name, lease.fencingNumber)
 	}
