gateway, exchange: bound the messages of other hosts and operators' pages

Cause: anybody who reaches the address for other hosts can begin messages of 4 MiB on any number of connections, and 32 pages of a full timeline at once take hundreds of megabytes.

Change: what is read at that address counts until it is answered, twice as it is held encoded and decoded; connections without calls end after 10 s; pages for operators are built one at a time.

--- a/exchange/snapshots.go
+++ b/exchange/snapshots.go
@@ -28,6 +28,10 @@
 	maxSnapshotBytes = 16 << 20
 )
 
+// inactivityTimeout is how long a connection stays open on which no call comes. Hosts close
+// theirs earlier.
+const inactivityTimeout = 10 * time.Second
+
 // Snapshots serves the platform's objects that this host has (the configuration and
 // the targets) to other hosts, and requests those that other hosts have. Its fields
 // are set before use.
@@ -52,7 +56,8 @@
 			return fmt.Errorf("register further calls: %w", err)
 		}
 	}
-	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: inactivityTimeout}}
+	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serve snapshots: %w", err)
 	}
 	return nil
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -11,6 +11,7 @@
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/listener"
 	"nutmegfield.example/memory"
+	"nutmegfield.example/operator"
 	"nutmegfield.example/timeline"
 )
 
@@ -34,6 +35,13 @@
 	operatorsListener
 )
 
+const (
+	// maxPages is the number of pages for operators that are built at a time: a full timeline
+	// takes some megabytes. Others wait for pagePatience.
+	maxPages     = 1
+	pagePatience = 2 * time.Second
+)
+
 // smallHeaderBytes limits heads at the listeners for the balancer's checks and operators.
 const smallHeaderBytes = 4 << 10
 
@@ -45,25 +53,26 @@
 	host.gateway.bufferRoom.budget = plan.Callers
 	smallLimits := func() listener.Limits { return listener.Limits{HeaderBytes: smallHeaderBytes} }
 	for number, bounds := range []struct {
-		name   string
 		budget *memory.Budget
 		limits func() listener.Limits
 	}{
-		peersListener:     {"peers", plan.Peers, smallLimits},
-		readinessListener: {"readiness", plan.Readiness, smallLimits},
-		callersListener:   {"callers", plan.Callers, host.callerLimits},
-		operatorsListener: {"operators", plan.Operators, smallLimits},
+		peersListener:     {plan.Peers, nil},
+		readinessListener: {plan.Readiness, smallLimits},
+		callersListener:   {plan.Callers, host.callerLimits},
+		operatorsListener: {plan.Operators, smallLimits},
 	} {
-		if number == peersListener {
-			continue
-		}
 		listeners[number] = &listener.Listener{
 			Listener: listeners[number], Budget: bounds.budget, Limits: bounds.limits, RetryAfter: noMemoryRetryAfter,
-			IsSmall: listener.IsSmall(plan.Machine),
+			Messages: number == peersListener, IsSmall: listener.IsSmall(plan.Machine),
 		}
 	}
 }
 
+// newOperatorsHandler returns the handler of operators' requests. Pages are built in memory.
+func newOperatorsHandler(events *timeline.Recorder) http.Handler {
+	return listener.Handler(listener.Limit(maxPages, pagePatience, operator.NewMux(events)))
+}
+
 // callerLimits returns the limits of the routes in force for the heads of callers.
 func (host *host) callerLimits() listener.Limits {
 	table := host.routes.Table()
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -40,6 +40,8 @@
 
 	isClosed atomic.Bool
 	isLarge  bool
+	// message is what was taken for the bytes of the present message, with Listener.Messages.
+	message atomic.Int64
 }
 
 // Holder returns what counts the memory of the connection, nil for a nil Conn.
@@ -68,6 +70,9 @@
 // Read reads what the caller sends. While that is a head, it is counted before it is parsed.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	n, err := conn.Conn.Read(buffer)
+	if conn.listener.Messages {
+		return conn.countMessage(n, err)
+	}
 	if n > 0 {
 		if refused := conn.observe(buffer[:n]); refused != nil {
 			return 0, refused
@@ -151,6 +156,10 @@
 
 // Write writes in pieces, each of which the caller must take within the listener's timeout.
 func (conn *Conn) Write(part []byte) (int, error) {
+	if conn.listener.Messages {
+		conn.endMessage()
+		defer conn.holder.Enter(memory.Idle)
+	}
 	conn.holder.BeginWrite()
 	defer conn.holder.EndWrite()
 	written := 0
@@ -202,6 +211,7 @@
 		return nil
 	}
 	err := conn.Conn.Close()
+	conn.holder.Give(memory.Bodies, conn.message.Swap(0))
 	conn.holder.Close()
 	return err
 }
@@ -210,12 +220,16 @@
 func (conn *Conn) evict(phase memory.Phase) {
 	switch phase {
 	case memory.Body:
+		if conn.listener.Messages {
+			_ = conn.Close()
+			return
+		}
 		// The handler notices, and refuses the request.
 		_ = conn.Conn.SetReadDeadline(past)
 	case memory.Queued, memory.Waiting:
 		// The handler notices.
 	case memory.Head:
-		if conn.holder.Received() > 0 {
+		if conn.holder.Received() > 0 && !conn.listener.Messages {
 			_ = conn.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
 			_, _ = conn.Conn.Write(conn.listener.refusal(http.StatusRequestTimeout))
 		}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -56,6 +56,9 @@
 	Limits func() Limits
 	// IsSmall means that the machine needs small receive buffers.
 	IsSmall bool
+	// Messages means that the connections carry messages of other hosts in place of HTTP: what
+	// is read counts until something is written.
+	Messages bool
 	// WriteTimeout limits the write of each 64 KiB; 0 means 10 s.
 	WriteTimeout time.Duration
 	// RetryAfter is told to callers that are refused for want of memory.
@@ -82,6 +85,10 @@
 			return conn, nil
 		}
 		listener.refused(http.StatusServiceUnavailable, "too many connections")
+		if listener.Messages {
+			_ = raw.Close()
+			continue
+		}
 		_ = raw.SetWriteDeadline(time.Now().Add(refuseTimeout))
 		_, _ = raw.Write(listener.refusal(http.StatusServiceUnavailable))
 		_ = raw.Close()
@@ -91,7 +98,12 @@
 // admit returns the connection, nil if there is no room for it.
 func (listener *Listener) admit(raw net.Conn) *Conn {
 	conn := &Conn{Conn: raw, listener: listener}
-	conn.holder = listener.Budget.NewHolder(conn.evict, conn.hasInput)
+	hasInput := conn.hasInput
+	if listener.Messages {
+		// Messages that wait for room have input, and would wait for each other.
+		hasInput = nil
+	}
+	conn.holder = listener.Budget.NewHolder(conn.evict, hasInput)
 	for waited := time.Duration(0); ; waited += acceptInterval {
 		// If there is no room, others are told to give way.
 		if conn.holder.Open(memory.ConnectionCost) {
@@ -155,6 +167,25 @@
 	return conn
 }
 
+// Limit lets at most some requests at a time be handled. Others wait for the time given, and are
+// refused then.
+func Limit(most int, patience time.Duration, next http.Handler) http.Handler {
+	turns := make(chan struct{}, most)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		timer := time.NewTimer(patience)
+		defer timer.Stop()
+		select {
+		case turns <- struct{}{}:
+			defer func() { <-turns }()
+			next.ServeHTTP(writer, request)
+		case <-timer.C:
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		case <-request.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
 // Handler admits requests that need nothing but their own memory: their bodies are not read.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -273,3 +273,54 @@
 	}
 	fixture.Check(answers > 1 && answers <= maxPipelined+2, qt.IsTrue, qt.Commentf("%d answers", answers))
 }
+
+// TestMessagesFindRoom guards against connections to the address for other hosts whose messages
+// don't end: they must not fill the memory, nor keep out messages that do.
+func TestMessagesFindRoom(t *testing.T) {
+	c := qt.New(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	budget := &memory.Budget{}
+	budget.Parts[memory.Connections] = 8 * memory.ConnectionCost
+	budget.Parts[memory.Bodies] = 4 << 20
+	listener := &Listener{Listener: raw, Budget: budget, Messages: true}
+	fixture := &fixture{C: c, listener: listener, address: raw.Addr().String()}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := reader.ReadString('\n'); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, "taken\n"); err != nil {
+						return
+					}
+				}
+			})
+		}
+	})
+	message := strings.Repeat("x", 1<<20)
+	for range 4 {
+		conn := fixture.dial("")
+		group.Go(func() { _, _ = io.WriteString(conn, message[:512<<10]) })
+	}
+	fixture.waitUntil("their messages are read", func() bool { return budget.Held(memory.Bodies) > 2<<20 })
+	c.Check(budget.Held(memory.Bodies) <= 4<<20, qt.IsTrue)
+	time.Sleep(150 * time.Millisecond)
+	conn := fixture.dial(message + "\n")
+	c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	reply, err := bufio.NewReader(conn).ReadString('\n')
+	c.Check(reply, qt.Equals, "taken\n", qt.Commentf("%v", err))
+	_ = raw.Close()
+	fixture.waitUntil("only the others' are held", func() bool { return budget.Held(memory.Bodies) < 4<<20 })
+	for _, kind := range []memory.Kind{memory.Connections, memory.Bodies} {
+		c.Check(budget.Held(kind) <= budget.Parts[kind], qt.IsTrue)
+	}
+}
--- a/memory/plan.go
+++ b/memory/plan.go
@@ -27,6 +27,8 @@
 	// minBodiesBytes has room for one of the largest legal bodies, also on a new connection
 	// while others have to give way.
 	minBodiesBytes = 7 << 20
+	// minMessagesBytes has room for the largest message of another host, twice.
+	minMessagesBytes = 8 << 20
 	// reservedDescriptors are for the store, other hosts, listeners and the runtime.
 	reservedDescriptors = 256
 	// The listeners but that of callers serve few: the balancer's checks, operators, hosts.
@@ -75,7 +77,7 @@
 	most := int64(max(minConnections, (descriptors-reservedDescriptors)/2)) * ConnectionCost
 	parts[Connections] = min(parts[Connections], most)
 	plan.Peers = newSmallBudget(int(min(peerConnections, max(minConnections, parts[Connections]/ConnectionCost/4))))
-	plan.Peers.Parts[Bodies] = max(machine/1000*peersPermille, minBodiesBytes)
+	plan.Peers.Parts[Bodies] = max(machine/1000*peersPermille, minMessagesBytes)
 	return plan
 }
 
