balance: let requests wait for half of their objective

Load: many hosts with twice what the targets can run, a quarter of it in the most important tier. Cause: while the pool is contended a request is refused after an eighth of its objective, or when a typical target could no longer be in time, though its turn comes soon: a host frees a slot five times a second. Who is told to come back is late in any case. Change: it waits for half of its objective, unless the queue before it is longer than that. Test: TestImportantRequestsAreServedFirst failed before.

--- a/balance/contention_test.go
+++ b/balance/contention_test.go
@@ -278,3 +278,41 @@
 		c.Assert(float64(early) > 0.8*float64(len(lowTierWaits)), qt.IsTrue)
 	})
 }
+
+// TestImportantRequestsAreServedFirst guards against the most important requests being refused
+// while less important ones take the slots: hosts send twice what the targets can run, a quarter
+// of it in the highest tier, which all together has room for twice. First come first served would
+// refuse half of each tier.
+func TestImportantRequestsAreServedFirst(t *testing.T) {
+	for _, load := range []struct {
+		name         string
+		promptTokens int
+		timePerToken time.Duration
+	}{
+		{"shortPrompts", 100, time.Microsecond},
+		{"longPrompts", 10_000, 20 * time.Microsecond},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				contention := newContention()
+				contention.tiers, contention.promptTokens = 4, load.promptTokens
+				for _, host := range contention.hosts {
+					for _, targetState := range host.targets {
+						// What the simulated targets take says nothing of their speed.
+						targetState.reportedTimePerToken, targetState.speed.samples = load.timePerToken, math.MinInt32
+					}
+				}
+				contention.run(20 * time.Second)
+				refused := make([]float64, contention.tiers)
+				for tier := range refused {
+					refused[tier] = float64(len(contention.refusedAfter[tier])*contention.tiers) / float64(contention.arrived)
+				}
+				busyFraction := float64(contention.busy) / float64(contention.steps*targetCount*slotsPerTarget)
+				t.Logf("refused by tier %.3f; slots in use %.3f", refused, busyFraction)
+				c.Check(refused[0] < 0.05, qt.IsTrue)
+				c.Check(busyFraction > 0.9, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -2,9 +2,15 @@
 
 import "time"
 
+// patienceDivisor divides the objective for the time that a request waits at least if its turn
+// probably comes within it. Its answer may be late then, but that of a caller who is told to
+// come back is late in any case.
+const patienceDivisor = 2
+
 // refusalTime returns the time at which a ticket that still waits is refused: when a
 // typical target could no longer answer in time, or after a short wait if the queue
-// ahead of the ticket is too long for it to be served by then.
+// ahead of the ticket is too long for it to be served by then. While the pool is contended,
+// it waits longer if its turn comes soon.
 func (balancer *Balancer) refusalTime(pool *pool, ticket *Ticket) time.Time {
 	_, allLimited := balancer.limitedRate(pool, ticket.arrived)
 	if ticket.Due.IsZero() {
@@ -16,8 +22,12 @@
 	objective := ticket.Due.Sub(ticket.arrived)
 	typicalLatency := time.Duration(pool.baseLatency) + pool.averages().timePerToken*time.Duration(ticket.PromptTokens)
 	wait := max(objective-firstEventMarginFactor*typicalLatency, objective/minWaitDivisor)
-	if (pool.contended || allLimited) && balancer.estimatedWait(pool, ticket) > wait {
-		wait = objective / minWaitDivisor
+	if pool.contended || allLimited {
+		patience := max(wait, objective/patienceDivisor)
+		if balancer.estimatedWait(pool, ticket) > patience {
+			patience = objective / minWaitDivisor
+		}
+		wait = patience
 	}
 	refuseAt := ticket.arrived.Add(wait)
 	if !ticket.Deadline.IsZero() && refuseAt.After(ticket.Deadline) {
