platform: decode what targets say of their load

Targets answer with X-Server-Load: requests running, waiting, slots and, in some deployments, how long work takes on their machine now. Nothing read it.

The header is decoded into gateway.Reply. Negative numbers, ones out of range and texts are counted (nutmegfield_announcements_total{what="loadUnreadable"}) and ignored; three figures are as good as four. Nothing uses the figures yet.

--- a/gateway/announcement.go
+++ b/gateway/announcement.go
@@ -33,6 +33,7 @@
 	restsAnnounced   = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="rest"}`)
 	restsCut         = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restCut"}`)
 	restsUnreadable  = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restUnreadable"}`)
+	loadsUnreadable  = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="loadUnreadable"}`)
 )
 
 // observeAnnouncement records what an answer says of further requests to its target. An
@@ -51,6 +52,9 @@
 			Pool: target.Pool, Target: target.ID, Facts: []timeline.Fact{timeline.Count("limit", reply.Brittle)},
 		})
 	}
+	if reply.HasUnreadableLoad {
+		loadsUnreadable.Inc()
+	}
 	if reply.HasUnreadableRest {
 		restsUnreadable.Inc()
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -83,10 +83,23 @@
 	// Brittle is the number of requests that the target can turn away in a second without
 	// ending, 0 if it names none.
 	Brittle int
+	// Load is what the target says of its load, zero if nothing; HasUnreadableLoad reports
+	// whether it says something that can't be read.
+	Load              TargetLoad
+	HasUnreadableLoad bool
 	// Sealed reports whether the answer carries the target's signature.
 	Sealed bool
 }
 
+// TargetLoad is what a target says of its load in an answer.
+type TargetLoad struct {
+	// Running and Waiting are the numbers of its requests, Slots that of those it runs at once.
+	Running, Waiting, Slots int
+	// Duration is how long work takes there now, relative to its usual duration, 0 if the
+	// target does not say it.
+	Duration float64
+}
+
 // Protocol reads and writes the header fields of callers and targets. The
 // platform provides its functions.
 type Protocol struct {
