balance: estimate prompt times with the present speed of targets

In some deployments targets share their machines with others and tell in each answer how long work takes there now. Estimates used the long-term speed only.

Figures are compared with their average, so that a constant figure changes nothing, whatever its unit. Pairs of successive figures show by their distance in time how much of a deviation is left; observed times show how much of their deviation the figures explain. An estimate changes by the product of both, and observed times are divided by the part that is explained. Noise, inverse and constant figures so leave estimates as they are. Targets that tell no fourth figure keep no state for it.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -280,7 +280,7 @@
 		}
 		promptTokens := float64(ticket.PromptTokens) +
 			backlogFraction*float64(targetState.backlogTokens+targetState.othersBacklogTokens)
-		estimate += time.Duration(float64(timePerToken) * promptTokens)
+		estimate += time.Duration(float64(timePerToken) * promptTokens * targetState.present.promptFactor(dispatchRound.now))
 	}
 	estimate += dispatchRound.pool.queueDelay(targetState)
 	// Among equal targets, prefers the less loaded one.
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -33,6 +33,8 @@
 	firstEventAt  time.Time
 	hasFirstEvent bool
 	ended         bool
+	// told is the duration of work that the target told with the answer, 0 if none.
+	told float64
 }
 
 // grant creates the grant of a target to a ticket.
@@ -86,13 +88,18 @@
 	pool := balancer.getOrCreatePool(grant.Target.Pool)
 	latency := time.Since(grant.grantedAt)
 	grant.firstEventAt = grant.grantedAt.Add(latency)
-	sample := float64(latency - targetState.timePerToken()*time.Duration(grant.PrefillTokens))
+	usual := targetState.timePerToken() * time.Duration(grant.PrefillTokens)
+	sample := float64(latency - usual)
 	if pool.baseLatency == 0 {
 		pool.baseLatency = max(0, sample)
 	}
 	pool.baseLatency = max(0, pool.baseLatency+averageWeight*(sample-pool.baseLatency))
 	if pool.isEngine && grant.PrefillTokens > 0 {
-		targetState.speed.addPrompt(latency-time.Duration(pool.baseLatency), float64(grant.PrefillTokens))
+		duration := latency - time.Duration(pool.baseLatency)
+		if present := targetState.present; present != nil {
+			duration = present.normalize(&present.prompts, grant.told, duration, usual)
+		}
+		targetState.speed.addPrompt(duration, float64(grant.PrefillTokens))
 		pool.recordObserved(targetState)
 	}
 }
@@ -128,8 +135,14 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	if grant.hasFirstEvent && events > 1 {
-		grant.targetState.speed.addEvents(time.Since(grant.firstEventAt), events-1)
-		balancer.getOrCreatePool(grant.Target.Pool).recordObserved(grant.targetState)
+		targetState := grant.targetState
+		duration := time.Since(grant.firstEventAt)
+		if present := targetState.present; present != nil {
+			usual := targetState.eventInterval() * time.Duration(events-1)
+			duration = present.normalize(&present.events, grant.told, duration, usual)
+		}
+		targetState.speed.addEvents(duration, events-1)
+		balancer.getOrCreatePool(grant.Target.Pool).recordObserved(targetState)
 	}
 }
 
--- a/balance/target.go
+++ b/balance/target.go
@@ -94,6 +94,8 @@
 	// replaced is true once another incarnation answered at the address.
 	replaced     bool
 	announcement *announcement
+	// present is nil until the target tells how long work takes there now.
+	present *presentSpeed
 }
 
 func (targetState *targetState) totalInFlight() int {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -287,6 +287,9 @@
 	reply := gateway.Protocol.ReadReply(answer.Status, answer.Header)
 	gateway.observeLimit(&grant.Target, reply, sentAt)
 	gateway.observeAnnouncement(&grant.Target, reply)
+	if !reply.Misdirected {
+		grant.RecordDuration(reply.Load.Duration)
+	}
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -330,7 +330,11 @@
 		Watch:      func(pool string) *detour.Attempt { return host.paths.Begin(pool, func() {}) },
 		IsDraining: gateway.draining.Load, OnFailed: host.paths.Failed,
 		OnAnswer: func(target *balance.Target, answer *upstream.Answer) {
-			gateway.observeAnnouncement(target, gateway.Protocol.ReadReply(answer.Status, answer.Header))
+			reply := gateway.Protocol.ReadReply(answer.Status, answer.Header)
+			gateway.observeAnnouncement(target, reply)
+			if !reply.Misdirected {
+				gateway.Balancer.RecordDuration(target, reply.Load.Duration)
+			}
 		},
 		OnSkipped: gateway.recordSkipped,
 		Begin: func() func() {
