balance: weigh what a prompt delays at its target

The choice looked at the first event of the request only.

In pools whose targets tell how long work takes now, the cost of a target has the price of the requests that are expected to be late if it gets the ticket: the ticket's own, by its first event or its pauses, and those that run there. Other pools choose as before; the scripted cases pass unchanged.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -85,6 +85,7 @@
 			continue
 		}
 		cost := estimate + ticket.deadlineOverrun(targetState, dispatchRound.averages, dispatchRound.now, estimate)
+		cost += balancer.lossCost(dispatchRound, targetState, ticket, estimate)
 		if balancer.rate(targetState) > 0 {
 			// A permit that isn't used soon expires.
 			cost -= loadPenalty
@@ -246,6 +247,9 @@
 	timePerToken         time.Duration
 	eventInterval        float64
 	lowestFailedFraction float64
+	// tells is set if a target has told how long work takes there now. Those that have not
+	// yet, such as new ones, are not preferred for it.
+	tells bool
 }
 
 // averages returns the averages over the pool's targets.
@@ -261,6 +265,7 @@
 			result.eventInterval += float64(eventInterval)
 			eventIntervals++
 		}
+		result.tells = result.tells || targetState.present != nil
 		result.lowestFailedFraction = min(result.lowestFailedFraction, targetState.failedFraction)
 	}
 	result.timePerToken /= time.Duration(max(1, tokenTimes))
--- a/balance/script_test.go
+++ b/balance/script_test.go
@@ -23,6 +23,7 @@
 //	remove NAME                              removes it
 //	speed NAME DURATION                      sets the reported time per prompt token
 //	events NAME DURATION                     sets the observed time between events
+//	duration NAME FIGURE...                  an answer tells how long work takes there now
 //	interval NAME DURATION                   another host reports it
 //	others HOST [NAME INFLIGHT]... [waiting N,N]
 //	                                         applies another host's report
@@ -167,6 +168,12 @@
 		script.editTargetState(words[0], func(targetState *targetState) {
 			targetState.speed.eventInterval = float64(script.parseDuration(words[1]))
 		})
+	case "duration":
+		for _, word := range words[1:] {
+			figure, err := strconv.ParseFloat(word, 64)
+			script.Assert(err, qt.IsNil, script.position)
+			script.balancer.RecordDuration(script.target(words[0]), figure)
+		}
 	case "interval":
 		script.balancer.ApplyReport(&Report{Host: "observer", Speeds: []Speed{{Target: words[0], EventInterval: script.parseDuration(words[1])}}})
 	case "others":
