--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -135,13 +135,14 @@
 	targets.holdVanished(next, unreadable, state.OutageAt)
 	dropReplaced(next)
 	targets.recordChanges(next, unreadable)
-	targets.recordDepartures(next)
+	targets.recordDepartures(next, unreadable)
 	targets.targets = next
 	targets.publish()
 }
 
-// recordDepartures remembers the targets that are leaving or gone, and forgets old ones.
-func (targets *Targets) recordDepartures(next map[string]balance.Target) {
+// recordDepartures remembers the targets that are leaving or gone, and forgets old ones. Those
+// whose entries can't be read have not left, and may write them again.
+func (targets *Targets) recordDepartures(next map[string]balance.Target, unreadable map[string]Object) {
 	now := time.Now()
 	if targets.departures == nil {
 		targets.departures = map[string]departure{}
@@ -154,7 +155,8 @@
 		}
 	}
 	for name, target := range targets.targets {
-		if _, ok := next[name]; !ok {
+		_, isUnreadable := unreadable[name]
+		if _, ok := next[name]; !ok && !isUnreadable {
 			targets.departures[name] = departure{startedAt: target.StartedAt, isGone: true, at: now}
 		}
 	}
--- a/discovery/unreadable.go
+++ b/discovery/unreadable.go
@@ -100,7 +100,8 @@
 	reporter.reported = map[report]struct{}{}
 	for i := range unreadable[:min(len(unreadable), maxUnreadable)] {
 		found := newReport(&unreadable[i])
-		if _, ok := before[found]; !ok {
+		_, isOld := before[found]
+		if _, ok := reporter.reported[found]; !ok && !isOld {
 			reporter.record(&unreadable[i])
 		}
 		reporter.reported[found] = struct{}{}
