--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -88,6 +88,8 @@
 	// of NewRevision.
 	Revision int64
 	Value    []byte
+	// Status is what became of what the value asks for, for kinds that have it.
+	Status []byte
 	// Unreadable is the reason why the object can't be read, empty if it can. Its value is
 	// not kept then.
 	Unreadable string
