--- a/gateway/announcement.go
+++ b/gateway/announcement.go
@@ -33,6 +33,7 @@
 	restsAnnounced   = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="rest"}`)
 	restsCut         = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restCut"}`)
 	restsUnreadable  = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="restUnreadable"}`)
+	durationsTold    = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="duration"}`)
 	loadsUnreadable  = metrics.GetOrCreateCounter(`nutmegfield_announcements_total{what="loadUnreadable"}`)
 )
 
@@ -52,6 +53,9 @@
 			Pool: target.Pool, Target: target.ID, Facts: []timeline.Fact{timeline.Count("limit", reply.Brittle)},
 		})
 	}
+	if reply.Load.Duration > 0 {
+		durationsTold.Inc()
+	}
 	if reply.HasUnreadableLoad {
 		loadsUnreadable.Inc()
 	}
