--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -12,8 +12,42 @@
 	Retries Retries `yaml:"retries"`
 	// Quotas is the amount by which workspaces may exceed their quotas.
 	Quotas Quotas `yaml:"quotas"`
+	// Rollouts bounds what a new version of targets may do while requests move to it.
+	Rollouts Rollouts `yaml:"rollouts"`
 }
 
+// Rollouts bounds the harm of a new version that is bad, over all hosts. They are off if
+// ExposureShare is 0.
+type Rollouts struct {
+	// ExposureShare is the part of the requests of a pool, between the order and its
+	// deadline, that a bad version may get, ExposureSlack the number of requests besides.
+	ExposureShare float64 `yaml:"exposureShare"`
+	ExposureSlack float64 `yaml:"exposureSlack" default:"50"`
+	// RollbackWithin is the time after its 50th bad answer from which it may get none.
+	RollbackWithin time.Duration `yaml:"rollbackWithin" default:"5s"`
+}
+
+// Enabled reports whether there are rollouts.
+func (rollouts *Rollouts) Enabled() bool { return rollouts.ExposureShare > 0 }
+
+// minRollback is some times that of a message between hosts.
+const minRollback = 100 * time.Millisecond
+
+func (rollouts *Rollouts) check(checker *checker) {
+	if !(rollouts.ExposureShare >= 0 && rollouts.ExposureShare <= 1) {
+		checker.addFault("gateway.rollouts.exposureShare", "is %g, must be from 0 to 1", rollouts.ExposureShare)
+	}
+	if !(rollouts.ExposureSlack >= 0 && rollouts.ExposureSlack <= maxSlack) {
+		checker.addFault("gateway.rollouts.exposureSlack", "is %g, must be from 0 to %d", rollouts.ExposureSlack, maxSlack)
+	}
+	if rollouts.RollbackWithin < minRollback {
+		checker.addFault("gateway.rollouts.rollbackWithin", "is %s, must be at least %s", rollouts.RollbackWithin, minRollback)
+	}
+}
+
+// maxSlack is a number of requests beyond which no bound is meant.
+const maxSlack = 1_000_000
+
 // Quotas is the tolerance of quotas over all hosts: in any window a workspace
 // may use its quota plus the overage and the slack.
 type Quotas struct {
@@ -61,4 +95,5 @@
 	if retries.Spare < 0 {
 		checker.addFault("gateway.retries.spare", "is %g, must be at least 0", retries.Spare)
 	}
+	gateway.Rollouts.check(checker)
 }
