balance: restrict a ticket to versions of targets

Cause: while requests move to a new version, each may get targets of one version only, of which a few take the share. Change: Ticket.Restriction. The room of a pool is that of the targets that its usual tickets may get, so that idle targets of a new version don't hide that the others are full; tickets with another restriction have room of their own. A version that fails more than others still gets the tickets that are for it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -80,6 +80,8 @@
 	Deadline time.Time
 	// Version is the only version of targets that may be granted, 0 for any.
 	Version VersionID
+	// Restriction says which targets may be granted besides, nil for all.
+	Restriction *Restriction
 	// Exclude holds the IDs of the targets to which the request was already sent.
 	Exclude []string
 
@@ -208,6 +210,8 @@
 	// targets are brittle; dispatch updates it.
 	brittleSeenAt time.Time
 	holdsBack     bool
+	// usual is the restriction of the usual tickets, nil for none.
+	usual *Restriction
 	// observed are the targets that ended requests since their speeds were last reported.
 	observed []*targetState
 	// arrivals counts this host's tickets. averageHoldTime is the running average
@@ -328,6 +332,9 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	pool := balancer.getOrCreatePool(ticket.Pool)
+	if ticket.Version == 0 && (ticket.Restriction == nil || ticket.Restriction.IsUsual) {
+		pool.usual = ticket.Restriction
+	}
 	ticket.refuseAt = balancer.refusalTime(pool, ticket)
 	pool.arrivals.add(ticket.Tier, ticket.arrived)
 	index, _ := slices.BinarySearchFunc(pool.waiting, ticket, compareTickets)
--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -26,12 +26,17 @@
 	}
 }
 
-// freeCapacity returns how many more requests the pool's targets can take, those with
-// limits from this host.
+// freeCapacity returns how many more requests the targets can take that the usual tickets of
+// the pool may get, those with limits from this host.
 func (balancer *Balancer) freeCapacity(pool *pool, now time.Time) int {
+	return balancer.freeCapacityOf(pool, pool.usual.allows, now)
+}
+
+// freeCapacityOf is freeCapacity for the targets that are allowed.
+func (balancer *Balancer) freeCapacityOf(pool *pool, allows func(*targetState) bool, now time.Time) int {
 	total := 0
 	for _, targetState := range pool.targets {
-		if !targetState.isEligible(now) {
+		if !targetState.isEligible(now) || !allows(targetState) {
 			continue
 		}
 		free := max(0, pool.capacity(targetState)-targetState.totalInFlight())
@@ -49,11 +54,12 @@
 		!now.Before(targetState.backoffUntil) && !targetState.zone.isBackingOff(now)
 }
 
-// servingRate returns the requests a second that the eligible targets can take.
+// servingRate returns the requests a second that the eligible targets of the usual tickets can
+// take.
 func (balancer *Balancer) servingRate(pool *pool, now time.Time) float64 {
 	total := 0.0
 	for _, targetState := range pool.targets {
-		if !targetState.isEligible(now) {
+		if !targetState.isEligible(now) || !pool.usual.allows(targetState) {
 			continue
 		}
 		rate := float64(pool.capacity(targetState)) / max(pool.averageHoldTime, 1) * float64(time.Second)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -65,9 +65,9 @@
 ) (best candidate, allLate bool) {
 	allLate = true
 	dispatchRound.candidates = dispatchRound.candidates[:0]
+	lowestFailedFraction := dispatchRound.lowestFailedFraction(ticket)
 	for _, targetState := range dispatchRound.pool.targets {
-		if !targetState.isEligible(dispatchRound.now) || slices.Contains(ticket.Exclude, targetState.ID) ||
-			ticket.Version != 0 && targetState.versionID != ticket.Version {
+		if !targetState.isEligible(dispatchRound.now) || slices.Contains(ticket.Exclude, targetState.ID) || !ticket.allows(targetState) {
 			continue
 		}
 		estimate := balancer.estimate(dispatchRound, targetState, ticket)
@@ -80,7 +80,7 @@
 		if timeliness < required || !balancer.accepts(dispatchRound.pool, targetState) {
 			continue
 		}
-		if targetState.failedFraction > dispatchRound.averages.lowestFailedFraction+failingFraction &&
+		if targetState.failedFraction > lowestFailedFraction+failingFraction &&
 			rand.Float64() >= trialFraction {
 			continue
 		}
--- a/balance/dispatch.go
+++ b/balance/dispatch.go
@@ -31,7 +31,7 @@
 	clear(pool.waiting[len(remaining):])
 	pool.waiting = remaining
 	for _, ticket := range dispatchRound.lateTickets {
-		if dispatchRound.freeCapacity > 0 && balancer.grantLate(dispatchRound, ticket, anyTime) ||
+		if *balancer.freeFor(dispatchRound, ticket) > 0 && balancer.grantLate(dispatchRound, ticket, anyTime) ||
 			dispatchRound.refuseIfExpired(ticket) {
 			pool.waiting = slices.DeleteFunc(pool.waiting, func(other *Ticket) bool { return other == ticket })
 		}
@@ -43,7 +43,9 @@
 	pool         *pool
 	now          time.Time
 	freeCapacity int
-	averages     poolAverages
+	// restricted are the free capacities for tickets with other restrictions than the usual.
+	restricted []restrictedCapacity
+	averages   poolAverages
 	// restingUntil is when the first target wants requests again, if none does now.
 	restingUntil time.Time
 	// candidates is a buffer that choose reuses for each ticket.
@@ -72,10 +74,11 @@
 // either. A ticket that no target can answer in time is added to lateTickets.
 func (balancer *Balancer) grantOrRefuse(dispatchRound *dispatchRound, ticket *Ticket) bool {
 	pool := dispatchRound.pool
-	if dispatchRound.freeCapacity > pool.othersWaitingAbove(ticket.Tier) {
+	free := balancer.freeFor(dispatchRound, ticket)
+	if *free > pool.othersWaitingAbove(ticket.Tier) {
 		best, allLate := balancer.choose(dispatchRound, ticket, inTime)
 		if best.targetState != nil {
-			dispatchRound.freeCapacity--
+			*free--
 			ticket.granted <- balancer.grant(pool, ticket, best, dispatchRound.now)
 			return true
 		}
@@ -98,7 +101,7 @@
 	if best.targetState == nil {
 		return false
 	}
-	dispatchRound.freeCapacity--
+	*balancer.freeFor(dispatchRound, ticket)--
 	ticket.granted <- balancer.grant(dispatchRound.pool, ticket, best, dispatchRound.now)
 	return true
 }
--- a/balance/restriction.go
+++ b/balance/restriction.go
@@ -29,6 +29,50 @@
 		(restriction.Among == nil || slices.Contains(restriction.Among, targetState.ID))
 }
 
+// allows reports whether a target may be granted to a ticket, whatever its state.
+func (ticket *Ticket) allows(targetState *targetState) bool {
+	return (ticket.Version == 0 || targetState.versionID == ticket.Version) && ticket.Restriction.allows(targetState)
+}
+
+// restrictedCapacity is the free capacity for tickets with a restriction or a version.
+type restrictedCapacity struct {
+	restriction *Restriction
+	version     VersionID
+	free        int
+}
+
+// freeFor returns the free capacity for a ticket in a dispatch, which the caller may change.
+func (balancer *Balancer) freeFor(dispatchRound *dispatchRound, ticket *Ticket) *int {
+	pool := dispatchRound.pool
+	if pool.usual == nil && ticket.Restriction == nil || ticket.Version == 0 && ticket.Restriction == pool.usual {
+		return &dispatchRound.freeCapacity
+	}
+	for i := range dispatchRound.restricted {
+		if known := &dispatchRound.restricted[i]; known.restriction == ticket.Restriction && known.version == ticket.Version {
+			return &known.free
+		}
+	}
+	free := balancer.freeCapacityOf(pool, ticket.allows, dispatchRound.now)
+	dispatchRound.restricted = append(dispatchRound.restricted, restrictedCapacity{restriction: ticket.Restriction, version: ticket.Version, free: free})
+	return &dispatchRound.restricted[len(dispatchRound.restricted)-1].free
+}
+
+// lowestFailedFraction returns the lowest failed fraction of the targets that a ticket may get.
+// Those of a version that fails more than others are as good as any for a ticket that gets no
+// other.
+func (dispatchRound *dispatchRound) lowestFailedFraction(ticket *Ticket) float64 {
+	if ticket.Version == 0 && ticket.Restriction == nil {
+		return dispatchRound.averages.lowestFailedFraction
+	}
+	lowest := 1.0
+	for _, targetState := range dispatchRound.pool.targets {
+		if ticket.allows(targetState) {
+			lowest = min(lowest, targetState.failedFraction)
+		}
+	}
+	return lowest
+}
+
 // Serves reports whether the pool has a target which a restriction allows, and that takes
 // requests or may soon, and whether such a target has room for one now.
 func (balancer *Balancer) Serves(name string, restriction *Restriction) (exists, hasRoom bool) {
--- a/balance/script_test.go
+++ b/balance/script_test.go
@@ -19,7 +19,8 @@
 // TestScripts runs testdata/*.script; the head of each describes its case. Each line
 // is one step:
 //
-//	target NAME slots N [zone Z] [leaving]   adds or replaces a target of the pool
+//	target NAME slots N [zone Z] [version V] [leaving]
+//	                                         adds or replaces a target of the pool
 //	remove NAME                              removes it
 //	speed NAME DURATION                      sets the reported time per prompt token
 //	events NAME DURATION                     sets the observed time between events
@@ -28,10 +29,14 @@
 //	others HOST [NAME INFLIGHT]... [waiting N,N]
 //	                                         applies another host's report
 //	take NAME tier N [prompt N] [events N] [gap D] [due D] [deadline D] [exclude T]
+//	    [version V] [only V] [except V] [among T]
 //	                                         calls Acquire
+//	serves only|except V exists|missing room|full
+//	                                         checks Serves
 //	after DURATION                           sleeps
 //	start NAME | end NAME OUTCOME            records the first event or the end
 //	want NAME TARGET|waiting|refused|zone Z  checks the result of a take step
+//	free N                                   checks the pool's free slots
 //	pressure above|below FRACTION            checks RefusedFraction
 //	limit NAME RATE permits N                the target has a limit and this host permits
 //	wanted NAME N                            checks the permits that the host asks for
@@ -153,6 +158,7 @@
 		if zone := wordAfter(words, "zone"); zone != "" {
 			target.Zone = zone
 		}
+		target.Version = wordAfter(words, "version")
 		target.Leaving = slices.Contains(words, "leaving")
 		script.targets = slices.DeleteFunc(script.targets, func(other Target) bool { return other.ID == target.ID })
 		script.targets = append(script.targets, target)
@@ -226,6 +232,11 @@
 	case "resting":
 		wait, _ := script.balancer.RestingWait(scriptPool)
 		script.Assert(wait, qt.Equals, script.parseDuration(words[0]), script.position)
+	case "serves":
+		exists, hasRoom := script.balancer.Serves(scriptPool, restrictionOf(words))
+		script.Assert([]bool{exists, hasRoom}, qt.DeepEquals, []bool{words[2] == "exists", words[3] == "room"}, script.position)
+	case "free":
+		script.Assert(script.balancer.Status(scriptPool).FreeSlots, qt.Equals, script.parseInt(words[0]), script.position)
 	case "pressure":
 		fraction, err := strconv.ParseFloat(words[1], 64)
 		script.Assert(err, qt.IsNil, script.position)
@@ -288,6 +299,10 @@
 	if exclude := wordAfter(words, "exclude"); exclude != "" {
 		ticket.Exclude = []string{exclude}
 	}
+	if version := wordAfter(words, "version"); version != "" {
+		ticket.Version = NewVersionID(scriptPool, version)
+	}
+	ticket.Restriction = restrictionOf(words)
 	acquireCall := &acquireCall{results: make(chan acquireResult, 1)}
 	script.calls[words[0]] = acquireCall
 	go func() {
@@ -296,6 +311,25 @@
 	}()
 }
 
+// restrictionOf returns the restriction in the words of a step, nil if there is none. That of
+// tickets which may not get a version is the usual one.
+func restrictionOf(words []string) *Restriction {
+	restriction := &Restriction{}
+	if only := wordAfter(words, "only"); only != "" {
+		restriction.Only = NewVersionID(scriptPool, only)
+	}
+	if except := wordAfter(words, "except"); except != "" {
+		restriction.Except, restriction.IsUsual = []VersionID{NewVersionID(scriptPool, except)}, true
+	}
+	if among := wordAfter(words, "among"); among != "" {
+		restriction.Among = []string{among}
+	}
+	if restriction.Only == 0 && restriction.Except == nil && restriction.Among == nil {
+		return nil
+	}
+	return restriction
+}
+
 func (script *script) outcome(name string) string {
 	result := script.calls[name].poll()
 	switch {
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -209,7 +209,7 @@
 	}
 	told := &move.told
 	plan.share, plan.routes = told.Share, told.Routes
-	plan.validUntil = move.heardAt.Add(min(maxSilence, rollouts.Bounds.RollbackWithin/2))
+	plan.validUntil = move.heardAt.Add(max(minSilence, min(maxSilence, rollouts.Bounds.RollbackWithin/2)))
 	if move.decider == "" {
 		plan.validUntil = time.Time{}
 	}
--- a/rollout/rollouts.go
+++ b/rollout/rollouts.go
@@ -19,8 +19,10 @@
 	// tickInterval is the time between two steps while there is a rollout or a held version.
 	tickInterval = 100 * time.Millisecond
 	// maxSilence is the time without an instruction after which a host sends nothing to the
-	// new version; it is less where a bad version must be withdrawn sooner.
+	// new version; it is less where a bad version must be withdrawn sooner, down to
+	// minSilence, in which some instructions come.
 	maxSilence = 2500 * time.Millisecond
+	minSilence = 800 * time.Millisecond
 	// Instructions are made, and reports sent, every messageInterval; where there are many
 	// hosts every relayedInterval, or every movingInterval while requests move. Instructions
 	// are made every changeInterval for a while after the stage has changed, as datagrams may
