listener, gateway: report who gives way, and end refused requests early

Cause: a host did not say why connections and requests were refused for want of memory, and a refused request held its memory while the rest of its body was discarded. A head that came in long pieces could count fields twice. Change: events 1170 to 1173 and metrics of each listener, `explain` for requests that gave way and for answers that are not read; the memory of a refused request is given back before its body is discarded, in a smaller buffer; a request that gave way while it waited is told so. Result: TestRefusedBeforeBody, TestLargestBody and the packages listener, memory, gateway, diagnosis and command pass.

--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -28,6 +28,7 @@
 	eventNotContinued   = 1140
 	eventForwarded      = 1133
 	eventSkipped        = 1145
+	eventUnread         = 1173
 	eventPeerReporting  = 6101
 	eventPeerSilent     = 6102
 	eventPeerLeft       = 6103
@@ -186,6 +187,8 @@
 			text += "; " + strings.Join(skipped, "; ")
 		}
 		return text
+	case eventUnread:
+		return "the caller did not read the answer, and lost its connection to " + last.Host
 	case eventAborted:
 		return abortedCause(&last, requestLines, failures)
 	case eventSent:
@@ -240,6 +243,8 @@
 			last.Facts["workspace"], last.Facts["left"], last.Facts["burst"], last.Facts["rate"], last.Facts["hostsSilent"], last.Facts["hosts"])
 	case strings.HasPrefix(last.Detail, "503 no target"):
 		return noTargetCause(last, failures)
+	case strings.HasSuffix(last.Detail, gaveWay) && last.Facts["waitedMs"] != "":
+		return last.Detail + fmt.Sprintf(", after %s ms: memory was short, and the answer could not be in time any more (events 1171)", last.Facts["waitedMs"])
 	case last.Facts["cause"] != "":
 		return last.Detail + ": " + last.Facts["cause"]
 	case last.Facts["routes"] != "":
@@ -249,6 +254,9 @@
 	}
 }
 
+// gaveWay ends the detail of refusals of requests that gave way to others.
+const gaveWay = "the request gave way to others"
+
 // saysNothing reports whether a refusal has a status that leaves open whether the request ran.
 func saysNothing(detail string) bool {
 	return strings.HasPrefix(detail, "502") || strings.HasPrefix(detail, "504")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,6 +83,10 @@
 			return
 		}
 		grant, err := forwarding.acquireTarget(ctx)
+		if err != nil && forwarding.hasGivenWay() {
+			forwarding.refuseGaveWay()
+			return
+		}
 		if err != nil {
 			forwarding.answerUnserved(ctx, err.Error())
 			return
@@ -94,7 +98,7 @@
 		}
 		if !forwarding.beginRun() {
 			grant.Cancel()
-			forwarding.answerUnserved(ctx, reasonGaveWay)
+			forwarding.refuseGaveWay()
 			return
 		}
 		forwarding.triedTargets = append(forwarding.triedTargets, grant.Target.ID)
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -52,19 +52,23 @@
 	plan.SetHeapLimit()
 	host.gateway.bufferRoom.budget = plan.Callers
 	smallLimits := func() listener.Limits { return listener.Limits{HeaderBytes: smallHeaderBytes} }
+	listener.RecordDivision(kernelHost.Events, plan)
 	for number, bounds := range []struct {
+		name   string
 		budget *memory.Budget
 		limits func() listener.Limits
 	}{
-		peersListener:     {plan.Peers, nil},
-		readinessListener: {plan.Readiness, smallLimits},
-		callersListener:   {plan.Callers, host.callerLimits},
-		operatorsListener: {plan.Operators, smallLimits},
+		peersListener:     {"peers", plan.Peers, nil},
+		readinessListener: {"readiness", plan.Readiness, smallLimits},
+		callersListener:   {"callers", plan.Callers, host.callerLimits},
+		operatorsListener: {"operators", plan.Operators, smallLimits},
 	} {
-		listeners[number] = &listener.Listener{
+		bounded := &listener.Listener{
 			Listener: listeners[number], Budget: bounds.budget, Limits: bounds.limits, RetryAfter: noMemoryRetryAfter,
 			Messages: number == peersListener, IsSmall: listener.IsSmall(plan.Machine),
 		}
+		(&listener.Report{Name: bounds.name, Events: kernelHost.Events}).Observe(bounded)
+		listeners[number] = bounded
 	}
 }
 
@@ -100,7 +104,7 @@
 		return
 	}
 	forwarding.conn.Holder().Describe(&memory.Details{
-		Workspace: forwarding.workspaceName(), Declared: forwarding.request.ContentLength,
+		Request: forwarding.call.ID, Workspace: forwarding.workspaceName(), Declared: forwarding.request.ContentLength,
 		Deadline: forwarding.deadline, Due: forwarding.due(), Cancel: cancel,
 	})
 }
@@ -115,7 +119,7 @@
 	body, err := forwarding.conn.ReadBody(forwarding.request, limit, forwarding.deadline)
 	if err != nil {
 		forwarding.refuseBody(err)
-		return body.Release, false
+		return func() {}, false
 	}
 	forwarding.body, forwarding.hasBody = body.Bytes, true
 	forwarding.content = sync.OnceValue(forwarding.hashContent)
@@ -143,5 +147,16 @@
 }
 
 // beginRun marks the request as one that is sent to a target, and gives way to no other any
-// more. It returns false if it has given way and must be refused.
+// more. It returns false if it has given way.
 func (forwarding *forwarding) beginRun() bool { return forwarding.conn.Holder().Enter(memory.Running) }
+
+// hasGivenWay reports whether the request gave way to others while it waited for a target.
+func (forwarding *forwarding) hasGivenWay() bool {
+	return forwarding.sends == 0 && forwarding.request.Context().Err() == nil && forwarding.conn.Holder().Phase() == memory.Gone
+}
+
+// refuseGaveWay refuses a request that has given way to others.
+func (forwarding *forwarding) refuseGaveWay() {
+	forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonGaveWay,
+		timeline.Duration("waited", time.Since(forwarding.arrivedAt)))
+}
--- a/listener/body.go
+++ b/listener/body.go
@@ -54,6 +54,11 @@
 // pieces are pieces of bodies of pieceBytes that nobody uses.
 var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
+// discardBytes is the size of the buffers in discarded, in which what nobody needs is read.
+const discardBytes = 8 << 10
+
+var discarded = sync.Pool{New: func() any { return new([discardBytes]byte) }}
+
 // joining is held while pieces are joined, so that only one body at a time takes its memory
 // twice.
 var joining sync.Mutex
@@ -198,7 +203,7 @@
 			patience = shortRoomPatience
 		}
 		if time.Since(began) >= patience {
-			return NoRoom.New("after %d bytes of the body", body.held)
+			return conn.noRoom(memory.Bodies, bytes)
 		}
 		time.Sleep(wait)
 		// The caller has not stalled meanwhile.
@@ -208,12 +213,18 @@
 	if !conn.holder.Enter(memory.Body) {
 		return GaveWay.New("before its body was read")
 	}
-	if body.held > receiveBytes {
+	if body.held > enlargedBytes {
 		conn.enlarge()
 	}
 	return nil
 }
 
+// noRoom says how much is held of a kind, and how much was needed.
+func (conn *Conn) noRoom(kind memory.Kind, bytes int64) error {
+	budget := conn.listener.Budget
+	return NoRoom.New("%d KiB of %s are held, of %d, and %d needed", budget.Held(kind)>>10, kind, budget.Parts[kind]>>10, bytes>>10)
+}
+
 // join makes one slice of the pieces.
 func (body *Body) join(total int64) error {
 	if len(body.parts) == 0 {
@@ -300,9 +311,25 @@
 		return
 	}
 	conn.holder.Enter(memory.Closing)
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	piece := pieces.Get().(*[pieceBytes]byte)
-	defer pieces.Put(piece)
-	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{conn.Conn}, lingerBytes), piece[:])
+	// Its memory is for others from now on.
+	conn.end()
+	conn.linger()
 	_ = conn.Conn.SetReadDeadline(past)
 }
+
+// linger discards what the caller still sends, at most lingerBytes, until it closes the
+// connection or lingerTime has passed.
+func (conn *Conn) linger() {
+	until := time.Now().Add(lingerTime)
+	_ = conn.Conn.SetReadDeadline(until)
+	buffer := discarded.Get().(*[discardBytes]byte)
+	defer discarded.Put(buffer)
+	n, _ := io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{conn.Conn}, lingerBytes), buffer[:])
+	if n == lingerBytes {
+		// The caller has not read the refusal. A reset would destroy it.
+		time.Sleep(time.Until(until))
+	}
+}
+
+// onlyReader hides the other methods of a reader, by which io.Copy would avoid the buffer.
+type onlyReader struct{ io.Reader }
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,8 +37,10 @@
 	pipelined        int
 	hasNext, hasRest atomic.Bool
 
-	isClosed atomic.Bool
-	isLarge  bool
+	// isBegun means that a request was begun and has not ended, isLarge that the receive
+	// buffer was enlarged.
+	isBegun, isLarge bool
+	isClosed         atomic.Bool
 	// message is what was taken for the bytes of the present message, with Listener.Messages.
 	message atomic.Int64
 }
@@ -147,13 +148,9 @@
 		return
 	}
 	_ = conn.CloseWrite()
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{conn.Conn}, lingerBytes), make([]byte, bufferBytes))
+	conn.linger()
 }
 
-// onlyReader hides the other methods of a reader, by which io.Copy would avoid the buffer.
-type onlyReader struct{ io.Reader }
-
 // Write writes in pieces, each of which the caller must take within the listener's timeout.
 func (conn *Conn) Write(part []byte) (int, error) {
 	if conn.listener.Messages {
@@ -167,6 +164,9 @@
 		_ = conn.Conn.SetWriteDeadline(time.Now().Add(conn.listener.writeTimeout()))
 		n, err := conn.Conn.Write(part[written:min(written+maxWriteBytes, len(part))])
 		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) && conn.listener.OnUnread != nil {
+			conn.listener.OnUnread(conn.holder.Request())
+		}
 		if err != nil || written == len(part) {
 			return written, err
 		}
@@ -260,13 +260,17 @@
 		}
 		time.Sleep(wait)
 	}
+	conn.isBegun = true
 	return conn.end, true
 }
 
 // end ends a request.
 func (conn *Conn) end() {
-	conn.holder.Describe(nil)
-	conn.holder.Give(memory.Requests, memory.RequestCost)
+	if conn.isBegun {
+		conn.isBegun = false
+		conn.holder.Describe(nil)
+		conn.holder.Give(memory.Requests, memory.RequestCost)
+	}
 }
 
 // countPipelined closes the connection after the answer if its caller sends one request after
--- a/listener/head.go
+++ b/listener/head.go
@@ -71,6 +71,8 @@
 
 // skip counts bytes behind a head.
 func (headReader *headReader) skip(part []byte) {
+	// What is further back is not in the parser's buffer any more.
+	part = part[max(0, len(part)-bufferBytes):]
 	if len(part) == 0 {
 		return
 	}
@@ -80,11 +82,12 @@
 		recent.lines, recent.size = 0, 0
 	}
 	recent.size += len(part)
-	recent.lines += bytes.Count(part, []byte{'\n'})
-	headReader.move(part[bytes.LastIndexByte(part, '\n')+1:])
-	if bytes.IndexByte(part, '\n') >= 0 {
-		headReader.column = len(part) - bytes.LastIndexByte(part, '\n') - 1
+	if lines := bytes.Count(part, []byte{'\n'}); lines > 0 {
+		recent.lines += lines
+		part = part[bytes.LastIndexByte(part, '\n')+1:]
+		headReader.column, headReader.lastByte = 0, '\n'
 	}
+	headReader.move(part)
 }
 
 // move moves behind bytes that hold no end of a line.
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -31,7 +31,7 @@
 	// lingerTime and lingerBytes bound what is still read after a refusal, so that a reset
 	// does not destroy it on its way.
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
+	lingerBytes = 128 << 10
 	// maxFields limits the lines of a head.
 	maxFields = 4096
 	// maxPipelined is by how many more requests a caller may send before it gets the answer to
@@ -65,6 +65,9 @@
 	RetryAfter time.Duration
 	// OnRefused is called when a connection or head is refused. It may be nil.
 	OnRefused func(status int, reason string)
+	// OnUnread is called with the id of a request whose caller does not read the answer and
+	// loses its connection. It may be nil.
+	OnUnread func(request string)
 
 	once        sync.Once
 	lastRefused time.Time
--- a/listener/socket.go
+++ b/listener/socket.go
@@ -9,10 +9,11 @@
 const (
 	// receiveBytes is the receive buffer of a connection on a small machine: the system keeps
 	// up to one and a half times as much unread. With 16 KiB a body of 4 MiB takes 5 ms on
-	// loopback, with 4 KiB 18 ms, with the default 3 ms. For a body beyond it the buffer gets
-	// largeReceiveBytes: at 10 Mbit/s it is wide enough for a delay of 50 ms.
+	// loopback, with 4 KiB 18 ms, with the default 3 ms. For a body beyond enlargedBytes the
+	// buffer gets largeReceiveBytes: at 10 Mbit/s it is wide enough for a delay of 50 ms.
 	receiveBytes      = 16 << 10
 	largeReceiveBytes = 64 << 10
+	enlargedBytes     = 48 << 10
 	// smallMachineBytes is the memory below which a machine is a small one. Others keep the
 	// system's receive buffers.
 	smallMachineBytes = 1 << 30
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -39,6 +39,8 @@
 
 // Details describe the request of a connection.
 type Details struct {
+	// Request is the id of the request, empty for none.
+	Request string
 	// Workspace is that of the request's key, empty for none.
 	Workspace string
 	// Declared is the length of the body, -1 if it is not known.
@@ -159,6 +161,14 @@
 	return holder.hasServed.Load() || !holder.budget.isPressed(Bodies)
 }
 
+// Request returns the id of the connection's request, empty if it has none.
+func (holder *Holder) Request() string {
+	if details := holder.details.Load(); details != nil {
+		return details.Request
+	}
+	return ""
+}
+
 // Serve records that a request of the connection was served.
 func (holder *Holder) Serve() {
 	if holder != nil {
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -28,6 +28,9 @@
 	kinds = 5
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Connections, Heads, Bodies, Requests, Answers} }
+
 // String returns the label value for metrics and events.
 func (kind Kind) String() string {
 	return [...]string{"connections", "heads", "bodies", "requests", "answers"}[kind]
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -61,7 +61,7 @@
 }
 
 func kindByName(c *qt.C, name string) Kind {
-	for kind := range Kind(kinds) {
+	for _, kind := range Kinds() {
 		if kind.String() == name {
 			return kind
 		}
@@ -154,7 +154,7 @@
 			holder.Close()
 			holder.Close()
 		}
-		for kind := range Kind(kinds) {
+		for _, kind := range Kinds() {
 			if held := budget.Held(kind); held != 0 {
 				t.Fatalf("%d bytes of %s are still held", held, kind)
 			}
@@ -181,7 +181,7 @@
 }
 
 func (model *model) check(t *rapid.T) {
-	for kind := range Kind(kinds) {
+	for _, kind := range Kinds() {
 		if held := model.budget.Held(kind); held < 0 || held > model.budget.Parts[kind] {
 			t.Fatalf("%d bytes of %s are held, of %d", held, kind, model.budget.Parts[kind])
 		}
@@ -239,7 +239,7 @@
 func (model *model) close(t *rapid.T) { model.pick(t).Close() }
 
 func (model *model) relieve(t *rapid.T) {
-	kind := rapid.SampledFrom([]Kind{Connections, Heads, Bodies, Requests, Answers}).Draw(t, "kind")
+	kind := rapid.SampledFrom(Kinds()).Draw(t, "kind")
 	model.budget.relieved[kind].Store(0)
 	model.budget.Relieve(kind, rapid.Int64Range(0, 40).Draw(t, "further"))
 }
@@ -272,7 +272,7 @@
 		})
 	}
 	group.Wait()
-	for kind := range Kind(kinds) {
+	for _, kind := range Kinds() {
 		c.Check(budget.Held(kind), qt.Equals, int64(0), qt.Commentf("%s", kind))
 	}
 }
