exchange: carry the messages of rollouts between hosts

Cause: one host decides on a rollout for all, and the others count for it. Change: datagrams of their own kind, which earlier builds drop, with reports, instructions and what is known of the orders; the order of all hosts and of a zone; a quorum that only one part of the hosts can have. Up to 16 hosts hear the deciding one directly, more pass instructions on at random. A host that comes first but does not answer, as it knows no rollouts, is passed over. Hosts that are silent while a rollout runs are probed, as with limits.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,9 @@
 		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
 		--plugin=$(PROTOC_GEN_GO_DRPC) --go-drpc_out=. --go-drpc_opt=paths=source_relative \
 		exchange.proto
+	cd exchange/rolloutspb && protoc \
+		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
+		rollouts.proto
 	cd detour/detourpb && protoc \
 		--plugin=$(PROTOC_GEN_GO) --go_out=. --go_opt=paths=source_relative \
 		--plugin=$(PROTOC_GEN_GO_DRPC) --go-drpc_out=. --go-drpc_opt=paths=source_relative \
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
+	"nutmegfield.example/rollout"
 	"nutmegfield.example/timeline"
 )
 
@@ -62,6 +63,8 @@
 	Suspects *quarantine.Suspects
 	Limiter  *limit.Limiter
 	Origins  *origin.Origins
+	// Rollouts are nil if there are none.
+	Rollouts *rollout.Rollouts
 	// Versions returns the versions of the platform's objects (the configuration
 	// and the targets) that this host has.
 	Versions func() Versions
@@ -94,6 +97,8 @@
 	members    atomic.Pointer[limit.Members]
 	forwarders atomic.Pointer[forwarderList]
 	share      atomic.Pointer[share]
+	// order is the result of Order; it is replaced, never changed.
+	order atomic.Pointer[order]
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -327,6 +332,10 @@
 		exchange.receiveOrigins(datagram[1:])
 		return
 	}
+	if len(datagram) > 0 && datagram[0] == rolloutsMarker {
+		exchange.receiveRollouts(datagram[1:])
+		return
+	}
 	message, err := decode(datagram)
 	if err != nil || message.GetAddress() == "" {
 		// The datagram is not from a host of this system.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -292,6 +292,9 @@
 	}
 	exchange.knownPeers.Store(int64(knownPeers))
 	exchange.share.Store(&share{index: place, count: members.Known})
+	if exchange.Rollouts != nil {
+		exchange.updateOrder(hosts, own, members.Known)
+	}
 	before := exchange.members.Load()
 	if before == nil || before.Known != members.Known || !slices.Equal(before.Others, members.Others) || !maps.Equal(before.Zones, members.Zones) {
 		exchange.members.Store(members)
--- a/exchange/probes.go
+++ b/exchange/probes.go
@@ -30,7 +30,8 @@
 // returns nil.
 func (exchange *Exchange) RunProbes(ctx context.Context) error {
 	for pause.For(ctx, probeInterval) {
-		if exchange.Limiter.IsEmpty() || exchange.Members().IsMajority() {
+		needsMajority := !exchange.Limiter.IsEmpty() || exchange.Rollouts != nil && exchange.Rollouts.IsActive()
+		if !needsMajority || exchange.Members().IsMajority() {
 			continue
 		}
 		var group sync.WaitGroup
--- a/rollout/receive.go
+++ b/rollout/receive.go
@@ -81,13 +81,16 @@
 	if move.order.Version == "" {
 		move.order.Version = instruction.Version
 	}
+	if rollouts.relays() && (move.relayedOf != decider || move.relayed < instruction.Sequence) {
+		move.relayedOf, move.relayed = decider, instruction.Sequence
+		rollouts.spread(decider, *instruction)
+	}
 	// Only the host that decides by this one's view is followed, but a rollout that rolls
 	// back does so whoever says it.
-	isFollowed := decider == rollouts.findDecider(now)
+	isFollowed := rollouts.follows(decider, now)
 	if !isFollowed && instruction.Stage < RollingBack {
 		return
 	}
-	isNew := move.id != instruction.Rollout || instruction.Sequence > move.told.Sequence
 	move.id = instruction.Rollout
 	before := move.stage
 	move.stage = max(move.stage, instruction.Stage)
@@ -108,9 +111,20 @@
 			rollouts.recordStage(move, move.stage, "told by another host", nil)
 		}
 	}
-	if isNew && rollouts.relays() {
-		rollouts.spread(decider, *instruction)
+}
+
+// follows reports whether a host decides by this one's view: none that comes before it is known
+// to answer.
+func (rollouts *Rollouts) follows(decider string, now time.Time) bool {
+	for _, address := range rollouts.Hosts() {
+		if address == decider {
+			return true
+		}
+		if address == rollouts.Address || !rollouts.peer(address).heardAt.IsZero() && rollouts.answers(address, now) {
+			return false
+		}
 	}
+	return false
 }
 
 // answer answers a question for orders, once this host knows them up to the revision.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -105,6 +105,9 @@
 	Dropped
 )
 
+// Stages is the number of stages.
+const Stages = 6
+
 // String returns the stage as it appears in events.
 func (stage Stage) String() string {
 	return [...]string{"sharing", "moving", "rollingBack", "completed", "rolledBack", "dropped"}[stage]
--- a/rollout/rollouts.go
+++ b/rollout/rollouts.go
@@ -138,7 +138,10 @@
 	told    Instruction
 	decider string
 	heardAt time.Time
-	counter *counter
+	// relayed is the last instruction that was passed on, and relayedOf whose it was.
+	relayed   uint64
+	relayedOf string
+	counter   *counter
 	// decision is nil unless this host decides.
 	decision *decision
 	// endedAt is when the end was known, endedRevision the order's revision then.
--- a/rollout/times.go
+++ b/rollout/times.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
+// Buckets is the number of buckets of a histogram of times.
+const Buckets = 160
+
 const (
 	// bucketsPerDoubling is the number of buckets of a histogram of times in which these
 	// double; shortest is the upper bound of the first bucket. The last one begins at four
 	// minutes.
 	bucketsPerDoubling = 8
 	shortest           = 250 * time.Microsecond
-	bucketCount        = 160
+	bucketCount        = Buckets
 	// marginBuckets is the factor by which the answers of a new version may take longer
 	// than those of the old one, in buckets: 2. Answers of a bad version are several times
 	// slower.
