gateway: choose and count versions while a pool has a rollout

Cause: the decisions of package rollout need the orders, the version of each new request and what targets answer. Change: one host of each zone follows the orders; each request asks for a version before it waits for a target and once more before it is written; answers are counted when they come, by route and version. A request that was sent before goes to the old version. Without gateway.rollouts nothing of it exists; without an order a request loads one pointer.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,7 +36,7 @@
 var (
 	eventSent = timeline.Define(timeline.Kind{
 		Number: 1103, Name: "request sent", Level: timeline.Info, Frequent: true,
-		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, how long the target was expected to take, the time between its events as far as it is known, how many requests this host and the others had in flight there, the version of the target's software, and, for a stream that goes on, the event after which it does and the caller's attempt that began it.",
+		Meaning: "A request is about to be sent to a target; the facts are how long it waited here, how long the target was expected to take, the time between its events as far as it is known, how many requests this host and the others had in flight there, the version of the target's software, and, for a stream that goes on, the event after which it does and the caller's attempt that began it; chosen is why the request goes to that version, while the pool has a rollout.",
 	})
 	eventAnswered = timeline.Define(timeline.Kind{
 		Number: 1108, Name: "request answered", Level: timeline.Info, Frequent: true,
@@ -103,6 +103,7 @@
 		}
 		forwarding.triedTargets = append(forwarding.triedTargets, grant.Target.ID)
 		verdict, reason := forwarding.attempt(ctx, grant, runs)
+		forwarding.endCounted(verdict)
 		if verdict == done {
 			return
 		}
@@ -209,7 +210,7 @@
 // maySend reports whether the request may be written to a granted target now. If so, the
 // retry that the request needs, if it does, is used.
 func (forwarding *forwarding) maySend(target *balance.Target) bool {
-	if !forwarding.gateway.Balancer.MaySend(target) {
+	if !forwarding.gateway.Balancer.MaySend(target) || !forwarding.maySendVersion(target) {
 		return false
 	}
 	forwarding.retry.Swap(nil).Send()
@@ -231,6 +232,7 @@
 		ticket.ExpectedEvents = forwarding.call.ExpectedTokens / engine.EventTokens
 		ticket.EventGap = forwarding.route.EventGap
 	}
+	forwarding.chooseVersion(ticket)
 	return forwarding.gateway.Balancer.Acquire(ctx, ticket)
 }
 
@@ -351,7 +353,7 @@
 			timeline.Count("othersOpen", grant.OthersInFlight),
 			timeline.Duration("reportAge", grant.ReportAge),
 			timeline.Count("routes", forwarding.routesVersion),
-		}, limitFacts(grant)...),
+		}, append(limitFacts(grant), forwarding.choiceFacts()...)...),
 	})
 }
 
@@ -460,6 +462,7 @@
 	}
 	defer bufferedAnswer.body.release()
 	grant.End(balance.Served)
+	forwarding.countWhole(answer.Status)
 	forwarding.writeBuffered(bufferedAnswer)
 	forwarding.timeToFirstEvent = time.Since(forwarding.arrivedAt)
 	forwarding.recordAnswered(grant, answer.Status)
@@ -488,6 +491,8 @@
 			grant.RecordFirstEvent()
 			grant.RecordStreamEnd(count)
 			grant.End(balance.Served)
+			forwarding.counted.First()
+			forwarding.counted.End(count, false)
 			forwarding.writeStreamHeader(answer)
 			forwarding.eventCount = count
 			forwarding.recordAnswered(grant, answer.Status)
@@ -511,6 +516,10 @@
 				return failed, forwarding.refuseContinuation(grant, answer, fault)
 			}
 		}
+		if !event.isBlank {
+			forwarding.counted.First()
+			forwarding.counted.Events(count)
+		}
 		if count == 1 && !event.isBlank {
 			grant.RecordFirstEvent()
 			if !forwarding.headerWritten {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
+	"nutmegfield.example/rollout"
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
@@ -53,6 +54,9 @@
 	Limiter *limit.Limiter
 	// Origins knows the versions that began streams.
 	Origins *origin.Origins
+	// Rollouts choose the versions of targets while requests move to another one. Nil means
+	// that there are none.
+	Rollouts *rollout.Rollouts
 	// Paths tells which pools this host reaches itself, and Detours sends requests over
 	// other hosts. Both may be nil.
 	Paths   *detour.Paths
@@ -150,6 +154,10 @@
 	hasPassedEvent, hasGaps bool
 	// version is that of the targets at which the stream goes on, 0 for a new stream.
 	version balance.VersionID
+	// choice is that of the version of the next target, counted what the target answers while
+	// its pool has a rollout.
+	choice  rollout.Choice
+	counted *rollout.Attempt
 	// content identifies the request when its caller sends it again; shared is what other
 	// requests may have in common with it.
 	content func() quarantine.Trait
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -24,6 +24,7 @@
 	"nutmegfield.example/pause"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
+	"nutmegfield.example/rollout"
 	"nutmegfield.example/route"
 	"nutmegfield.example/settings"
 	"nutmegfield.example/timeline"
@@ -76,6 +77,11 @@
 	Marks origin.Marks
 	// Streams are the records of streams that began while their pools had several versions.
 	Streams origin.Records
+	// Orders is the source of orders to move requests to new versions of targets, OrderStatus
+	// has the calls for what became of them.
+	Orders      discovery.Source
+	DecodeOrder func(object *discovery.Object) (rollout.Order, error)
+	OrderStatus rollout.Store
 	// Quarantines are the records of quarantined requests.
 	Quarantines quarantine.Records
 	// Eras are those of the platform; its OnChange is set by the gateway.
@@ -101,8 +107,10 @@
 	paths        *detour.Paths
 	detours      *detour.Client
 	detourServer *detour.Server
-	routes       *discovery.Routes
-	targets      *discovery.Targets
+	// rollouts are nil if there are none.
+	rollouts *rolloutHost
+	routes   *discovery.Routes
+	targets  *discovery.Targets
 	// routeFollower and targetFollower follow the platform's objects.
 	routeFollower  *discovery.Follower
 	targetFollower *discovery.Follower
@@ -157,7 +165,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
-			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.paths.Run, host.detourServer.Run,
+			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.paths.Run, host.detourServer.Run, host.rollouts.run,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], listener.Handler(http.HandlerFunc(host.serveReadiness))))
@@ -304,6 +312,7 @@
 		Notice:  settings.Drain.Notice,
 	}
 	host.addDetours(kernelHost)
+	host.addRollouts(kernelHost, sources, outage)
 	return host
 }
 
@@ -422,6 +431,7 @@
 	host.attempts.SetTargets(targets)
 	host.paths.SetTargets(targets)
 	host.origins.SetTargets(targets)
+	host.rollouts.setTargets(targets)
 	host.limiter.SetTargets(limitedTargets(targets))
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"time"
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/origin"
@@ -41,7 +42,9 @@
 
 // mayGoOn reports whether the stream, if it has begun, may go on at some target.
 func (forwarding *forwarding) mayGoOn() bool {
-	return forwarding.version == 0 || forwarding.gateway.Balancer.HasVersion(forwarding.pool.Name, forwarding.version)
+	gateway := forwarding.gateway
+	return forwarding.version == 0 || gateway.Balancer.HasVersion(forwarding.pool.Name, forwarding.version) &&
+		gateway.Rollouts.MayGoOn(forwarding.pool.Name, forwarding.version, forwarding.route.Name, time.Until(forwarding.deadline))
 }
 
 // recordVersion records the version of the target whose event is the first one that is
--- a/rollout/rollouts.go
+++ b/rollout/rollouts.go
@@ -47,6 +47,9 @@
 	firstAnswerTimeout = 1200 * time.Millisecond
 	answerTimeout      = 3 * time.Second
 	askAgainInterval   = 5 * time.Second
+	// watcherInterval is the time after which a host asks whether the one that watches the
+	// orders for its zone still knows of rollouts.
+	watcherInterval = 30 * time.Second
 	// takeOverTime is the time for which a host listens before it decides.
 	takeOverTime = time.Second
 	// A host asks for orders every questionInterval, and reads them itself after
@@ -200,6 +203,43 @@
 	return plan == nil || plan.maySend(time.Now(), target.VersionID(), choice, route, left)
 }
 
+// MayGoOn reports whether a stream that a version began may be sent to a target of it now.
+func (rollouts *Rollouts) MayGoOn(pool string, version balance.VersionID, route string, left time.Duration) bool {
+	plan := rollouts.plan(pool)
+	if plan == nil {
+		return true
+	}
+	choice := Choice{}
+	if exists, _ := rollouts.Serves(pool, plan.others); !exists {
+		choice.Reason = reasonNoOther
+	}
+	return plan.maySend(time.Now(), version, choice, route, left)
+}
+
+// Watches reports whether this host watches the platform's orders for its zone: it is the first
+// of the zone's hosts that answers, or the one that decides.
+func (rollouts *Rollouts) Watches(zone []string) bool {
+	rollouts.mutex.Lock()
+	defer rollouts.mutex.Unlock()
+	now := time.Now()
+	if !rollouts.decidesSince.IsZero() {
+		return true
+	}
+	for _, address := range zone {
+		if address == rollouts.Address {
+			return true
+		}
+		if peer := rollouts.peer(address); now.Sub(peer.heardAt) > watcherInterval && peer.askedAt.IsZero() {
+			rollouts.ask(address, now)
+			rollouts.wake()
+		}
+		if rollouts.answers(address, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // draw returns a random number from 0 to 1.
 func (rollouts *Rollouts) draw() float64 {
 	if rollouts.Random != nil {
