rollout: keep a rollout over the restarts of hosts

Cause: with hosts as processes that are killed, a deciding host that started anew took the order for a new one, as others noticed its end only later, and the answers that killed hosts had counted were missing: a good version was not completed, or rolled back with 0 bad answers of 12. Change: hosts tell one that decides what it decided before, and their counts again when its incarnation changes; sums and the answers that were compared are in the instructions; the platform keeps a mark for the case that all hosts end at once (kind rolloutMarks). A host that heard the deciding one until it ended takes over after 0.2 s, and more time is left for writing the end.

--- a/exchange/rollouts.go
+++ b/exchange/rollouts.go
@@ -193,7 +193,7 @@
 		Sequence: instruction.Sequence, Stage: uint32(instruction.Stage), Share: float32(instruction.Share),
 		AgeMs: uint64(max(0, instruction.Age.Milliseconds())), DurationMs: uint64(max(0, instruction.Duration.Milliseconds())),
 		FocusIndex: uint32(max(0, instruction.FocusIndex)), FocusCount: uint32(max(0, instruction.FocusCount)),
-		Requests: instruction.Requests, Sent: instruction.Sent,
+		Requests: instruction.Requests, Sent: instruction.Sent, Life: instruction.Incarnation, Answers: instruction.Answers,
 	}
 	for _, route := range instruction.Routes {
 		encoded.Routes = append(encoded.Routes, &rolloutspb.RouteInstruction{
@@ -272,7 +272,7 @@
 	const maxMilliseconds = uint64(maxReceivedTime / time.Millisecond)
 	if !isName(instruction.GetPool()) || !isName(instruction.GetVersion()) || instruction.GetRollout() == 0 ||
 		!isShare(instruction.GetShare()) || instruction.GetStage() >= rollout.Stages ||
-		max(instruction.GetSequence(), instruction.GetRequests(), instruction.GetSent()) > maxReceivedNumber ||
+		max(instruction.GetSequence(), instruction.GetRequests(), instruction.GetSent(), instruction.GetLife(), instruction.GetAnswers()) > maxReceivedNumber ||
 		max(instruction.GetAgeMs(), instruction.GetDurationMs()) > maxMilliseconds ||
 		max(instruction.GetFocusIndex(), instruction.GetFocusCount()) > math.MaxUint16 || len(instruction.GetRoutes()) > maxReceivedRoutes {
 		return decoded, false
@@ -282,7 +282,7 @@
 		Sequence: instruction.GetSequence(), Stage: rollout.Stage(instruction.GetStage()), Share: float64(instruction.GetShare()),
 		Age: time.Duration(instruction.GetAgeMs()) * time.Millisecond, Duration: time.Duration(instruction.GetDurationMs()) * time.Millisecond,
 		FocusIndex: int(instruction.GetFocusIndex()), FocusCount: int(instruction.GetFocusCount()),
-		Requests: instruction.GetRequests(), Sent: instruction.GetSent(),
+		Requests: instruction.GetRequests(), Sent: instruction.GetSent(), Incarnation: instruction.GetLife(), Answers: instruction.GetAnswers(),
 	}
 	for _, route := range instruction.GetRoutes() {
 		if !isShare(route.GetShare()) || uint64(max(route.GetLeadMs(), route.GetSlowMs())) > maxMilliseconds {
--- a/exchange/rollouts_test.go
+++ b/exchange/rollouts_test.go
@@ -34,7 +34,7 @@
 		Decider: "10.0.0.1:7600",
 		Instructions: []rollout.Instruction{{
 			Rollout: 7, Pool: "p", Version: "v2", Sequence: 3, Stage: rollout.Moving, Share: 0.25, Age: time.Second, Duration: time.Minute,
-			FocusIndex: 2, FocusCount: 3, Requests: 100, Sent: 10,
+			FocusIndex: 2, FocusCount: 3, Requests: 100, Sent: 10, Incarnation: 44, Answers: 9,
 			Routes: []rollout.RouteInstruction{{Route: 1, Share: 0.5, Lead: time.Second, SlowAfter: 2 * time.Second}},
 		}},
 		Question:  77,
--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -85,8 +85,13 @@
 	hosts    map[string]*hostRecord
 	// unseen are the answers that the evidence does not have yet.
 	unseen map[Key]*tally
-	// requests and sent are the sums over all hosts.
-	requests, sent uint64
+	// requests and sent are the sums over all hosts; countedRequests and countedSent are those
+	// of the reports that this host got.
+	requests, sent               uint64
+	countedRequests, countedSent uint64
+	// inheritedAnswers are those of the new version that a host had compared which decided
+	// before. The hosts that got them may have ended.
+	inheritedAnswers uint64
 	// rate is the number of requests a second.
 	rate      float64
 	steppedAt time.Time
@@ -134,6 +139,7 @@
 	decision.stage = max(decision.stage, instruction.Stage)
 	decision.requests = max(decision.requests, instruction.Requests)
 	decision.sent = max(decision.sent, instruction.Sent)
+	decision.inheritedAnswers = max(decision.inheritedAnswers, instruction.Answers)
 	decision.sequence = max(decision.sequence, instruction.Sequence)
 	if decision.stage == RollingBack {
 		decision.wanted = RolledBack
@@ -151,8 +157,11 @@
 		// It has been overtaken by a later one.
 		return
 	}
-	decision.requests += report.Requests - host.requests
-	decision.sent += max(report.Sent, host.sent) - host.sent
+	// What was inherited may have the same, or that of hosts that have ended since.
+	decision.countedRequests += report.Requests - host.requests
+	decision.countedSent += max(report.Sent, host.sent) - host.sent
+	decision.requests = max(decision.requests, decision.countedRequests)
+	decision.sent = max(decision.sent, decision.countedSent)
 	host.requests, host.sent = report.Requests, max(report.Sent, host.sent)
 	host.runningOld, host.acknowledged, host.receivedAt = report.RunningOld, report.Acknowledged, now
 	for _, cell := range report.Cells {
@@ -247,8 +256,8 @@
 // move lets all requests move, unless the new version can't take them, or it is too likely
 // that it is worse. What is missing may come until the ramp begins.
 func (decision *decision) move(now time.Time, view *view) {
-	answers, _ := decision.evidence.answered()
-	needed := min(minAnswers, int(minAnsweredFraction*float64(decision.requests)))
+	answers := decision.answers()
+	needed := min(minAnswers, uint64(minAnsweredFraction*float64(decision.requests)))
 	missing := ""
 	switch {
 	case decision.finding.isBad(finalAlpha):
@@ -269,6 +278,12 @@
 	}
 }
 
+// answers returns the number of answers of the new version that were compared.
+func (decision *decision) answers() uint64 {
+	answers, _ := decision.evidence.answered()
+	return max(decision.inheritedAnswers, uint64(answers))
+}
+
 // end has the end written once no host runs requests at the old version.
 func (decision *decision) end(now time.Time, view *view) {
 	if decision.finding.isBad(finalAlpha) {
@@ -370,7 +385,7 @@
 		Sequence: decision.sequence, Stage: decision.stage, Share: decision.share,
 		Age: now.Sub(decision.schedule.start), Duration: decision.duration,
 		FocusIndex: decision.focusIndex, FocusCount: decision.focusCount,
-		Requests: decision.requests, Sent: decision.sent, Routes: decision.routeInstructions(),
+		Requests: decision.requests, Sent: decision.sent, Answers: decision.answers(), Routes: decision.routeInstructions(),
 	}
 	return instruction
 }
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -11,7 +11,8 @@
 	// Reports are for the deciding host. A message without anything asks whether the receiver
 	// decides.
 	Reports []Report
-	// Instructions are those of the host at Decider, also if another one passes them on.
+	// Instructions are those of the host at Decider, also if another one passes them on, or
+	// tells them the next host that decides.
 	Decider      string
 	Instructions []Instruction
 	// Question asks for the orders that the platform has at a revision or later; 0 for none.
@@ -52,8 +53,11 @@
 	// FocusIndex and FocusCount say which targets of the new version get the share, in the
 	// order of all of them; a count of 0 stands for all.
 	FocusIndex, FocusCount int
-	// Requests and Sent are the sums over all hosts, for a host that decides next.
-	Requests, Sent uint64
+	// Requests and Sent are the sums over all hosts, and Answers those of the new version that
+	// were compared, for a host that decides next.
+	Requests, Sent, Answers uint64
+	// Incarnation is that of the host that decides: it knows no reports of before.
+	Incarnation uint64
 	// Routes has what holds for single routes.
 	Routes []RouteInstruction
 }
--- a/rollout/receive.go
+++ b/rollout/receive.go
@@ -61,10 +61,17 @@
 
 // learn applies an instruction.
 func (rollouts *Rollouts) learn(decider string, instruction *Instruction, now time.Time) {
-	if rollouts.obsolete[instruction.Rollout] || decider == rollouts.Address {
+	if rollouts.obsolete[instruction.Rollout] {
 		return
 	}
 	move := rollouts.moves[instruction.Pool]
+	if decider == rollouts.Address {
+		// This host may have decided before it started anew.
+		if move != nil && instruction.Incarnation != rollouts.Incarnation {
+			rollouts.recall(move, instruction, now)
+		}
+		return
+	}
 	order := Order{Name: instruction.Pool, Pool: instruction.Pool, Version: instruction.Version, Duration: instruction.Duration}
 	if move != nil && move.id == instruction.Rollout && instruction.Sequence <= move.told.Sequence && decider == move.decider {
 		return
@@ -89,12 +96,17 @@
 	// back does so whoever says it.
 	isFollowed := rollouts.follows(decider, now)
 	if !isFollowed && instruction.Stage < RollingBack {
+		rollouts.recall(move, instruction, now)
 		return
 	}
 	move.id = instruction.Rollout
 	before := move.stage
 	move.stage = max(move.stage, instruction.Stage)
 	if isFollowed {
+		if decider != move.decider || instruction.Incarnation != move.told.Incarnation {
+			// It knows no reports yet.
+			move.counter.retell()
+		}
 		move.told, move.decider, move.heardAt = *instruction, decider, now
 		move.start = now.Add(-instruction.Age)
 		if !move.isRead {
@@ -113,6 +125,21 @@
 	}
 }
 
+// recall takes over what another host decided before, as it may be this one that decides next.
+func (rollouts *Rollouts) recall(move *move, instruction *Instruction, now time.Time) {
+	if move.stage.hasEnded() || move.version != balance.NewVersionID(instruction.Pool, instruction.Version) ||
+		move.id != 0 && move.told.Sequence >= instruction.Sequence {
+		return
+	}
+	move.id, move.told, move.start = instruction.Rollout, *instruction, now.Add(-instruction.Age)
+	move.told.Share = 0
+	move.stage = max(move.stage, instruction.Stage)
+	if move.decision != nil {
+		move.decision.inherit(instruction)
+		move.decision.reschedule(move.start, move.order.Duration)
+	}
+}
+
 // follows reports whether a host decides by this one's view: none that comes before it is known
 // to answer.
 func (rollouts *Rollouts) follows(decider string, now time.Time) bool {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -125,4 +125,8 @@
 	// the order's revision. It returns the order as the platform has it, also with an error of
 	// type Changed. It fails with Removed if the platform has no such order.
 	Write func(ctx context.Context, order Order, state State) (Order, error)
+	// SaveMark writes what the platform keeps of the rollout of a pool, and LoadMarks reads it
+	// of all pools. They may be nil.
+	SaveMark  func(ctx context.Context, pool string, value []byte) error
+	LoadMarks func(ctx context.Context) (map[string][]byte, error)
 }
--- a/rollout/rollouts.go
+++ b/rollout/rollouts.go
@@ -50,8 +50,13 @@
 	// watcherInterval is the time after which a host asks whether the one that watches the
 	// orders for its zone still knows of rollouts.
 	watcherInterval = 30 * time.Second
-	// takeOverTime is the time for which a host listens before it decides.
-	takeOverTime = time.Second
+	// takeOverTime is the time for which a host listens before it decides, quickTakeOver that
+	// where it has heard the host that decided until then and is no longer heard.
+	takeOverTime  = time.Second
+	quickTakeOver = 200 * time.Millisecond
+	// recallAge is the age of the last instruction from which a host tells it the one that
+	// decides: that may have started anew.
+	recallAge = 700 * time.Millisecond
 	// A host asks for orders every questionInterval, and reads them itself after
 	// ownReadDelay.
 	questionInterval = 300 * time.Millisecond
@@ -168,6 +173,11 @@
 	writeFailed bool
 	evidenceAt  time.Time
 	lateTold    bool
+	// markedAt is when the mark was last written, markedStage the stage in it. isMarkRead is
+	// set once it was read, isLoadingMark while it is.
+	markedAt                  time.Time
+	markedStage               Stage
+	isMarkRead, isLoadingMark bool
 }
 
 // Plan returns the plan of a pool, nil if there is none.
@@ -413,13 +423,22 @@
 	case decider != rollouts.Address:
 		move.decision = nil
 		rollouts.report(move, decider, now)
-	case !move.isRead || now.Sub(rollouts.decidesSince) < takeOverTime:
+	case !move.isRead || now.Sub(rollouts.decidesSince) < rollouts.takeOverTime(move):
 		// Another host may have decided until now; the order is read soon.
+	case move.decision == nil && !rollouts.knowsStart(ctx, move, now):
 	default:
 		rollouts.decide(ctx, move, now)
 	}
 }
 
+// takeOverTime returns the time for which this host listens before it decides.
+func (rollouts *Rollouts) takeOverTime(move *move) time.Duration {
+	if move.decider == rollouts.Address || move.decider != "" && !slices.Contains(rollouts.Hosts(), move.decider) {
+		return quickTakeOver
+	}
+	return takeOverTime
+}
+
 // relays reports whether there are so many hosts that they pass instructions on.
 func (rollouts *Rollouts) relays() bool { return len(rollouts.Hosts()) > maxDirectHosts }
 
@@ -452,6 +471,12 @@
 	if move.id == 0 {
 		return
 	}
+	if age := now.Sub(move.heardAt); move.decider != decider || age > recallAge {
+		// The host that decides now may not know what was decided.
+		recalled := move.told
+		recalled.Age += age
+		message.Decider, message.Instructions = move.decider, append(message.Instructions, recalled)
+	}
 	message.Reports = append(message.Reports, rollouts.newReport(move, room))
 }
 
@@ -479,6 +504,7 @@
 		targets: use.Targets, slots: use.Slots, inFlight: use.Others,
 	})
 	rollouts.recordDecision(move, before, now)
+	rollouts.keepMark(ctx, move, now)
 	rollouts.write(ctx, move, max(Running, decision.wanted), now)
 	interval := rollouts.interval(decision.stage)
 	if move.repeats > 0 {
@@ -516,6 +542,7 @@
 // instruct tells an instruction to the others, and keeps to it.
 func (rollouts *Rollouts) instruct(move *move, instruction Instruction, now time.Time) {
 	instruction.Rollout, instruction.Pool, instruction.Version = move.id, move.order.Pool, move.order.Version
+	instruction.Incarnation = rollouts.Incarnation
 	move.instructedAt, move.repeats = now, max(0, move.repeats-1)
 	move.told, move.decider, move.heardAt = instruction, rollouts.Address, now
 	move.stage = max(move.stage, instruction.Stage)
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -227,7 +227,7 @@
 
 // applyEvent applies one event:
 //
-//	kill|start|cut|heal|pause|resume HOST
+//	kill|start|cut|heal|pause|resume HOST|all
 //	storeAway | storeBack | loseAnswer
 //	remove | order VERSION DURATION
 //	crash TARGET
@@ -238,6 +238,12 @@
 		return number
 	}
 	simulation.isDisturbed = true
+	if len(words) > 1 && words[1] == "all" {
+		for i := range simulation.hosts {
+			simulation.applyEvent([]string{words[0], strconv.Itoa(i)})
+		}
+		return
+	}
 	switch words[0] {
 	case "kill":
 		host := simulation.hosts[number()]
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -10,11 +10,11 @@
 	// it.
 	noticeTime = 300 * time.Millisecond
 	// The time for writing the end to the platform is writeFraction of the duration, within
-	// minWriteTime and maxWriteTime: a slow platform answers within half a second, and a lost
-	// answer takes a second.
-	writeFraction = 15
+	// minWriteTime and maxWriteTime: a slow platform answers within half a second, a lost
+	// answer takes a second, and a host that ends meanwhile is replaced within two.
+	writeFraction = 10
 	minWriteTime  = 400 * time.Millisecond
-	maxWriteTime  = 3 * time.Second
+	maxWriteTime  = 4 * time.Second
 	// The time for which all requests go to the new version before the end is written, and
 	// the time in which its share rises before, are watchFraction of the duration each, within
 	// minWatchTime and maxWatchTime. What fails only under load shows in them. Together, with
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -142,6 +142,7 @@
 	isOrdered bool
 	isAway    bool
 	losesNext bool
+	mark      []byte
 	// requests, sentNew, bads are counts; badAt is when the bindingBads-th bad answer came,
 	// lastSentAt the last request to the new version.
 	requests, sentNew, bads int
@@ -207,6 +208,21 @@
 	}
 	host.Store = Store{Write: func(ctx context.Context, order Order, state State) (Order, error) {
 		return simulation.write(host, order, state)
+	}, SaveMark: func(_ context.Context, _ string, value []byte) error {
+		simulation.mutex.Lock()
+		defer simulation.mutex.Unlock()
+		if simulation.isAway {
+			return errStoreAway
+		}
+		simulation.mark = value
+		return nil
+	}, LoadMarks: func(context.Context) (map[string][]byte, error) {
+		simulation.mutex.Lock()
+		defer simulation.mutex.Unlock()
+		if simulation.isAway {
+			return nil, errStoreAway
+		}
+		return map[string][]byte{simulatedPool: simulation.mark}, nil
 	}}
 	if i < len(simulation.hosts) {
 		simulation.hosts[i] = host
