discovery: pace lists that the routes' reads ask for, too

Cause: each read of the routes lists the targets if the store has a later revision than they, also right after a list that took ten seconds.

Change: such a list is left out during the pause after a long one.

TestLongReadsArePaced failed before, with 58 reads in ten minutes instead of 13 at most.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -319,12 +319,16 @@
 }
 
 // ReadUnlessAt marks the state as verified by a read of other objects if it is complete up to
-// the revision that the platform had then, and lists the objects if not.
+// the revision that the platform had then, and lists the objects if not, unless the last list
+// took long.
 func (follower *Follower) ReadUnlessAt(ctx context.Context, revision int64, verification Verification) error {
 	if state := follower.State(); state.Revision >= revision {
 		follower.MarkVerified(verification)
 		return nil
 	}
+	if follower.untilRead(pollPause) > 0 {
+		return nil
+	}
 	return follower.read(ctx)
 }
 
@@ -378,12 +382,17 @@
 	}
 }
 
-// awaitRead waits until a list that took long may be repeated, after a multiple of its time.
-func (follower *Follower) awaitRead(ctx context.Context, factor int) {
+// untilRead returns the time until a list that took long may be repeated, after a multiple of
+// what it took.
+func (follower *Follower) untilRead(factor int) time.Duration {
 	follower.mutex.Lock()
-	until := follower.readEndedAt.Add(time.Duration(factor) * follower.readTime)
-	follower.mutex.Unlock()
-	if remaining := time.Until(until); remaining > 0 {
+	defer follower.mutex.Unlock()
+	return time.Until(follower.readEndedAt.Add(time.Duration(factor) * follower.readTime))
+}
+
+// awaitRead waits for that time.
+func (follower *Follower) awaitRead(ctx context.Context, factor int) {
+	if remaining := follower.untilRead(factor); remaining > 0 {
 		pause.For(ctx, remaining)
 	}
 }
--- a/discovery/unreadable_test.go
+++ b/discovery/unreadable_test.go
@@ -162,7 +162,11 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = follower.Run(ctx) }()
-		time.Sleep(10 * time.Minute)
+		// The routes are read meanwhile, at later revisions.
+		for range 600 {
+			go func() { _ = follower.ReadUnlessAt(ctx, 1000, Verification{At: time.Now()}) }()
+			time.Sleep(time.Second)
+		}
 		c.Check(reads.Load() >= 10 && reads.Load() <= 13, qt.IsTrue, qt.Commentf("%d reads", reads.Load()))
 		c.Check(follower.State().Revision > 5, qt.IsTrue)
 		cancel()
