gateway: refuse as not run only what was not sent

Cause: a request that has to give way before a further attempt would have been refused as one that has not run. By reading: connections of requests that run give way only if their caller does not read, so that no caller heard it. Change: it ends as any request without a usable answer. Result: found in the last reading, no test fails before; packages gateway and platform build.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -98,7 +98,12 @@
 		}
 		if !forwarding.beginRun() {
 			grant.Cancel()
-			forwarding.refuseGaveWay()
+			if forwarding.hasGivenWay() {
+				forwarding.refuseGaveWay()
+			} else {
+				// It may have run at an earlier target.
+				forwarding.answerUnserved(ctx, reasonGaveWay)
+			}
 			return
 		}
 		forwarding.triedTargets = append(forwarding.triedTargets, grant.Target.ID)
