listener: take no request for pipelined that came after the answer

Cause: a caller that reads an answer and sends the next request at once is seen while the server still ends the answer; that counted as sending before it.

Change: only what comes before the first write of an answer counts.

What callers saw: after four such requests the connection was closed with the answer, and they waited behind others of their rank.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -32,10 +32,10 @@
 	headDeadline time.Time
 
 	// pipelined is by how many more requests came before the answer to the one before than
-	// after it; hasNext means that a part of the next one has come, hasRest that something was
-	// read with the last head.
-	pipelined        int
-	hasNext, hasRest atomic.Bool
+	// after it; hasNext means that a part of the next one has come before hasAnswered, hasRest
+	// that something was read with the last head.
+	pipelined                     int
+	hasNext, hasAnswered, hasRest atomic.Bool
 
 	// isBegun means that a request was begun and has not ended, isLarge that the receive
 	// buffer was enlarged.
@@ -111,7 +111,9 @@
 		conn.holder.Receive(len(part))
 		conn.head.skip(part)
 	default:
-		conn.hasNext.Store(true)
+		if !conn.hasAnswered.Load() {
+			conn.hasNext.Store(true)
+		}
 		conn.head.skip(part)
 	}
 	return nil
@@ -157,6 +159,7 @@
 		conn.endMessage()
 		defer conn.holder.Enter(memory.Idle)
 	}
+	conn.hasAnswered.Store(true)
 	conn.holder.BeginWrite()
 	defer conn.holder.EndWrite()
 	written := 0
@@ -276,6 +279,7 @@
 // countPipelined closes the connection after the answer if its caller sends one request after
 // the other without waiting for answers.
 func (conn *Conn) countPipelined(writer http.ResponseWriter, request *http.Request, isPipelined bool) {
+	conn.hasAnswered.Store(false)
 	if conn.hasNext.Swap(false) || isPipelined || conn.hasRest.Load() && request.ContentLength == 0 {
 		conn.pipelined++
 	} else {
--- a/listener/head.go
+++ b/listener/head.go
@@ -10,10 +10,9 @@
 	// heads are smaller, and the cost of a request has room for them.
 	plainFields = 128
 	plainBytes  = bufferBytes
-	// fieldCost is what a field of a few bytes takes in the maps of a request and of the copy
-	// that is sent to a target, byteCost what each byte takes; measured, see
-	// docs/CAPACITY.md.
-	fieldCost = 512
+	// fieldCost is what a field of a few bytes takes in the map of a request (86 bytes, see
+	// BenchmarkHeld) and in the copies that are sent to targets, byteCost what each byte takes.
+	fieldCost = 256
 	byteCost  = 2
 )
 
