--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,11 @@
 # KNOWN-RED.txt names the tests that may fail, in its lines "test: PATTERN".
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -s -d '|')
 
+# The limit is for one package: beside load platform/soak took up to 583 s, close to the
+# default of 10 minutes.
 .PHONY: test
 test:
 	go vet ./...
-	# Beside load the runs of platform/soak took up to 583 s, close to the default of 10 minutes.
 	go test -race -timeout 30m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 	go test ./peer -run TestMembers -hosts 330
 	go test ./exchange -run TestCrashingPartReachesAllHosts -hosts 300
