listener: let messages that wait for room not count as stalled

While countMessage waited for room, the time without progress of its connection went on, so that after 100 ms it was chosen itself as one that sends nothing; bodies don't have this, as claim records progress while it waits.

Change: countMessage records progress while it waits.

--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -331,7 +331,17 @@
 	}
 	fixture.waitUntil("their messages are read", func() bool { return budget.Held(memory.Bodies) > 2<<20 })
 	c.Check(budget.Held(memory.Bodies) <= 4<<20, qt.IsTrue)
-	time.Sleep(150 * time.Millisecond)
+	// One that waits for room for bytes that have come has not stalled yet.
+	refused := int64(-1)
+	fixture.waitUntil("no message waits for room", func() bool {
+		before := refused
+		refused = budget.Refused(memory.Bodies)
+		if before == refused {
+			return true
+		}
+		time.Sleep(150 * time.Millisecond)
+		return false
+	})
 	conn := fixture.dial(message + "\n")
 	c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
 	reply, err := bufio.NewReader(conn).ReadString('\n')
--- a/listener/message.go
+++ b/listener/message.go
@@ -30,6 +30,8 @@
 			return 0, errGone
 		}
 		time.Sleep(wait)
+		// The sender has not stalled meanwhile.
+		conn.holder.Progress()
 	}
 	conn.message.Add(bytes)
 	if conn.isClosed.Load() {
