discovery: let targets be replaced only by those of their pool

Cause: a target was dropped once any entry named its address and a later start, also one of another writer for a service that no route has. The pool lost its target for as long as that entry stayed.

Change: only an entry of the same pool replaces a target. Where another pool's server really has the address now, the old one is answered 421 and expires by its own entry.

Result: TestEntryOfAnotherPoolReplacesNothing fails before (the target is gone) and passes now.

--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -214,16 +214,20 @@
 	}
 }
 
-// dropReplaced drops targets whose address another one has that started later.
+// dropReplaced drops targets whose address another one of their pool has that started later.
+// One of another pool may be the entry of another writer, which must not cost a pool its target;
+// if it is not, the old target answers that it is misdirected.
 func dropReplaced(next map[string]balance.Target) {
-	latest := map[string]balance.Target{}
+	type place struct{ pool, address string }
+	latest := map[place]balance.Target{}
 	for _, target := range next {
-		if other, ok := latest[target.Address]; !ok || target.StartedAt.After(other.StartedAt) {
-			latest[target.Address] = target
+		place := place{target.Pool, target.Address}
+		if other, ok := latest[place]; !ok || target.StartedAt.After(other.StartedAt) {
+			latest[place] = target
 		}
 	}
 	for name, target := range next {
-		if latest[target.Address].StartedAt.After(target.StartedAt) {
+		if latest[place{target.Pool, target.Address}].StartedAt.After(target.StartedAt) {
 			delete(next, name)
 		}
 	}
--- a/discovery/unreadable_test.go
+++ b/discovery/unreadable_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -173,3 +174,31 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestEntryOfAnotherPoolReplacesNothing guards against an entry of another writer, for a pool of
+// its own at the address of a target, that costs a pool this target.
+func TestEntryOfAnotherPoolReplacesNothing(t *testing.T) {
+	c := qt.New(t)
+	var known []string
+	targets := &Targets{
+		Events: &timeline.Recorder{},
+		Decode: func(name string, value []byte) (balance.Target, error) {
+			return balance.Target{ID: name, Pool: string(value), Address: "127.0.0.1:1", StartedAt: time.Unix(int64(len(name)), 0)}, nil
+		},
+		OnChange: func(targets []balance.Target) {
+			known = nil
+			for _, target := range targets {
+				known = append(known, target.ID)
+			}
+		},
+	}
+	state := State{Objects: map[string]Object{}}
+	for _, entry := range []struct{ name, pool, want string }{
+		{"a", "p", "a"}, {"odd", "elsewhere", "a odd"}, {"ab", "p", "ab odd"},
+	} {
+		state.Objects[entry.name] = Object{Name: entry.name, Revision: 1, Value: []byte(entry.pool)}
+		targets.Apply(state)
+		slices.Sort(known)
+		c.Check(strings.Join(known, " "), qt.Equals, entry.want)
+	}
+}
