balance, origin: forget pools that have no targets

Cause: both kept something for each name of a pool that any entry had ever had, so that entries of another writer with ever new services made a host grow without end; in balance they also used up the limit of pools that reports of other hosts may name.

Change: balance forgets a pool ten minutes after it had its last target or waiting ticket, origin once no version of it was seen within the lifetime of a stream.

What is known of a pool whose targets are replaced stays.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -222,6 +222,27 @@
 	// shareDrawnAt is when this host's share of them was last computed.
 	contended    bool
 	shareDrawnAt time.Time
+	// emptyAt is when the pool was first seen without targets and waiting tickets, zero if
+	// it has some.
+	emptyAt time.Time
+}
+
+// maxEmptyTime is how long what is known of a pool without targets is kept. Entries of other
+// writers may name ever new pools.
+const maxEmptyTime = 10 * time.Minute
+
+// forgetPools forgets pools that have had neither targets nor waiting tickets for long.
+func (balancer *Balancer) forgetPools(now time.Time) {
+	for name, pool := range balancer.pools {
+		switch {
+		case len(pool.targets) > 0 || len(pool.waiting) > 0:
+			pool.emptyAt = time.Time{}
+		case pool.emptyAt.IsZero():
+			pool.emptyAt = now
+		case now.Sub(pool.emptyAt) >= maxEmptyTime:
+			delete(balancer.pools, name)
+		}
+	}
 }
 
 // Run dispatches the waiting requests every 20 ms until the context ends. It
@@ -279,6 +300,7 @@
 		pool.isEngine = engines[name]
 	}
 	balancer.forgetAnnouncements(time.Now())
+	balancer.forgetPools(time.Now())
 	balancer.recomputeSums()
 	balancer.dispatchAll()
 }
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -317,3 +317,20 @@
 		expect(map[string]bool{"deep": false, "null": true})
 	})
 }
+
+// TestPoolsWithoutVersionsAreForgotten guards against a host that grows with each name of a pool
+// in the entries of other writers, and against forgetting that a pool has had several versions.
+func TestPoolsWithoutVersionsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	var pools pools
+	now := time.Now()
+	for i := range 100 {
+		pools.set([]balance.Target{{ID: "odd", Pool: fmt.Sprint("odd", i), Version: "1"}}, now)
+		now = now.Add(streamLifetime / 10)
+	}
+	c.Check(len(pools.byName) <= 12, qt.IsTrue, qt.Commentf("%d pools", len(pools.byName)))
+	pools.set([]balance.Target{{ID: "a", Pool: "p", Version: "1"}}, now)
+	pools.set(nil, now)
+	pools.set([]balance.Target{{ID: "b", Pool: "p", Version: "2"}}, now)
+	c.Check(pools.isMixed("p", now), qt.IsTrue)
+}
--- a/origin/pools.go
+++ b/origin/pools.go
@@ -80,6 +80,10 @@
 			changed = append(changed, after)
 		}
 		pools.byName[name] = after
+		if len(versions) == 0 && len(after.seenAt) == 0 {
+			// Entries of other writers may name ever new pools.
+			delete(pools.byName, name)
+		}
 	}
 	return changed
 }
