gateway: test that skipped answers don't make a pool brittle

TestSkippedAnswersAnnounceNothing had copies that say that a target leaves, rests or has a limit, and none that says that it is brittle. It passes with such a copy, too: nothing of an answer that belongs to no request is used.

--- a/gateway/doubt_test.go
+++ b/gateway/doubt_test.go
@@ -13,11 +13,11 @@
 )
 
 // TestSkippedAnswersAnnounceNothing guards against a sound target that gets no requests as a
-// copy of an earlier answer, which names no request, says that it leaves, wants none for a time
-// or takes few.
+// copy of an earlier answer, which names no request, says that it leaves, wants none for a time,
+// takes few or is brittle.
 func TestSkippedAnswersAnnounceNothing(t *testing.T) {
 	const requests = 6
-	for _, announced := range []string{"Test-Leaving: 1", "Test-Rest: 60s", "Test-Limit: 0.001", "Test-Leaving: 1\nTest-Id: other"} {
+	for _, announced := range []string{"Test-Leaving: 1", "Test-Rest: 60s", "Test-Limit: 0.001", "Test-Brittle: 1", "Test-Leaving: 1\nTest-Id: other"} {
 		c := qt.New(t)
 		fixture := newFixture(c, testConfiguration(nil), 1)
 		copied := "HTTP/1.1 503 Service Unavailable\nTest-Not-Run: 1\n" + announced + "\nContent-Length: 0\n\n"
@@ -31,6 +31,7 @@
 		}
 		c.Assert(fixture.receivedRequests(), qt.HasLen, requests)
 		c.Assert(fixture.gateway.Limiter.IsEmpty(), qt.IsTrue)
+		c.Assert(fixture.balancer.RecordBrittle(&fixture.targets[0], 1), qt.IsTrue, qt.Commentf("known to be brittle"))
 	}
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -40,6 +40,7 @@
 	testNotRun    = "Test-Not-Run"
 	testTokens    = "Test-Tokens"
 	testLimit     = "Test-Limit"
+	testBrittle   = "Test-Brittle"
 	testLeaving   = "Test-Leaving"
 	testRest      = "Test-Rest"
 	testLastEvent = "Last-Event-Id"
@@ -71,12 +72,13 @@
 	ReadReply: func(status int, header http.Header) Reply {
 		// No limit is 0.
 		limit, _ := strconv.ParseFloat(header.Get(testLimit), 64)
+		brittle, _ := strconv.Atoi(header.Get(testBrittle))
 		// No time is 0.
 		rest, _ := time.ParseDuration(header.Get(testRest))
 		return Reply{
 			Leaving: header.Get(testLeaving) != "", Rest: rest,
-			RateLimit: limit,
-			ID:        header.Get(testID), NotRun: header.Get(testNotRun) != "",
+			RateLimit: limit, Brittle: brittle,
+			ID: header.Get(testID), NotRun: header.Get(testNotRun) != "",
 			Misdirected: status == http.StatusMisdirectedRequest, Sealed: header.Get(testSeal) != "",
 		}
 	},
