listener: bound connections that use TLS

Cause: the listener sees the bytes of heads, so it must be above TLS. There it set socket options on nothing, wrote refusals that would first do a handshake inside Accept, and closing a connection that gives way could wait 5 s for a caller that does not read. Entry hosts may use TLS for callers.

Change: Listener.Socket is the listener below TLS; socket options and the look for unread input go to the connection below TLS; connections without room are closed without a handshake, as they are by the limit of entry hosts; one that gives way is closed below TLS. Listener.Problem lets a host give refusals the fields and body of its other answers.

--- a/listener/body.go
+++ b/listener/body.go
@@ -257,7 +257,7 @@
 func (conn *Conn) enlarge() {
 	if conn.listener.IsSmall && !conn.isLarge {
 		conn.isLarge = true
-		setReceiveBuffer(conn.Conn, largeReceiveBytes)
+		setReceiveBuffer(conn.socket, largeReceiveBytes)
 	}
 }
 
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -21,6 +21,8 @@
 // Conn is a connection of a caller.
 type Conn struct {
 	net.Conn
+	// socket is the connection below TLS, or Conn itself.
+	socket net.Conn
 	// holder counts what is held for the connection.
 	holder   *memory.Holder
 	listener *Listener
@@ -224,7 +226,7 @@
 	switch phase {
 	case memory.Body:
 		if conn.listener.Messages {
-			_ = conn.Close()
+			conn.drop()
 			return
 		}
 		// The handler notices, and refuses the request.
@@ -236,12 +238,19 @@
 			_ = conn.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
 			_, _ = conn.Conn.Write(conn.listener.refusal(http.StatusRequestTimeout))
 		}
-		_ = conn.Close()
+		conn.drop()
 	default:
-		_ = conn.Close()
+		conn.drop()
 	}
 }
 
+// drop closes the connection without waiting: TLS would take up to 5 s to tell a caller that
+// does not read.
+func (conn *Conn) drop() {
+	_ = conn.socket.Close()
+	_ = conn.Close()
+}
+
 // Begin begins a request. It returns false if there is no memory for it: it must be refused then.
 // End must be called at its end.
 func (conn *Conn) Begin(writer http.ResponseWriter, request *http.Request) (end func(), ok bool) {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -51,6 +51,10 @@
 // Listener accepts connections within a budget. Its fields are set before use.
 type Listener struct {
 	net.Listener
+	// Socket is the listener below that of TLS; nil if Listener does without TLS. Heads are
+	// counted above TLS, and a connection that finds no room costs no handshake, as that is done
+	// by the first read.
+	Socket net.Listener
 	Budget *memory.Budget
 	// Limits returns the limits in force. It may be nil.
 	Limits func() Limits
@@ -63,6 +67,9 @@
 	WriteTimeout time.Duration
 	// RetryAfter is told to callers that are refused for want of memory.
 	RetryAfter time.Duration
+	// Problem returns further header fields and the body of refusals by the listener itself; each
+	// field ends its line. It may be nil.
+	Problem func(status int) (fields, body string)
 	// OnRefused is called when a connection or head is refused. It may be nil.
 	OnRefused func(status int, reason string)
 	// OnUnread is called with the id of a request whose caller does not read the answer and
@@ -77,7 +84,7 @@
 // goroutine may call it.
 func (listener *Listener) Accept() (net.Conn, error) {
 	if listener.IsSmall {
-		listener.once.Do(func() { boundListener(listener.Listener) })
+		listener.once.Do(func() { boundListener(cmp.Or(listener.Socket, listener.Listener)) })
 	}
 	for {
 		raw, err := listener.Listener.Accept()
@@ -88,7 +95,8 @@
 			return conn, nil
 		}
 		listener.refused(http.StatusServiceUnavailable, "too many connections")
-		if listener.Messages {
+		if listener.Messages || isEncrypted(raw) {
+			// A refusal would need the handshake first.
 			_ = raw.Close()
 			continue
 		}
@@ -100,7 +108,7 @@
 
 // admit returns the connection, nil if there is no room for it.
 func (listener *Listener) admit(raw net.Conn) *Conn {
-	conn := &Conn{Conn: raw, listener: listener}
+	conn := &Conn{Conn: raw, socket: socketOf(raw), listener: listener}
 	hasInput := conn.hasInput
 	if listener.Messages {
 		// Messages that wait for room have input, and would wait for each other.
@@ -110,7 +118,7 @@
 	for waited := time.Duration(0); ; waited += acceptInterval {
 		// If there is no room, others are told to give way.
 		if conn.holder.Open(memory.ConnectionCost) {
-			bound(raw, listener.writeTimeout())
+			bound(conn.socket, listener.writeTimeout())
 			return conn
 		}
 		if waited >= acceptPatience || time.Since(listener.lastRefused) < refusalMemory {
@@ -145,7 +153,12 @@
 	if status == http.StatusServiceUnavailable && listener.RetryAfter > 0 {
 		retry = "Retry-After: " + strconv.FormatFloat(listener.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), retry)
+	fields, body := "", ""
+	if listener.Problem != nil {
+		fields, body = listener.Problem(status)
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), retry, fields, len(body), body)
 }
 
 // connKey is the key of the connection in the contexts of its requests.
--- a/listener/socket.go
+++ b/listener/socket.go
@@ -34,6 +34,17 @@
 // IsSmall reports whether a machine of some bytes needs small receive buffers.
 func IsSmall(machine int64) bool { return machine < smallMachineBytes }
 
+// socketOf returns the connection below TLS, or the connection itself without it.
+func socketOf(conn net.Conn) net.Conn {
+	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return encrypted.NetConn()
+	}
+	return conn
+}
+
+// isEncrypted reports whether a connection uses TLS.
+func isEncrypted(conn net.Conn) bool { return socketOf(conn) != conn }
+
 // control calls set with the descriptor of a connection or listener. It does nothing for those
 // of tests that have none.
 func control(socket any, set func(descriptor int)) {
@@ -78,7 +89,7 @@
 func (conn *Conn) hasInput() bool {
 	n := 0
 	// It doesn't wait for a read in progress, as a read of the raw connection would.
-	control(conn.Conn, func(descriptor int) {
+	control(conn.socket, func(descriptor int) {
 		var one [1]byte
 		n, _, _ = syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
