kernel, listener: reset broken answers of HTTP/1.0

Cause: a bounded connection hid the TCP connection below it, so that AbortAnswer closed it in order instead of resetting it. For a caller of HTTP/1.0, whose answer ends with the connection, an answer that broke off looked complete.

Change: listener.Conn has the method NetConn, and AbortAnswer also closes the wrapper, which gives back what the budget counts.

--- a/kernel/abort.go
+++ b/kernel/abort.go
@@ -18,7 +18,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// reset closes a connection with a TCP reset, also underneath TLS.
+// reset closes a connection with a TCP reset, also underneath TLS and a bounded listener.
 func reset(conn net.Conn) {
 	inner := conn
 	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
@@ -29,4 +29,6 @@
 		_ = tcp.SetLinger(0)
 	}
 	_ = inner.Close()
+	// Wrappers give back what they count.
+	_ = conn.Close()
 }
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -202,6 +202,9 @@
 // SetWriteDeadline does nothing: each write has a deadline of its own.
 func (conn *Conn) SetWriteDeadline(time.Time) error { return nil }
 
+// NetConn returns the connection below this one and TLS, as the method of tls.Conn does.
+func (conn *Conn) NetConn() net.Conn { return conn.socket }
+
 // CloseWrite ends the writes of the connection.
 func (conn *Conn) CloseWrite() error {
 	if writer, ok := conn.Conn.(interface{ CloseWrite() error }); ok {
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nutmegfield.example/kernel"
 	"nutmegfield.example/memory"
 )
 
@@ -92,6 +93,11 @@
 		return
 	}
 	conn.Holder().Enter(memory.Running)
+	if request.URL.Path == "/broken" {
+		_, _ = io.WriteString(writer, "a part")
+		_ = http.NewResponseController(writer).Flush()
+		kernel.AbortAnswer(writer, request)
+	}
 	if request.URL.Path == "/long" {
 		_, _ = writer.Write(make([]byte, answerBytes))
 		return
@@ -256,6 +262,15 @@
 	fixture.waitUntil("its connection has ended", func() bool { return fixture.listener.Budget.Holders() == 0 })
 }
 
+// TestBrokenAnswer guards against an answer that breaks off and looks complete to a caller of
+// HTTP/1.0, for whom it ends with the connection.
+func TestBrokenAnswer(t *testing.T) {
+	fixture := newFixture(t, nil)
+	_, err := io.ReadAll(fixture.dial("GET /broken HTTP/1.0\r\nHost: h\r\n\r\n"))
+	fixture.Check(err, qt.ErrorMatches, ".*connection reset by peer")
+	fixture.waitUntil("its connection has ended", func() bool { return fixture.listener.Budget.Holders() == 0 })
+}
+
 // TestKeptConnection guards against callers that lose their connection though they wait for each
 // answer, with and without bodies.
 func TestKeptConnection(t *testing.T) {
