kernel, memory: let the parts of a host share its division of memory

Cause: only gateways divided the memory of their machine. At entry hosts the listeners of callers, operators and other hosts belong to three parts.

Change: kernel.Host.Memory divides it once.

Result: gateways do as before; TestPlan checks the sizes.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -47,9 +47,7 @@
 
 // boundListeners bounds what callers can make the host hold at each of its listeners.
 func (host *host) boundListeners(kernelHost *kernel.Host, listeners []net.Listener) {
-	settings := kernelHost.Settings
-	plan := memory.NewPlan(int64(settings.Host.Memory*(1<<20)), settings.Host.Descriptors)
-	plan.SetHeapLimit()
+	plan := kernelHost.Memory()
 	host.gateway.bufferRoom.budget = plan.Callers
 	smallLimits := func() listener.Limits { return listener.Limits{HeaderBytes: smallHeaderBytes} }
 	listener.RecordDivision(kernelHost.Events, plan)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -14,6 +14,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"nutmegfield.example/memory"
 	"nutmegfield.example/settings"
 	"nutmegfield.example/timeline"
 )
@@ -74,6 +75,21 @@
 	mutex  sync.Mutex
 	values map[reflect.Type]any
 	parts  []*Part
+	// plan is what Memory returns.
+	plan *memory.Plan
+}
+
+// Memory returns the division of the machine's memory among the parts. The first call sets the
+// limit of the runtime's heap.
+func (host *Host) Memory() *memory.Plan {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	if host.plan == nil {
+		settings := &host.Settings.Host
+		host.plan = memory.NewPlan(int64(settings.Memory*(1<<20)), settings.Descriptors)
+		host.plan.SetHeapLimit()
+	}
+	return host.plan
 }
 
 // Provide stores a value, by its type, for the parts that are built later. It
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -296,4 +296,9 @@
 		c.Check(parts[Connections]/ConnectionCost >= minConnections, qt.IsTrue)
 	}
 	c.Check(NewPlan(0, 0).Machine > 0, qt.IsTrue)
+	for _, largest := range []int64{1, 8 << 20, 100<<20 + 3} {
+		plan := NewPlan(134<<20, 4100)
+		plan.FitBody(largest)
+		c.Check(plan.Callers.Parts[Bodies]/eighths*unprovenEighths >= largest, qt.IsTrue, qt.Commentf("a body of %d", largest))
+	}
 }
--- a/memory/plan.go
+++ b/memory/plan.go
@@ -89,6 +89,13 @@
 	return budget
 }
 
+// FitBody raises the part for bodies so that the largest legal one has room, also on a new
+// connection while others have to give way.
+func (plan *Plan) FitBody(bytes int64) {
+	parts := &plan.Callers.Parts
+	parts[Bodies] = max(parts[Bodies], (bytes/unprovenEighths+1)*eighths)
+}
+
 // SetHeapLimit sets the limit of the runtime's memory. What the budget counts is about half of
 // it, so that the collector has room: near the limit it would run without end.
 func (plan *Plan) SetHeapLimit() { debug.SetMemoryLimit(plan.Heap) }
