entry: bound what callers make an entry host hold

Cause: entry hosts bounded only the number of connections and the bytes of all bodies, with settings that know nothing of the machine: crowds that send bodies without end, very many header fields or pipelined requests were held until those limits, and bodies were read before key, route and length were looked at.

Change: the callers' listener is a listener.Listener within the host's division of memory, also above TLS. The head is checked before the body is read, the declared length is counted before it is read, stalled ones give way. Buffered answers and those kept for records are counted; an answer without room is relayed as a stream. limitListener is gone: callers.connections bounds the part for connections, and all other limits of callers.* are as they were. The listener's refusals are problems with the outcome notRun.

A request whose head and body both have faults now hears of the head first. TestSlowBodyTimesOut names a workspace for that reason; it still expects 408.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -35,11 +35,16 @@
 // caller asks for.
 const maxTokens = 1 << 20
 
-// newChatJob creates the job of a chat completion request.
-func (entry *Entry) newChatJob(received *http.Request, body []byte) (*job, *Problem) {
+// checkChat checks the head of a chat completion request.
+func (entry *Entry) checkChat(received *http.Request) (*profile.Workspace, *Problem) {
 	if received.Method != http.MethodPost {
 		return nil, badRequest(http.StatusMethodNotAllowed, "use POST")
 	}
+	return entry.checkHead(received, "", profile.KindModel)
+}
+
+// newChatJob creates the job of a chat completion request.
+func (entry *Entry) newChatJob(received *http.Request, body []byte) (*job, *Problem) {
 	var chatRequest chatRequest
 	if problem := decodeJSON(body, entry.Settings.Nesting, &chatRequest); problem != nil {
 		return nil, problem
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -135,8 +135,12 @@
 		record.Answer = recordedAnswer.bytes
 		record.AnswerOmitted = recordedAnswer.truncated
 	}
+	if recordedAnswer != nil {
+		recordedAnswer.isStored = true
+	}
 	entry.startBackground(func() {
 		defer entry.keys.unlock(job.key)
+		defer recordedAnswer.release()
 		entry.endRecord(job, record)
 	})
 }
@@ -162,19 +166,38 @@
 
 // recordedAnswer collects the body of an answer for its record.
 type recordedAnswer struct {
+	entry *Entry
 	// limit is the most bytes that are kept; a longer answer is dropped whole.
 	limit     int
 	bytes     []byte
 	truncated bool
+	// isStored means that background work stores and releases it.
+	isStored bool
+}
+
+// release gives back the memory of the answer, which may be nil.
+func (recordedAnswer *recordedAnswer) release() {
+	if recordedAnswer == nil {
+		return
+	}
+	recordedAnswer.entry.giveAnswer(len(recordedAnswer.bytes))
+	recordedAnswer.bytes = nil
+}
+
+// releaseUnstored releases an answer that is not stored.
+func (recordedAnswer *recordedAnswer) releaseUnstored() {
+	if !recordedAnswer.isStored {
+		recordedAnswer.release()
+	}
 }
 
 func (recordedAnswer *recordedAnswer) add(part []byte) {
 	if recordedAnswer.truncated {
 		return
 	}
-	if len(recordedAnswer.bytes)+len(part) > recordedAnswer.limit {
+	if len(recordedAnswer.bytes)+len(part) > recordedAnswer.limit || !recordedAnswer.entry.takeAnswer(len(part)) {
 		recordedAnswer.truncated = true
-		recordedAnswer.bytes = nil
+		recordedAnswer.release()
 		return
 	}
 	recordedAnswer.bytes = append(recordedAnswer.bytes, part...)
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -22,9 +22,9 @@
 	if problem := checkSingleHeaders(received.Header); problem != nil {
 		return nil, problem
 	}
-	pool := snapshot.Pool(poolName)
-	if pool == nil || pool.Kind != kind {
-		return nil, badRequest(http.StatusNotFound, "there is no "+kind+" "+poolName)
+	pool, problem := findPool(snapshot, poolName, kind)
+	if problem != nil {
+		return nil, problem
 	}
 	workspace, problem := findWorkspace(snapshot, received.Header)
 	if problem != nil {
@@ -55,6 +55,32 @@
 	return job, job.setRecordKey(received.Header)
 }
 
+// checkHead checks what the head of a request says, before its body is read. An empty pool is
+// one that only the body names.
+func (entry *Entry) checkHead(received *http.Request, poolName, kind string) (*profile.Workspace, *Problem) {
+	snapshot := entry.Store.Current()
+	if snapshot == nil {
+		return nil, notRun(request.ReasonNoConfiguration, jitter(retryAfterNoConfiguration))
+	}
+	if problem := checkSingleHeaders(received.Header); problem != nil {
+		return nil, problem
+	}
+	if poolName != "" {
+		if _, problem := findPool(snapshot, poolName, kind); problem != nil {
+			return nil, problem
+		}
+	}
+	return findWorkspace(snapshot, received.Header)
+}
+
+func findPool(snapshot *profile.Snapshot, name, kind string) (*profile.Pool, *Problem) {
+	pool := snapshot.Pool(name)
+	if pool == nil || pool.Kind != kind {
+		return nil, badRequest(http.StatusNotFound, "there is no "+kind+" "+name)
+	}
+	return pool, nil
+}
+
 // setRecordKey sets the key of the record that a non-idempotent request needs.
 func (job *job) setRecordKey(header http.Header) *Problem {
 	if job.profile.Idempotent {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmegfield.example/memory"
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/protocol"
@@ -92,6 +93,8 @@
 	// IncarnationEnded reports whether the host incarnation that a record
 	// names has ended; nil reports false.
 	IncarnationEnded func(incarnation string) bool
+	// Memory counts answers that are held; nil has room for all.
+	Memory *memory.Budget
 	// Client returns the client of a protocol, nil if there is none.
 	Client func(protocol string) *protocol.Client
 	// TargetLeaving reports whether a target last reported that it is leaving;
@@ -135,6 +138,14 @@
 	return !entry.drainAnnounced.Load() && entry.Store.Current() != nil
 }
 
+// takeAnswer counts bytes of an answer that are held, and reports whether there is room.
+func (entry *Entry) takeAnswer(bytes int) bool {
+	return entry.Memory.Take(memory.Answers, int64(bytes), memory.Small)
+}
+
+// giveAnswer returns bytes that takeAnswer has counted.
+func (entry *Entry) giveAnswer(bytes int) { entry.Memory.Give(memory.Answers, int64(bytes)) }
+
 // beginRequest counts a request as active. It returns false while draining.
 func (entry *Entry) beginRequest() bool {
 	entry.admissionMutex.RLock()
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/invariant"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/protocol"
@@ -171,8 +172,9 @@
 func (fixture *fixture) serve() {
 	ctx, stop := context.WithCancel(context.Background())
 	fixture.stop = stop
-	limitListener := &limitListener{Listener: fixture.listener, limit: int64(fixture.entry.Settings.Connections), refusal: refusal}
-	go func() { fixture.serveResult <- fixture.entry.Serve(ctx, limitListener) }()
+	accepting := newListener(fixture.listener, nil, memory.NewPlan(134<<20, 4100), fixture.entry.Settings)
+	fixture.entry.Memory = accepting.Budget
+	go func() { fixture.serveResult <- fixture.entry.Serve(ctx, accepting) }()
 	synctest.Wait()
 }
 
@@ -185,6 +187,9 @@
 	fixture.Assert(<-fixture.serveResult, qt.IsNil)
 	fixture.Assert(fixture.entry.activeRequests.Load(), qt.Equals, int64(0))
 	fixture.Assert(fixture.entry.bodyBytes.Load(), qt.Equals, int64(0))
+	for _, kind := range memory.Kinds() {
+		fixture.Assert(fixture.entry.Memory.Held(kind), qt.Equals, int64(0), qt.Commentf("%s", kind))
+	}
 	fixture.Assert(fixture.entry.jobs.list(), qt.HasLen, 0)
 	fixture.Assert(fixture.entry.keys.locked, qt.HasLen, 0)
 	fixture.entry.limits.workspaces.Range(func(name, usage any) bool {
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -1,72 +1,49 @@
 package entry
 
 import (
+	"encoding/json"
 	"net"
+	"net/http"
 	"strconv"
-	"sync"
-	"sync/atomic"
-	"time"
-)
-
-// refuseTimeout bounds the write of the answer to a connection above the limit.
-const refuseTimeout = 100 * time.Millisecond
-
-const refusalBody = `{"type":"about:blank","title":"The request was not run",` +
-	`"status":503,"outcome":"notRun","reason":"limited","retryAfter":1}`
-
-// refusal is the answer to a connection above the limit, sent without reading the
-// request.
-var refusal = "HTTP/1.1 503 Service Unavailable\r\n" +
-	"Content-Type: application/problem+json\r\n" +
-	"Nutmegfield-Outcome: notRun\r\nRetry-After: 1\r\nConnection: close\r\n" +
-	"Content-Length: " + strconv.Itoa(len(refusalBody)) + "\r\n\r\n" + refusalBody
 
-// limitListener refuses connections above its limit at once, so that the open
-// ones keep their resources and accepting goes on.
-type limitListener struct {
-	net.Listener
-	limit int64
-	// refusal is written to a connection above the limit; if empty, the
-	// connection is only closed.
-	refusal string
-	// openConnections is the number of accepted connections not closed yet.
-	openConnections atomic.Int64
-}
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
+	"nutmegfield.example/request"
+	"nutmegfield.example/settings"
+)
 
-// Accept returns the next connection within the limit and refuses the others.
-func (limitListener *limitListener) Accept() (net.Conn, error) {
-	for {
-		connection, err := limitListener.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if limitListener.openConnections.Add(1) <= limitListener.limit {
-			return &limitedConnection{Conn: connection, listener: limitListener}, nil
-		}
-		limitListener.openConnections.Add(-1)
-		limitListener.refuse(connection)
+// newListener returns the listener that bounds what callers make the host hold, within the
+// plan's part for them and the limits of the settings. Socket is the listener below that of TLS,
+// nil without TLS.
+func newListener(accepting, socket net.Listener, plan *memory.Plan, callers *settings.Callers) *listener.Listener {
+	plan.FitBody(callers.BodyBytes)
+	parts := &plan.Callers.Parts
+	parts[memory.Connections] = min(parts[memory.Connections], int64(callers.Connections)*memory.ConnectionCost)
+	limits := listener.Limits{HeaderBytes: callers.HeaderBytes, HeaderTimeout: callers.ReadTimeout, IdleTimeout: callers.IdleTimeout}
+	return &listener.Listener{
+		Listener: accepting, Socket: socket, Budget: plan.Callers, IsSmall: listener.IsSmall(plan.Machine),
+		Limits: func() listener.Limits { return limits }, WriteTimeout: callers.WriteTimeout, Problem: describeRefusal,
 	}
 }
 
-func (limitListener *limitListener) refuse(connection net.Conn) {
-	if limitListener.refusal != "" {
-		// The send buffer of a new connection holds the refusal, so that the write
-		// does not wait for the peer.
-		_ = connection.SetWriteDeadline(time.Now().Add(refuseTimeout))
-		_, _ = connection.Write([]byte(limitListener.refusal))
+// describeRefusal returns the header fields and the problem of a refusal that the listener gives
+// itself, before the request has an id.
+func describeRefusal(status int) (fields, body string) {
+	problem := badRequest(status, "the request did not come in time, or is too long")
+	if status == http.StatusServiceUnavailable {
+		problem = notRun(request.ReasonLimited, retryAfterLimited)
+		problem.Status = status
+		fields = "Retry-After: " + strconv.Itoa(problem.RetryAfter) + "\r\n"
 	}
-	_ = connection.Close()
-}
-
-// limitedConnection is a connection that counts against its listener's limit.
-type limitedConnection struct {
-	net.Conn
-	listener *limitListener
-	once     sync.Once
+	problem.Error = problem.chatError()
+	// A problem always has an encoding.
+	text, _ := json.Marshal(problem)
+	return fields + "Content-Type: application/problem+json\r\n" + HeaderOutcome + ": " + string(problem.Outcome) + "\r\n", string(text)
 }
 
-// Close closes the connection and stops counting it.
-func (limitedConnection *limitedConnection) Close() error {
-	limitedConnection.once.Do(func() { limitedConnection.listener.openConnections.Add(-1) })
-	return limitedConnection.Conn.Close()
+// refuseUnread answers a request whose body was not read, or not to its end.
+func refuseUnread(callerWriter *callerWriter, received *http.Request, problem *Problem, id request.ID) {
+	callerWriter.conn.Discard(callerWriter, received)
+	problem.write(callerWriter, id)
+	callerWriter.conn.Linger(callerWriter, received)
 }
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -289,7 +289,7 @@
 	runFixture(t, func(fixture *fixture) {
 		connection, err := fixture.listener.dial(fixture.Context(), "", "")
 		fixture.Assert(err, qt.IsNil)
-		_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
+		_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n"+HeaderWorkspace+": clubs\r\nContent-Length: 100\r\n\r\n{")
 		fixture.Assert(err, qt.IsNil)
 		text, err := io.ReadAll(connection)
 		fixture.Assert(err, qt.IsNil)
--- a/entry/part.go
+++ b/entry/part.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/listener"
 	"nutmegfield.example/once"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := listen(host)
+	callers, err := listen(host)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
@@ -57,6 +57,7 @@
 		Events:           host.Events,
 		HostIncarnation:  incarnationName(members.Self),
 		IncarnationEnded: func(incarnation string) bool { return incarnationEnded(incarnation, members.Self, members.View()) },
+		Memory:           callers.Budget,
 		Client:           clients.Client,
 		TargetLeaving:    schedulers.TargetLeaving,
 		Submit:           tickets.Submit,
@@ -66,23 +67,25 @@
 	}
 	run := func(ctx context.Context) error {
 		go func() { _ = tickets.Run(ctx) }()
-		return entry.Serve(ctx, listener)
+		return entry.Serve(ctx, callers)
 	}
 	return &kernel.Part{Run: run, Drain: entry.Drain}, nil
 }
 
-// listen opens the callers' listener. Connections are limited below TLS, so that
-// one above the limit costs no handshake.
-func listen(host *kernel.Host) (net.Listener, error) {
-	callers := &host.Settings.Callers
-	listener, err := host.Network.Listen("tcp", callers.Listen)
+// listen opens the callers' listener, and bounds what they make the host hold.
+func listen(host *kernel.Host) (*listener.Listener, error) {
+	callers, plan := &host.Settings.Callers, host.Memory()
+	socket, err := host.Network.Listen("tcp", callers.Listen)
 	if err != nil {
 		return nil, err
 	}
-	limited := &limitListener{Listener: listener, limit: int64(callers.Connections)}
-	if !callers.TLS.Enabled() {
-		limited.refusal = refusal
-	}
 	endpoint := &certificate.Endpoint{Files: callers.TLS, Events: host.Events}
-	return endpoint.Listen(limited)
+	accepting, err := endpoint.Listen(socket)
+	if err != nil {
+		return nil, err
+	}
+	bounded := newListener(accepting, socket, plan, callers)
+	(&listener.Report{Name: "callers", Events: host.Events}).Observe(bounded)
+	listener.RecordDivision(host.Events, plan)
+	return bounded, nil
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -27,6 +27,8 @@
 		attempt.answerDispatchError(callerWriter, protocol.Garbled.New("status %d", answer.Status))
 		return
 	}
+	// New callers give way to those that were served before.
+	callerWriter.conn.Holder().Serve()
 	body := &firstByteReader{Reader: answer.Body, onFirstByte: attempt.reportFirstByte}
 	var err error
 	if attempt.job.stream && answer.Status == http.StatusOK {
@@ -95,33 +97,44 @@
 	}
 }
 
+// outcomeOf returns the outcome of a whole answer.
+func outcomeOf(answer *protocol.Answer) request.Outcome {
+	if answer.Status >= http.StatusInternalServerError {
+		return request.Failed
+	}
+	return request.Done
+}
+
 // relayBuffered reads the complete answer before it sends any of it, so that the
-// header can state the outcome.
+// header can state the outcome. An answer for which there is no memory is relayed as a stream.
 func (attempt *attempt) relayBuffered(callerWriter *callerWriter, answer *protocol.Answer, body io.Reader) error {
-	var buffer bytes.Buffer
-	if _, err := buffer.ReadFrom(body); err != nil {
+	buffer := &answerBuffer{entry: attempt.entry}
+	defer buffer.release()
+	isWhole, err := buffer.readAll(body)
+	if err != nil {
 		attempt.answerDispatchError(callerWriter, err)
 		return err
 	}
-	outcome := request.Done
-	if answer.Status >= http.StatusInternalServerError {
-		outcome = request.Failed
+	if !isWhole {
+		return attempt.relayStream(callerWriter, answer, io.MultiReader(bytes.NewReader(buffer.bytes), body))
 	}
+	outcome := outcomeOf(answer)
 	job := attempt.job
 	recordedAnswer := attempt.newRecordedAnswer()
-	recordedAnswer.add(buffer.Bytes())
+	defer recordedAnswer.releaseUnstored()
+	recordedAnswer.add(buffer.bytes)
 	attempt.entry.storeEnd(job, answer, outcome, recordedAnswer)
 	attempt.markAnswered(outcome)
 	header := callerWriter.Header()
 	attempt.setResponseHeader(header, answer)
 	header.Set(HeaderOutcome, string(outcome))
-	setContentLength(header, job.method, answer, buffer.Len())
+	setContentLength(header, job.method, answer, len(buffer.bytes))
 	callerWriter.WriteHeader(answer.Status)
-	if buffer.Len() == 0 {
+	if len(buffer.bytes) == 0 {
 		return nil
 	}
 	// A write error means that the caller is gone; the request ran nevertheless.
-	_, _ = callerWriter.Write(buffer.Bytes())
+	_, _ = callerWriter.Write(buffer.bytes)
 	return nil
 }
 
@@ -156,9 +169,9 @@
 // For a job without a record it keeps nothing.
 func (attempt *attempt) newRecordedAnswer() *recordedAnswer {
 	if !attempt.job.claimed {
-		return &recordedAnswer{}
+		return &recordedAnswer{entry: attempt.entry}
 	}
-	return &recordedAnswer{limit: attempt.job.snapshot.Configuration.Limits.MaxAnswerBytes}
+	return &recordedAnswer{entry: attempt.entry, limit: attempt.job.snapshot.Configuration.Limits.MaxAnswerBytes}
 }
 
 // markAnswered marks the job as answered and records the event.
@@ -172,6 +185,7 @@
 func (attempt *attempt) relayStream(callerWriter *callerWriter, answer *protocol.Answer, body io.Reader) error {
 	job := attempt.job
 	streamWriter := &streamWriter{attempt: attempt, writer: callerWriter, answer: answer, recordedAnswer: attempt.newRecordedAnswer()}
+	defer streamWriter.recordedAnswer.releaseUnstored()
 	err := streamWriter.copy(body)
 	if err != nil && !callerWriter.headerWritten {
 		attempt.answerDispatchError(callerWriter, err)
@@ -183,10 +197,11 @@
 		job.abort = true
 		return err
 	}
-	attempt.entry.storeEnd(job, answer, request.Done, streamWriter.recordedAnswer)
-	attempt.markAnswered(request.Done)
+	outcome := outcomeOf(answer)
+	attempt.entry.storeEnd(job, answer, outcome, streamWriter.recordedAnswer)
+	attempt.markAnswered(outcome)
 	streamWriter.writeHeader()
-	callerWriter.Header().Set(HeaderOutcome, string(request.Done))
+	callerWriter.Header().Set(HeaderOutcome, string(outcome))
 	job.abort = streamWriter.callerGone
 	return nil
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,16 +10,18 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"nutmegfield.example/invariant"
+	"nutmegfield.example/listener"
 )
 
 // Serve serves callers until the context ends. The host must have drained before;
 // connections that are still open then only have answers left to send. It returns
 // an error if the server can't serve.
-func (entry *Entry) Serve(ctx context.Context, listener net.Listener) error {
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Filter(
+func (entry *Entry) Serve(ctx context.Context, accepting net.Listener) error {
+	server := khttp.NewServer(khttp.Listener(accepting), khttp.Timeout(0), khttp.Filter(
 		// The router of Kratos would rewrite paths.
 		func(http.Handler) http.Handler { return entry.Handler() },
 	))
+	listener.Bind(server.Server)
 	server.ReadHeaderTimeout = entry.Settings.ReadTimeout
 	server.IdleTimeout = entry.Settings.IdleTimeout
 	server.MaxHeaderBytes = entry.Settings.HeaderBytes
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
+	"nutmegfield.example/profile"
 	"nutmegfield.example/request"
 	"nutmegfield.example/timeline"
 )
@@ -22,12 +25,19 @@
 // path, so that a service gets its path unchanged.
 func (entry *Entry) Handler() http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, received *http.Request) {
-		callerWriter := newCallerWriter(writer, entry.Settings.WriteTimeout)
+		conn := listener.Of(received)
+		end, begun := conn.Begin(writer, received)
+		defer end()
+		callerWriter := newCallerWriter(writer, conn, entry.Settings.WriteTimeout)
 		if len(received.TransferEncoding) > 0 {
 			// The connection isn't used again after a chunked body: bytes that are
 			// left over could be parsed as a smuggled request.
 			callerWriter.Header().Set("Connection", "close")
 		}
+		if !begun {
+			refuseUnread(callerWriter, received, notRun(request.ReasonLimited, jitter(retryAfterLimited)), request.NewID())
+			return
+		}
 		entry.route(callerWriter, received)
 	})
 }
@@ -35,16 +45,23 @@
 func (entry *Entry) route(callerWriter *callerWriter, received *http.Request) {
 	path := received.URL.EscapedPath()
 	switch {
+	case path == chatPath:
+		entry.handleJob(callerWriter, received, entry.checkChat, entry.newChatJob)
+		return
+	case strings.HasPrefix(path, servicePrefix):
+		entry.handleJob(callerWriter, received, entry.checkService, entry.newServiceJob)
+		return
+	}
+	// The other paths use no body.
+	callerWriter.conn.Discard(callerWriter, received)
+	defer callerWriter.conn.Linger(callerWriter, received)
+	switch {
 	case path == healthPath:
 		callerWriter.WriteHeader(http.StatusOK)
 	case path == readyPath:
 		entry.handleReady(callerWriter)
-	case path == chatPath:
-		entry.handleJob(callerWriter, received, entry.newChatJob)
 	case path == modelsPath || strings.HasPrefix(path, modelsPath+"/"):
 		entry.handleModels(callerWriter, received)
-	case strings.HasPrefix(path, servicePrefix):
-		entry.handleJob(callerWriter, received, entry.newServiceJob)
 	default:
 		badRequest(http.StatusNotFound, "there is nothing here").write(callerWriter, request.NewID())
 	}
@@ -58,10 +75,12 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// handleJob reads the body, creates the job and runs it.
-func (entry *Entry) handleJob(callerWriter *callerWriter, received *http.Request, newJob func(*http.Request, []byte) (*job, *Problem)) {
+// handleJob checks the head of a request, reads its body, creates the job and runs it.
+func (entry *Entry) handleJob(callerWriter *callerWriter, received *http.Request, check func(*http.Request) (*profile.Workspace, *Problem),
+	newJob func(*http.Request, []byte) (*job, *Problem),
+) {
 	if !entry.beginRequest() {
-		notRun(request.ReasonDraining, jitter(retryAfterDraining)).write(callerWriter, request.NewID())
+		refuseUnread(callerWriter, received, notRun(request.ReasonDraining, jitter(retryAfterDraining)), request.NewID())
 		return
 	}
 	defer entry.endRequest()
@@ -71,10 +90,19 @@
 			entry.answerPanic(callerWriter, received, job, cause)
 		}
 	}()
-	body, counted, problem := entry.readBody(callerWriter, received)
-	defer entry.bodyBytes.Add(-counted)
+	workspace, problem := check(received)
 	if problem != nil {
-		problem.write(callerWriter, request.NewID())
+		refuseUnread(callerWriter, received, problem, request.NewID())
+		return
+	}
+	details := memory.Details{
+		Workspace: workspace.Name, Declared: received.ContentLength, Deadline: time.Now().Add(entry.Settings.ReadTimeout),
+	}
+	callerWriter.conn.Holder().Describe(&details)
+	body, release, problem := entry.readBody(callerWriter, received)
+	defer release()
+	if problem != nil {
+		refuseUnread(callerWriter, received, problem, request.NewID())
 		return
 	}
 	job, problem = newJob(received, body)
@@ -82,6 +110,11 @@
 		problem.write(callerWriter, request.NewID())
 		return
 	}
+	// Background work may keep the job for longer than its body is counted.
+	defer func() { job.body = nil }()
+	callerWriter.conn.Holder().Describe(&memory.Details{
+		Request: job.idText, Workspace: workspace.Name, Declared: received.ContentLength, Deadline: job.deadline,
+	})
 	entry.jobs.add(job)
 	defer entry.jobs.remove(job)
 	entry.run(received.Context(), callerWriter, job)
@@ -114,21 +147,3 @@
 	problem.Outcome = outcome
 	problem.write(callerWriter, id)
 }
-
-// readBody reads the body within the limits of one body and of all bodies. The
-// second result is the number of bytes counted in bodyBytes, also on a problem.
-func (entry *Entry) readBody(callerWriter *callerWriter, received *http.Request) ([]byte, int64, *Problem) {
-	if received.ContentLength > entry.Settings.BodyBytes {
-		return nil, 0, tooLarge(callerWriter)
-	}
-	if received.Body == nil || received.Body == http.NoBody {
-		return nil, 0, nil
-	}
-	bodyReader := &bodyReader{entry: entry, body: http.MaxBytesReader(callerWriter.ResponseWriter, received.Body, entry.Settings.BodyBytes)}
-	entry.setReadDeadline(callerWriter)
-	body, err := io.ReadAll(bodyReader)
-	if err != nil {
-		return nil, bodyReader.counted, bodyProblem(callerWriter, err)
-	}
-	return body, bodyReader.counted, nil
-}
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"time"
+
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 )
 
 // maxWriteBytes is the number of bytes that are written under one deadline.
@@ -12,15 +15,18 @@
 // does not read does not hold a slot and memory for long.
 type callerWriter struct {
 	http.ResponseWriter
+	// conn is the caller's connection, nil in tests without a listener.
+	conn    *listener.Conn
 	control *http.ResponseController
 	timeout time.Duration
 	// headerWritten is set once the status is written.
 	headerWritten bool
 }
 
-func newCallerWriter(writer http.ResponseWriter, timeout time.Duration) *callerWriter {
+func newCallerWriter(writer http.ResponseWriter, conn *listener.Conn, timeout time.Duration) *callerWriter {
 	callerWriter := &callerWriter{
 		ResponseWriter: writer,
+		conn:           conn,
 		control:        http.NewResponseController(writer),
 		timeout:        timeout,
 	}
@@ -35,15 +41,27 @@
 
 // WriteHeader writes the status under a new deadline.
 func (callerWriter *callerWriter) WriteHeader(status int) {
-	callerWriter.headerWritten = true
+	callerWriter.begin()
 	callerWriter.setWriteDeadline()
 	callerWriter.ResponseWriter.WriteHeader(status)
 }
 
+// begin marks the answer as begun: it gives way to others only if the caller does not read it.
+func (callerWriter *callerWriter) begin() {
+	if callerWriter.headerWritten {
+		return
+	}
+	callerWriter.headerWritten = true
+	if !callerWriter.conn.Holder().Enter(memory.Running) {
+		// Its body has given way.
+		callerWriter.Header().Set("Connection", "close")
+	}
+}
+
 // Write writes pieces of up to maxWriteBytes, each under a new deadline. It returns an
 // error if the caller does not read a piece in time.
 func (callerWriter *callerWriter) Write(part []byte) (int, error) {
-	callerWriter.headerWritten = true
+	callerWriter.begin()
 	written := 0
 	for {
 		callerWriter.setWriteDeadline()
