rollout: wait for the start of an order that was just read

A host that decides and does not know when a running order began waited for its mark from the time at which it became the first host. If it read the order later than that, as a process that started anew on a slow machine did, the time was over at once: it began the rollout anew, and the end came as much after the deadline as the first process had used. What the other hosts told of the start came before the order and was ignored.

The time is counted from the reading of the order, if that is later.

In a run of TestRollouts/hosts-killed at a load of 770 on 7 cores the rollout ended 28.2 s after the order, of 24 s; its deciding host was started anew after 2 s and read the order 4 s later.

--- a/rollout/marks.go
+++ b/rollout/marks.go
@@ -39,7 +39,13 @@
 		move.isLoadingMark = true
 		go rollouts.loadMark(ctx, move)
 	}
-	return now.Sub(rollouts.decidesSince) > takeOverTime+markPatience
+	// A host that has just read the order may be told of its start at any moment: the others
+	// could not tell it before.
+	since := rollouts.decidesSince
+	if move.seenAt.After(since) {
+		since = move.seenAt
+	}
+	return now.Sub(since) > takeOverTime+markPatience
 }
 
 // loadMark reads the mark of a rollout.
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -228,6 +228,7 @@
 // applyEvent applies one event:
 //
 //	kill|start|cut|heal|pause|resume HOST|all
+//	start HOST D                      it reads the orders after D
 //	storeAway | storeBack | loseAnswer
 //	remove | order VERSION DURATION
 //	crash TARGET
@@ -250,6 +251,13 @@
 		host.isDown, host.runningOld = true, 0
 	case "start":
 		simulation.addHost(number())
+		if len(words) > 2 {
+			delay, err := time.ParseDuration(words[2])
+			qt.Assert(simulation, err, qt.IsNil)
+			readsFrom := time.Now().Add(delay)
+			simulation.hosts[number()].readsFrom = readsFrom
+			simulation.push(readsFrom, simulation.tellOrder)
+		}
 		simulation.tellOrder()
 	case "cut":
 		simulation.hosts[number()].isCut = true
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -95,6 +95,8 @@
 	isDown, isCut, isPaused bool
 	inbox                   []delivery
 	runningOld              int
+	// readsFrom is when it begins to read the orders.
+	readsFrom time.Time
 }
 
 type delivery struct {
@@ -191,9 +193,14 @@
 		IsQuorate: func() bool { return 2*len(simulation.heardBy(i)) > simulation.scenario.hosts },
 		Events:    &timeline.Recorder{},
 		Random:    simulation.random,
-		Revision:  func() int64 { return simulation.order.Revision },
 		Read:      func(context.Context, int64) error { return nil },
 	}}
+	host.Revision = func() int64 {
+		if time.Now().Before(host.readsFrom) {
+			return 0
+		}
+		return simulation.order.Revision
+	}
 	host.Send = func(to string, message *Message) { simulation.send(host, to, message) }
 	host.Use = func(_ string, version balance.VersionID) balance.VersionUse { return simulation.use(host, version) }
 	host.Serves = func(_ string, restriction *balance.Restriction) (exists, hasRoom bool) {
@@ -354,7 +361,7 @@
 // tellOrder lets the hosts that watch the store read it.
 func (simulation *simulation) tellOrder() {
 	for i, host := range simulation.hosts {
-		if host.isDown || host.isPaused || simulation.isAway || i >= 4 {
+		if host.isDown || host.isPaused || simulation.isAway || i >= 4 || time.Now().Before(host.readsFrom) {
 			continue
 		}
 		if simulation.isOrdered {
