rollout: don't go back to the old version while the end is written

A host that hears nothing from the deciding one for 2.5 s sends to the old version again. The end may be written at that moment: the store may apply a write long after its caller has given up, and the old targets stop at once. The deciding host relied on acknowledgements of at most 1.2 s before the call, so that a slow write cut requests off; and where reports came later than that, the end waited although nothing ran at the old version.

An instruction to move all requests that was made after the time for the end now holds without the deciding host: the old version gets nothing more, and a host that hears nothing uses the new one, as the old one has ended. The end is written once each host has acknowledged such an instruction with nothing running; that is not undone by silence, so that late reports don't matter afterwards. A host that vanished with requests at the old version, as a slow one does, is waited for during half of the time for the write. No new field is needed: the age of the instruction tells it.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -41,15 +40,12 @@
 	// version.
 	focusParts = 8
 	minFocus   = 3
-	// freshTime is the age up to which the reports of a host, and the instruction that it
-	// acknowledges, show that it sends nothing to the old version. It does so again only after
-	// it has heard nothing for longer.
-	freshTime = 1200 * time.Millisecond
+	// goneFraction is the part of the time for the write in which the end waits for a host that
+	// is no longer heard; the rest is for the write.
+	goneFraction = 2
 	// reportLifetime is the time for which a host counts as one that takes part after its last
 	// report; hosts of earlier builds never do.
 	reportLifetime = 10 * time.Second
-	// maxInstructions is the number of instructions whose times are remembered.
-	maxInstructions = 64
 )
 
 // view is what the deciding host sees of its pool and the other hosts.
@@ -73,7 +69,10 @@
 	runningOld     int
 	acknowledged   uint64
 	receivedAt     time.Time
-	cells          map[Key]Cell
+	// isSettled is set once the host has acknowledged an instruction that ends the use of the
+	// other versions, and runs nothing there: it sends them nothing later.
+	isSettled bool
+	cells     map[Key]Cell
 }
 
 // decision decides on one rollout.
@@ -102,9 +101,10 @@
 	leads      map[uint32]time.Duration
 	focusIndex int
 	focusCount int
-	// sequence numbers the instructions; sentAt are the times of the last ones.
-	sequence uint64
-	sentAt   map[uint64]time.Time
+	// sequence numbers the instructions. Those from firstEnding on end the use of the other
+	// versions; 0 stands for none.
+	sequence    uint64
+	firstEnding uint64
 	// reason says why the stage was last changed.
 	reason string
 	// finding is the last result of the tests.
@@ -119,7 +119,7 @@
 func newDecision(bounds Bounds, start time.Time, duration time.Duration) *decision {
 	decision := &decision{
 		bounds: bounds, evidence: newEvidence(duration), hosts: map[string]*hostRecord{},
-		unseen: map[Key]*tally{}, sentAt: map[uint64]time.Time{},
+		unseen: map[Key]*tally{},
 	}
 	decision.reschedule(start, duration)
 	return decision
@@ -129,6 +129,11 @@
 func (decision *decision) reschedule(start time.Time, duration time.Duration) {
 	decision.duration = duration
 	decision.schedule = newSchedule(start, duration)
+	// Hosts may use the old version again until the new time for the end.
+	decision.firstEnding = 0
+	for _, host := range decision.hosts {
+		host.isSettled = false
+	}
 	if duration < MinDuration && decision.stage < RollingBack {
 		decision.rollBack("the duration is too short to tell anything")
 	}
@@ -164,6 +169,7 @@
 	decision.sent = max(decision.sent, decision.countedSent)
 	host.requests, host.sent = report.Requests, max(report.Sent, host.sent)
 	host.runningOld, host.acknowledged, host.receivedAt = report.RunningOld, report.Acknowledged, now
+	host.isSettled = host.runningOld == 0 && (host.isSettled || decision.hasEnded(report.Acknowledged))
 	for _, cell := range report.Cells {
 		earlier, isKnown := host.cells[cell.Key]
 		if !isKnown && len(host.cells) >= maxHostCells || cell.Answers < earlier.Answers {
@@ -297,16 +303,22 @@
 	}
 }
 
-// isIdle reports whether all hosts that take part run nothing at the old version, and keep
-// to an instruction by which they send it nothing.
+// hasEnded reports whether a host that keeps to an instruction sends nothing to the other versions
+// any more.
+func (decision *decision) hasEnded(sequence uint64) bool {
+	return decision.firstEnding > 0 && sequence >= decision.firstEnding && sequence <= decision.sequence
+}
+
+// isIdle reports whether all hosts that take part run nothing at the old version, and have
+// acknowledged that they send it nothing more. What a host that is no longer heard runs there
+// may go on, as it may only be slow: it is waited for during goneFraction of the time for the
+// write.
 func (decision *decision) isIdle(now time.Time, view *view) bool {
+	schedule := &decision.schedule
+	waitsUntil := schedule.endAt.Add(schedule.deadline.Sub(schedule.endAt) / goneFraction)
 	for address, host := range decision.hosts {
-		age := now.Sub(host.receivedAt)
-		if age > reportLifetime || !slices.Contains(view.hosts, address) {
-			continue
-		}
-		sentAt, isKnown := decision.sentAt[host.acknowledged]
-		if host.runningOld > 0 || age > freshTime || !isKnown || now.Sub(sentAt) > freshTime+age {
+		isGone := now.Sub(host.receivedAt) > reportLifetime || !slices.Contains(view.hosts, address)
+		if !host.isSettled && (!isGone || host.runningOld > 0 && now.Before(waitsUntil)) {
 			return false
 		}
 	}
@@ -377,16 +389,18 @@
 // instruction returns the next instruction.
 func (decision *decision) instruction(now time.Time) Instruction {
 	decision.sequence++
-	decision.sentAt[decision.sequence] = now
-	if len(decision.sentAt) > maxInstructions {
-		delete(decision.sentAt, slices.Min(slices.Collect(maps.Keys(decision.sentAt))))
-	}
 	instruction := Instruction{
 		Sequence: decision.sequence, Stage: decision.stage, Share: decision.share,
-		Age: now.Sub(decision.schedule.start), Duration: decision.duration,
+		Age: now.Sub(decision.schedule.start).Truncate(time.Millisecond), Duration: decision.duration,
 		FocusIndex: decision.focusIndex, FocusCount: decision.focusCount,
 		Requests: decision.requests, Sent: decision.sent, Answers: decision.answers(), Routes: decision.routeInstructions(),
 	}
+	switch {
+	case !instruction.endsOld():
+		decision.firstEnding = 0
+	case decision.firstEnding == 0:
+		decision.firstEnding = decision.sequence
+	}
 	return instruction
 }
 
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -214,6 +214,7 @@
 		plan.validUntil = time.Time{}
 	}
 	plan.schedule = newSchedule(move.start, told.Duration)
+	plan.endsOld = move.stage == Moving && told.endsOld()
 	plan.all = &balance.Restriction{Only: move.version, IsUsual: move.stage == Moving}
 	plan.focus = &balance.Restriction{Only: move.version}
 	if version := versions[move.version]; version != nil {
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -62,6 +62,18 @@
 	Routes []RouteInstruction
 }
 
+// endsOld reports whether the instruction is one of the time in which the end is written. A host
+// that keeps to it sends nothing to the other versions any more, also if it hears nothing later:
+// a slow write may take effect at any time.
+func (instruction *Instruction) endsOld() bool {
+	if instruction.Stage != Moving || instruction.Share < 1 {
+		// Of a host that can't decide, or one that was recalled from another host.
+		return false
+	}
+	schedule := newSchedule(time.Time{}, instruction.Duration)
+	return instruction.Age >= schedule.endAt.Sub(schedule.start)
+}
+
 // RouteInstruction is the part of an instruction that holds for a route.
 type RouteInstruction struct {
 	Route uint32
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -32,8 +32,11 @@
 	share   float64
 	// validUntil is the time until which the share holds.
 	validUntil time.Time
-	schedule   schedule
-	routes     []RouteInstruction
+	// endsOld is set once nothing more may be sent to the other versions, whether or not the
+	// deciding host is heard: the end may be written at any time.
+	endsOld  bool
+	schedule schedule
+	routes   []RouteInstruction
 	// others allows the targets of the other versions, focus those of the new one that get
 	// the share, and all its targets.
 	others, focus, all *balance.Restriction
@@ -65,7 +68,7 @@
 
 // isSilent reports whether the deciding host is not heard.
 func (plan *Plan) isSilent(now time.Time) bool {
-	return plan.stage < RollingBack && !now.Before(plan.validUntil)
+	return plan.stage < RollingBack && !plan.endsOld && !now.Before(plan.validUntil)
 }
 
 // choose chooses the version for a request.
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -229,7 +229,7 @@
 //
 //	kill|start|cut|heal|pause|resume HOST|all
 //	start HOST D                      it reads the orders after D
-//	storeAway | storeBack | loseAnswer
+//	storeAway | storeBack | loseAnswer | storeSlow D | mute | unmute
 //	remove | order VERSION DURATION
 //	crash TARGET
 func (simulation *simulation) applyEvent(words []string) {
@@ -272,6 +272,14 @@
 	case "storeBack":
 		simulation.isAway = false
 		simulation.tellOrder()
+	case "storeSlow":
+		delay, err := time.ParseDuration(words[1])
+		qt.Assert(simulation, err, qt.IsNil)
+		simulation.writeDelay = delay
+	case "mute":
+		simulation.isMute = true
+	case "unmute":
+		simulation.isMute = false
 	case "loseAnswer":
 		simulation.losesNext = true
 	case "remove":
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -144,7 +144,11 @@
 	isOrdered bool
 	isAway    bool
 	losesNext bool
-	mark      []byte
+	// writeDelay is the time after which the store applies a write, also if its caller has
+	// given up; isMute is set while the messages between hosts are lost.
+	writeDelay time.Duration
+	isMute     bool
+	mark       []byte
 	// requests, sentNew, bads are counts; badAt is when the bindingBads-th bad answer came,
 	// lastSentAt the last request to the new version.
 	requests, sentNew, bads int
@@ -214,7 +218,7 @@
 		return exists, hasRoom
 	}
 	host.Store = Store{Write: func(ctx context.Context, order Order, state State) (Order, error) {
-		return simulation.write(host, order, state)
+		return simulation.writeSlowly(ctx, host, order, state)
 	}, SaveMark: func(_ context.Context, _ string, value []byte) error {
 		simulation.mutex.Lock()
 		defer simulation.mutex.Unlock()
@@ -292,7 +296,7 @@
 	simulation.largest = max(simulation.largest, size)
 	if i := slices.Index(simulation.addresses, to); i >= 0 {
 		host := simulation.hosts[i]
-		if from.isCut || host.isCut || simulation.random.Float64() < lostMessages {
+		if from.isCut || host.isCut || simulation.isMute || simulation.random.Float64() < lostMessages {
 			return
 		}
 		delay := time.Duration(simulation.random.ExpFloat64() * float64(messageDelay))
@@ -324,6 +328,31 @@
 	heap.Push(&simulation.queue, simulatedAnswer{at: at, do: do, rank: simulation.pushed})
 }
 
+func (simulation *simulation) writeSlowly(ctx context.Context, host *simulatedHost, order Order, state State) (Order, error) {
+	simulation.mutex.Lock()
+	delay := simulation.writeDelay
+	simulation.mutex.Unlock()
+	if delay == 0 {
+		return simulation.write(host, order, state)
+	}
+	type result struct {
+		written Order
+		err     error
+	}
+	applied := make(chan result, 1)
+	go func() {
+		time.Sleep(delay)
+		written, err := simulation.write(host, order, state)
+		applied <- result{written, err}
+	}()
+	select {
+	case result := <-applied:
+		return result.written, result.err
+	case <-ctx.Done():
+		return Order{}, errStoreAway
+	}
+}
+
 func (simulation *simulation) write(host *simulatedHost, order Order, state State) (Order, error) {
 	simulation.mutex.Lock()
 	defer simulation.mutex.Unlock()
