rollout: leave time for the end by the writes that were seen

The time for writing the end is a tenth of the order's duration, up to 4 s, whatever the store's calls take. A store that takes effect three seconds after a call let a rollout of 24 s end after 24.9 s; on a loaded machine, where calls were given up after 1 s and repeated, it ended up to 7.7 s late.

The deciding host measures how long the state "running" and the marks take to be written, with all attempts. If twice the longest needs more than half of the usual time, the steps are moved forward by the difference, by at most an eighth of the duration, before requests move. The instructions carry the shortened duration, so that all hosts, also of earlier builds, keep to the same times. A write after one that failed may take 2 s instead of 1 s, as a store that always takes longer than that would never be written to.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -77,11 +77,12 @@
 
 // decision decides on one rollout.
 type decision struct {
-	bounds   Bounds
-	duration time.Duration
-	schedule schedule
-	evidence *evidence
-	hosts    map[string]*hostRecord
+	bounds Bounds
+	// duration is that of the order, reserve the part of it that is left for slow writes.
+	duration, reserve time.Duration
+	schedule          schedule
+	evidence          *evidence
+	hosts             map[string]*hostRecord
 	// unseen are the answers that the evidence does not have yet.
 	unseen map[Key]*tally
 	// requests and sent are the sums over all hosts; countedRequests and countedSent are those
@@ -128,7 +129,8 @@
 // reschedule changes the duration.
 func (decision *decision) reschedule(start time.Time, duration time.Duration) {
 	decision.duration = duration
-	decision.schedule = newSchedule(start, duration)
+	decision.reserve = min(decision.reserve, duration/maxReserveFraction)
+	decision.schedule = newSchedule(start, duration-decision.reserve)
 	// Hosts may use the old version again until the new time for the end.
 	decision.firstEnding = 0
 	for _, host := range decision.hosts {
@@ -139,6 +141,24 @@
 	}
 }
 
+// reserveFor leaves time for a write that takes as long as one that was seen.
+func (decision *decision) reserveFor(wroteIn time.Duration) {
+	writeTime := decision.schedule.deadline.Sub(decision.schedule.endAt)
+	needed := min(reserveFactor*wroteIn-writeTime/2, decision.duration/maxReserveFraction)
+	if needed > decision.reserve {
+		decision.reserveTime(needed)
+	}
+}
+
+// reserveTime has the rollout end earlier by a time, unless it is too long to be one that was
+// reserved for writes.
+func (decision *decision) reserveTime(reserve time.Duration) {
+	if reserve > 0 && reserve <= decision.duration/maxReserveFraction {
+		decision.reserve = reserve
+		decision.reschedule(decision.schedule.start, decision.duration)
+	}
+}
+
 // inherit takes over from a host that decided before.
 func (decision *decision) inherit(instruction *Instruction) {
 	decision.stage = max(decision.stage, instruction.Stage)
@@ -391,7 +411,7 @@
 	decision.sequence++
 	instruction := Instruction{
 		Sequence: decision.sequence, Stage: decision.stage, Share: decision.share,
-		Age: now.Sub(decision.schedule.start).Truncate(time.Millisecond), Duration: decision.duration,
+		Age: now.Sub(decision.schedule.start).Truncate(time.Millisecond), Duration: decision.duration - decision.reserve,
 		FocusIndex: decision.focusIndex, FocusCount: decision.focusCount,
 		Requests: decision.requests, Sent: decision.sent, Answers: decision.answers(), Routes: decision.routeInstructions(),
 	}
--- a/rollout/marks.go
+++ b/rollout/marks.go
@@ -94,9 +94,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
-		if err := rollouts.Store.SaveMark(ctx, pool, value); err != nil {
+		err := rollouts.Store.SaveMark(ctx, pool, value)
+		if err != nil {
 			// It is written again soon; only hosts that all end at once need it.
 			statusWritesFailed.Inc()
+			return
 		}
+		rollouts.mutex.Lock()
+		defer rollouts.mutex.Unlock()
+		move.wroteIn = max(move.wroteIn, time.Since(now))
 	}()
 }
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -48,7 +48,8 @@
 	Stage    Stage
 	// Share is the part of the requests that goes to the new version.
 	Share float64
-	// Age is the time since the order was first read, Duration that of the order.
+	// Age is the time since the order was first read, Duration that of the order less what is
+	// left for slow writes.
 	Age, Duration time.Duration
 	// FocusIndex and FocusCount say which targets of the new version get the share, in the
 	// order of all of them; a count of 0 stands for all.
--- a/rollout/rollouts.go
+++ b/rollout/rollouts.go
@@ -68,7 +68,10 @@
 	endTellingTime = 10 * time.Second
 	// writeRetryInterval is the time between two attempts to write a state.
 	writeRetryInterval = 300 * time.Millisecond
-	writeTimeout       = time.Second
+	// A write may take writeTimeout, and maxWriteTimeout after one that failed: a slow store
+	// must not be given up each time, a lost answer not awaited for long.
+	writeTimeout    = time.Second
+	maxWriteTimeout = 2 * time.Second
 	// evidenceEvents is the number of events with evidence in the time of an order.
 	evidenceEvents = 10
 )
@@ -171,8 +174,12 @@
 	isWriting   bool
 	writeAt     time.Time
 	writeFailed bool
-	evidenceAt  time.Time
-	lateTold    bool
+	// writingSince is the first attempt to write a state that is not written yet, zero for
+	// none; wroteIn is the longest time that a state or a mark took.
+	writingSince time.Time
+	wroteIn      time.Duration
+	evidenceAt   time.Time
+	lateTold     bool
 	// markedAt is when the mark was last written, markedStage the stage in it. isMarkRead is
 	// set once it was read, isLoadingMark while it is.
 	markedAt                  time.Time
@@ -499,6 +506,9 @@
 	report := rollouts.newReport(move, maxCells*cellBytes)
 	decision.receive(rollouts.Address, &report, now)
 	before := decision.stage
+	if before == Sharing {
+		decision.reserveFor(move.wroteIn)
+	}
 	decision.step(now, &view{
 		hosts: rollouts.Hosts(), isQuorate: rollouts.IsQuorate(),
 		targets: use.Targets, slots: use.Slots, inFlight: use.Others,
@@ -529,6 +539,9 @@
 	move.counter.retell()
 	move.decision = newDecision(rollouts.Bounds, move.start, move.order.Duration)
 	move.decision.inherit(&move.told)
+	if move.told.Duration > 0 {
+		move.decision.reserveTime(move.order.Duration - move.told.Duration)
+	}
 	move.evidenceAt = now
 	rollouts.Events.Record(eventDecides, timeline.Event{Pool: move.order.Pool, Detail: move.order.Version, Facts: []timeline.Fact{
 		{Key: "rollout", Value: formatID(move.id)}, {Key: "stage", Value: move.decision.stage.String()},
@@ -651,19 +664,38 @@
 
 // write writes the state that the platform has to show, if it shows another one.
 func (rollouts *Rollouts) write(ctx context.Context, move *move, state State, now time.Time) {
-	if move.order.shown() == state || move.isWriting || now.Before(move.writeAt) {
+	if move.order.shown() == state {
+		// A write may have taken effect after it was given up.
+		move.countWritten(now)
+		return
+	}
+	if move.isWriting || now.Before(move.writeAt) {
 		return
 	}
 	move.isWriting = true
+	timeout := writeTimeout
+	if move.writingSince.IsZero() {
+		move.writingSince = now
+	} else if move.writeFailed {
+		timeout = maxWriteTimeout
+	}
 	order := move.order
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		written, err := rollouts.Store.Write(ctx, order, state)
 		rollouts.recordWritten(move, order, written, state, err)
 	}()
 }
 
+// countWritten notes how long a state took to be written, if one was being written.
+func (move *move) countWritten(now time.Time) {
+	if !move.writingSince.IsZero() {
+		move.wroteIn = max(move.wroteIn, now.Sub(move.writingSince))
+		move.writingSince = time.Time{}
+	}
+}
+
 // recordWritten applies the result of a write.
 func (rollouts *Rollouts) recordWritten(move *move, order, written Order, state State, err error) {
 	statusWrites.Inc()
@@ -675,6 +707,9 @@
 	if rollouts.moves[order.Pool] != move {
 		return
 	}
+	if err == nil || Is(err, Changed) {
+		move.countWritten(now)
+	}
 	switch {
 	case err == nil:
 		move.writeFailed = false
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -28,6 +28,11 @@
 	leadFactor      = 1.5
 	leadMargin      = 300 * time.Millisecond
 	maxLeadFraction = 3
+	// reserveFactor is the factor of the longest write that was seen for which the end leaves
+	// time, with half of the usual time for the rest; more than the duration divided by
+	// maxReserveFraction is not reserved.
+	reserveFactor      = 2
+	maxReserveFraction = 8
 )
 
 // schedule has the times by which the steps of a rollout must be taken for it to end in time.
