rollout: move requests only with less evidence against the version

Before all requests move, and before the end is written, a version was rolled back from an e-value of 20 on. On loaded machines answers take long, so that requests move early and few answers have come: versions with e-values of 8.7 and 9.0 moved, got 140 and 259 requests of 117 and 135 allowed, and one of them was completed (TestRollouts one-route and slow at loads of 770 and 100).

These two looks now need 8. The rollback at any other time stays at 100.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -95,9 +95,11 @@
 
 const (
 	// alpha is the probability with which a version that is no worse is ever taken for a
-	// bad one; finalAlpha is that at the two looks by which a rollout moves on.
+	// bad one; finalAlpha is that at the two looks by which a rollout moves on. It is larger, as
+	// a move exposes more requests than the bounds where answers take long, and a rollout that
+	// was rolled back in error can be ordered again.
 	alpha      = 1e-2
-	finalAlpha = 5e-2
+	finalAlpha = 0.125
 	// allRoutesWeight is the weight of the tests of all routes together; each route has a
 	// part of the rest.
 	allRoutesWeight = 0.5
