gateway: don't wait for connections without a request when draining

Cause: Shutdown of http.Server counts new connections as active for 5 s, also if nothing or no whole head has come. A host with such a caller waited until its drain limit where that is not longer, and had 0.3 s left to end.

Change: Drain returns once neither a request has run nor an answer been written for a second.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -26,6 +26,14 @@
 	})
 )
 
+const (
+	// withoutRequestTime is the time without running requests after which connections that sent
+	// no whole request are not waited for. A request that was on its way is there by then.
+	// http.Server waits for new connections for 5 s, which is as long as some grace periods.
+	withoutRequestTime = time.Second
+	drainPollInterval  = 20 * time.Millisecond
+)
+
 // Drain reports the host as not ready, waits for Notice and then for running
 // requests to end. It returns an error if the context ends first.
 func (gateway *Gateway) Drain(ctx context.Context) error {
@@ -38,7 +46,7 @@
 	}
 	pause.For(ctx, gateway.Notice)
 	// Requests that still run when the context ends are cut off; the event counts them.
-	err := gateway.Shutdown(ctx)
+	err := gateway.shutDown(ctx)
 	if gateway.WaitForwarded != nil {
 		err = errors.Join(err, gateway.WaitForwarded(ctx))
 	}
@@ -48,3 +56,30 @@
 	}
 	return nil
 }
+
+// shutDown stops accepting requests and waits for the running ones, and for a while for those
+// that are not whole yet.
+func (gateway *Gateway) shutDown(ctx context.Context) error {
+	shutdownCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- gateway.Shutdown(shutdownCtx) }()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	lastRunAt := time.Now()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return <-done
+		case <-ticker.C:
+		}
+		// The end of an answer may still be written after its request.
+		if gateway.runningRequests.Load() > 0 || gateway.bufferRoom.budget.Serving() > 0 {
+			lastRunAt = time.Now()
+		} else if time.Since(lastRunAt) >= withoutRequestTime {
+			return nil
+		}
+	}
+}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -102,6 +102,23 @@
 	return len(budget.holders)
 }
 
+// Serving returns the number of open holders with a request, from its head to the end of its
+// answer. That of a nil budget is 0.
+func (budget *Budget) Serving() int {
+	if budget == nil {
+		return 0
+	}
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	serving := 0
+	for holder := range budget.holders {
+		if phase := holder.Phase(); phase >= Queued && phase <= Running {
+			serving++
+		}
+	}
+	return serving
+}
+
 // Size says how much of a part may be taken for something.
 type Size uint8
 
