peer: bound what the address for other hosts holds at entry hosts

Cause: an entry host accepted any number of connections at the address for other hosts, and buffered up to 2 MiB of a message on each, whoever sent it.

Change: the links' listener counts messages until they are decoded, as that of gateways does until they are answered; most envelopes of a link are not answered, so the link says when one is done. Connections are bounded, and those that send nothing give way before links.

TestLinkHoldsNoMessages fails without the link's word.

--- a/listener/message.go
+++ b/listener/message.go
@@ -41,6 +41,15 @@
 	return n, err
 }
 
+// EndMessage gives back the memory of a message that was decoded and is not answered. It does
+// nothing for a nil Conn.
+func (conn *Conn) EndMessage() {
+	if conn != nil {
+		conn.endMessage()
+		conn.holder.Enter(memory.Idle)
+	}
+}
+
 // endMessage gives back the memory of a message that is answered.
 func (conn *Conn) endMessage() {
 	conn.holder.Serve()
--- a/peer/link_accept.go
+++ b/peer/link_accept.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+
+	"nutmegfield.example/listener"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/timeline"
 )
@@ -19,6 +23,7 @@
 	if err != nil {
 		return fmt.Errorf("receive envelope: %w", err)
 	}
+	conn := boundedConn(stream)
 	from := first.GetFrom()
 	if first.GetFormat() != wireFormat {
 		return links.refuse(from, fmt.Sprintf("sender uses format %d, this host uses %d", first.GetFormat(), wireFormat))
@@ -29,6 +34,7 @@
 			return err
 		}
 		linkCounts.Add("received", 1)
+		conn.EndMessage()
 		if err := decoder.decode(envelope); err != nil {
 			return links.refuse(from, err.Error())
 		}
@@ -42,6 +48,16 @@
 	}
 }
 
+// boundedConn returns the connection of a stream, nil if it is not bounded.
+func boundedConn(stream drpc.Stream) *listener.Conn {
+	transport, _ := drpcctx.Transport(stream.Context())
+	if conn, ok := transport.(*timeoutConn); ok {
+		bounded, _ := conn.Conn.(*listener.Conn)
+		return bounded
+	}
+	return nil
+}
+
 func (links *Links) answerHeartbeat(stream peerpb.DRPCLinks_ExchangeStream, beat uint64) error {
 	if beat == 0 {
 		return nil
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -16,6 +16,8 @@
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc/drpcconn"
 
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/peer/peerpb"
 	"nutmegfield.example/timeline"
 )
@@ -123,7 +125,7 @@
 	host := &peerHost{Links: &Links{
 		Members:  &Members{Self: Host{ID: id, Zone: "z", Address: id}},
 		Events:   &timeline.Recorder{Host: id},
-		Listener: listener,
+		Listener: newListener(listener, nil, memory.NewPlan(134<<20, 4100)),
 		Dial:     pipes.dial,
 	}}
 	host.OnEnvelope(func(from string, envelope *peerpb.Envelope) {
@@ -201,6 +203,23 @@
 	})
 }
 
+// TestLinkHoldsNoMessages guards against a link that stalls, and loses envelopes, because those that
+// were delivered still count as held: heartbeats, which are answered, come only every 5 s.
+func TestLinkHoldsNoMessages(t *testing.T) {
+	runTwoHosts(t, func(t *testing.T, _ *pipes, a, b *peerHost) {
+		const size, count = 100 << 10, 200
+		held := func() int64 { return b.Listener.(*listener.Listener).Budget.Held(memory.Bodies) }
+		part := b.Listener.(*listener.Listener).Budget.Parts[memory.Bodies]
+		qt.Assert(t, size*count > part, qt.IsTrue)
+		for range count {
+			a.Send("b", &peerpb.Envelope{Configurations: []*peerpb.Configuration{{Text: make([]byte, size)}}})
+		}
+		a.Send("b", cancelEnvelope("last"))
+		qt.Check(t, b.takeReceived(), qt.DeepEquals, []string{"a last"})
+		qt.Check(t, held(), qt.Equals, int64(0))
+	})
+}
+
 // TestSilentLink guards against a link that stays open after the network dropped
 // its connection without notice to either end, in use or after a long idle time.
 // Both ends must close it and the sender must dial again: within silenceTimeout
--- a/peer/part.go
+++ b/peer/part.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 	"nutmegfield.example/certificate"
 	"nutmegfield.example/errorkind"
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/objects"
 )
 
@@ -49,14 +52,16 @@
 	}
 	settings := host.Settings
 	endpoint := &certificate.Endpoint{Files: settings.Peers.TLS, Events: host.Events, Connect: host.Dial}
-	listener, err := host.Network.Listen("tcp", settings.Peers.Listen)
+	socket, err := host.Network.Listen("tcp", settings.Peers.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	listener, err = endpoint.Listen(listener)
+	accepting, err := endpoint.Listen(socket)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	bounded := newListener(accepting, socket, host.Memory())
+	(&listener.Report{Name: "peers", Events: host.Events}).Observe(bounded)
 	secret, err := readSecret(settings.Peers.Secret)
 	if err != nil {
 		return nil, err
@@ -74,7 +79,7 @@
 	links := &Links{
 		Members:  members,
 		Events:   host.Events,
-		Listener: listener,
+		Listener: bounded,
 		Dial:     endpoint.Dial,
 	}
 	prober := &Prober{
@@ -111,6 +116,15 @@
 	return &kernel.Part{Run: run}, nil
 }
 
+// newListener bounds what connections of other hosts, or of who takes their place, make the host
+// hold. Socket is the listener below that of TLS, nil without TLS.
+func newListener(accepting, socket net.Listener, plan *memory.Plan) *listener.Listener {
+	return &listener.Listener{
+		Listener: accepting, Socket: socket, Budget: plan.Peers, IsSmall: listener.IsSmall(plan.Machine),
+		Messages: true, WriteTimeout: silenceTimeout,
+	}
+}
+
 // Is reports whether an error, also one wrapped with %w, is of one of the
 // types.
 func Is(err error, types ...*errorx.Type) bool { return errorkind.Is(err, types...) }
