operator: bound what the operators' listener of entry hosts holds

Cause: entry hosts accepted any number of operators' connections, and built a page, up to a whole timeline, for each of their requests at once.

Change: their listener is bounded like that of gateways, also above TLS, and one page is built at a time, after the token was checked; the limits are now in package operator for both roles.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -35,14 +35,7 @@
 	operatorsListener
 )
 
-const (
-	// maxPages is the number of pages for operators that are built at a time: a full timeline
-	// takes some megabytes. Others wait for pagePatience.
-	maxPages     = 1
-	pagePatience = 2 * time.Second
-)
-
-// smallHeaderBytes limits heads at the listeners for the balancer's checks and operators.
+// smallHeaderBytes limits heads at the listener for the balancer's checks.
 const smallHeaderBytes = 4 << 10
 
 // boundListeners bounds what callers can make the host hold at each of its listeners.
@@ -59,7 +52,7 @@
 		peersListener:     {"peers", plan.Peers, nil},
 		readinessListener: {"readiness", plan.Readiness, smallLimits},
 		callersListener:   {"callers", plan.Callers, host.callerLimits},
-		operatorsListener: {"operators", plan.Operators, smallLimits},
+		operatorsListener: {"operators", plan.Operators, operator.Limits},
 	} {
 		bounded := &listener.Listener{
 			Listener: listeners[number], Budget: bounds.budget, Limits: bounds.limits, RetryAfter: noMemoryRetryAfter,
@@ -70,11 +63,6 @@
 	}
 }
 
-// newOperatorsHandler returns the handler of operators' requests. Pages are built in memory.
-func newOperatorsHandler(events *timeline.Recorder) http.Handler {
-	return listener.Handler(listener.Limit(maxPages, pagePatience, operator.NewMux(events)))
-}
-
 // callerLimits returns the limits of the routes in force for the heads of callers.
 func (host *host) callerLimits() listener.Limits {
 	table := host.routes.Table()
--- a/operator/part.go
+++ b/operator/part.go
@@ -22,18 +22,31 @@
 
 	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
+	"nutmegfield.example/listener"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
 )
 
 const (
-	readTimeout  = 5 * time.Second
-	writeTimeout = 30 * time.Second
-	idleTimeout  = time.Minute
-	stopTimeout  = time.Second
+	readTimeout = 5 * time.Second
+	idleTimeout = time.Minute
+	stopTimeout = time.Second
+
+	// headerBytes limits the heads of operators' requests.
+	headerBytes = 4 << 10
+	// maxPages is the number of pages that are built at a time: a full timeline takes some
+	// megabytes. Others wait for pagePatience.
+	maxPages     = 1
+	pagePatience = 2 * time.Second
 )
 
+// Limits returns the limits of operators' requests.
+func Limits() listener.Limits { return listener.Limits{HeaderBytes: headerBytes} }
+
+// Limit bounds what the pages of a handler hold together.
+func Limit(next http.Handler) http.Handler { return listener.Limit(maxPages, pagePatience, next) }
+
 func init() {
 	kernel.Register(kernel.Plugin{Name: "operators", Rank: kernel.RankOperators, New: newPart})
 }
@@ -70,33 +83,38 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := host.Network.Listen("tcp", host.Settings.Operators.Listen)
+	socket, err := host.Network.Listen("tcp", host.Settings.Operators.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
 	endpoint := &certificate.Endpoint{Files: host.Settings.Operators.TLS, Events: host.Events}
-	listener, err = endpoint.Listen(listener)
+	accepting, err := endpoint.Listen(socket)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
+	plan := host.Memory()
+	bounded := &listener.Listener{
+		Listener: accepting, Socket: socket, Budget: plan.Operators, Limits: Limits, IsSmall: listener.IsSmall(plan.Machine),
+	}
+	(&listener.Report{Name: "operators", Events: host.Events}).Observe(bounded)
 	server := &Server{
 		TokenHash: host.Settings.Operators.TokenHash,
 		Store:     store,
 		Members:   members,
 		Events:    host.Events,
 	}
-	return &kernel.Part{Run: server.serve(listener)}, nil
+	return &kernel.Part{Run: server.serve(bounded)}, nil
 }
 
 // serve returns the part's Run function, which serves HTTP on the listener until
 // its context ends and then lets active requests complete for up to stopTimeout.
-func (server *Server) serve(listener net.Listener) func(context.Context) error {
-	httpServer := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+func (server *Server) serve(accepting net.Listener) func(context.Context) error {
+	httpServer := khttp.NewServer(khttp.Listener(accepting), khttp.Timeout(0))
+	listener.Bind(httpServer.Server)
 	httpServer.ReadHeaderTimeout = readTimeout
 	httpServer.ReadTimeout = readTimeout
-	httpServer.WriteTimeout = writeTimeout
 	httpServer.IdleTimeout = idleTimeout
-	httpServer.HandlePrefix("/", server.Handler())
+	httpServer.HandlePrefix("/", listener.Handler(server.Handler()))
 	return func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
@@ -118,7 +136,7 @@
 func (server *Server) Handler() http.Handler {
 	mux := NewMux(server.Events)
 	mux.HandleFunc("GET /status", server.serveStatus)
-	return server.requireToken(mux)
+	return server.requireToken(Limit(mux))
 }
 
 // NewMux returns a mux that serves a host's expvar variables, timeline and metrics
