operator, command: show what a host holds, by kind

Cause: an operator saw what callers make a host hold in the metrics only.

Change: /status of entry hosts has the field memory, and nutmegfield status a column: bytes held and their part for connections, heads, bodies, requests and answers, over all listeners. An earlier build shows "-".

Result: TestScripts/status checks the column.

--- a/command/script_test.go
+++ b/command/script_test.go
@@ -11,6 +11,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"nutmegfield.example/command"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/objects"
 	"nutmegfield.example/operator"
 	"nutmegfield.example/peer"
@@ -64,7 +65,9 @@
 	store := &profile.Store{}
 	store.ApplyIfNewer(profile.NewSnapshot(version, profile.Configuration{}))
 	members := &peer.Members{Self: peer.Host{ID: id, Zone: "a"}}
-	return (&operator.Server{Store: store, Members: members}).Handler()
+	plan := memory.NewPlan(100<<20, 4100)
+	plan.Callers.Take(memory.Bodies, 3<<20, memory.Small)
+	return (&operator.Server{Store: store, Members: members, Memory: plan}).Handler()
 }
 
 func setFaults(script *testscript.TestScript, _ bool, arguments []string) {
--- a/command/status.go
+++ b/command/status.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"nutmegfield.example/memory"
 	"nutmegfield.example/operator"
 )
 
@@ -59,7 +60,7 @@
 		newest = max(newest, hostStatus.status.Version)
 	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "HOST\tZONE\tVERSION\tSINCE\tSTATE")
+	fmt.Fprintln(table, "HOST\tZONE\tVERSION\tSINCE\tSTATE\tHELD/PART IN MIB")
 	notCurrent := 0
 	for _, hostStatus := range hostStatuses {
 		state := hostStatus.state(newest)
@@ -98,6 +99,18 @@
 	}
 }
 
+// formatMemory returns what a host holds of each kind, and may hold, in MiB.
+func formatMemory(usages []memory.Usage) string {
+	if len(usages) == 0 {
+		return "-"
+	}
+	var texts []string
+	for _, usage := range usages {
+		texts = append(texts, fmt.Sprintf("%s %.1f/%.0f", usage.Kind, float64(usage.Held)/(1<<20), float64(usage.Part)/(1<<20)))
+	}
+	return strings.Join(texts, ", ")
+}
+
 func (hostStatus *hostStatus) writeRow(writer io.Writer, state string) {
 	if hostStatus.err != nil {
 		fmt.Fprintln(writer, hostStatus.address+"\t-\t-\t-\t"+state+": "+hostStatus.err.Error())
@@ -108,6 +121,6 @@
 		since = hostStatus.status.Since.UTC().Format(time.RFC3339)
 	}
 	status := hostStatus.status
-	columns := []string{status.Host, status.Zone, strconv.FormatInt(status.Version, 10), since, state}
+	columns := []string{status.Host, status.Zone, strconv.FormatInt(status.Version, 10), since, state, formatMemory(status.Memory)}
 	fmt.Fprintln(writer, strings.Join(columns, "\t"))
 }
--- a/memory/plan.go
+++ b/memory/plan.go
@@ -89,6 +89,27 @@
 	return budget
 }
 
+// Usage is what the listeners of a host hold of a kind together.
+type Usage struct {
+	Kind string `json:"kind"`
+	// Held is in bytes; Part is the most that may be held.
+	Held int64 `json:"held"`
+	Part int64 `json:"part"`
+}
+
+// Usage returns what is held of each kind.
+func (plan *Plan) Usage() []Usage {
+	usages := make([]Usage, kinds)
+	for kind := range kinds {
+		usages[kind].Kind = Kind(kind).String()
+		for _, budget := range []*Budget{plan.Callers, plan.Readiness, plan.Operators, plan.Peers} {
+			usages[kind].Held += budget.Held(Kind(kind))
+			usages[kind].Part += budget.Parts[kind]
+		}
+	}
+	return usages
+}
+
 // FitBody raises the part for bodies so that the largest legal one has room, also on a new
 // connection while others have to give way.
 func (plan *Plan) FitBody(bytes int64) {
--- a/operator/part.go
+++ b/operator/part.go
@@ -23,6 +23,7 @@
 	"nutmegfield.example/certificate"
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
 	"nutmegfield.example/timeline"
@@ -59,6 +60,8 @@
 	Store     *profile.Store
 	Members   *peer.Members
 	Events    *timeline.Recorder
+	// Memory is the division of the host's memory; nil if it is not known.
+	Memory *memory.Plan
 }
 
 // Status is the JSON body of GET /status.
@@ -72,6 +75,8 @@
 	Since time.Time `json:"since,omitzero"`
 	// Hosts are the hosts that this host considers live.
 	Hosts []peer.Host `json:"hosts"`
+	// Memory is what is held for callers, operators and other hosts, by kind.
+	Memory []memory.Usage `json:"memory,omitempty"`
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
@@ -102,6 +107,7 @@
 		Store:     store,
 		Members:   members,
 		Events:    host.Events,
+		Memory:    plan,
 	}
 	return &kernel.Part{Run: server.serve(bounded)}, nil
 }
@@ -201,6 +207,9 @@
 		status.Version = snapshot.Version
 		status.Since = snapshot.AppliedAt
 	}
+	if server.Memory != nil {
+		status.Memory = server.Memory.Usage()
+	}
 	writeJSON(writer, status)
 }
 
