listener: let a short time for writes not shorten keep-alive

Cause: the time for a write was also TCP_USER_TIMEOUT, which takes the place of the number of keep-alive probes. With the 2 s of links at entry hosts, an idle link would have ended 7 s after its last byte, at the first lost probe, and not after three probes (11 s). Settings with callers.writeTimeout below 10 s did the same to idle callers.

Change: TCP_USER_TIMEOUT is at least 10 s, which ends an idle connection at the same probe as keep-alive.

Result: TestKeepAliveBearsALostProbe failed before (2000 ms).

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -118,7 +118,7 @@
 	for waited := time.Duration(0); ; waited += acceptInterval {
 		// If there is no room, others are told to give way.
 		if conn.holder.Open(memory.ConnectionCost) {
-			bound(conn.socket, listener.writeTimeout())
+			bound(conn.socket, max(listener.writeTimeout(), defaultWriteTimeout))
 			return conn
 		}
 		if waited >= acceptPatience || time.Since(listener.lastRefused) < refusalMemory {
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -265,6 +266,25 @@
 	fixture.waitUntil("its connection has ended", func() bool { return fixture.listener.Budget.Holders() == 0 })
 }
 
+// TestKeepAliveBearsALostProbe guards against a TCP_USER_TIMEOUT that ends an idle connection after
+// one lost keep-alive probe, as a short time for writes did.
+func TestKeepAliveBearsALostProbe(t *testing.T) {
+	c := qt.New(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	bounded := &Listener{Listener: raw, Budget: &memory.Budget{}, WriteTimeout: 2 * time.Second}
+	bounded.Budget.Parts[memory.Connections] = memory.ConnectionCost
+	go func() { _, _ = net.Dial("tcp", raw.Addr().String()) }()
+	conn, err := bounded.Accept()
+	c.Assert(err, qt.IsNil)
+	defer func() { _, _ = conn.Close(), raw.Close() }()
+	control(conn.(*Conn).socket, func(descriptor int) {
+		value, err := syscall.GetsockoptInt(descriptor, syscall.IPPROTO_TCP, userTimeout)
+		c.Check(err, qt.IsNil)
+		c.Check(value, qt.Equals, 10000)
+	})
+}
+
 // TestBrokenAnswer guards against an answer that breaks off and looks complete to a caller of
 // HTTP/1.0, for whom it ends with the connection.
 func TestBrokenAnswer(t *testing.T) {
--- a/listener/socket.go
+++ b/listener/socket.go
@@ -69,7 +69,8 @@
 }
 
 // bound limits what the system holds of answers to a caller, and for how long if the caller
-// does not take them.
+// does not take them. A timeout below the 11 s of keep-alive would end an idle connection after
+// its first lost probe; with 10 s it ends at the same probe as without.
 func bound(conn net.Conn, timeout time.Duration) {
 	control(conn, func(descriptor int) {
 		_ = syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, notSentLowat, unsentBytes)
