status: show rollouts

`status` asked /status at the operators' address, which only hosts of the entry role answered; gateways, the hosts that have rollouts, gave 404. What a host knows of a rollout (rollout.Statuses) was not shown anywhere.

Gateways answer GET /status with the version of the routes in force and the rollouts that they know of. The command prints them below the hosts: pool, version, stage, share, requests, those sent to the new version, the time left, the deciding host, and its evidence. A rollout that several hosts know is printed once, as the deciding one knows it.

--- a/command/script_test.go
+++ b/command/script_test.go
@@ -16,6 +16,7 @@
 	"nutmegfield.example/operator"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/rollout"
 	"nutmegfield.example/standin"
 )
 
@@ -52,6 +53,13 @@
 	serve("HOST1", newHostHandler("a1", 7))
 	serve("HOST2", newHostHandler("a2", 6))
 	serve("HOST3", newHostHandler("a3", 7))
+	serve("DECIDER", newRolloutHandler("g1", rollout.Status{
+		Pool: "draft", Version: "v2", Stage: "sharing", Decider: "10.0.0.1:7000", Share: 0.06, Requests: 900, Sent: 52, LeftMs: 81400,
+		Evidence: "answers 47, failed 1",
+	}))
+	serve("FOLLOWER", newRolloutHandler("g2", rollout.Status{
+		Pool: "draft", Version: "v2", Stage: "sharing", Decider: "10.0.0.1:7000", Share: 0.06, Requests: 890, Sent: 51, LeftMs: 81500,
+	}))
 	for _, name := range []string{"FAKE_HOST1", "FAKE_HOST2"} {
 		fakeHost := newFakeHost()
 		serve(name, fakeHost)
@@ -70,6 +78,13 @@
 	return (&operator.Server{Store: store, Members: members, Memory: plan}).Handler()
 }
 
+// newRolloutHandler answers as a gateway that knows of a rollout.
+func newRolloutHandler(id string, status rollout.Status) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		operator.WriteJSON(writer, operator.Status{Host: id, Zone: "a", Version: 7, Rollouts: []rollout.Status{status}})
+	})
+}
+
 func setFaults(script *testscript.TestScript, _ bool, arguments []string) {
 	platform := script.Value(platformKey{}).(*standin.Platform)
 	switch arguments[0] {
--- a/command/status.go
+++ b/command/status.go
@@ -1,10 +1,13 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,6 +16,7 @@
 
 	"nutmegfield.example/memory"
 	"nutmegfield.example/operator"
+	"nutmegfield.example/rollout"
 )
 
 type statusCommand struct {
@@ -22,8 +26,9 @@
 func init() {
 	Register(Command{
 		Name:  "status",
-		Short: "show the configuration in force on each host",
-		Long: "Ask each host which configuration version is in force and since when. " +
+		Short: "show the configuration in force on each host, and rollouts",
+		Long: "Ask each host which configuration version is in force and since when, and " +
+			"which rollouts of new versions of targets it knows of. " +
 			"The exit status is 1 if a host is behind the newest version or can't be reached.",
 		Data: &statusCommand{},
 	})
@@ -39,7 +44,11 @@
 // Execute prints the status of each host.
 func (command *statusCommand) Execute([]string) error {
 	hostStatuses := command.fetchStatuses(context.Background())
-	return writeTable(os.Stdout, hostStatuses)
+	err := writeTable(os.Stdout, hostStatuses)
+	if rolloutsErr := writeRollouts(os.Stdout, hostStatuses); rolloutsErr != nil {
+		return rolloutsErr
+	}
+	return err
 }
 
 func (command *statusCommand) fetchStatuses(ctx context.Context) []hostStatus {
@@ -124,3 +133,44 @@
 	columns := []string{status.Host, status.Zone, strconv.FormatInt(status.Version, 10), since, state, formatMemory(status.Memory)}
 	fmt.Fprintln(writer, strings.Join(columns, "\t"))
 }
+
+// writeRollouts writes a row and the evidence of each rollout that a host knows of: as the host
+// knows it that decides, or one that does not if that one was not asked.
+func writeRollouts(writer io.Writer, hostStatuses []hostStatus) error {
+	rollouts, deciders := map[string]rollout.Status{}, map[string]string{}
+	for _, hostStatus := range hostStatuses {
+		for _, status := range hostStatus.status.Rollouts {
+			known, isKnown := rollouts[status.Pool]
+			if isKnown && (known.Evidence != "" || status.Evidence == "" && known.Requests >= status.Requests) {
+				continue
+			}
+			rollouts[status.Pool], deciders[status.Pool] = status, cmp.Or(status.Decider, "-")
+			if status.Evidence != "" {
+				deciders[status.Pool] = hostStatus.status.Host
+			}
+		}
+	}
+	if len(rollouts) == 0 {
+		return nil
+	}
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nPOOL\tTARGET VERSION\tSTAGE\tSHARE\tREQUESTS\tSENT\tLEFT\tDECIDED BY")
+	for _, pool := range slices.Sorted(maps.Keys(rollouts)) {
+		status := rollouts[pool]
+		left := time.Duration(status.LeftMs) * time.Millisecond
+		columns := []string{
+			pool, status.Version, status.Stage, strconv.FormatFloat(status.Share, 'g', 2, 64), strconv.FormatUint(status.Requests, 10),
+			strconv.FormatUint(status.Sent, 10), left.Round(time.Second).String(), deciders[pool],
+		}
+		fmt.Fprintln(table, strings.Join(columns, "\t"))
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write rollouts: %w", err)
+	}
+	for _, pool := range slices.Sorted(maps.Keys(rollouts)) {
+		if evidence := rollouts[pool].Evidence; evidence != "" {
+			fmt.Fprintln(writer, pool+": "+evidence)
+		}
+	}
+	return nil
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -63,6 +63,25 @@
 	}
 }
 
+// newOperatorsHandler returns the handler of operators' requests. Pages are built in memory.
+func (host *host) newOperatorsHandler(kernelHost *kernel.Host) http.Handler {
+	mux := operator.NewMux(kernelHost.Events)
+	mux.HandleFunc("GET /status", func(writer http.ResponseWriter, _ *http.Request) {
+		settings := &kernelHost.Settings.Host
+		operator.WriteJSON(writer, host.status(settings.ID, settings.Zone))
+	})
+	return listener.Handler(operator.Limit(mux))
+}
+
+// status returns the routes in force and the rollouts that this host knows of.
+func (host *host) status(id, zone string) operator.Status {
+	status := operator.Status{Host: id, Zone: zone, Rollouts: host.gateway.Rollouts.Statuses()}
+	if table := host.routes.Table(); table != nil {
+		status.Version = table.Configuration.Version
+	}
+	return status
+}
+
 // callerLimits returns the limits of the routes in force for the heads of callers.
 func (host *host) callerLimits() listener.Limits {
 	table := host.routes.Table()
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -20,7 +20,6 @@
 	"nutmegfield.example/kernel"
 	"nutmegfield.example/limit"
 	"nutmegfield.example/listener"
-	"nutmegfield.example/operator"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/pause"
 	"nutmegfield.example/quarantine"
@@ -173,7 +172,7 @@
 			},
 			func(ctx context.Context) error { return serve(ctx, callers) },
 			func(ctx context.Context) error {
-				return serve(ctx, newServer(listeners[3], listener.Handler(operator.Limit(operator.NewMux(kernelHost.Events)))))
+				return serve(ctx, newServer(listeners[3], host.newOperatorsHandler(kernelHost)))
 			},
 		} {
 			group.Go(func() { host.recordFailure(part(ctx)) })
--- a/operator/part.go
+++ b/operator/part.go
@@ -26,6 +26,7 @@
 	"nutmegfield.example/memory"
 	"nutmegfield.example/peer"
 	"nutmegfield.example/profile"
+	"nutmegfield.example/rollout"
 	"nutmegfield.example/timeline"
 )
 
@@ -77,6 +78,8 @@
 	Hosts []peer.Host `json:"hosts"`
 	// Memory is what is held for callers, operators and other hosts, by kind.
 	Memory []memory.Usage `json:"memory,omitempty"`
+	// Rollouts are those that this host knows of, at gateways.
+	Rollouts []rollout.Status `json:"rollouts,omitempty"`
 }
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
@@ -146,7 +149,7 @@
 }
 
 // NewMux returns a mux that serves a host's expvar variables, timeline and metrics
-// without a token. The gateway serves these routes alone.
+// without a token. The gateway serves these routes, and a status of its own.
 func NewMux(events *timeline.Recorder) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
@@ -210,7 +213,7 @@
 	if server.Memory != nil {
 		status.Memory = server.Memory.Usage()
 	}
-	writeJSON(writer, status)
+	WriteJSON(writer, status)
 }
 
 // serveTimeline writes the host's events as a timeline.Page. The query parameter
@@ -227,14 +230,15 @@
 		}
 		selection.Since = now.Add(-since)
 	}
-	writeJSON(writer, timeline.Page{
+	WriteJSON(writer, timeline.Page{
 		Host:   events.Host,
 		Now:    now,
 		Events: selection.Select(events.Events()),
 	})
 }
 
-func writeJSON(writer http.ResponseWriter, value any) {
+// WriteJSON writes a value as the body of an answer.
+func WriteJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
 	// An error means that the client closed the connection.
 	_ = json.NewEncoder(writer).Encode(value)
