--- a/rollout/events.go
+++ b/rollout/events.go
@@ -24,7 +24,7 @@
 	})
 	eventEvidence = timeline.Define(timeline.Kind{
 		Number: 1153, Name: "rollout evidence", Level: timeline.Info,
-		Meaning: "What the deciding host knows of the pool's rollout: the requests and those sent to the new version, its answers and failures, the share, and the e-value against it, which is 1000 for a bad version.",
+		Meaning: "What the deciding host knows of the pool's rollout: the requests and those sent to the new version, its answers and failures, the share, and the e-value against it, which is 100 or more for a bad version.",
 	})
 	eventDecides = timeline.Define(timeline.Kind{
 		Number: 1154, Name: "host decides on rollout", Level: timeline.Info,
