gateway: show what is held in the status

The status of entry hosts has what they hold by kind; the gateways' status is newer and had its rollouts only.

Result: `nutmegfield status` shows the column for both roles; the tests of gateway and command pass.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -68,7 +68,9 @@
 	mux := operator.NewMux(kernelHost.Events)
 	mux.HandleFunc("GET /status", func(writer http.ResponseWriter, _ *http.Request) {
 		settings := &kernelHost.Settings.Host
-		operator.WriteJSON(writer, host.status(settings.ID, settings.Zone))
+		status := host.status(settings.ID, settings.Zone)
+		status.Memory = kernelHost.Memory().Usage()
+		operator.WriteJSON(writer, status)
 	})
 	return listener.Handler(operator.Limit(mux))
 }
