gateway: read the answer in TestWithdrawnVersionGetsNothing

The test closed the body of the answer without reading it, and expected the answer to be counted for the old version. A caller that leaves before the end of an answer is not counted, on purpose: what it would have got is not known.

The test reads the answer to its end, and checks the event in it, before it counts.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -151,6 +151,10 @@
 	fixture.replies = []string{"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s\n\nid: 1\ndata: a\n\nCLOSE\n"}
 	response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x"))
 	c.Assert(err, qt.IsNil)
+	// The answer to a caller that leaves before its end is not counted.
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Contains, "data: a")
 	c.Assert(response.Body.Close(), qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 	<-rolledBack
