rollout: learn the own rollout from others before the orders are read

A host that started anew and had decided before ignored what the others told it of that until it had read the order: it knew nothing but that a version is held, sent all requests to the old one, and did not decide, while the others waited for it as the first host. On a loaded machine it read the orders four seconds after its start (TestRollouts/hosts-killed, load 80): another host wrote the end meanwhile, and 4 requests of this one were cut off.

The instructions of its earlier process now begin the rollout as those of another host do, and one that ended the use of the old version still does so.

--- a/rollout/message.go
+++ b/rollout/message.go
@@ -68,7 +68,7 @@
 // a slow write may take effect at any time.
 func (instruction *Instruction) endsOld() bool {
 	if instruction.Stage != Moving || instruction.Share < 1 {
-		// Of a host that can't decide, or one that was recalled from another host.
+		// Of a host that can't decide, or one that was recalled from before.
 		return false
 	}
 	schedule := newSchedule(time.Time{}, instruction.Duration)
--- a/rollout/receive.go
+++ b/rollout/receive.go
@@ -67,12 +67,20 @@
 	move := rollouts.moves[instruction.Pool]
 	if decider == rollouts.Address {
 		// This host may have decided before it started anew.
-		if move != nil && instruction.Incarnation != rollouts.Incarnation {
+		if instruction.Incarnation == rollouts.Incarnation {
+			return
+		}
+		if move == nil && instruction.Stage != Dropped {
+			// It may read the orders late.
+			move = rollouts.begin(orderOf(instruction), nil, now)
+			move.isRead = false
+		}
+		if move != nil {
 			rollouts.recall(move, instruction, now)
 		}
 		return
 	}
-	order := Order{Name: instruction.Pool, Pool: instruction.Pool, Version: instruction.Version, Duration: instruction.Duration}
+	order := orderOf(instruction)
 	if move != nil && move.id == instruction.Rollout && instruction.Sequence <= move.told.Sequence && decider == move.decider {
 		return
 	}
@@ -125,6 +133,11 @@
 	}
 }
 
+// orderOf returns the order that an instruction is about.
+func orderOf(instruction *Instruction) Order {
+	return Order{Name: instruction.Pool, Pool: instruction.Pool, Version: instruction.Version, Duration: instruction.Duration}
+}
+
 // recall takes over what another host decided before, as it may be this one that decides next.
 func (rollouts *Rollouts) recall(move *move, instruction *Instruction, now time.Time) {
 	if move.stage.hasEnded() || move.version != balance.NewVersionID(instruction.Pool, instruction.Version) ||
@@ -132,7 +145,9 @@
 		return
 	}
 	move.id, move.told, move.start = instruction.Rollout, *instruction, now.Add(-instruction.Age)
-	move.told.Share = 0
+	if !instruction.endsOld() {
+		move.told.Share = 0
+	}
 	move.stage = max(move.stage, instruction.Stage)
 	if move.decision != nil {
 		move.decision.inherit(instruction)
