rollout: don't move to a version whose answers mostly fail

Where the old version's answers fail as often, bad answers of the new one are no evidence against it, and requests moved to a version of which "12 answers show nothing against" it although 9 of them had failed. In runs of TestRollouts beside others at a load of 72 on 7 cores, where callers' requests timed out at both versions, a version with 30 of 100 failures besides was completed and got 335 requests of 86 allowed.

Requests don't move while more than half of the new version's answers failed. If that lasts until the ramp begins, the version is rolled back with this reason. A good version is rolled back there, too: nothing has shown that it serves, and it can be ordered again.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -32,6 +32,9 @@
 	// all requests, without which the rest does not move.
 	minAnswers          = 20
 	minAnsweredFraction = 0.02
+	// maxFailed is the part of the new version's answers that may fail, also if those of the old
+	// one do: where most fail, they hardly tell a bad version, and none was seen to serve.
+	maxFailed = 0.5
 	// neededRoom is the part of the requests in flight for which the new version must have
 	// slots.
 	neededRoom = 0.8
@@ -282,6 +285,7 @@
 // that it is worse. What is missing may come until the ramp begins.
 func (decision *decision) move(now time.Time, view *view) {
 	answers := decision.answers()
+	compared, failed := decision.evidence.answered()
 	needed := min(minAnswers, uint64(minAnsweredFraction*float64(decision.requests)))
 	missing := ""
 	switch {
@@ -292,6 +296,8 @@
 		missing = "no target has the version"
 	case float64(view.slots) < neededRoom*float64(view.inFlight):
 		missing = fmt.Sprintf("the version's targets have %d slots, %d requests run", view.slots, view.inFlight)
+	case float64(failed) > maxFailed*float64(compared):
+		missing = fmt.Sprintf("%d of %d answers of the new version failed, too many to tell", failed, compared)
 	case answers < needed:
 		missing = fmt.Sprintf("%d answers of the new version are too few to tell", answers)
 	}
