rollout: don't roll back beside an end that may be written

If the new version was found to be worse after the store had been called to write "completed", the hosts were told to roll back at once and sent all requests to the old version, whether or not the call had taken effect. It may take effect later, and the old targets stop at that moment. In a run of TestRollouts/paused beside four others the call was given up after 1 s, the evidence came 0.3 s later, and the store showed "completed" 0.1 s after that: 36 requests were cut off.

Once the store may have been called, also by the host that decided before, the rollback is only written, on the same revision. If that succeeds, it takes effect; if the store has "completed" already, that is the end.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -115,6 +115,8 @@
 	finding finding
 	// wanted is the state that has to be written to the platform, Unset for none.
 	wanted State
+	// isEndCalled is set once the store may have been called to write the end.
+	isEndCalled bool
 	// isLate is set once the old version still runs requests at the deadline.
 	isLate bool
 }
@@ -168,6 +170,8 @@
 	decision.sent = max(decision.sent, instruction.Sent)
 	decision.inheritedAnswers = max(decision.inheritedAnswers, instruction.Answers)
 	decision.sequence = max(decision.sequence, instruction.Sequence)
+	// The host that decided before may have called the store.
+	decision.isEndCalled = decision.isEndCalled || instruction.endsOld()
 	if decision.stage == RollingBack {
 		decision.wanted = RolledBack
 	}
@@ -236,8 +240,13 @@
 	decision.setShare(now, view)
 }
 
+// rollBack withdraws the new version. Once the store was called to write the end, only a rollback
+// that is written takes effect: the old targets may be stopping.
 func (decision *decision) rollBack(reason string) {
-	decision.stage, decision.share, decision.wanted, decision.reason = RollingBack, 0, RolledBack, reason
+	decision.wanted, decision.reason = RolledBack, reason
+	if !decision.isEndCalled {
+		decision.stage, decision.share = RollingBack, 0
+	}
 }
 
 // updateRate updates the rate of requests.
@@ -322,8 +331,12 @@
 		return
 	}
 	decision.isLate = decision.isLate || now.After(decision.schedule.deadline)
+	if decision.wanted == RolledBack {
+		return
+	}
 	decision.wanted = Unset
 	if decision.isIdle(now, view) {
+		decision.isEndCalled = true
 		decision.wanted, decision.reason = Completed, "no request runs at the old version"
 	}
 }
