--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -51,8 +51,8 @@
 	drained := make(chan error, 1)
 	go func() { drained <- fixture.gateway.Drain(ctx) }()
 	select {
-	case <-drained:
-		c.Error("drained with a running request")
+	case err := <-drained:
+		c.Errorf("drained with a running request: %v", err)
 	case <-time.After(withoutRequestTime + withoutRequestTime/2):
 	}
 	close(fixture.resume)
