exchange, listener: let two tests not depend on how busy the machine is

TestAbsurdReports found a level of 19.6 where 30 to 40 is expected: levels sink as time passes, and the test took 1.35 s. It runs on the paused clock now, with the same bounds.

TestNewConnectionsFindRoom waited for 8 silent connections that are held at once. Those that have been silent for 100 ms give way from seven eighths of the room on, so that on a busy machine there are never 8.

--- a/exchange/check_test.go
+++ b/exchange/check_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -37,78 +38,81 @@
 // TestAbsurdReports guards against parts of another host's report that disturb this one, or
 // for which the rest of the report is not applied.
 func TestAbsurdReports(t *testing.T) {
-	c := qt.New(t)
-	host := newReceiver()
-	newer, free := 0, host.Balancer.Status("p").FreeSlots
-	host.OnNewerVersion = func(string) { newer++ }
-	long := strings.Repeat("n", 1<<10)
-	receive := func(sequence uint64, report *exchangepb.Report) {
-		report.Host, report.Address, report.Zone, report.Life, report.Sequence = "b", "b", "z", 1, sequence
-		encoded, err := encode(report)
-		c.Assert(err, qt.IsNil)
-		host.Receive(encoded)
-	}
-	uses := []*exchangepb.Use{{Target: "t", Open: math.MaxUint32}, {Target: long, Open: 1}, {Target: "t", Open: 3}, {Target: "t", Backlog: math.MaxUint32}}
-	receive(1, &exchangepb.Report{
-		Configuration: math.MaxInt64, Targets: math.MinInt64, Link: math.MaxUint32, Uses: uses, Peers: []string{"c", long},
-		Queues: []*exchangepb.Queue{
-			{Pool: "p", Waiting: make([]uint32, 1<<16)}, {Pool: "p", Waiting: []uint32{math.MaxUint32}}, {Pool: long}, {Pool: "p", Waiting: []uint32{0, 2}},
-		},
-		Spends: []*exchangepb.Spend{{Workspace: "w", Total: math.NaN(), Level: 50}, {Workspace: "w", Level: math.Inf(-1)}, {Workspace: "w", Level: 40}},
-	})
-	status := host.Balancer.Status("p")
-	c.Check(status.FreeSlots, qt.Equals, free-3)
-	c.Check(status.OthersWaiting, qt.Equals, 2)
-	c.Check(host.Ledger.Take("w", 1).Level, qt.Equals, 40.0)
-	c.Check(newer, qt.Equals, 0)
-	c.Check(host.Leads(1), qt.IsTrue)
-	c.Check(host.KnownPeers(), qt.Equals, 2)
+	// Levels sink as time passes.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host := newReceiver()
+		newer, free := 0, host.Balancer.Status("p").FreeSlots
+		host.OnNewerVersion = func(string) { newer++ }
+		long := strings.Repeat("n", 1<<10)
+		receive := func(sequence uint64, report *exchangepb.Report) {
+			report.Host, report.Address, report.Zone, report.Life, report.Sequence = "b", "b", "z", 1, sequence
+			encoded, err := encode(report)
+			c.Assert(err, qt.IsNil)
+			host.Receive(encoded)
+		}
+		uses := []*exchangepb.Use{{Target: "t", Open: math.MaxUint32}, {Target: long, Open: 1}, {Target: "t", Open: 3}, {Target: "t", Backlog: math.MaxUint32}}
+		receive(1, &exchangepb.Report{
+			Configuration: math.MaxInt64, Targets: math.MinInt64, Link: math.MaxUint32, Uses: uses, Peers: []string{"c", long},
+			Queues: []*exchangepb.Queue{
+				{Pool: "p", Waiting: make([]uint32, 1<<16)}, {Pool: "p", Waiting: []uint32{math.MaxUint32}}, {Pool: long}, {Pool: "p", Waiting: []uint32{0, 2}},
+			},
+			Spends: []*exchangepb.Spend{{Workspace: "w", Total: math.NaN(), Level: 50}, {Workspace: "w", Level: math.Inf(-1)}, {Workspace: "w", Level: 40}},
+		})
+		status := host.Balancer.Status("p")
+		c.Check(status.FreeSlots, qt.Equals, free-3)
+		c.Check(status.OthersWaiting, qt.Equals, 2)
+		c.Check(host.Ledger.Take("w", 1).Level, qt.Equals, 40.0)
+		c.Check(newer, qt.Equals, 0)
+		c.Check(host.Leads(1), qt.IsTrue)
+		c.Check(host.KnownPeers(), qt.Equals, 2)
 
-	// Another zone's summary.
-	receive(2, &exchangepb.Report{
-		Summaries: []*exchangepb.Summary{{Maker: long}, {
-			Zone: "y", Maker: "y1", Life: 1, Sequence: 1, Targets: []string{"t", long, "t", "t"}, Open: []uint32{math.MaxUint32, 1, 2}, Backlog: []uint32{1, 1, 1, 1},
-			Queues: []*exchangepb.Queue{{Pool: "p", Waiting: make([]uint32, 1<<16)}, {Pool: "p", Waiting: []uint32{5}}}, Workspaces: []string{"w", long},
-			Members: []*exchangepb.Member{
-				{Host: long, Address: "y0"},
-				{
-					Host: "y1", Address: "y1", Life: 1, Sequence: 1, Link: math.MaxUint32, Workspaces: []uint32{0, 0, 1, math.MaxUint32, 0},
-					Totals: []float64{math.NaN(), 5, 6, 7}, Levels: []float64{1, 2, 3, 4},
+		// Another zone's summary.
+		receive(2, &exchangepb.Report{
+			Summaries: []*exchangepb.Summary{{Maker: long}, {
+				Zone: "y", Maker: "y1", Life: 1, Sequence: 1, Targets: []string{"t", long, "t", "t"}, Open: []uint32{math.MaxUint32, 1, 2}, Backlog: []uint32{1, 1, 1, 1},
+				Queues: []*exchangepb.Queue{{Pool: "p", Waiting: make([]uint32, 1<<16)}, {Pool: "p", Waiting: []uint32{5}}}, Workspaces: []string{"w", long},
+				Members: []*exchangepb.Member{
+					{Host: long, Address: "y0"},
+					{
+						Host: "y1", Address: "y1", Life: 1, Sequence: 1, Link: math.MaxUint32, Workspaces: []uint32{0, 0, 1, math.MaxUint32, 0},
+						Totals: []float64{math.NaN(), 5, 6, 7}, Levels: []float64{1, 2, 3, 4},
+					},
 				},
-			},
-		}},
-	})
-	status = host.Balancer.Status("p")
-	c.Check(status.FreeSlots, qt.Equals, free-2)
-	c.Check(status.OthersWaiting, qt.Equals, 5)
-	c.Check(host.KnownPeers(), qt.Equals, 3)
-	level := host.Ledger.Take("w", 1).Level
-	c.Check(level > 30 && level < 40, qt.IsTrue, qt.Commentf("%v", level))
+			}},
+		})
+		status = host.Balancer.Status("p")
+		c.Check(status.FreeSlots, qt.Equals, free-2)
+		c.Check(status.OthersWaiting, qt.Equals, 5)
+		c.Check(host.KnownPeers(), qt.Equals, 3)
+		level := host.Ledger.Take("w", 1).Level
+		c.Check(level > 30 && level < 40, qt.IsTrue, qt.Commentf("%v", level))
 
-	// Pools of which there is no end.
-	for i := range 3000 {
-		receive(uint64(3+i), &exchangepb.Report{Queues: []*exchangepb.Queue{{Pool: strconv.Itoa(i), Waiting: []uint32{1}}}})
-	}
-	c.Check(host.Balancer.Status("p").OthersWaiting, qt.Equals, 5)
-	c.Check(host.Balancer.Status("2999").OthersWaiting, qt.Equals, 0)
+		// Pools of which there is no end.
+		for i := range 3000 {
+			receive(uint64(3+i), &exchangepb.Report{Queues: []*exchangepb.Queue{{Pool: strconv.Itoa(i), Waiting: []uint32{1}}}})
+		}
+		c.Check(host.Balancer.Status("p").OthersWaiting, qt.Equals, 5)
+		c.Check(host.Balancer.Status("2999").OthersWaiting, qt.Equals, 0)
 
-	// A sender that can't be read, and one that would never be heard again.
-	for _, report := range []*exchangepb.Report{
-		{Host: long, Address: "x"}, {Host: "x", Address: long}, {Host: "x", Address: "x", Zone: "\x00"}, {Host: "x", Address: "x", Life: math.MaxUint64},
-		{Host: "x", Address: "x", Life: 1, Sequence: math.MaxUint64},
-	} {
-		encoded, err := proto.Marshal(report)
-		c.Assert(err, qt.IsNil)
-		host.Receive(encoded)
-	}
-	c.Check(host.KnownPeers(), qt.Equals, 3)
-	count := 0
-	for _, event := range host.Events.Events() {
-		if event.Number == 8113 {
-			count++
+		// A sender that can't be read, and one that would never be heard again.
+		for _, report := range []*exchangepb.Report{
+			{Host: long, Address: "x"}, {Host: "x", Address: long}, {Host: "x", Address: "x", Zone: "\x00"}, {Host: "x", Address: "x", Life: math.MaxUint64},
+			{Host: "x", Address: "x", Life: 1, Sequence: math.MaxUint64},
+		} {
+			encoded, err := proto.Marshal(report)
+			c.Assert(err, qt.IsNil)
+			host.Receive(encoded)
 		}
-	}
-	c.Check(count, qt.Equals, 3, qt.Commentf("one for each address"))
+		c.Check(host.KnownPeers(), qt.Equals, 3)
+		count := 0
+		for _, event := range host.Events.Events() {
+			if event.Number == 8113 {
+				count++
+			}
+		}
+		c.Check(count, qt.Equals, 3, qt.Commentf("one for each address"))
+	})
 }
 
 // FuzzReceive checks that no datagram of a host disturbs this one.
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -230,7 +230,11 @@
 	for range 8 {
 		crowd = append(crowd, fixture.dial("GET / HT"))
 	}
-	fixture.waitUntil("all are accepted", func() bool { return fixture.listener.Budget.Holders() == 8 })
+	// On a busy machine the first ones may give way before the last one is accepted.
+	fixture.waitUntil("all are accepted", func() bool {
+		budget := fixture.listener.Budget
+		return budget.Holders() == 8 || budget.GaveWay(memory.Connections) > 0
+	})
 	time.Sleep(150 * time.Millisecond)
 	status, text := fixture.answer(fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 	fixture.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
