gateway: give back the room of a buffer in any case

Cause: releasing a buffer went through take, which undoes its count if all buffers together are beyond their limit. They are for a moment, while another buffer finds out that there is no room for it. The room of the released buffer was then lost for good, in the sum of all buffers and in the memory budget, until no answer found room any more. Found by reading.

Change: give returns the room without looking at the limit.

Result: TestReleasedBufferGivesBackItsRoom fails before (98 KiB lost) and passes now; the package passes with -race.

--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -39,20 +39,26 @@
 	if to > ownBufferBytes {
 		size = memory.Large
 	}
-	if to < from {
-		bufferRoom.budget.Give(memory.Answers, int64(from-to))
-	} else if !bufferRoom.budget.Take(memory.Answers, int64(to-from), size) {
+	if !bufferRoom.budget.Take(memory.Answers, int64(to-from), size) {
 		return false
 	}
-	growth := int64(max(to, ownBufferBytes) - max(from, ownBufferBytes))
-	if bufferRoom.shared.Add(growth) <= maxSharedBytes {
+	if bufferRoom.shared.Add(sharedBytes(to)-sharedBytes(from)) <= maxSharedBytes {
 		return true
 	}
-	bufferRoom.shared.Add(-growth)
+	bufferRoom.shared.Add(sharedBytes(from) - sharedBytes(to))
 	bufferRoom.budget.Give(memory.Answers, int64(to-from))
 	return false
 }
 
+// give gives back the room of a buffer with a capacity.
+func (bufferRoom *bufferRoom) give(capacity int) {
+	bufferRoom.shared.Add(-sharedBytes(capacity))
+	bufferRoom.budget.Give(memory.Answers, int64(capacity))
+}
+
+// sharedBytes is the part of a capacity that counts for all buffers together.
+func sharedBytes(capacity int) int64 { return int64(max(0, capacity-ownBufferBytes)) }
+
 // buffer holds an answer or a part of it. It must be released, also after an error.
 type buffer struct {
 	room  *bufferRoom
@@ -61,7 +67,7 @@
 
 // release empties the buffer and gives back its room.
 func (buffer *buffer) release() {
-	buffer.room.take(cap(buffer.bytes), 0)
+	buffer.room.give(cap(buffer.bytes))
 	buffer.bytes = nil
 }
 
--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -43,3 +43,16 @@
 	c.Assert(longest.readAll(io.LimitReader(endlessReader{}, maxBufferedBytes)), qt.IsNil)
 	c.Assert(longest.bytes, qt.HasLen, maxBufferedBytes)
 }
+
+// TestReleasedBufferGivesBackItsRoom guards against room that is lost for good, as a buffer is
+// released while another one finds out that there is no room for it.
+func TestReleasedBufferGivesBackItsRoom(t *testing.T) {
+	c := qt.New(t)
+	var room bufferRoom
+	buffer := buffer{room: &room}
+	c.Assert(buffer.grow(4*ownBufferBytes), qt.IsNil)
+	const others = 2 * maxSharedBytes
+	room.shared.Add(others)
+	buffer.release()
+	c.Check(room.shared.Load(), qt.Equals, int64(others))
+}
