--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -28,8 +28,8 @@
 
 const (
 	// withoutRequestTime is the time without running requests after which connections that sent
-	// no whole request are not waited for. A request that was on its way is there by then.
-	// http.Server waits for new connections for 5 s, which is as long as some grace periods.
+	// no whole request are not waited for. http.Server waits for new ones for 5 s, which is as
+	// long as some grace periods, but runs no request that becomes whole once Shutdown has begun.
 	withoutRequestTime = time.Second
 	drainPollInterval  = 20 * time.Millisecond
 )
