--- a/review/platform/leaving/main.go
+++ b/review/platform/leaving/main.go
@@ -39,9 +39,9 @@
 		"limits":   map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	start := func(number int) *rig.Process {
-		// Three in five servers send one in 20 answers without a length.
+		// Half of the servers send one in 20 answers without a length.
 		unframed := 0
-		if number%5 < 3 {
+		if number%2 == 0 {
 			unframed = 20
 		}
 		return run.StartProcess("server", fmt.Sprintf("i-%d", number), "pool", "a", slots, "-interval", interval.String(),
