review: drop the case of the quota and renumber the others

Change: the quota's folder and its program go; the silent connections are case 4 and the watches that are cut off case 5.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
 # Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/nutmegfield.example ] && [ -x review/bin/quota ] || { echo "build first: the deploy file's build and review/build.sh"; exit 2; }
-exec review/bin/quota review/5
+[ -x target/nutmegfield.example ] && [ -x review/bin/drain ] || { echo "build first: the deploy file's build and review/build.sh"; exit 2; }
+exec review/bin/drain review/5
