--- a/review/platform/lockout/main.go
+++ b/review/platform/lockout/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"review/rig"
@@ -32,8 +33,10 @@
 	// stableWindow is the bound stable_window_ms, enough the number of clients that have to try.
 	stableWindow = 3 * time.Second
 	enough       = 7
-	duration     = 45 * time.Second
-	crowdAfter   = 8 * time.Second
+	// descriptors is what this process needs for the clients, with room for the servers.
+	descriptors = 3000
+	duration    = 45 * time.Second
+	crowdAfter  = 8 * time.Second
 )
 
 // try is what became of a new connection of an ordinary client.
@@ -60,6 +63,10 @@
 
 func main() {
 	run := rig.New(os.Args[1])
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < descriptors {
+		run.Fail("%d descriptors, %v; the case needs %d", limit.Cur, err, descriptors)
+	}
 	run.Store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
