review: count the crowd's new connections in the third case

Cause: the rule speaks of any new connection, and the case looked at those of ordinary clients only.

Change: a connection that one of the crowd opens anew counts as a try, and as taken if its first request is answered as one without a route.

--- a/review/platform/lockout/main.go
+++ b/review/platform/lockout/main.go
@@ -39,11 +39,12 @@
 	crowdAfter  = 8 * time.Second
 )
 
-// try is what became of a new connection of an ordinary client.
+// try is what became of a new connection of a client, one of the crowd or another.
 type try struct {
 	at     time.Time
 	client int
-	// isTaken is set unless the host ended the connection before the client had sent anything.
+	// isTaken is set for an ordinary client unless the host ended the connection before anything was
+	// sent, and for one of the crowd if its first request was answered as one without a route.
 	isTaken bool
 }
 
@@ -118,7 +119,7 @@
 		run.Say("host %s: ordinary requests before the crowd: %d served, %d not; with it: %d served, %d not; of the crowd %d answered with 404, %d connections ended; not ready at %d polls; %.0f MB",
 			watch.host.Name, watch.served[0], watch.unserved[0], watch.served[1], watch.unserved[1],
 			watch.crowdAnswered.Load(), watch.crowdEnded.Load(), len(watch.unready), watch.host.AnonymousMB())
-		run.Say("host %s: for %.1f s it took none of the new connections, which %d clients opened", watch.host.Name, longest.Seconds(), clients)
+		run.Say("host %s: for %.1f s it took no new connection from anybody, while %d clients tried", watch.host.Name, longest.Seconds(), clients)
 		isBroken = isBroken || longest >= stableWindow && clients >= enough
 	}
 	run.Judge(isBroken)
@@ -144,14 +145,19 @@
 	time.Sleep(time.Until(from) + time.Duration(client)*time.Millisecond)
 	var conn *rig.Conn
 	for i := 0; time.Now().Before(until); i++ {
-		if conn == nil {
+		isNew := conn == nil
+		if isNew {
 			var err error
 			if conn, err = rig.Connect(watch.host.Front); err != nil {
+				watch.record(ordinary+client, false)
 				time.Sleep(pause)
 				continue
 			}
 		}
 		reply := conn.Send(&rig.Request{Method: http.MethodGet, Host: "shop.example", Path: "/none/1", ID: fmt.Sprintf("c%d-%d", client, i), DeadlineMs: 3000})
+		if isNew {
+			watch.record(ordinary+client, reply.Status == http.StatusNotFound)
+		}
 		if reply.Status == http.StatusNotFound {
 			watch.crowdAnswered.Add(1)
 		} else {
@@ -192,9 +198,7 @@
 		if conn == nil {
 			opened, err := rig.Connect(watch.host.Front)
 			isTaken := err == nil && !hasEnded(opened)
-			watch.mutex.Lock()
-			watch.tries = append(watch.tries, try{at: time.Now(), client: client, isTaken: isTaken})
-			watch.mutex.Unlock()
+			watch.record(client, isTaken)
 			if !isTaken {
 				run.Note("%s: the new connection is ended before anything is sent on it", id)
 				watch.count(phase, false)
@@ -215,6 +219,13 @@
 	}
 }
 
+// record records what became of a new connection of a client.
+func (watch *watch) record(client int, isTaken bool) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.tries = append(watch.tries, try{at: time.Now(), client: client, isTaken: isTaken})
+}
+
 func (watch *watch) count(phase int, isServed bool) {
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
