gateway: test streams that are cut at any byte

A stream that breaks off in the middle of an event, or of the answer's head, and goes on at another target was tested at a few places only. The test cuts an answer of four events with comments at each byte, with a length and with chunks, with line feeds and with carriage returns, with consecutive ids and with gaps. The caller must get each event once and whole. Two cases end as broken, as docs/design/continued-streams.md says: one event whose id has a gap after it, and a cut after the last event.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -162,3 +164,92 @@
 		c.Check(fixture.balancer.Report().Speeds, qt.HasLen, step.want)
 	}
 }
+
+// TestStreamsCutAtAnyByte guards against events that are missing, come twice or are passed on
+// in part where a stream breaks off at any byte of the answer, also in its head, and goes on
+// at another target.
+func TestStreamsCutAtAnyByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTest-Id: q1\r\nTest-Seal: s1\r\n"
+	for _, shape := range []struct{ name, lineEnd, step string }{
+		{"lineFeeds", "\n", "1"}, {"carriageReturns", "\r\n", "1"}, {"gaps", "\n", "10"},
+	} {
+		var events []string
+		for event := range 4 {
+			id := strconv.Itoa(event + 1)
+			if shape.step == "10" {
+				id += "0"
+			}
+			events = append(events, ": beat"+shape.lineEnd+"id: "+id+shape.lineEnd+"data: a"+shape.lineEnd+"data: b"+shape.lineEnd+shape.lineEnd)
+		}
+		stream := strings.Join(events, "")
+		var chunks strings.Builder
+		for _, event := range events {
+			fmt.Fprintf(&chunks, "%x\r\n%s\r\n", len(event), event)
+		}
+		for framing, answer := range map[string]string{
+			"length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(stream), stream),
+			"chunks": head + "Transfer-Encoding: chunked\r\n\r\n" + chunks.String() + "0\r\n\r\n",
+		} {
+			t.Run(shape.name+"/"+framing, func(t *testing.T) {
+				fixture := newFixture(qt.New(t), testConfiguration(func(route *route.Route) { applyRouteKind(route, "resumable") }), 2)
+				for cut := range len(answer) {
+					got, isComplete := fixture.cutAt(answer, cut, events)
+					want, goesOn := stream, true
+					// The id of one event does not show that ids have gaps, and after the last event
+					// no target can show that it goes on with the stream.
+					_, begun, _ := strings.Cut(answer[:cut], "\r\n\r\n")
+					switch passed := strings.Count(begun, shape.lineEnd+shape.lineEnd); {
+					case passed == 1 && shape.step == "10":
+						want, goesOn = events[0], false
+					case passed == len(events):
+						goesOn = false
+					}
+					fixture.Assert(got, qt.Equals, want, qt.Commentf("cut after %q", answer[:cut]))
+					fixture.Assert(isComplete, qt.Equals, goesOn, qt.Commentf("cut after %q", answer[:cut]))
+				}
+			})
+		}
+	}
+}
+
+// cutAt returns what a caller gets, and whether that looks complete, if the first target's
+// answer is cut after some bytes and the second one sends the events that are asked for.
+func (fixture *fixture) cutAt(answer string, cut int, events []string) (body string, isComplete bool) {
+	gateway := fixture.gateway
+	gateway.Balancer = &balance.Balancer{}
+	gateway.Balancer.SetTargets(fixture.targets, nil)
+	gateway.Limiter = &limit.Limiter{}
+	gateway.Budget = &budget.Budget{Ratio: 1, Window: time.Second, Spare: 10, Hosts: func() int { return 1 }, StartedAt: time.Now().Add(-time.Minute)}
+	var dials atomic.Int64
+	gateway.Connections = &upstream.Connections{DialTimeout: time.Second, Identify: identify(testProtocol)}
+	gateway.Connections.Dial = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		isFirst := dials.Add(1) == 1
+		go func() {
+			defer func() { _ = far.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			if isFirst {
+				_, _ = io.WriteString(far, answer[:cut])
+				return
+			}
+			rest := events
+			for last := request.Header.Get(testLastEvent); last != "" && len(rest) > 0; rest = rest[1:] {
+				if strings.Contains(rest[0], "id: "+last) {
+					last = ""
+				}
+			}
+			text := strings.Join(rest, "")
+			_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTest-Id: q1\r\nTest-Seal: s2\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}()
+		return near, nil
+	}
+	request := httptest.NewRequestWithContext(fixture.Context(), http.MethodPost, "http://h.example/r/a", strings.NewReader("x"))
+	request.Header.Set(testID, "q1")
+	request.Header.Set(testKey, "k")
+	recorder := httptest.NewRecorder()
+	isComplete = serveUntilAborted(gateway, recorder, request)
+	return recorder.Body.String(), isComplete
+}
