witness, gateway: take an answer without a length as whole only on evidence

Callers saw streams that end as complete and lack events, and 200 with a part of a body. An answer with neither a length nor chunks ends with its connection, and so does one that is cut as its target's process ends. Attempt.Survives took it as whole unless the target was known to have ended: no evidence was good news where a target leaves, its check was declined, early or late, or another process accepted the connection.

Now such an answer is whole only if the target answers a question that was sent after the end, over a connection that shows that the same process answers: one older than the request, one opened during the answer, the time of its start, or its id over one opened as the answer began (docs/design/answer-ends.md). What comes over another host is confirmed there; hosts of earlier builds don't say so.

--- a/detour/client.go
+++ b/detour/client.go
@@ -275,6 +275,9 @@
 	// after the last reply.
 	unread   []byte
 	hasEnded bool
+	// isConfirmed is set if the last reply says that an unframed answer is whole. Hosts of
+	// earlier builds do not say so.
+	isConfirmed bool
 }
 
 func (exchange *exchange) begin(ctx context.Context, call *Call) (*upstream.Answer, error) {
@@ -298,7 +301,8 @@
 	}
 	return &upstream.Answer{
 		Status: int(reply.GetStatus()), Header: header, Length: reply.GetLength(), Unframed: reply.GetUnframed(),
-		Body: upstream.NewBody(exchange, exchange.release),
+		Body:      upstream.NewBody(exchange, exchange.release),
+		Confirmed: func() bool { return exchange.isConfirmed },
 	}, nil
 }
 
@@ -335,7 +339,7 @@
 			exchange.hasEnded = true
 			return 0, fmt.Errorf("read over host %s: %w", exchange.host.ID, err)
 		}
-		exchange.unread, exchange.hasEnded = reply.GetBody(), reply.GetEnd()
+		exchange.unread, exchange.hasEnded, exchange.isConfirmed = reply.GetBody(), reply.GetEnd(), reply.GetConfirmed()
 	}
 	n := copy(buffer, exchange.unread)
 	exchange.unread = exchange.unread[n:]
--- a/detour/server.go
+++ b/detour/server.go
@@ -17,6 +17,7 @@
 	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
+	"nutmegfield.example/witness"
 )
 
 const (
@@ -66,7 +67,10 @@
 	OnAnswer  func(target *balance.Target, answer *upstream.Answer)
 	OnSkipped func(request string, target *balance.Target, skipped upstream.Skipped)
 	Begin     func() (end func())
-	Events    *timeline.Recorder
+	// WatchEnd watches an answer without a length whose request was sent at a moment. Nil
+	// means that the ends of such answers can't be confirmed.
+	WatchEnd func(target *balance.Target, request string, sentAt time.Time) *witness.Watch
+	Events   *timeline.Recorder
 
 	running atomic.Int64
 	// lag is the average lateness of this host's work in nanoseconds, awakeAt when it was
@@ -169,6 +173,7 @@
 		Request: request.GetId(), Pool: target.Pool, Target: target.ID, Peer: request.GetSender(),
 		Facts: []timeline.Fact{timeline.Count("forwarded", int(server.running.Load()))},
 	})
+	sentAt := time.Now()
 	watched := server.Watch(target.Pool)
 	defer watched.End()
 	answer, err := server.Connections.Exchange(stream.Context(), target.Address, &upstream.Request{
@@ -192,11 +197,20 @@
 	defer func() { _ = answer.Body.Close() }()
 	watched.Heard()
 	server.OnAnswer(&target, answer)
-	return server.passOn(stream, answer, watched)
+	confirm := func() bool { return false }
+	if answer.Unframed && server.WatchEnd != nil {
+		watch := server.WatchEnd(&target, request.GetId(), sentAt)
+		defer watch.End()
+		confirm = func() bool { return watch.Confirm(stream.Context()) }
+	}
+	return server.passOn(stream, answer, watched, confirm)
 }
 
-// passOn passes an answer on as it arrives.
-func (server *Server) passOn(stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer, watched *Attempt) error {
+// passOn passes an answer on as it arrives. Confirm reports whether one without a length is
+// whole.
+func (server *Server) passOn(
+	stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer, watched *Attempt, confirm func() bool,
+) error {
 	head := &detourpb.Reply{
 		Status: uint32(answer.Status), Header: encodeHeader(answer.Header), Length: answer.Length, Unframed: answer.Unframed,
 	}
@@ -213,7 +227,7 @@
 		isComplete := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 		switch {
 		case isComplete:
-			reply.End = true
+			reply.End, reply.Confirmed = true, answer.Unframed && confirm()
 		case err != nil:
 			if n > 0 {
 				if err := stream.Send(reply); err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -304,8 +304,10 @@
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
+	answerEnd := gateway.watchEnd(answer, &grant.Target, forwarding.call.ID, sentAt)
+	defer answerEnd.end()
 	var reason string
-	verdict, reason = forwarding.relay(ctx, grant, answer, reply, attempt, silenceTimer)
+	verdict, reason = forwarding.relay(ctx, grant, answer, reply, attempt, answerEnd, silenceTimer)
 	return verdict, reason
 }
 
@@ -400,7 +402,7 @@
 
 // relay passes a target's answer on to the caller, unless the answer says that the
 // target did not run the request.
-func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relay(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, answerEnd *answerEnd, silenceTimer *silenceTimer) (verdict, string) {
 	if !reply.Misdirected {
 		attempt.Heard()
 	}
@@ -424,22 +426,14 @@
 		return forwarding.dropUnmarked(grant, answer)
 	}
 	if forwarding.route.Streaming && answer.Status == http.StatusOK {
-		return forwarding.relayStream(ctx, grant, answer, reply, attempt, silenceTimer)
+		return forwarding.relayStream(ctx, grant, answer, reply, attempt, answerEnd, silenceTimer)
 	}
 	silenceTimer.reset()
-	return forwarding.relayBuffered(ctx, grant, answer, reply, attempt, silenceTimer)
-}
-
-// reasonEnded is the reason of failures of targets that ended together with their answers.
-const reasonEnded = "the target ended with its answer, which has no length"
-
-// mayBeCut reports whether an answer that seems complete ended because its target did.
-func mayBeCut(answer *upstream.Answer, attempt *quarantine.Attempt) bool {
-	return answer.Unframed && !attempt.Survives(maxCheckWait)
+	return forwarding.relayBuffered(ctx, grant, answer, reply, answerEnd, silenceTimer)
 }
 
 // relayBuffered reads an answer to its end before it passes it on.
-func (forwarding *forwarding) relayBuffered(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relayBuffered(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, answerEnd *answerEnd, silenceTimer *silenceTimer) (verdict, string) {
 	if answer.Status < http.StatusMultipleChoices && !reply.Sealed {
 		grant.End(balance.Failed)
 		return failed, "the answer has no signature"
@@ -453,7 +447,7 @@
 		return failed, "the answer broke off: " + silenceTimer.failureReason(err)
 	}
 	silenceTimer.stop()
-	if mayBeCut(answer, attempt) {
+	if !answerEnd.isWhole(ctx) {
 		bufferedAnswer.body.release()
 		forwarding.endGrant(ctx, grant, balance.Failed)
 		return failed, reasonEnded
@@ -475,7 +469,7 @@
 }
 
 // relayStream passes on each complete event of a stream as it arrives.
-func (forwarding *forwarding) relayStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, silenceTimer *silenceTimer) (verdict, string) {
+func (forwarding *forwarding) relayStream(ctx context.Context, grant *balance.Grant, answer *upstream.Answer, reply Reply, attempt *quarantine.Attempt, answerEnd *answerEnd, silenceTimer *silenceTimer) (verdict, string) {
 	if !reply.Sealed {
 		grant.End(balance.Failed)
 		return failed, "the answer has no signature"
@@ -486,7 +480,8 @@
 	for {
 		event, err := eventReader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			if mayBeCut(answer, attempt) {
+			silenceTimer.stop()
+			if !answerEnd.isWhole(ctx) {
 				forwarding.endGrant(ctx, grant, balance.Failed)
 				return failed, reasonEnded
 			}
@@ -510,6 +505,7 @@
 		if !event.isBlank {
 			silenceTimer.reset()
 			attempt.Heard()
+			answerEnd.heard()
 			count++
 		}
 		if continues {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -29,6 +29,7 @@
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
+	"nutmegfield.example/witness"
 )
 
 // Header fields of the test protocol.
@@ -83,6 +84,9 @@
 			Misdirected: status == http.StatusMisdirectedRequest, Sealed: header.Get(testSeal) != "",
 		}
 	},
+	ReadIdentity: func(status int, header http.Header, _ []byte) witness.Identity {
+		return witness.Identity{Target: header.Get(testTarget), Misdirected: status == http.StatusMisdirectedRequest}
+	},
 	WriteRefusal: func(header http.Header, _ Call, after time.Duration) {
 		if after > 0 {
 			header.Set("Retry-After", fmt.Sprintf("%.3f", after.Seconds()))
@@ -168,6 +172,7 @@
 		Table:    func() *route.Table { return fixture.table },
 		Refresh:  func(context.Context) error { return nil },
 	}
+	fixture.gateway.Witnesses = fixture.gateway.NewWitnesses()
 	fixture.server = httptest.NewServer(fixture.gateway)
 	c.Cleanup(fixture.server.Close)
 	fixture.gateway.Shutdown = fixture.server.Config.Shutdown
@@ -190,6 +195,7 @@
 		Events:   &timeline.Recorder{},
 
 		OnSkipped: fixture.gateway.recordSkipped,
+		WatchEnd:  fixture.gateway.Witnesses.Begin,
 	}
 	mux := drpcmux.New()
 	fixture.Assert(server.Register(mux), qt.IsNil)
@@ -292,7 +298,7 @@
 }
 
 // healthyReply is that of the target that is asked.
-const healthyReply = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Target: TARGET\nContent-Length: 0\n"
+const healthyReply = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Target: TARGET\nContent-Length: 0\n\n"
 
 // writeEndlessly writes a text, in Go syntax, again and again until the connection is
 // closed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"nutmegfield.example/route"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
+	"nutmegfield.example/witness"
 )
 
 const (
@@ -48,6 +49,8 @@
 	Budget *budget.Budget
 	// Attempts tracks the requests sent to targets, to notice targets that crash.
 	Attempts *quarantine.Attempts
+	// Witnesses tell whether targets outlived their answers without a length.
+	Witnesses *witness.Witnesses
 	// Suspects says which requests crash targets and must be refused.
 	Suspects *quarantine.Suspects
 	// Limiter knows the limits that targets name.
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -311,6 +311,7 @@
 		Refresh: host.refreshRoutes,
 		Notice:  settings.Drain.Notice,
 	}
+	host.gateway.Witnesses = host.gateway.NewWitnesses()
 	host.addDetours(kernelHost)
 	host.addRollouts(kernelHost, sources, outage)
 	return host
@@ -345,7 +346,7 @@
 				gateway.Balancer.RecordDuration(target, reply.Load.Duration)
 			}
 		},
-		OnSkipped: gateway.recordSkipped,
+		OnSkipped: gateway.recordSkipped, WatchEnd: gateway.Witnesses.Begin,
 		Begin: func() func() {
 			gateway.runningRequests.Add(1)
 			return func() { gateway.runningRequests.Add(-1) }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"nutmegfield.example/witness"
 )
 
 // Call holds the fields of a caller's request header.
@@ -113,4 +115,10 @@
 	// WriteRefusal sets the retry time in the response header of a request that
 	// the gateway refuses; an after of 0 sets none.
 	WriteRefusal func(header http.Header, call Call, after time.Duration)
+	// ReportPath is the path at which engines tell of themselves without using a slot, empty
+	// if they do not.
+	ReportPath string
+	// ReadIdentity reads what a target says of itself in the answer to a health check or at
+	// ReportPath. Nil means that targets say nothing.
+	ReadIdentity func(status int, header http.Header, body []byte) witness.Identity
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -21,9 +21,9 @@
 func TestCutAnswersAreNotWhole(t *testing.T) {
 	const (
 		closed   = "CLOSE"
-		replaced = "HTTP/1.1 421 Misdirected Request\nTest-Id: ID\nTest-Target: other\nContent-Length: 0\n"
-		ignorant = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Target: other\nContent-Length: 0\n"
-		busy     = "HTTP/1.1 503 Service Unavailable\nTest-Id: ID\nTest-Not-Run: 1\nTest-Target: TARGET\nContent-Length: 0\n"
+		replaced = "HTTP/1.1 421 Misdirected Request\nTest-Id: ID\nTest-Target: other\nContent-Length: 0\n\n"
+		ignorant = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Target: other\nContent-Length: 0\n\n"
+		busy     = "HTTP/1.1 503 Service Unavailable\nTest-Id: ID\nTest-Not-Run: 1\nTest-Target: TARGET\nContent-Length: 0\n\n"
 	)
 	refused := func(context.Context, *balance.Target) error { return syscall.ECONNREFUSED }
 	for name, test := range map[string]struct {
--- /dev/null
+++ b/gateway/witness.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/upstream"
+	"nutmegfield.example/witness"
+)
+
+// reasonEnded is the reason of failures of answers that may have been cut.
+const reasonEnded = "the answer has no length, and nothing shows that its target outlived it"
+
+// NewWitnesses returns the witnesses of a gateway, whose other fields are set.
+func (gateway *Gateway) NewWitnesses() *witness.Witnesses {
+	return &witness.Witnesses{
+		Connections: gateway.Connections, Question: gateway.question, Identify: gateway.Protocol.ReadIdentity, Events: gateway.Events,
+	}
+}
+
+// question returns the request by which a target says who it is, nil if there is none.
+func (gateway *Gateway) question(target *balance.Target, id string) *upstream.Request {
+	table := gateway.Table()
+	if table == nil || gateway.Protocol.ReadIdentity == nil {
+		return nil
+	}
+	pool := table.Pool(target.Pool)
+	if pool == nil {
+		return nil
+	}
+	path := pool.HealthPath
+	if pool.Engine != nil && gateway.Protocol.ReportPath != "" {
+		path = gateway.Protocol.ReportPath
+	}
+	if path == "" {
+		return nil
+	}
+	header := http.Header{}
+	gateway.Protocol.WriteForward(header, Forward{ID: id, Target: target.ID})
+	return &upstream.Request{Method: http.MethodGet, Target: path, Host: target.Address, Header: header, ID: id}
+}
+
+// answerEnd tells whether an answer that has ended is whole.
+type answerEnd struct {
+	answer *upstream.Answer
+	// watch is that of an answer without a length over an own connection, nil for others.
+	watch *witness.Watch
+}
+
+// watchEnd begins to watch for the end of an answer to a request that was sent at a moment.
+func (gateway *Gateway) watchEnd(answer *upstream.Answer, target *balance.Target, request string, sentAt time.Time) *answerEnd {
+	answerEnd := &answerEnd{answer: answer}
+	if answer.Unframed && answer.Confirmed == nil {
+		answerEnd.watch = gateway.Witnesses.Begin(target, request, sentAt)
+	}
+	return answerEnd
+}
+
+// heard records that a part of the answer was read.
+func (answerEnd *answerEnd) heard() {
+	if answerEnd.watch != nil {
+		answerEnd.watch.Heard()
+	}
+}
+
+// isWhole reports whether the answer that has ended is whole: its end was marked, or its target
+// is known to have outlived it.
+func (answerEnd *answerEnd) isWhole(ctx context.Context) bool {
+	switch {
+	case !answerEnd.answer.Unframed:
+		return true
+	case answerEnd.watch != nil:
+		return answerEnd.watch.Confirm(ctx)
+	default:
+		return answerEnd.answer.Confirmed()
+	}
+}
+
+// end ends the watch.
+func (answerEnd *answerEnd) end() {
+	if answerEnd.watch != nil {
+		answerEnd.watch.End()
+	}
+}
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,11 +69,6 @@
 	})
 )
 
-var eventUnframedEnded = timeline.Define(timeline.Kind{
-	Number: 1180, Name: "answer without a length ended", Level: timeline.Info,
-	Meaning: "An answer with neither a length nor chunks has ended with its connection, as one does that is cut when its target ends. The detail is the evidence by which it is taken as whole or not, and whole says which.",
-})
-
 // Attempts tracks the requests that this host has sent to targets, to find out which
 // of them ran on a target when it ended. Its fields are set before use.
 type Attempts struct {
@@ -111,8 +105,6 @@
 	// endedAt is when it was found.
 	endedBy Evidence
 	endedAt time.Time
-	// result is that of the last check, in words.
-	result string
 	// check is closed at the end of the check that is in progress, nil if there is
 	// none; checkedAt is when the last one began.
 	check     chan struct{}
@@ -208,46 +200,6 @@
 	return done
 }
 
-// Survives checks whether the target still runs, and returns false if it is known to have
-// ended. The check may take up to a timeout; without a result the target has survived.
-func (attempt *Attempt) Survives(timeout time.Duration) bool {
-	attempts, target := attempt.attempts, attempt.target
-	endedAt := time.Now()
-	attempts.mutex.Lock()
-	if target.endedBy != "" {
-		attempts.mutex.Unlock()
-		attempt.recordUnframedEnd(false, "ended before: "+string(target.endedBy))
-		return false
-	}
-	check := attempts.startCheck(target)
-	checkedAt := target.checkedAt
-	attempts.mutex.Unlock()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	evidence := ""
-	select {
-	case <-check:
-	case <-timer.C:
-		evidence = "not checked in time; "
-	}
-	if checkedAt.Before(endedAt) {
-		evidence += "the check began before the end; "
-	}
-	attempts.mutex.Lock()
-	survived := target.endedBy == ""
-	evidence += target.result
-	attempts.mutex.Unlock()
-	attempt.recordUnframedEnd(survived, evidence)
-	return survived
-}
-
-func (attempt *Attempt) recordUnframedEnd(isWhole bool, evidence string) {
-	attempt.attempts.Events.Record(eventUnframedEnded, timeline.Event{
-		Request: attempt.request, Pool: attempt.target.Pool, Target: attempt.target.ID, Detail: evidence,
-		Facts: []timeline.Fact{{Key: "whole", Value: strconv.FormatBool(isWhole)}},
-	})
-}
-
 // Abandoned ends an attempt whose caller left or that timed out. Its target is
 // checked only if it stays silent.
 func (attempt *Attempt) Abandoned() {
@@ -319,7 +271,6 @@
 	attempts.mutex.Lock()
 	now := time.Now()
 	result, evidence := attempts.judge(target, err)
-	target.result = result
 	attempts.Events.Record(eventTargetChecked, timeline.Event{
 		Pool: target.Pool, Target: target.ID, Detail: result,
 		Facts: []timeline.Fact{
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -121,11 +121,12 @@
 	connections.addOpen(address, 1)
 	input := &headLimiter{source: conn}
 	return &connection{
-		Conn:    conn,
-		address: address,
-		input:   input,
-		reader:  bufio.NewReaderSize(input, readBufferBytes),
-		onClose: func() { connections.addOpen(address, -1) },
+		Conn:     conn,
+		address:  address,
+		input:    input,
+		reader:   bufio.NewReaderSize(input, readBufferBytes),
+		openedAt: time.Now(),
+		onClose:  func() { connections.addOpen(address, -1) },
 	}, nil
 }
 
@@ -228,11 +229,15 @@
 }
 
 func (connection *connection) isStale() bool {
-	limit := maxIdle
+	return time.Since(connection.idleSince) > connection.idleLimit()
+}
+
+// idleLimit returns how long the connection is kept idle.
+func (connection *connection) idleLimit() time.Duration {
 	if connection.keepAlive > 0 {
-		limit = min(limit, time.Duration(float64(connection.keepAlive)*keepAliveFraction))
+		return min(maxIdle, time.Duration(float64(connection.keepAlive)*keepAliveFraction))
 	}
-	return time.Since(connection.idleSince) > limit
+	return maxIdle
 }
 
 // isUsable reports whether an idle connection may carry another request.
--- a/upstream/match.go
+++ b/upstream/match.go
@@ -148,7 +148,7 @@
 func (matching *matching) doubt(status int, identity Identity) Doubt {
 	id := matching.request.ID
 	switch {
-	case identity.ID == "" && matching.isFirst && (identity.NotRun || id == ""):
+	case identity.ID == "" && matching.isFirst && (identity.NotRun || id == "" || matching.request.takesUnnamed):
 		return ""
 	case identity.ID == "":
 		return NamesNone
@@ -172,7 +172,7 @@
 	if matching.request.OnSkipped != nil {
 		matching.request.OnSkipped(skipped)
 	}
-	if skipped.Doubt == NamesNone && skipped.NotRun {
+	if skipped.Doubt == NamesNone && skipped.NotRun && !matching.request.takesUnnamed {
 		matching.connections.recordUnnamed(connection.address)
 	}
 	if skipped.Doubt != NamesAnother && !matching.request.Once && matching.patience == nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -72,6 +72,9 @@
 	// OnSkipped is called with each answer that is not taken as the request's own. It may
 	// be nil.
 	OnSkipped func(Skipped)
+
+	// takesUnnamed means that the first answer on a connection may name no request.
+	takesUnnamed bool
 }
 
 // Answer is a target's answer. Its body must be closed.
@@ -82,9 +85,12 @@
 	Body *Body
 	// Length is the declared length of the body in bytes, -1 for none.
 	Length int64
-	// Unframed reports whether the answer has neither a length nor chunks. It ends with
-	// its connection, which also ends if the target does.
+	// Unframed reports whether the answer has a body with neither a length nor chunks. It
+	// ends with its connection, which also ends if the target does.
 	Unframed bool
+	// Confirmed reports, after the end of an unframed answer that came over another host,
+	// whether that host has found it whole. It is nil for one over an own connection.
+	Confirmed func() bool
 	// Reused reports whether the connection had carried a request before.
 	Reused bool
 }
@@ -149,7 +155,7 @@
 		Body:   &Body{content: response.Body},
 		Length: response.ContentLength,
 
-		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead,
 		Reused:   connection.uses > 0,
 	}, nil
 }
@@ -280,6 +286,7 @@
 	// uses is the number of answers that were read completely, carried that of the requests
 	// that were written, also in part.
 	uses, carried int
+	openedAt      time.Time
 	idleSince     time.Time
 	// idleBefore is how long it had been idle before its current use.
 	idleBefore time.Duration
--- /dev/null
+++ b/witness/witness_test.go
@@ -0,0 +1,136 @@
+package witness
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/balance"
+	"nutmegfield.example/timeline"
+	"nutmegfield.example/upstream"
+)
+
+const reply = "HTTP/1.1 200 OK\r\nId: %\r\nContent-Length: 0\r\n"
+
+// TestEvidence guards against answers without a length that are believed although another
+// process, or none, answers the question after their end.
+func TestEvidence(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// idle means that there is an idle connection before the request; the answer takes a
+		// time, and the target is replaced at its end by one that replies otherwise.
+		idle, isReplaced bool
+		takes            time.Duration
+		after            string
+		want             Evidence
+	}{
+		{name: "older", idle: true, after: "Target: t", want: OlderConnection},
+		{name: "older, full", idle: true, after: "Not-Run: 1", want: OlderConnection},
+		{name: "older, replaced under the same id", idle: true, isReplaced: true, after: "Target: t", want: LateConnection},
+		{name: "meanwhile", takes: time.Second, after: "Other: 1", want: OpenMeanwhile},
+		{name: "meanwhile, replaced under the same id", takes: time.Second, isReplaced: true, after: "Target: t", want: LateConnection},
+		{name: "same start", isReplaced: true, after: "Start: 7", want: SameStart},
+		{name: "another start", idle: true, after: "Target: t\r\nStart: 8", want: Replaced},
+		{name: "another target", idle: true, after: "Target: u", want: Replaced},
+		{name: "misdirected", isReplaced: true, after: "Misdirected: 1", want: Replaced},
+		{name: "same id", after: "Target: t", want: SameID},
+		{name: "no id", after: "Other: 1", want: LateConnection},
+		{name: "ended", isReplaced: true, after: "CLOSE", want: NoAnswer},
+		{name: "mute", idle: true, after: "MUTE", want: NoTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				target := &standIn{}
+				connections := &upstream.Connections{Dial: target.dial, DialTimeout: time.Second, Identify: func(_ int, header http.Header) upstream.Identity {
+					return upstream.Identity{ID: header.Get("Id")}
+				}}
+				witnesses := &Witnesses{
+					Connections: connections, Events: &timeline.Recorder{},
+					Question: func(_ *balance.Target, id string) *upstream.Request {
+						return &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}
+					},
+					Identify: func(_ int, header http.Header, _ []byte) Identity {
+						identity := Identity{Target: header.Get("Target"), Misdirected: header.Get("Misdirected") != ""}
+						if start := header.Get("Start"); start != "" {
+							identity.StartedAt = time.UnixMilli(int64(start[0] - '0'))
+						}
+						return identity
+					},
+				}
+				if test.idle {
+					c.Assert(connections.Warm(t.Context(), "a"), qt.IsNil)
+				}
+				time.Sleep(time.Millisecond)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				watch := witnesses.Begin(&balance.Target{ID: "t", Address: "a", StartedAt: time.UnixMilli(7)}, "q", time.Now())
+				time.Sleep(test.takes)
+				watch.Heard()
+				synctest.Wait()
+				target.set(test.after)
+				if test.isReplaced {
+					target.closeAll()
+				}
+				witnesses.ask(watch)
+				got := NoTime
+				select {
+				case got = <-watch.result:
+				case <-ctx.Done():
+				}
+				c.Assert(got, qt.Equals, test.want)
+				watch.End()
+				time.Sleep(2 * keepTime)
+				c.Assert(witnesses.targets, qt.HasLen, 0)
+				c.Assert(connections.OpenCount("a"), qt.Equals, 0)
+				target.closeAll()
+			})
+		})
+	}
+}
+
+// standIn accepts connections and replies to each request alike.
+type standIn struct {
+	conns []net.Conn
+	text  string
+}
+
+func (standIn *standIn) set(text string) { standIn.text = text }
+
+func (standIn *standIn) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	standIn.conns = append(standIn.conns, far)
+	go standIn.serve(far)
+	return near, nil
+}
+
+func (standIn *standIn) closeAll() {
+	for _, conn := range standIn.conns {
+		_ = conn.Close()
+	}
+	standIn.conns = nil
+}
+
+func (standIn *standIn) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil || standIn.text == "CLOSE" {
+			return
+		}
+		if standIn.text == "MUTE" {
+			_, _ = io.Copy(io.Discard, reader)
+			return
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(reply, "%", request.Header.Get("Id"))+standIn.text+"\r\n\r\n")
+	}
+}
