timeline: bound what events keep of foreign texts

Callers saw hosts end: the ring buffer keeps 8,192 events, and each kept the id of its request and its detail as they came. Details have the errors of reading answers, which quote up to 64 KB of bytes that are no answer: a faulty target made a host keep 539 MB in the same way.

Events keep 128 bytes of an id, 1 KiB of another text, and 10 MiB in all; the oldest are dropped beyond that, and nutmegfield_timeline_bytes shows the count. Of a longer id they keep 64 bytes and a hash, by which explain and timeline find the events of the whole id. What is sent to targets stays unchanged. Log lines are shortened with their events.

--- a/command/serve.go
+++ b/command/serve.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
@@ -68,6 +69,7 @@
 		},
 	}
 	invariant.Recorder.Store(host.Events)
+	metrics.GetOrCreateGauge("nutmegfield_timeline_bytes", func() float64 { return float64(host.Events.KeptBytes()) })
 	kernel.Provide(host, registeredNames())
 	// Discard the framework's log, so that the log has numbered events only.
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
--- a/diagnosis/explanation.go
+++ b/diagnosis/explanation.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"nutmegfield.example/timeline"
 )
 
 // Numbers of the events that an explanation uses. All events are listed in
@@ -69,7 +71,7 @@
 	slices.SortStableFunc(sorted, func(one, other Line) int { return one.Time.Compare(other.Time) })
 	explanation := &Explanation{Request: request}
 	for _, line := range sorted {
-		if line.Request == request {
+		if timeline.IsOf(line.Request, request) {
 			explanation.Lines = append(explanation.Lines, line)
 		}
 	}
--- a/timeline/page.go
+++ b/timeline/page.go
@@ -24,7 +24,7 @@
 // Matches reports whether the event passes the filter.
 func (selection *Selection) Matches(event *Event) bool {
 	switch {
-	case selection.Request != "" && event.Request != selection.Request:
+	case selection.Request != "" && !IsOf(event.Request, selection.Request):
 		return false
 	case !selection.Since.IsZero() && event.At.Before(selection.Since):
 		return false
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -44,8 +44,12 @@
 	return Fact{Key: key, Value: strconv.FormatInt(int64(count), 10)}
 }
 
-// ringSize is the number of events that a Recorder keeps.
-const ringSize = 8192
+const (
+	// ringSize is the number of events that a Recorder keeps at most, maxRingBytes what they
+	// hold.
+	ringSize     = 8192
+	maxRingBytes = 10 << 20
+)
 
 // Recorder keeps the newest events of a host in a ring buffer and logs them. Its
 // methods are safe for concurrent use; Record on a nil Recorder does nothing.
@@ -63,10 +67,14 @@
 	omittedLines atomic.Int64
 	sequence     atomic.Uint64
 	ring         [ringSize]atomic.Pointer[Event]
+	// keptBytes is what the events in the ring buffer hold, dropped the sequence number of
+	// the newest event that was dropped for its sake.
+	keptBytes atomic.Int64
+	dropped   atomic.Uint64
 }
 
-// Record sets the event's time, host, sequence number and kind, stores it in the
-// ring buffer, and logs it unless it is a trace or exceeds a rate limit.
+// Record sets the event's time, host, sequence number and kind, shortens long texts, stores
+// it in the ring buffer, and logs it unless it is a trace or exceeds a rate limit.
 func (recorder *Recorder) Record(kind Kind, event Event) {
 	if recorder == nil {
 		return
@@ -76,7 +84,8 @@
 	event.Number = kind.Number
 	event.Name = kind.Name
 	event.Sequence = recorder.sequence.Add(1)
-	recorder.ring[event.Sequence%ringSize].Store(&event)
+	event.shorten()
+	recorder.keep(&event)
 	if kind.Level == Trace || recorder.Logger == nil {
 		return
 	}
@@ -93,6 +102,35 @@
 	recorder.writeLog(kind.Level, &event)
 }
 
+// keep stores an event in the ring buffer, and drops the oldest events while all hold more
+// than maxRingBytes.
+func (recorder *Recorder) keep(event *Event) {
+	recorder.keptBytes.Add(event.bytes())
+	if replaced := recorder.ring[event.Sequence%ringSize].Swap(event); replaced != nil {
+		recorder.keptBytes.Add(-replaced.bytes())
+	}
+	for recorder.keptBytes.Load() > maxRingBytes {
+		dropped := recorder.dropped.Load()
+		oldest := dropped + 1
+		if event.Sequence > ringSize {
+			oldest = max(oldest, event.Sequence-ringSize+1)
+		}
+		if oldest >= event.Sequence {
+			return
+		}
+		if !recorder.dropped.CompareAndSwap(dropped, oldest) {
+			continue
+		}
+		slot := &recorder.ring[oldest%ringSize]
+		if old := slot.Load(); old != nil && old.Sequence == oldest && slot.CompareAndSwap(old, nil) {
+			recorder.keptBytes.Add(-old.bytes())
+		}
+	}
+}
+
+// KeptBytes returns what the events in the ring buffer hold.
+func (recorder *Recorder) KeptBytes() int64 { return recorder.keptBytes.Load() }
+
 var eventLinesOmitted = Define(Kind{
 	Number: 104, Name: "log lines left out", Level: Info,
 	Meaning: "Lines were omitted from the log since the last line, because of its rate limit; the fact lines is their number. The timeline has the newest of the events.",
