quarantine: keep short ids of failed attempts

Each host keeps the last 256 attempts without an answer of each target for ten seconds, to see whether the target ended, and with them the ids of their requests as the callers sent them: 4 MB for each target where callers send ids of 16 KB and leave, which is more than a small machine has with forty targets. Ids are used for events only, which keep a short form, so the attempts keep that, too.

TestFailedAttemptsKeepShortIDs failed before with 4,194,304 bytes kept at one target; the bound is 128 bytes an attempt.

--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -264,9 +264,10 @@
 	}
 	delete(target.running, attempt)
 	attempt.failedAt = time.Now()
-	// The function would keep the request's body in memory.
+	// The function would keep the request's body in memory, and the id may be long.
 	traits := attempt.traits()
 	attempt.traits = func() Traits { return traits }
+	attempt.request = timeline.ShortID(attempt.request)
 	target.unanswered = append(target.unanswered, attempt)
 	target.isInDoubt.Store(true)
 	if excess := len(target.unanswered) - maxUnanswered; excess > 0 {
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// TestFailedAttemptsKeepShortIDs guards against ids of callers that left, of up to the whole
+// limit for a head, which filled the memory of a host.
+func TestFailedAttemptsKeepShortIDs(t *testing.T) {
+	c := qt.New(t)
+	attempts := &Attempts{Check: func(context.Context, *balance.Target) error { return nil }}
+	target := &balance.Target{ID: "t1"}
+	for range 2 * maxUnanswered {
+		attempt := attempts.Begin(target, strings.Repeat("x", 16<<10), func() Traits { return Traits{} })
+		attempt.Abandoned()
+	}
+	kept := 0
+	for _, attempt := range attempts.targets[IncarnationOf(target)].unanswered {
+		kept += len(attempt.request)
+	}
+	c.Assert(kept > 0 && kept <= maxUnanswered*128, qt.IsTrue, qt.Commentf("%d bytes", kept))
+}
+
 type script struct {
 	*qt.C
 	tracker *Attempts
