upstream: bound the lines of an answer's head and count long heads

A faulty target could make a host hold some two megabytes with a head of 64 KiB, which was all that was bounded: each of the thousands of short fields that fit takes an entry of a map, twice, and nothing of it was counted against the machine's memory. 50 such answers at once held 103 MB (buffered) and 152 MB (streams) at a gateway, and 207 and 226 MB over a detour, with both hosts in the process; the smallest machine has 134 MB, of which 44 are for the live heap. 300 heads of 480 fields, which stay within any such limit, held 66 MB.

Heads have at most 512 lines. The reader refuses to read on behind them, so that more are not parsed either, beyond what comes in one read. Heads of more than 8 KiB, with 192 bytes for each field, are counted with the buffered answers until the request has ended, and an attempt without room fails. A host that sends a request for another one drops the head once it has passed it on.

The scripts of endless and trickled answers run over another host, too, and held before. TestHeadLines: 511 lines are read, 513 are not.

--- a/detour/server.go
+++ b/detour/server.go
@@ -203,6 +203,8 @@
 	if err := stream.Send(head); err != nil {
 		return fmt.Errorf("send the head of an answer: %w", err)
 	}
+	// The head may be long, and the body may take long.
+	answer.Header = nil
 	buffer := make([]byte, replyBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -416,6 +416,10 @@
 		return notRun, "the target did not run the request: " + http.StatusText(answer.Status)
 	}
 	forwarding.mayHaveRun = true
+	if !forwarding.holdHead(answer.Header) {
+		forwarding.endGrant(ctx, grant, balance.Failed)
+		return failed, errHeadsFull.Error()
+	}
 	if fault := forwarding.headFault(answer, reply); fault != (continuationFault{}) {
 		answer.Body.Discard()
 		return failedWhole, forwarding.refuseContinuation(grant, answer, fault)
--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"nutmegfield.example/memory"
@@ -16,6 +17,10 @@
 	// each that does not use the room of all. Answers are mostly shorter.
 	firstBufferBytes = 2 << 10
 	ownBufferBytes   = 32 << 10
+	// ownHeadBytes is the length of the longest head of an answer that is counted as a part
+	// of its request; fieldBytes is what a field holds besides its text.
+	ownHeadBytes = 8 << 10
+	fieldBytes   = 192
 	// maxSharedBytes limits what the buffers of a host hold beyond ownBufferBytes each.
 	maxSharedBytes = 16 << 20
 )
@@ -23,6 +28,7 @@
 var (
 	errTooLong     = errors.New("the answer, or an event of it, is too long")
 	errBuffersFull = errors.New("the answer is long, and too many others are")
+	errHeadsFull   = errors.New("the answer's header is long, and too many others are")
 )
 
 // bufferRoom counts the bytes that buffers hold together, so that targets whose answers
@@ -56,6 +62,42 @@
 	bufferRoom.budget.Give(memory.Answers, int64(capacity))
 }
 
+// headBytes returns what is counted for the head of an answer, 0 for a short one.
+func headBytes(header http.Header) int {
+	bytes := 0
+	for name, values := range header {
+		for _, value := range values {
+			bytes += fieldBytes + len(name) + len(value)
+		}
+	}
+	if bytes <= ownHeadBytes {
+		return 0
+	}
+	return bytes
+}
+
+// holdHead counts the head of an answer until the request has ended, and reports whether
+// there is room.
+func (forwarding *forwarding) holdHead(header http.Header) bool {
+	bytes := headBytes(header)
+	if bytes == 0 {
+		return true
+	}
+	if !forwarding.gateway.bufferRoom.take(0, bytes) {
+		return false
+	}
+	forwarding.heldHeads = append(forwarding.heldHeads, bytes)
+	return true
+}
+
+// releaseHeads gives back what was counted for heads.
+func (forwarding *forwarding) releaseHeads() {
+	for _, bytes := range forwarding.heldHeads {
+		forwarding.gateway.bufferRoom.give(bytes)
+	}
+	forwarding.heldHeads = nil
+}
+
 // sharedBytes is the part of a capacity that counts for all buffers together.
 func sharedBytes(capacity int) int64 { return int64(max(0, capacity-ownBufferBytes)) }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -263,6 +263,12 @@
 				fixture.writeEndlessly(conn, text)
 				return
 			}
+			if text, ok := strings.CutPrefix(line, "FILL "); ok {
+				if fixture.fill(conn, text) != nil {
+					return
+				}
+				continue
+			}
 			if text, ok := strings.CutPrefix(line, "TRICKLE "); ok {
 				fixture.trickle(conn, text)
 				return
@@ -283,6 +289,21 @@
 	}
 }
 
+// fill writes a text, in Go syntax and with a verb for its number, a number of times.
+func (fixture *fixture) fill(conn net.Conn, directive string) error {
+	var count int
+	var text string
+	_, err := fmt.Sscanf(directive, "%d %q", &count, &text)
+	fixture.Check(err, qt.IsNil)
+	writer := bufio.NewWriter(conn)
+	for i := range count {
+		if _, err := fmt.Fprintf(writer, text, i); err != nil {
+			return err
+		}
+	}
+	return writer.Flush()
+}
+
 // trickle writes a text, in Go syntax, again and again, a byte each 20 ms.
 func (fixture *fixture) trickle(conn net.Conn, quoted string) {
 	text, err := strconv.Unquote(quoted)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,8 @@
 	shared  []quarantine.Trait
 	// fallback is a target's server error, passed on if no better answer comes.
 	fallback *bufferedAnswer
+	// heldHeads are what was counted for the heads of answers.
+	heldHeads []int
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -182,6 +184,7 @@
 }
 
 func (forwarding *forwarding) run() {
+	defer forwarding.releaseHeads()
 	defer forwarding.releaseFallback()
 	endRequest, begun := forwarding.begin()
 	defer endRequest()
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -33,7 +33,7 @@
 // TestScriptsOverAnotherHost runs the scripts on streams that go on, at a host that reaches
 // no target, so that another host passes the answers on to it.
 func TestScriptsOverAnotherHost(t *testing.T) {
-	for _, pattern := range []string{"testdata/continued*.txtar", "testdata/takenup*.txtar", "testdata/withoutids.txtar", "testdata/resume.txtar"} {
+	for _, pattern := range []string{"testdata/continued*.txtar", "testdata/takenup*.txtar", "testdata/withoutids.txtar", "testdata/resume.txtar", "testdata/endless*.txtar", "testdata/trickled*.txtar"} {
 		runScripts(t, pattern, func(fixture *fixture) { fixture.reachOverAnotherHost() })
 	}
 }
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -107,3 +107,18 @@
 		}
 	})
 }
+
+// TestHeadLines checks that heads of as many lines as are allowed are read, also where line
+// breaks of the body come with them, and longer ones are not.
+func TestHeadLines(t *testing.T) {
+	for _, lines := range []int{1, maxHeadLines / 2, maxHeadLines - 2, maxHeadLines + 1, 2 * maxHeadLines} {
+		c := qt.New(t)
+		text := "HTTP/1.1 200 OK\r\nId: " + testID + "\r\n" + strings.Repeat("X:\r\n", lines-1) + "Content-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000)
+		address, _ := startTarget(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+			_, err := io.WriteString(conn, text)
+			return err == nil
+		})
+		body, err := exchange(newConnections(), address, nil, false)
+		c.Check(err == nil && len(body) == 3000, qt.Equals, lines < maxHeadLines, qt.Commentf("%d lines: %v", lines, err))
+	}
+}
--- a/upstream/match.go
+++ b/upstream/match.go
@@ -125,6 +125,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read the answer's header: %w", err)
 		}
+		if countLines(response.Header) > maxHeadLines {
+			return nil, errHeadTooLong
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -141,6 +144,15 @@
 	return nil, errForeignAnswers
 }
 
+// countLines returns the number of lines of a header.
+func countLines(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // doubt returns why an answer is not taken as the request's own, empty if it is. An answer
 // has to name the request's id. Only the first answer on a connection that has carried no
 // other request, which can't be the copy of an earlier one, may refuse the request without
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -43,8 +43,10 @@
 	// readBufferBytes is the size of a connection's read buffer, large enough for
 	// most response headers.
 	readBufferBytes = 4 << 10
-	// maxHeadBytes limits the status line and header of an answer.
+	// maxHeadBytes limits the status line and header of an answer, maxHeadLines its lines:
+	// each takes some hundred bytes once it is parsed.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 512
 	// maxDiscardBytes and discardTimeout limit the read of a body that nobody needs, for
 	// the sake of its connection.
 	maxDiscardBytes = 16 << 10
@@ -241,17 +243,17 @@
 }
 
 // headLimiter is the input of a connection's buffer. It fails once the head of an answer
-// is longer than maxHeadBytes.
+// is longer than maxHeadBytes or has more lines than maxHeadLines.
 type headLimiter struct {
 	source io.Reader
-	// isInHead is set while the head of an answer is read, of which remaining bytes are
-	// allowed.
-	isInHead  bool
-	remaining int
+	// isInHead is set while the head of an answer is read, of which remaining bytes and
+	// lines are allowed.
+	isInHead                  bool
+	remaining, remainingLines int
 }
 
 func (headLimiter *headLimiter) startHead() {
-	headLimiter.isInHead, headLimiter.remaining = true, maxHeadBytes
+	headLimiter.isInHead, headLimiter.remaining, headLimiter.remainingLines = true, maxHeadBytes, maxHeadLines
 }
 
 func (headLimiter *headLimiter) endHead() { headLimiter.isInHead = false }
@@ -260,11 +262,13 @@
 	if !headLimiter.isInHead {
 		return headLimiter.source.Read(buffer)
 	}
-	if headLimiter.remaining <= 0 {
+	if headLimiter.remaining <= 0 || headLimiter.remainingLines < 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := headLimiter.source.Read(buffer[:min(len(buffer), headLimiter.remaining)])
 	headLimiter.remaining -= n
+	// The last bytes may be those of the body; they don't matter any more then.
+	headLimiter.remainingLines -= bytes.Count(buffer[:n], []byte("\n"))
 	return n, err
 }
 
