protocol: count answers of engines against the machine's memory

Entry hosts and schedulers read each answer of an engine up to 16 MiB, and an event up to 1 MiB, without counting it: a faulty engine, or some of them, could fill the memory of the host by answers without end, together with all other requests on it. That includes calls that a host makes on its own: loads, cache events, running streams, states, orders, cancels (also those that follow each abandoned answer) and exports. A list of empty objects took fourteen times its length once it was decoded.

What is read is counted with the buffered answers, beyond 32 KiB for each: a completion, three times the current event of a stream, an answer to a control call and an upper bound of what it holds once it is decoded. Without room the call fails with NoRoom, which callers see as they see an answer that is too long, and no target is suspected for. Answers to control calls have at most 4 MiB, but exports. Heads have 16 KiB and 512 lines, as each line takes some hundred bytes once it is parsed. An event that was passed on is dropped.

TestManyEndlessAnswers sends twelve kinds of them to 50 calls at once on a machine with 134 MB, of which 44 are for the live heap. All twelve pass now, and nothing is still counted afterwards.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -61,7 +61,7 @@
 		return request.EndCancelled
 	case protocol.Is(err, protocol.Leaving):
 		return request.EndTargetLeaving
-	case protocol.Is(err, protocol.Garbled, protocol.TooLong):
+	case protocol.Is(err, protocol.Garbled, protocol.TooLong, protocol.NoRoom):
 		return request.EndFailed
 	default:
 		return request.EndTargetLost
@@ -90,7 +90,7 @@
 		problem := badGateway(request.Failed, request.ReasonTargetError, "the target is leaving and refused")
 		problem.RetryAfter = ceilSeconds(jitter(minRetryAfter))
 		return problem
-	case protocol.Is(err, protocol.Garbled, protocol.TooLong):
+	case protocol.Is(err, protocol.Garbled, protocol.TooLong, protocol.NoRoom):
 		return badGateway(request.Unknown, request.ReasonTargetGarbled, err.Error())
 	default:
 		return badGateway(request.Unknown, request.ReasonTargetSilent, err.Error())
--- a/protocol/clients.go
+++ b/protocol/clients.go
@@ -9,6 +9,7 @@
 // Limits of the answers of all targets.
 const (
 	maxAnswerBytes       = 16 << 20
+	maxControlBytes      = 4 << 20
 	maxEventBytes        = 1 << 20
 	answerHeaderTimeout  = 10 * time.Minute
 	answerSilenceTimeout = 10 * time.Second
@@ -43,12 +44,14 @@
 
 func newPart(host *kernel.Host) (*kernel.Part, error) {
 	kernel.Provide(host, NewClients(Limits{
-		MaxBytes:       maxAnswerBytes,
-		MaxEventBytes:  maxEventBytes,
-		HeaderTimeout:  answerHeaderTimeout,
-		SilenceTimeout: answerSilenceTimeout,
-		MaxResumes:     maxStreamResumes,
-		Dial:           host.Dial,
+		MaxBytes:        maxAnswerBytes,
+		MaxControlBytes: maxControlBytes,
+		Memory:          host.Memory().Callers,
+		MaxEventBytes:   maxEventBytes,
+		HeaderTimeout:   answerHeaderTimeout,
+		SilenceTimeout:  answerSilenceTimeout,
+		MaxResumes:      maxStreamResumes,
+		Dial:            host.Dial,
 	}))
 	return &kernel.Part{}, nil
 }
--- a/protocol/completion.go
+++ b/protocol/completion.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"nutmegfield.example/request"
@@ -44,7 +43,7 @@
 		return completionMessage, Garbled.Wrap(err, "read answer")
 	}
 	if completionMessage.ID != id.String() {
-		return completionMessage, Garbled.New("an answer of request %q", completionMessage.ID)
+		return completionMessage, Garbled.New("an answer of request %.64q", completionMessage.ID)
 	}
 	return completionMessage, nil
 }
@@ -58,11 +57,12 @@
 	abandon func()
 	// content is nil until the answer has been read and checked.
 	content *bytes.Reader
+	room    room
 	usage   request.Usage
 }
 
 func completionAnswer(response *http.Response, limits Limits, id request.ID, abandon func()) *Answer {
-	completionBody := &completionBody{answer: newLimitedBody(response.Body, limits), id: id, abandon: abandon}
+	completionBody := &completionBody{answer: newLimitedBody(response.Body, limits), id: id, abandon: abandon, room: room{budget: limits.Memory}}
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -74,7 +74,7 @@
 // Read returns io.EOF only after the complete answer.
 func (completionBody *completionBody) Read(buffer []byte) (int, error) {
 	if completionBody.content == nil {
-		data, err := io.ReadAll(completionBody.answer)
+		data, err := completionBody.room.readAll(completionBody.answer)
 		if err != nil {
 			return 0, err
 		}
@@ -91,6 +91,7 @@
 // Close closes the answer and abandons the request unless the complete answer was
 // read.
 func (completionBody *completionBody) Close() error {
+	completionBody.room.release()
 	err := completionBody.answer.Close()
 	if completionBody.content == nil {
 		completionBody.abandon()
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -77,6 +77,10 @@
 	refuses := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(leavingHeader) != ""
 	named := response.Header.Get(requestHeader)
 	switch {
+	case countLines(response.Header) > maxHeaderLines:
+		_ = response.Body.Close()
+		abandon()
+		return nil, Garbled.New("%s: a header of more than %d lines", address, maxHeaderLines)
 	case refuses && (named == call.Request.String() || named == "" && !isReused):
 		_ = response.Body.Close()
 		return nil, Leaving.New("%s is leaving and accepts no new requests", address)
@@ -124,6 +128,15 @@
 	return mediaType == streamType && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
+// countLines returns the number of lines of a header.
+func countLines(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // plainAnswer returns an answer that is not a completion, such as an error,
 // unchanged.
 func plainAnswer(response *http.Response, limits Limits) *Answer {
--- a/protocol/engine_calls.go
+++ b/protocol/engine_calls.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -14,7 +13,7 @@
 
 // cancel stops a running request. An unknown request has ended and is no error.
 func (engine *engine) cancel(ctx context.Context, address string, id request.ID) error {
-	_, err := engine.call(ctx, http.MethodDelete, address+"/engine/streams/"+id.String(), nil)
+	err := engine.run(ctx, http.MethodDelete, address+"/engine/streams/"+id.String(), nil)
 	if Is(err, NotFound) {
 		return nil
 	}
@@ -51,12 +50,13 @@
 }
 
 func (engine *engine) export(ctx context.Context, address string, prefix uint64) ([]byte, error) {
-	return engine.call(ctx, http.MethodGet, cacheURL(address, prefix), nil)
+	room := room{budget: engine.limits.Memory}
+	defer room.release()
+	return engine.call(ctx, http.MethodGet, cacheURL(address, prefix), nil, engine.limits.MaxBytes, &room)
 }
 
 func (engine *engine) importCache(ctx context.Context, address string, prefix uint64, cache []byte) error {
-	_, err := engine.call(ctx, http.MethodPut, cacheURL(address, prefix), cache)
-	return err
+	return engine.run(ctx, http.MethodPut, cacheURL(address, prefix), cache)
 }
 
 func cacheURL(address string, prefix uint64) string {
@@ -68,8 +68,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	_, err = engine.call(ctx, http.MethodPost, address+"/engine/orders", encoded)
-	return err
+	return engine.run(ctx, http.MethodPost, address+"/engine/orders", encoded)
 }
 
 func (engine *engine) state(ctx context.Context, address string) (State, error) {
@@ -79,18 +78,44 @@
 }
 
 func (engine *engine) get(ctx context.Context, url string, result any) error {
-	answer, err := engine.call(ctx, http.MethodGet, url, nil)
+	room := room{budget: engine.limits.Memory}
+	defer room.release()
+	answer, err := engine.call(ctx, http.MethodGet, url, nil, engine.limits.controlBytes(), &room)
 	if err != nil {
 		return err
 	}
+	if err := room.hold(len(answer) + decodedBytes(answer)); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", url, err)
+	}
 	if err := json.Unmarshal(answer, result); err != nil {
 		return Garbled.Wrap(err, "decode answer of %s", url)
 	}
 	return nil
 }
 
-// call makes a control call on a new connection and returns the complete answer.
-func (engine *engine) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+const (
+	// elementBytes and numberBytes are what an element of a list and a number hold once they
+	// are decoded, with the room by which lists grow.
+	elementBytes = 128
+	numberBytes  = 16
+)
+
+// decodedBytes returns what an answer in JSON holds at most once it is decoded.
+func decodedBytes(answer []byte) int {
+	return elementBytes*bytes.Count(answer, []byte("{")) + numberBytes*bytes.Count(answer, []byte(","))
+}
+
+// run makes a control call of which only the success matters.
+func (engine *engine) run(ctx context.Context, method, url string, body []byte) error {
+	room := room{budget: engine.limits.Memory}
+	defer room.release()
+	_, err := engine.call(ctx, method, url, body, engine.limits.controlBytes(), &room)
+	return err
+}
+
+// call makes a control call on a new connection and returns the complete answer, of which room
+// is held.
+func (engine *engine) call(ctx context.Context, method, url string, body []byte, maxBytes int64, room *room) ([]byte, error) {
 	httpRequest, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, NotSent.Wrap(err, "make request")
@@ -99,9 +124,11 @@
 	if err != nil {
 		return nil, Broken.Wrap(err, "%s %s", method, url)
 	}
-	limitedBody := newLimitedBody(response.Body, engine.limits)
+	limits := engine.limits
+	limits.MaxBytes = maxBytes
+	limitedBody := newLimitedBody(response.Body, limits)
 	defer func() { _ = limitedBody.Close() }()
-	answer, err := io.ReadAll(limitedBody)
+	answer, err := room.readAll(limitedBody)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w", method, url, err)
 	}
--- a/protocol/events.go
+++ b/protocol/events.go
@@ -46,18 +46,23 @@
 	source   *bufio.Reader
 	maxBytes int
 	onLine   func()
+	room     *room
 }
 
 // eventBufferBytes is the size of the read buffer of an eventReader.
 const eventBufferBytes = 4096
 
-func newEventReader(source io.Reader, maxBytes int, onLine func()) *eventReader {
-	return &eventReader{source: bufio.NewReaderSize(source, eventBufferBytes), maxBytes: maxBytes, onLine: onLine}
+// eventCopies is how often an event is held: its line, its data and what is passed on.
+const eventCopies = 3
+
+func newEventReader(source io.Reader, maxBytes int, onLine func(), room *room) *eventReader {
+	return &eventReader{source: bufio.NewReaderSize(source, eventBufferBytes), maxBytes: maxBytes, onLine: onLine, room: room}
 }
 
 // next returns the next event that has data. It returns TooLong for an event over
 // maxBytes, Garbled for an invalid line and Broken if the stream ends.
 func (eventReader *eventReader) next() (*event, error) {
+	eventReader.room.release()
 	current := &event{offset: -1}
 	hasData := false
 	remaining := eventReader.maxBytes
@@ -94,6 +99,9 @@
 		if len(line) > remaining+len("\r\n") {
 			return nil, TooLong.New("an event of more than %d bytes", eventReader.maxBytes)
 		}
+		if err := eventReader.room.hold(eventCopies * (eventReader.maxBytes - remaining + len(line))); err != nil {
+			return nil, err
+		}
 		switch {
 		case err == nil:
 			return bytes.TrimRight(line, "\r\n"), nil
@@ -120,7 +128,7 @@
 	case "id":
 		offset, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || offset < 0 {
-			return false, Garbled.New("event id %q", value)
+			return false, Garbled.New("event id %.64q", value)
 		}
 		event.offset = offset
 		return false, nil
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -3,6 +3,7 @@
 package protocol
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"nutmegfield.example/errorkind"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/request"
 )
 
@@ -31,6 +33,8 @@
 	Garbled = Errors.NewType("garbled")
 	// TooLong: the answer or one of its events exceeds its limit.
 	TooLong = Errors.NewType("tooMuch")
+	// NoRoom: this host has no memory for the answer.
+	NoRoom = Errors.NewType("noRoom")
 	// Silent: the target sent nothing for a whole timeout.
 	Silent = Errors.NewType("silent")
 	// NotFound: the target answered 404.
@@ -145,6 +149,11 @@
 type Limits struct {
 	// MaxBytes limits an answer's body.
 	MaxBytes int64
+	// MaxControlBytes limits the answer of a control call, but an export; 0 stands for
+	// MaxBytes.
+	MaxControlBytes int64
+	// Memory counts what is held of answers; nil has room for all.
+	Memory *memory.Budget
 	// MaxEventBytes limits one event of a stream.
 	MaxEventBytes int
 	// HeaderTimeout limits the wait for the header of an answer that is not a
@@ -159,6 +168,8 @@
 	MaxResumes int
 }
 
+func (limits *Limits) controlBytes() int64 { return cmp.Or(limits.MaxControlBytes, limits.MaxBytes) }
+
 var constructors = map[string]func(Limits) *Client{}
 
 // Register adds a protocol by name; it is called from init.
--- a/protocol/stream.go
+++ b/protocol/stream.go
@@ -44,7 +44,9 @@
 	passedBytes int64
 	// pending is the unread part of the last event.
 	pending []byte
-	usage   request.Usage
+	// room counts the current event.
+	room  room
+	usage request.Usage
 	// err is the final result of Read once pending is empty.
 	err error
 	// gone means that the engine does not know the stream or that Close has
@@ -53,7 +55,7 @@
 }
 
 func (engine *engine) newStream(ctx context.Context, address string, id request.ID) *stream {
-	return &stream{engine: engine, ctx: ctx, address: address, id: id}
+	return &stream{engine: engine, ctx: ctx, address: address, id: id, room: room{budget: engine.limits.Memory}}
 }
 
 func (stream *stream) currentUsage() request.Usage { return stream.usage }
@@ -66,7 +68,7 @@
 	stream.cancel = cancel
 	stream.silenceTimer = newSilenceTimer(stream.engine.limits.SilenceTimeout, cancel)
 	context.AfterFunc(bodyCtx, func() { _ = body.Close() })
-	stream.events = newEventReader(body, stream.engine.limits.MaxEventBytes, stream.silenceTimer.reset)
+	stream.events = newEventReader(body, stream.engine.limits.MaxEventBytes, stream.silenceTimer.reset, &stream.room)
 }
 
 // detach closes the current connection, if there is one.
@@ -89,7 +91,9 @@
 		stream.advance()
 	}
 	n := copy(buffer, stream.pending)
-	stream.pending = stream.pending[n:]
+	if stream.pending = stream.pending[n:]; len(stream.pending) == 0 {
+		stream.pending = nil
+	}
 	return n, nil
 }
 
@@ -101,7 +105,7 @@
 		return
 	}
 	stream.detach()
-	if Is(err, TooLong) {
+	if Is(err, TooLong, NoRoom) {
 		stream.err = err
 		return
 	}
@@ -158,7 +162,7 @@
 	if cause := context.Cause(stream.bodyCtx); Is(cause, Silent) {
 		return cause
 	}
-	if Is(err, Garbled, TooLong, Broken) {
+	if Is(err, Garbled, TooLong, NoRoom, Broken) {
 		return err
 	}
 	return Broken.Wrap(err, "read answer")
@@ -223,6 +227,7 @@
 // engine no longer knows it.
 func (stream *stream) Close() error {
 	stream.detach()
+	stream.room.release()
 	if errors.Is(stream.err, io.EOF) || stream.gone {
 		return nil
 	}
--- a/protocol/transport.go
+++ b/protocol/transport.go
@@ -18,8 +18,10 @@
 	// idleTimeout is shorter than that of most servers, so that the client closes
 	// an idle connection first.
 	idleTimeout = 4 * time.Second
-	// maxHeaderBytes limits the header of an answer.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes limits the header of an answer, maxHeaderLines the lines of one that is
+	// kept: each takes some hundred bytes once it is parsed.
+	maxHeaderBytes = 16 << 10
+	maxHeaderLines = 512
 )
 
 // newTransport returns a transport that keeps connections to targets open.
