platform: bound the objects of the store's answers

The bytes of each answer of the store were bounded, not what a host made of them: an object takes more memory than its text, one without a name was kept until the end of the answer, and an object without end was kept whole, for each of six kinds at once.

Of an object no more is kept than the largest of the store has, so that its name is still found behind a long value.

--- a/fragment/splitter.go
+++ b/fragment/splitter.go
@@ -39,6 +39,9 @@
 	// written, with these. Its error ends the splitting. It may be nil.
 	OnLong    func(start []byte) error
 	LongBytes int
+	// MaxBytes limits the bytes of an element that are kept and passed to OnElement, 0 for no
+	// limit.
+	MaxBytes int
 
 	rest, element []byte
 	depth         int
@@ -150,6 +153,9 @@
 // append adds bytes to the current element in the list, and to the rest outside of it.
 func (splitter *Splitter) append(text []byte) {
 	if splitter.listDepth > 0 {
+		if splitter.MaxBytes > 0 {
+			text = text[:min(len(text), max(0, splitter.MaxBytes-len(splitter.element)))]
+		}
 		splitter.element = append(splitter.element, text...)
 	} else {
 		splitter.rest = append(splitter.rest, text...)
