objects: bound the answers of all calls together

Each call read up to 8 MiB of its answer, also where only its head mattered, and any number of calls did so at once. A refusal was put into an error as a whole, which went to the log and the timeline. A list was decoded as a whole, and each element that could not be read cost an error with a stack, so that one list took eight seconds of a processor.

Reads of objects and watches take what an object may have and a byte more, writes and failures 4 KiB, of which an error has 200 bytes. Lists are split as they arrive, keep 2 MiB of an element and end after 4,096 elements that can't be read. Of answers longer than 64 KiB four are read at a time. Names in lists have at most 1 KiB, as their versions are kept.

TestEndlessAnswers makes 50 reads, 50 writes, two watches and three lists at once against five answers without end.

--- a/objects/client.go
+++ b/objects/client.go
@@ -15,13 +15,13 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
 
 	"nutmegfield.example/errorkind"
-	"nutmegfield.example/fragment"
 )
 
 // Errors of this package.
@@ -97,6 +97,9 @@
 	Do func(*http.Request) (*http.Response, error)
 
 	versions versions
+	// large has an element for each long answer that is read.
+	large     chan struct{}
+	largeOnce sync.Once
 }
 
 // watchMargin is added to the wait of a watch to give its timeout; it covers the
@@ -110,7 +113,7 @@
 	defer cancel()
 	var object Object
 	err := client.retryRead(ctx, func() error {
-		answer, err := client.call(ctx, "get", http.MethodGet, objectPath(kind, name), nil, nil)
+		answer, err := client.call(ctx, "get", http.MethodGet, objectPath(kind, name), nil, nil, client.readValue)
 		if err != nil {
 			return err
 		}
@@ -134,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, client.Timeout)
 	defer cancel()
 	path := objectPath(object.Kind, object.Name)
-	answer, err := client.call(ctx, "put", http.MethodPut, path, conditionalHeader(object.Version), object.Value)
+	answer, err := client.call(ctx, "put", http.MethodPut, path, conditionalHeader(object.Version), object.Value, readNothing)
 	if err != nil {
 		return 0, fmt.Errorf("put %s/%s: %w", object.Kind, object.Name, err)
 	}
@@ -150,7 +153,7 @@
 func (client *Client) Delete(ctx context.Context, kind, name string, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, client.Timeout)
 	defer cancel()
-	_, err := client.call(ctx, "delete", http.MethodDelete, objectPath(kind, name), conditionalHeader(version), nil)
+	_, err := client.call(ctx, "delete", http.MethodDelete, objectPath(kind, name), conditionalHeader(version), nil, readNothing)
 	if err != nil {
 		return fmt.Errorf("delete %s/%s: %w", kind, name, err)
 	}
@@ -166,7 +169,7 @@
 	query.Set("after", strconv.FormatInt(after, 10))
 	query.Set("wait", wait.String())
 	path := objectPath(kind, name) + "?" + query.Encode()
-	answer, err := client.call(ctx, "watch", http.MethodGet, path, nil, nil)
+	answer, err := client.call(ctx, "watch", http.MethodGet, path, nil, nil, client.readValue)
 	if err != nil {
 		return Object{}, false, fmt.Errorf("watch %s/%s: %w", kind, name, err)
 	}
@@ -195,8 +198,8 @@
 			if err := json.Unmarshal(text, &object); err != nil {
 				return fmt.Errorf("decode an object: %w", err)
 			}
-			if object.Version < 1 || object.Version > MaxVersion || len(object.Value) > MaxObjectBytes {
-				return Refused.New("%s has version %d and %d bytes", object.Name, object.Version, len(object.Value))
+			if object.Version < 1 || object.Version > MaxVersion || len(object.Value) > MaxObjectBytes || len(object.Name) > maxNameBytes {
+				return Refused.New("%.64s has version %d and %d bytes", object.Name, object.Version, len(object.Value))
 			}
 			objects = append(objects, object)
 			return nil
@@ -254,29 +257,17 @@
 	return err
 }
 
+// maxNameBytes limits the names of objects in lists, whose versions are kept.
+const maxNameBytes = 1 << 10
+
 // maxHostBytes limits the texts of an entry in the list of hosts.
 const maxHostBytes = 256
 
 // readList reads an answer that is a list, and calls read with the text of each element. Those
 // for which it fails are left out: one that can't be decoded keeps nothing from the others.
 func (client *Client) readList(ctx context.Context, name, path string, read func(text []byte) error) error {
-	answer, err := client.call(ctx, name, http.MethodGet, path, nil, nil)
-	if err != nil {
-		return err
-	}
-	splitter := &fragment.Splitter{OnElement: func(text []byte) error {
-		if err := read(text); err != nil {
-			unreadable.Add(1)
-		}
-		return nil
-	}}
-	if _, err := splitter.Write(answer.body); err != nil {
-		return Unavailable.Wrap(err, "split the answer")
-	}
-	if _, err := splitter.Rest(); err != nil {
-		return Unavailable.Wrap(err, "split the answer")
-	}
-	return nil
+	_, err := client.call(ctx, name, http.MethodGet, path, nil, nil, client.readElements(read))
+	return err
 }
 
 // checkVersion records the version of an object that was read. It fails with
@@ -309,7 +300,7 @@
 	return Object{Kind: kind, Name: name, Version: answer.version, Value: answer.body, Written: answer.written}
 }
 
-func (client *Client) call(ctx context.Context, name, method, path string, header http.Header, body []byte) (answer, error) {
+func (client *Client) call(ctx context.Context, name, method, path string, header http.Header, body []byte, read reader) (answer, error) {
 	if client.Limiter != nil {
 		if err := client.Limiter.Wait(ctx); err != nil {
 			failures.Add(name, 1)
@@ -317,14 +308,14 @@
 		}
 	}
 	calls.Add(name, 1)
-	result, err := client.send(ctx, method, path, header, body)
+	result, err := client.send(ctx, method, path, header, body, read)
 	if err != nil && !Is(err, NotFound, Conflict) {
 		failures.Add(name, 1)
 	}
 	return result, err
 }
 
-func (client *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
+func (client *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, read reader) (answer, error) {
 	request, err := http.NewRequestWithContext(ctx, method, client.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{}, Refused.Wrap(err, "create the request")
@@ -337,11 +328,19 @@
 		return answer{}, noAnswerError(method, err)
 	}
 	defer response.Body.Close()
-	return readAnswer(method, response)
+	return readAnswer(ctx, method, response, read)
 }
 
-func readAnswer(method string, response *http.Response) (answer, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, 8*MaxObjectBytes))
+func readAnswer(ctx context.Context, method string, response *http.Response, read reader) (answer, error) {
+	if response.StatusCode >= http.StatusMultipleChoices {
+		read = func(_ context.Context, body io.Reader) ([]byte, error) {
+			return io.ReadAll(io.LimitReader(body, maxFailureBytes))
+		}
+	}
+	body, err := read(ctx, response.Body)
+	if Is(err, Refused) {
+		return answer{}, err
+	}
 	if err != nil {
 		return answer{}, noAnswerError(method, err)
 	}
@@ -360,7 +359,7 @@
 	case response.StatusCode >= 500:
 		return result, noAnswerError(method, errors.New(response.Status))
 	default:
-		return result, Refused.New("status %d: %s", response.StatusCode, body)
+		return result, Refused.New("status %d: %.*s", response.StatusCode, maxReasonBytes, body)
 	}
 }
 
