peer: keep short names of refused senders

A host keeps the names of up to 1,024 senders that it refused, so that each is logged once. A name is what the sender says, of up to the length of a message, 2 MiB, and no sender has to be known: who reaches the address for hosts could make one keep 2 GiB. A short form of the name is kept, and stands in the error.

TestRefusedSendersAreShort failed before with 67,174,400 bytes kept of 1,024 names of 64 KiB; the bound is 128 bytes a name.

--- a/peer/link_accept.go
+++ b/peer/link_accept.go
@@ -116,6 +116,8 @@
 // returns the error.
 func (links *Links) refuse(name, reason string) error {
 	linkCounts.Add("refused", 1)
+	// Any sender may choose it, of up to the length of a message.
+	name = timeline.ShortID(name)
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if links.refusedSenders == nil {
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -220,6 +221,23 @@
 	})
 }
 
+// TestRefusedSendersAreShort guards against names of unknown senders, of up to the length of
+// a message, of which each refusal kept one.
+func TestRefusedSendersAreShort(t *testing.T) {
+	c := qt.New(t)
+	links := &Links{Events: &timeline.Recorder{}}
+	for i := range 2 * maxRefusedSenders {
+		err := links.refuse(fmt.Sprintf("%064d%s", i, strings.Repeat("x", 64<<10)), "sender is not in the list of hosts")
+		c.Check(len(err.Error()) < 1<<10, qt.IsTrue)
+	}
+	kept := 0
+	for name := range links.refusedSenders {
+		kept += len(name)
+	}
+	c.Assert(links.refusedSenders, qt.HasLen, maxRefusedSenders)
+	c.Assert(kept <= maxRefusedSenders*128, qt.IsTrue, qt.Commentf("%d bytes", kept))
+}
+
 // TestSilentLink guards against a link that stays open after the network dropped
 // its connection without notice to either end, in use or after a long idle time.
 // Both ends must close it and the sender must dial again: within silenceTimeout
