detour: bound the replies of other hosts

A host that sends a request over another one read each reply up to 4 MiB, the default of the library, though the longest have the head of an answer and bodies come in parts of 8 KiB. A host that sends bytes without end could make each of its askers hold that much for each request. Replies have at most 128 KiB, and a head 512 fields; an answer with more counts as unknown.

--- a/detour/client.go
+++ b/detour/client.go
@@ -18,7 +18,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/detour/detourpb"
@@ -42,6 +44,10 @@
 	idleLifetime = 2 * time.Second
 	// maxIdlePerHost limits the unused connections to a host.
 	maxIdlePerHost = 16
+	// maxReplyBytes limits a reply, of which the longest have the head of an answer, and
+	// maxReplyFields the fields of that head.
+	maxReplyBytes  = 128 << 10
+	maxReplyFields = 512
 	// MaxBodyBytes is the size of the largest body of a request that goes over a host.
 	MaxBodyBytes = 3 << 20
 )
@@ -212,6 +218,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("nutmegfield_detours_total{result=%q}", result)).Inc()
 }
 
+// connOptions limit the size of replies.
+var connOptions = drpcconn.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxReplyBytes}}}
+
 // connections returns the pool of connections to hosts.
 func (client *Client) connections() *drpcpool.Pool[string, *drpcconn.Conn] {
 	if pool := client.pool.Load(); pool != nil {
@@ -235,7 +244,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.NewWithOptions(conn, connOptions), nil
 }
 
 // exchange sends a request over one host.
@@ -292,6 +301,9 @@
 		exchange.hasEnded = !upstream.Is(err, Declined)
 		return nil, err
 	}
+	if fields := len(reply.GetHeader()); fields > maxReplyFields {
+		return nil, upstream.Unknown.New("the answer over host %s has %d fields", exchange.host.ID, fields)
+	}
 	header := decodeHeader(reply.GetHeader())
 	if err := exchange.checkOwn(call, int(reply.GetStatus()), header); err != nil {
 		return nil, err
