diagnosis: test that whole ids find short ones

Events keep a short form of long request ids. TestExplainLongID checks that explain finds their lines by the whole id, and not by another one; it passes.

--- a/diagnosis/explanation_test.go
+++ b/diagnosis/explanation_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rogpeppe/go-internal/txtar"
+
+	"nutmegfield.example/timeline"
 )
 
 // TestExplainCause checks the causes found in the logs of testdata/causes.txtar.
@@ -52,3 +54,14 @@
   a  target t1  new at 10.0.0.1:80, for 1s
 `)
 }
+
+// TestExplainLongID checks that the whole id of a request finds lines that have a short one.
+func TestExplainLongID(t *testing.T) {
+	c := qt.New(t)
+	id := strings.Repeat("r", 16<<10)
+	line := `{"time":"2026-05-05T11:59:04Z","event":1103,"host":"a","request":"` + timeline.ShortID(id) + `","target":"t1"}`
+	lines, _, err := Read(strings.NewReader(line))
+	c.Assert(err, qt.IsNil)
+	c.Assert(Explain(lines, id).Lines, qt.HasLen, 1)
+	c.Assert(Explain(lines, id+"r").Lines, qt.HasLen, 0)
+}
