discovery: take no watch that was cut off for an outage

Cause: any failed call between two answers of the platform counted as an outage, in which targets whose entries vanish are used for 2.2 s more. A watch that the platform cuts off while it waits was such a call, though the platform may do so at any time, and answered all else.

Evidence: with watches cut off at 0.6 s, the removals that came within 0.4 s after a cut were held, all others not; the script "cut" shows the same without real time.

Change: a watch that was sent and ends without an answer, closed or silent, is an error of its own (discovery.CutOff). It goes on at once from its revision and is no evidence of an outage: if the platform is away, that call or the next list fails otherwise (refused, an error status, no answer). A watch that is cut off before it has waited for 0.1 s waits as before, and is a failed call the second time in a row, so that a platform which closes every connection is not called without a pause. Event 8114 tells of the first cut, 8103 why a target without an entry is used (the call that failed, its age, the time that is left).

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
 	"nutmegfield.example/errorkind"
@@ -26,6 +27,9 @@
 	Gone = Errors.NewType("gone")
 	// Unavailable means that the platform did not answer or answered with an error.
 	Unavailable = Errors.NewType("unavailable")
+	// CutOff means that a watch was sent and ended without a complete answer: its connection
+	// was closed, or silent for too long. The platform may do so at any time.
+	CutOff = Errors.NewType("cutOff")
 )
 
 // Is reports whether an error, or one that it wraps, is of one of the types.
@@ -69,6 +73,9 @@
 	roleCheckInterval = 500 * time.Millisecond
 )
 
+// watchesCutOff counts watches that ended without an answer.
+var watchesCutOff = metrics.GetOrCreateCounter("nutmegfield_platform_watches_cut_total")
+
 // Events of this package.
 var (
 	eventPlatformLost = timeline.Define(timeline.Kind{
@@ -79,6 +86,10 @@
 		Number: 8102, Name: "platform back", Level: timeline.Info,
 		Meaning: "The platform answers this host's reads again.",
 	})
+	eventWatchCutOff = timeline.Define(timeline.Kind{
+		Number: 8114, Name: "watch cut off", Level: timeline.Info,
+		Meaning: "A watch of the platform that had waited for the fact waitedMs ended without an answer; its connection was closed or silent. It goes on from the last revision at once, and the platform is not taken for lost. The event comes again only after an answer to a watch of the kind in the detail.",
+	})
 )
 
 // Object is one object of the platform. Its value is not decoded.
@@ -118,8 +129,8 @@
 	Revision int64
 }
 
-// Source reads the objects of one kind. Its functions return errors of type Gone
-// or Unavailable.
+// Source reads the objects of one kind. Its functions return errors of type Gone,
+// Unavailable or, for a watch, CutOff.
 type Source struct {
 	List func(ctx context.Context) (Listing, error)
 	// Watch waits for changes after a revision. If there are none for the
@@ -139,33 +150,41 @@
 	// one failed between the platform's previous answer and the one that led to
 	// this state. It is zero otherwise, and in a state from another host.
 	OutageAt time.Time
+	// OutageCause says what failed then.
+	OutageCause string
 	// IsRestored is set in the first state of an era: the platform came back from an
 	// older copy, from which the objects may be.
 	IsRestored bool
 }
 
-// Outage holds the time of this host's last failed request to the platform. All
-// followers of a platform share one.
+// Outage holds this host's last failed request to the platform. All followers of a
+// platform share one.
 type Outage struct {
-	mutex       sync.Mutex
-	lastFailure time.Time
+	mutex sync.Mutex
+	last  failure
+}
+
+// failure is a failed request to the platform.
+type failure struct {
+	at    time.Time
+	cause string
 }
 
-func (outage *Outage) recordFailure() {
+func (outage *Outage) recordFailure(cause string) {
 	outage.mutex.Lock()
 	defer outage.mutex.Unlock()
-	outage.lastFailure = time.Now()
+	outage.last = failure{at: time.Now(), cause: cause}
 }
 
-// lastFailureAfter returns the time of the last failed request, zero if none failed
-// after the given time.
-func (outage *Outage) lastFailureAfter(after time.Time) time.Time {
+// lastAfter returns the last failed request, the zero value if none failed after the
+// given time.
+func (outage *Outage) lastAfter(after time.Time) failure {
 	outage.mutex.Lock()
 	defer outage.mutex.Unlock()
-	if !outage.lastFailure.After(after) {
-		return time.Time{}
+	if !outage.last.at.After(after) {
+		return failure{}
 	}
-	return outage.lastFailure
+	return outage.last
 }
 
 // Follower keeps a host's copy of the objects of one kind up to date. Its fields
@@ -217,6 +236,9 @@
 	readTime    time.Duration
 	// isCrowded is set while objects are left out.
 	isCrowded bool
+	// isCut is set from the first watch that was cut off until the next answer to one, and
+	// isCutEarly if the last one had hardly waited. Only watch uses them.
+	isCut, isCutEarly bool
 }
 
 // sharedRead is a list request in progress, whose callers wait for done.
@@ -266,7 +288,15 @@
 	}
 	watchContext, cancel := context.WithTimeout(ctx, watchWait+ReadTimeout)
 	defer cancel()
+	calledAt := time.Now()
 	changes, err := follower.Source.Watch(watchContext, revision, watchWait)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if Is(err, CutOff) {
+		return follower.resume(time.Since(calledAt), err)
+	}
+	follower.isCutEarly = false
 	if Is(err, Gone) {
 		follower.awaitRead(ctx, gonePause)
 		return follower.read(ctx)
@@ -275,10 +305,33 @@
 		follower.recordFailure(err)
 		return err
 	}
+	follower.isCut = false
 	follower.applyChanges(changes, follower.recordAnswer())
 	return nil
 }
 
+// resume returns nil if a watch that was cut off after it had waited is to go on at once. That
+// says nothing about the platform: if it is away, the next call fails otherwise. Only the second
+// watch in a row that is cut off before it has waited is a failed request.
+func (follower *Follower) resume(waited time.Duration, err error) error {
+	watchesCutOff.Inc()
+	wasCutEarly := follower.isCutEarly
+	follower.isCutEarly = waited < minBackoff
+	switch {
+	case follower.isCutEarly && wasCutEarly:
+		follower.recordFailure(err)
+		return err
+	case follower.isCutEarly:
+		return err
+	case !follower.isCut:
+		follower.isCut = true
+		follower.Events.Record(eventWatchCutOff, timeline.Event{
+			Detail: truncate(follower.Kind + ": " + err.Error()), Facts: []timeline.Fact{timeline.Duration("waited", waited)},
+		})
+	}
+	return nil
+}
+
 // poll lists the objects when no host has done so for a while. All hosts together list them
 // about as often as one would alone.
 func (follower *Follower) poll(ctx context.Context) {
@@ -450,7 +503,7 @@
 	for _, object := range listing.Objects {
 		objects[object.Name] = object
 	}
-	follower.setObjects(objects, listing.Revision, time.Time{})
+	follower.setObjects(objects, listing.Revision, failure{})
 	return true
 }
 
@@ -458,7 +511,7 @@
 // unless the listing is older.
 func (follower *Follower) Replace(listing Listing) {
 	follower.learnEra(listing.Revision)
-	follower.replace(listing, time.Time{})
+	follower.replace(listing, failure{})
 }
 
 // learnEra records the era of a revision from another host.
@@ -468,9 +521,9 @@
 	}
 }
 
-// replace replaces the state with a listing, unless the listing is older. outageAt
-// becomes State.OutageAt if the objects differ.
-func (follower *Follower) replace(listing Listing, outageAt time.Time) {
+// replace replaces the state with a listing, unless the listing is older. The failed
+// request becomes State.OutageAt if the objects differ.
+func (follower *Follower) replace(listing Listing, outage failure) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if listing.Revision < follower.state.Revision {
@@ -480,7 +533,7 @@
 	for _, object := range listing.Objects {
 		objects[object.Name] = follower.keepRevision(object)
 	}
-	leftOut := listing.LeftOut + follower.setObjects(objects, listing.Revision, outageAt)
+	leftOut := listing.LeftOut + follower.setObjects(objects, listing.Revision, outage)
 	if leftOut > 0 && !follower.isCrowded {
 		follower.Events.Record(eventLeftOut, timeline.Event{
 			Detail: follower.Kind, Facts: []timeline.Fact{timeline.Count("leftOut", leftOut)},
@@ -505,7 +558,7 @@
 }
 
 // applyChanges applies the answer of a watch if it is newer than the state.
-func (follower *Follower) applyChanges(changes Changes, outageAt time.Time) {
+func (follower *Follower) applyChanges(changes Changes, outage failure) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if changes.Revision <= follower.state.Revision {
@@ -524,19 +577,19 @@
 			objects[change.Object.Name] = change.Object
 		}
 	}
-	follower.setObjects(objects, changes.Revision, outageAt)
+	follower.setObjects(objects, changes.Revision, outage)
 }
 
 // setObjects sets the state's objects and revision, and calls OnChange if the
 // objects differ from the previous ones. In a new era they do, as their revisions are of
 // that era. It returns the number of objects that are left out. The caller holds the mutex.
-func (follower *Follower) setObjects(objects map[string]Object, revision int64, outageAt time.Time) (leftOut int) {
+func (follower *Follower) setObjects(objects map[string]Object, revision int64, outage failure) (leftOut int) {
 	era, _ := SplitRevision(revision)
 	before, _ := SplitRevision(follower.state.Revision)
 	isRestored := follower.state.Revision > 0 && era > before
 	objects, leftOut = trim(objects)
 	if isRestored {
-		outageAt = time.Now()
+		outage = failure{at: time.Now(), cause: "the platform came back from an older copy"}
 	}
 	same := follower.state.Revision > 0 && maps.EqualFunc(follower.state.Objects, objects, func(one, other Object) bool {
 		return one.Revision == other.Revision && (one.Unreadable == "") == (other.Unreadable == "")
@@ -548,16 +601,16 @@
 	}
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
-	follower.state.OutageAt, follower.state.IsRestored = outageAt, isRestored
+	follower.state.OutageAt, follower.state.OutageCause, follower.state.IsRestored = outage.at, outage.cause, isRestored
 	follower.OnChange(follower.state)
 	return leftOut
 }
 
-// recordAnswer records that the platform answered. It returns the time of the last
-// failed request since the previous answer, zero if none failed.
-func (follower *Follower) recordAnswer() time.Time {
+// recordAnswer records that the platform answered. It returns the last failed request
+// since the previous answer, the zero value if none failed.
+func (follower *Follower) recordAnswer() failure {
 	follower.mutex.Lock()
-	outageAt := follower.Outage.lastFailureAfter(follower.answeredAt)
+	outage := follower.Outage.lastAfter(follower.answeredAt)
 	follower.answeredAt = time.Now()
 	recovered := follower.platformLost
 	follower.platformLost = false
@@ -565,18 +618,19 @@
 	if recovered {
 		follower.Events.Record(eventPlatformBack, timeline.Event{Detail: follower.Kind})
 	}
-	return outageAt
+	return outage
 }
 
 // recordFailure records a failed request, and an event if it is the first since
 // the last answer.
 func (follower *Follower) recordFailure(err error) {
-	follower.Outage.recordFailure()
+	cause := follower.Kind + ": " + err.Error()
+	follower.Outage.recordFailure(truncate(cause))
 	follower.mutex.Lock()
 	first := !follower.platformLost
 	follower.platformLost = true
 	follower.mutex.Unlock()
 	if first {
-		follower.Events.Record(eventPlatformLost, timeline.Event{Detail: follower.Kind + ": " + err.Error()})
+		follower.Events.Record(eventPlatformLost, timeline.Event{Detail: cause})
 	}
 }
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -132,7 +132,7 @@
 	targets.reporter.Kind, targets.reporter.Event, targets.reporter.Events = "targets", eventTargetUnreadable, targets.Events
 	targets.reporter.Report(slices.Collect(maps.Values(unreadable)))
 	targets.depart(next, state)
-	targets.holdVanished(next, unreadable, state.OutageAt)
+	targets.holdVanished(next, unreadable, state)
 	dropReplaced(next)
 	targets.recordChanges(next, unreadable)
 	targets.recordDepartures(next, unreadable)
@@ -236,7 +236,7 @@
 // holdVanished adds to next the targets that have no entry any more but are still
 // to be held after an outage. Targets that were leaving are not held, nor are those whose
 // entries can't be read: the outage is not the cause of that.
-func (targets *Targets) holdVanished(next map[string]balance.Target, unreadable map[string]Object, outageAt time.Time) {
+func (targets *Targets) holdVanished(next map[string]balance.Target, unreadable map[string]Object, state State) {
 	now := time.Now()
 	for name, target := range targets.targets {
 		_, isUnreadable := unreadable[name]
@@ -246,13 +246,20 @@
 		}
 		until, held := targets.heldUntil[name]
 		if !held {
-			if target.Leaving || outageAt.IsZero() {
+			if target.Leaving || state.OutageAt.IsZero() {
 				continue
 			}
-			until = outageAt.Add(maxHoldTime)
-			entriesHeld.Inc()
+			until = state.OutageAt.Add(maxHoldTime)
 		}
 		if now.Before(until) {
+			if !held {
+				entriesHeld.Inc()
+				targets.Events.Record(eventTargetEntry, timeline.Event{
+					Target: name, Pool: target.Pool, Detail: "missing after an outage, used further", Facts: []timeline.Fact{
+						{Key: "cause", Value: state.OutageCause}, timeline.Duration("outageAge", now.Sub(state.OutageAt)), timeline.Duration("held", until.Sub(now)),
+					},
+				})
+			}
 			if targets.heldUntil == nil {
 				targets.heldUntil = map[string]time.Time{}
 			}
--- a/discovery/unreadable_test.go
+++ b/discovery/unreadable_test.go
@@ -32,7 +32,7 @@
 		}
 		return readable, unreadable, bytes
 	}
-	follower.replace(Listing{Revision: 1}, time.Time{})
+	follower.replace(Listing{Revision: 1}, failure{})
 	changes := Changes{Revision: 20_000}
 	for i := range 20_000 {
 		object := Object{Name: fmt.Sprint("u", i), Revision: int64(1 + i), Unreadable: "odd", Value: []byte("not kept")}
@@ -41,7 +41,7 @@
 		}
 		changes.Changes = append(changes.Changes, Change{Object: object})
 	}
-	follower.applyChanges(changes, time.Time{})
+	follower.applyChanges(changes, failure{})
 	readable, unreadable, bytes := count()
 	c.Check([]int{readable, unreadable, bytes}, qt.DeepEquals, []int{100, maxUnreadable, 30_000})
 
@@ -54,7 +54,7 @@
 		}
 		listing.Objects = append(listing.Objects, Object{Name: fmt.Sprint("l", i), Revision: int64(1 + i), Value: make([]byte, size)})
 	}
-	follower.replace(listing, time.Time{})
+	follower.replace(listing, failure{})
 	_, _, bytes = count()
 	c.Check(bytes <= maxKeptBytes && bytes > maxKeptBytes/2, qt.IsTrue, qt.Commentf("%d bytes", bytes))
 	for i := 0; i < 3000; i += 30 {
@@ -71,13 +71,13 @@
 		listing.Objects = append(listing.Objects, object)
 	}
 	for range 2 {
-		follower.replace(listing, time.Time{})
+		follower.replace(listing, failure{})
 	}
 	readable, unreadable, _ = count()
 	c.Check([]int{readable, unreadable}, qt.DeepEquals, []int{maxObjects, 0})
 	c.Check(len(events.Events()), qt.Equals, 1)
-	follower.replace(Listing{Revision: 50_000}, time.Time{})
-	follower.replace(listing, time.Time{})
+	follower.replace(Listing{Revision: 50_000}, failure{})
+	follower.replace(listing, failure{})
 	c.Check(len(events.Events()), qt.Equals, 1)
 }
 
