--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -68,13 +69,20 @@
 	defaultWithin = 2 * time.Second
 	// startCheckInterval is how often a host that starts looks for what others told it.
 	startCheckInterval = 20 * time.Millisecond
+	// watchGrace is how long a watch may take to tell of a change that is known already. A slow
+	// platform answers within half a second.
+	watchGrace = 500 * time.Millisecond
 	// roleCheckInterval is the time between two checks of a host that does not
 	// watch whether it has to.
 	roleCheckInterval = 500 * time.Millisecond
 )
 
-// watchesCutOff counts watches that ended without an answer.
-var watchesCutOff = metrics.GetOrCreateCounter("nutmegfield_platform_watches_cut_total")
+// watchesCutOff counts watches that ended without an answer, watchesSilent those that did not
+// tell of a change.
+var (
+	watchesCutOff = metrics.GetOrCreateCounter("nutmegfield_platform_watches_cut_total")
+	watchesSilent = metrics.GetOrCreateCounter("nutmegfield_platform_watches_silent_total")
+)
 
 // Events of this package.
 var (
@@ -90,6 +98,10 @@
 		Number: 8114, Name: "watch cut off", Level: timeline.Info,
 		Meaning: "A watch of the platform that had waited for the fact waitedMs ended without an answer; its connection was closed or silent. It goes on from the last revision at once, and the platform is not taken for lost. The event comes again only after an answer to a watch of the kind in the detail.",
 	})
+	eventWatchSilent = timeline.Define(timeline.Kind{
+		Number: 8115, Name: "watch silent", Level: timeline.Info,
+		Meaning: "A list or another host told of a change that the watch of the kind in the detail should have told of, and it said nothing for half a second more: its connection is held to be silent. It was ended after the fact waitedMs, and goes on over a new connection; known is by how many revisions it was behind.",
+	})
 )
 
 // Object is one object of the platform. Its value is not decoded.
@@ -239,8 +251,19 @@
 	// isCut is set from the first watch that was cut off until the next answer to one, and
 	// isCutEarly if the last one had hardly waited. Only watch uses them.
 	isCut, isCutEarly bool
+	// pendingWatch is the watch that waits, nil for none.
+	pendingWatch *pendingWatch
 }
 
+// pendingWatch is a watch that waits for changes after a revision.
+type pendingWatch struct {
+	after  int64
+	cancel context.CancelCauseFunc
+}
+
+// errSilent ends a watch that did not tell of a change.
+var errSilent = errors.New("the watch did not tell of a change")
+
 // sharedRead is a list request in progress, whose callers wait for done.
 type sharedRead struct {
 	done chan struct{}
@@ -289,10 +312,17 @@
 	watchContext, cancel := context.WithTimeout(ctx, watchWait+ReadTimeout)
 	defer cancel()
 	calledAt := time.Now()
-	changes, err := follower.Source.Watch(watchContext, revision, watchWait)
+	changes, err := follower.watchAfter(watchContext, revision)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if errors.Is(err, errSilent) {
+		watchesSilent.Inc()
+		follower.Events.Record(eventWatchSilent, timeline.Event{
+			Detail: follower.Kind, Facts: []timeline.Fact{timeline.Duration("waited", time.Since(calledAt)), timeline.Count("known", follower.State().Revision-revision)},
+		})
+		return nil
+	}
 	if Is(err, CutOff) {
 		return follower.resume(time.Since(calledAt), err)
 	}
@@ -310,6 +340,37 @@
 	return nil
 }
 
+// watchAfter sends a watch. It returns errSilent if a change became known otherwise and the watch
+// did not tell of it within watchGrace.
+func (follower *Follower) watchAfter(ctx context.Context, revision int64) (Changes, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := &pendingWatch{after: revision, cancel: cancel}
+	follower.setPendingWatch(watch)
+	defer follower.setPendingWatch(nil)
+	changes, err := follower.Source.Watch(ctx, revision, watchWait)
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return Changes{}, errSilent
+	}
+	return changes, err
+}
+
+func (follower *Follower) setPendingWatch(watch *pendingWatch) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.pendingWatch = watch
+}
+
+// expectWatch ends the watch that waits if it does not tell within watchGrace of the change that
+// led to the state: its connection is silent then. The caller holds the mutex.
+func (follower *Follower) expectWatch() {
+	watch := follower.pendingWatch
+	if watch == nil || watch.after >= follower.state.Revision {
+		return
+	}
+	time.AfterFunc(watchGrace, func() { watch.cancel(errSilent) })
+}
+
 // resume returns nil if a watch that was cut off after it had waited is to go on at once. That
 // says nothing about the platform: if it is away, the next call fails otherwise. Only the second
 // watch in a row that is cut off before it has waited is a failed request.
@@ -602,6 +663,9 @@
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
 	follower.state.OutageAt, follower.state.OutageCause, follower.state.IsRestored = outage.at, outage.cause, isRestored
+	if leftOut == 0 {
+		follower.expectWatch()
+	}
 	follower.OnChange(follower.state)
 	return leftOut
 }
