exchange: share quotas with hosts that can't be known

Cause: hosts learn of each other from their seeds. While these are down, a host counts them as silent hosts, which keep their parts of each quota, but only for the first minute; after that it held itself for the only one, as did each of the others.

Change: until a host has heard another one since its start, its seeds go on counting for the hosts that it can't know, in quotas, in the retry budget and in the connections to targets. The first host that it hears replaces those that stay silent. Event 6109 tells of it, with the number of hosts that it shares with. The price: a host that runs alone, with other seeds set, uses only its part for good.

Measured: TestHostsWithoutSeeds/few (3 hosts, 3 seeds) fails without the change from the second minute on, with 304,500 units of 113,000, and passes with it; so does TestFirstHostHeardReplacesSeeds.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -108,8 +108,11 @@
 	zoneHosts int
 	sequence  uint64
 	round     uint64
-	leaving   bool
-	relay     relay
+	// hasHeard is set once this host has heard another one, isAlone once it has recorded that
+	// it has not.
+	hasHeard, isAlone bool
+	leaving           bool
+	relay             relay
 	// rejectedAt is when the last event about reports of an address was recorded.
 	rejectedAt map[string]time.Time
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -319,3 +319,97 @@
 		})
 	}
 }
+
+// quotaLimit is a quota of a workspace, quotaTolerance by how much it may be exceeded, and
+// maxTaken what both allow in a window.
+var (
+	quotaLimit     = quota.Limit{Rate: 10_000, Burst: 10_000}
+	quotaTolerance = quota.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 14_000}
+)
+
+const maxTaken = (8*10_000+10_000)*1.1 + 14_000
+
+// takeAll takes all that hosts allow of a quota in 8 s, and returns it.
+func takeAll(hosts []*Exchange) int {
+	taken := 0
+	for range 800 {
+		for _, host := range hosts {
+			for host.Ledger.Take("clubs", 500).Allowed {
+				taken += 500
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return taken
+}
+
+// startWithQuota starts hosts that share a quota.
+func (network *network) startWithQuota(t *testing.T, count int, seeds ...string) []*Exchange {
+	var hosts []*Exchange
+	for i := range count {
+		host := network.start(t, string(rune('a'+i)), nil, seeds...)
+		host.Ledger.ExpectedPeers = host.KnownPeers
+		host.Ledger.SetLimits(map[string]quota.Limit{"clubs": quotaTolerance.Bucket(quotaLimit)})
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// TestHostsWithoutSeeds guards against hosts whose seeds are all down, so that none hears another,
+// and which each use a quota as if they were the only one.
+func TestHostsWithoutSeeds(t *testing.T) {
+	for name, count := range map[string]int{"few": 3, "many": 9} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				hosts := newNetwork().startWithQuota(t, count, "down1", "down2", "down3")
+				for _, wait := range []time.Duration{10 * time.Second, peerRemovalTimeout, 3 * time.Minute} {
+					time.Sleep(wait)
+					taken := takeAll(hosts)
+					c.Check(taken <= maxTaken, qt.IsTrue, qt.Commentf("%d hosts, after %s: %d units", count, wait, taken))
+				}
+			})
+		})
+	}
+}
+
+// TestFirstHostHeardReplacesSeeds checks that a host which has heard none for long uses the whole
+// quota with the first one that it hears, and not with its seeds.
+func TestFirstHostHeardReplacesSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		hosts := network.startWithQuota(t, 1, "b", "down1", "down2")
+		time.Sleep(10 * time.Minute)
+		c.Assert(hosts[0].SharingHosts(), qt.Equals, 4)
+		c.Assert(slices.ContainsFunc(hosts[0].Events.Events(), func(event timeline.Event) bool { return event.Number == 6109 }), qt.IsTrue)
+		network.start(t, "b", nil, "down1")
+		time.Sleep(10 * time.Second)
+		c.Assert(hosts[0].SharingHosts(), qt.Equals, 2)
+		taken := takeAll(hosts)
+		c.Assert(taken >= 80_000, qt.IsTrue, qt.Commentf("%d units", taken))
+	})
+}
+
+// TestHostsCutOffForMinutes guards against hosts that heard each other, are cut off from each
+// other for minutes, and then each use a quota as if they were the only one.
+func TestHostsCutOffForMinutes(t *testing.T) {
+	for name, cut := range map[string]time.Duration{"long": 3 * time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := newNetwork()
+				hosts := network.startWithQuota(t, 7, "a")
+				time.Sleep(10 * time.Second)
+				network.mutex.Lock()
+				for _, host := range hosts {
+					network.isolated[host.Host] = true
+				}
+				network.mutex.Unlock()
+				time.Sleep(cut)
+				taken := takeAll(hosts)
+				c.Assert(taken <= maxTaken, qt.IsTrue, qt.Commentf("cut off for %s: %d units", cut, taken))
+			})
+		})
+	}
+}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -35,6 +35,11 @@
 		Number: 6103, Name: "host left", Level: timeline.Info,
 		Meaning: "Another host reported that it is shutting down.",
 	})
+	eventAlone = timeline.Define(timeline.Kind{
+		Number: 6109, Name: "no host heard", Level: timeline.Warn,
+		Meaning: "This host has heard no other one for a minute since its start, though seeds are set. Others may run that it can't know, so it goes on with its part of the quotas, of the retry budget and of connections to targets, as one of as many hosts as the fact sharing says.",
+		Action:  "start one of the seeds, or set seeds that run",
+	})
 )
 
 // peer is another host.
@@ -79,7 +84,8 @@
 }
 
 // KnownPeers returns the number of other hosts that are not silent or have not been for
-// longer than peerRemovalTimeout.
+// longer than peerRemovalTimeout. Until this host has heard another one, its seeds stand for the
+// hosts that it can't know: these may run, and not hear each other either.
 func (exchange *Exchange) KnownPeers() int { return int(exchange.knownPeers.Load()) }
 
 // SharingHosts returns the number of hosts that share what is limited for all together:
@@ -222,6 +228,10 @@
 		if !peer.isKnown(now) && !slices.Contains(exchange.Seeds, address) {
 			delete(exchange.peers, address)
 		}
+		if !exchange.hasHeard && !exchange.isAlone && !peer.isKnown(now) {
+			exchange.isAlone = true
+			exchange.Events.Record(eventAlone, timeline.Event{Facts: []timeline.Fact{timeline.Count("sharing", exchange.SharingHosts())}})
+		}
 	}
 	exchange.rankHosts()
 }
@@ -282,7 +292,7 @@
 		if peer.alive {
 			members.Zones[address] = peer.zone
 		}
-		if !peer.isKnown(now) {
+		if !peer.isKnown(now) && exchange.hasHeard {
 			continue
 		}
 		knownPeers++
@@ -315,6 +325,7 @@
 		return false
 	}
 	wasAlive := entry.alive
+	exchange.hasHeard = true
 	*entry = peer{
 		host: heartbeat.host, zone: heartbeat.zone, incarnation: heartbeat.incarnation, sequence: heartbeat.sequence,
 		lastReceived: time.Now(), addedAt: entry.addedAt, alive: !heartbeat.leaving, hasLeft: heartbeat.leaving,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -107,7 +107,7 @@
 	ReportsDelayed func() bool
 	// ExpectedPeers returns the number of other hosts with known addresses.
 	// Those that have sent no report count as silent until peerRemovalTimeout after
-	// the start. Nil means none.
+	// the start, or until another host has been heard if that is later. Nil means none.
 	ExpectedPeers func() int
 	// Incarnation is the start of this host in microseconds since 1970, as in the reports
 	// of the others; 0 if it is not known.
@@ -121,9 +121,11 @@
 	// silentPeers is the number of peers whose reports are stale.
 	silentPeers int
 	// unseenPeers is the number of expected peers that have sent no report
-	// since this host started, 0 from peerRemovalTimeout after the start.
+	// since this host started, 0 from peerRemovalTimeout after the start if some has.
 	unseenPeers int
-	startedAt   time.Time
+	// hasHeard is set once a host has sent a report.
+	hasHeard  bool
+	startedAt time.Time
 	// reportCount is the number of calls of Report.
 	reportCount int
 	// lastRefill is when the buckets were last refilled.
@@ -289,7 +291,7 @@
 		ledger.startedAt = now
 	}
 	ledger.silentPeers, ledger.unseenPeers = 0, 0
-	if now.Sub(ledger.startedAt) < peerRemovalTimeout && ledger.ExpectedPeers != nil {
+	if (now.Sub(ledger.startedAt) < peerRemovalTimeout || !ledger.hasHeard) && ledger.ExpectedPeers != nil {
 		ledger.unseenPeers = max(0, ledger.ExpectedPeers()-previousPeers)
 	}
 	for host, peer := range ledger.peers {
@@ -350,7 +352,7 @@
 		entry = &peer{incarnation: incarnation, replacesEarlier: true, totals: map[string]float64{}}
 		ledger.peers[host] = entry
 	}
-	entry.lastReceived = now
+	entry.lastReceived, ledger.hasHeard = now, true
 	for _, spend := range spends {
 		ledger.charge(entry, spend)
 	}
