listener: read what a caller has sent before its connection closes

What callers saw: the last answer on a connection broke off with a reset, though the target had given a whole one, if the caller had sent more behind the request.

Cause: a socket that is closed with bytes that nobody has read resets the connection, and the system drops what it has not yet sent of the answer. A host closes connections after an answer while it shuts down, and where a caller sends too many requests ahead.

Change: a connection that ends after a request, with more to be read, ends its writes, and discards what comes for half a second at most, as it does after refusals.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -41,8 +41,9 @@
 
 	// isBegun means that a request was begun and has not ended, isLarge that the receive
 	// buffer was enlarged.
-	isBegun, isLarge bool
-	isClosed         atomic.Bool
+	isBegun  atomic.Bool
+	isLarge  bool
+	isClosed atomic.Bool
 	// message is what was taken for the bytes of the present message, with Listener.Messages.
 	message atomic.Int64
 }
@@ -218,6 +219,13 @@
 	if !conn.isClosed.CompareAndSwap(false, true) {
 		return nil
 	}
+	if phase := conn.holder.Phase(); phase >= memory.Queued && phase <= memory.Running &&
+		!conn.isBegun.Load() && !conn.listener.Messages && conn.hasInput() {
+		// The caller has sent more behind a request whose answer it may not have read. A close
+		// before that is read would reset the connection, and destroy the answer on its way.
+		_ = conn.CloseWrite()
+		conn.linger()
+	}
 	err := conn.Conn.Close()
 	conn.holder.Give(memory.Bodies, conn.message.Swap(0))
 	conn.holder.Close()
@@ -275,14 +283,13 @@
 		}
 		time.Sleep(wait)
 	}
-	conn.isBegun = true
+	conn.isBegun.Store(true)
 	return conn.end, true
 }
 
 // end ends a request.
 func (conn *Conn) end() {
-	if conn.isBegun {
-		conn.isBegun = false
+	if conn.isBegun.CompareAndSwap(true, false) {
 		conn.holder.Describe(nil)
 		conn.holder.Give(memory.Requests, memory.RequestCost)
 	}
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -222,6 +222,26 @@
 	fixture.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
 }
 
+// TestAnswerIsNotReset guards against answers that are lost on their way because the connection
+// ends while the caller has sent more.
+func TestAnswerIsNotReset(t *testing.T) {
+	fixture := newFixture(t, nil)
+	conn := fixture.dial("GET /long HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + strings.Repeat("GET / HTTP/1.1\r\n\r\n", 1000))
+	fixture.Assert(conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	answer, readErr := http.ReadResponse(bufio.NewReader(conn), nil)
+	fixture.Assert(readErr, qt.IsNil)
+	// The caller reads slowly, so that a part is on its way when the server has written all.
+	n, err := int64(0), error(nil)
+	for err == nil {
+		var read int64
+		read, err = io.CopyN(io.Discard, answer.Body, 8<<10)
+		n += read
+		time.Sleep(time.Millisecond)
+	}
+	fixture.Check(err, qt.Equals, io.EOF)
+	fixture.Check(n, qt.Equals, int64(answerBytes))
+}
+
 // TestNewConnectionsFindRoom guards against callers that can't connect because others hold all
 // connections without making progress.
 func TestNewConnectionsFindRoom(t *testing.T) {
