gateway: answer requests that become whole while a host shuts down

What callers saw: when a host was stopped under load, some requests ended without an answer, on connections that were closed or reset as they came.

Timeline of such a stop: not ready, notice, http.Server.Shutdown, process ends. Cause, as the texts of the errors tell apart: "EOF": http.Server closes a connection without an answer if its request becomes whole once Shutdown has begun; "connection reset by peer": the system resets the connections that it had accepted and the process had not. None of these requests ran.

Change: the server is not shut down until the connections have ended. The listener takes the connections that wait, and closes once poll finds none (StopAccepting). Connections without a request end unless something has come on them; others are served to their end, with Connection: close also on answers to requests that came before. Half a second before the end the requests whose heads or bodies have not come, or that wait for a target, are refused (503, 408 for a head), so they have not run. Event 1141 counts the connections that were taken last, those open and the requests.

A filter that lets the system ignore new handshakes meanwhile would close the last gap, between poll and close; this machine's kernel has none.

Seen: TestDrainAnswersLateRequests fails before ("unexpected EOF" where a connection is new, where a part of the head has come, and where the body comes to its end after the host's) and passes now.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -58,6 +58,7 @@
 		Facts:   append(facts, timeline.Duration("retryAfter", after)),
 	})
 	gateway.Protocol.WriteRefusal(forwarding.writer.Header(), forwarding.call, after)
+	forwarding.endConnection()
 	forwarding.writer.Header().Set("Content-Length", "0")
 	if forwarding.hasBody {
 		forwarding.conn.Refuse(forwarding.writer, status)
@@ -143,6 +144,7 @@
 	header := forwarding.writer.Header()
 	maps.Copy(header, bufferedAnswer.header)
 	header.Set("Content-Length", strconv.Itoa(len(bufferedAnswer.body.bytes)))
+	forwarding.endConnection()
 	forwarding.writer.WriteHeader(bufferedAnswer.status)
 	// A write fails only when the caller has left.
 	_, _ = forwarding.writer.Write(bufferedAnswer.body.bytes)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -564,5 +564,6 @@
 	if strings.EqualFold(forwarding.request.Method, http.MethodHead) {
 		header.Del("Content-Type")
 	}
+	forwarding.endConnection()
 	forwarding.writer.WriteHeader(answer.Status)
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -59,6 +59,9 @@
 			Messages: number == peersListener, IsSmall: listener.IsSmall(plan.Machine),
 		}
 		(&listener.Report{Name: bounds.name, Events: kernelHost.Events}).Observe(bounded)
+		if number == callersListener {
+			host.gateway.Callers = bounded
+		}
 		listeners[number] = bounded
 	}
 }
@@ -146,7 +149,7 @@
 	case errorkind.Is(err, listener.NoRoom):
 		forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonNoBodyRoom, cause)
 	case errorkind.Is(err, listener.GaveWay):
-		forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonGaveWay, cause)
+		forwarding.refuseGaveWay(cause)
 	default:
 		// The caller has left, so there is nobody to answer.
 		panic(http.ErrAbortHandler)
@@ -163,7 +166,11 @@
 }
 
 // refuseGaveWay refuses a request that has given way to others.
-func (forwarding *forwarding) refuseGaveWay() {
-	forwarding.refuse(http.StatusServiceUnavailable, addJitter(noMemoryRetryAfter), reasonGaveWay,
-		timeline.Duration("waited", time.Since(forwarding.arrivedAt)))
+func (forwarding *forwarding) refuseGaveWay(facts ...timeline.Fact) {
+	after, reason := noMemoryRetryAfter, reasonGaveWay
+	if forwarding.gateway.endsAt.Load() != 0 {
+		after, reason = minRetryAfter, reasonDraining
+	}
+	forwarding.refuse(http.StatusServiceUnavailable, addJitter(after), reason,
+		append(facts, timeline.Duration("waited", time.Since(forwarding.arrivedAt)))...)
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -24,16 +24,25 @@
 		Number: 1107, Name: "gateway drained", Level: timeline.Info,
 		Meaning: "The running requests have ended or the drain limit has passed; the detail is the number of requests that were cut off.",
 	})
+	eventClosed = timeline.Define(timeline.Kind{
+		Number: 1141, Name: "gateway closed to new connections", Level: timeline.Info,
+		Meaning: "The host shuts down and takes no new connections any more. The facts count those that had waited and were taken last, those that are open, and the requests that run.",
+	})
 )
 
 const (
 	// withoutRequestTime is the time without running requests after which connections that sent
-	// no whole request are not waited for. http.Server waits for new ones for 5 s, which is as
-	// long as some grace periods, but runs no request that becomes whole once Shutdown has begun.
+	// no whole request are not waited for.
 	withoutRequestTime = time.Second
 	drainPollInterval  = 20 * time.Millisecond
+	// lastRefusalTime is the time before the end at which the requests are refused that were
+	// sent to no target: their callers may still be sending.
+	lastRefusalTime = 500 * time.Millisecond
 )
 
+// reasonDraining is the reason of refusals of a host that shuts down.
+const reasonDraining = "the host shuts down"
+
 // Drain reports the host as not ready, waits for Notice and then for running
 // requests to end. It returns an error if the context ends first.
 func (gateway *Gateway) Drain(ctx context.Context) error {
@@ -45,11 +54,11 @@
 		ctx = limited
 	}
 	pause.For(ctx, gateway.Notice)
-	// Requests that still run when the context ends are cut off; the event counts them.
 	err := gateway.shutDown(ctx)
 	if gateway.WaitForwarded != nil {
 		err = errors.Join(err, gateway.WaitForwarded(ctx))
 	}
+	// Requests that still run when the context ends are cut off; the event counts them.
 	gateway.Events.Record(eventDrained, timeline.Event{Detail: strconv.FormatInt(gateway.runningRequests.Load(), 10)})
 	if err != nil {
 		return fmt.Errorf("wait for running requests: %w", err)
@@ -57,29 +66,47 @@
 	return nil
 }
 
-// shutDown stops accepting requests and waits for the running ones, and for a while for those
-// that are not whole yet.
+// shutDown stops accepting connections and waits for the running requests, and for a while for
+// those that are not whole yet. The server must not be shut down before: it would close
+// connections whose requests become whole meanwhile without an answer.
 func (gateway *Gateway) shutDown(ctx context.Context) error {
-	shutdownCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- gateway.Shutdown(shutdownCtx) }()
+	deadline, hasDeadline := ctx.Deadline()
+	if hasDeadline {
+		gateway.endsAt.Store(deadline.UnixNano())
+	}
+	accepted := gateway.Callers.StopAccepting()
+	gateway.Events.Record(eventClosed, timeline.Event{Facts: []timeline.Fact{
+		timeline.Count("accepted", accepted), timeline.Count("open", gateway.Callers.Budget.Holders()),
+		timeline.Count("running", gateway.runningRequests.Load()),
+	}})
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	lastRunAt := time.Now()
-	for {
-		select {
-		case err := <-done:
-			return err
-		case <-ctx.Done():
-			return <-done
-		case <-ticker.C:
-		}
+	for lastRunAt := time.Now(); ; {
 		// The end of an answer may still be written after its request.
-		if gateway.runningRequests.Load() > 0 || gateway.bufferRoom.budget.Serving() > 0 {
+		isRunning := gateway.runningRequests.Load() > 0 || gateway.Callers.Budget.Serving() > 0
+		switch {
+		case isRunning:
 			lastRunAt = time.Now()
-		} else if time.Since(lastRunAt) >= withoutRequestTime {
+		case gateway.Callers.EndIdle() == 0:
 			return nil
+		case time.Since(lastRunAt) >= withoutRequestTime:
+			gateway.Callers.EndWaiting()
+			return nil
+		}
+		if hasDeadline && time.Until(deadline) <= lastRefusalTime {
+			gateway.Callers.EndWaiting()
 		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// endConnection lets the connection end with the answer if the host shuts down.
+func (forwarding *forwarding) endConnection() {
+	if forwarding.gateway.draining.Load() {
+		forwarding.writer.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -61,3 +62,57 @@
 	c.Check(<-drained, qt.IsNil)
 	c.Check(time.Since(endedAt) < limit/8, qt.IsTrue, qt.Commentf("drained %s after the last request", time.Since(endedAt)))
 }
+
+// TestDrainAnswersLateRequests guards against requests that become whole while the host shuts
+// down, and end without an answer: closed as the server shuts down, or sent to a target although
+// they would not end before the host does.
+func TestDrainAnswersLateRequests(t *testing.T) {
+	const head, rest = "POST /r/a HTTP/1.1\r\nHost: h.example\r\nTest-Id: q1\r\nTest-Key: k\r\nContent-Length: 2\r\n", "\r\nxy"
+	for _, test := range []struct {
+		name string
+		// sent is what was sent before the host shuts down; the rest follows after a time.
+		sent         string
+		limit, after time.Duration
+		reply        string
+		status       int
+	}{
+		{"new connection", "", 20 * time.Second, 700 * time.Millisecond, okReply, http.StatusOK},
+		{"part of a head", head, 20 * time.Second, 700 * time.Millisecond, okReply, http.StatusOK},
+		{"part of a body", head + "\r\nx", 20 * time.Second, 1500 * time.Millisecond, okReply, http.StatusOK},
+		{"part of a body, at the end", head + "\r\nx", 2 * time.Second, 3 * time.Second, okReply, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			fixture := newFixture(c, testConfiguration(nil), 1)
+			fixture.replies = []string{test.reply}
+			conn, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, test.sent)
+			c.Assert(err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), test.limit)
+				defer cancel()
+				// The process ends then.
+				_ = fixture.gateway.Drain(ctx)
+				_ = fixture.server.Config.Close()
+			}()
+			time.Sleep(test.after)
+			// An error means that the answer has come, and the connection has ended.
+			_, _ = io.WriteString(conn, (head + rest)[len(test.sent):])
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, answer.Body)
+			c.Check(err, qt.IsNil)
+			c.Check(answer.StatusCode, qt.Equals, test.status)
+			c.Check(answer.Close, qt.IsTrue)
+			sent := 1
+			if test.status == http.StatusServiceUnavailable {
+				sent = 0
+			}
+			c.Check(fixture.receivedRequests(), qt.HasLen, sent)
+		})
+	}
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -22,6 +22,8 @@
 	"nutmegfield.example/budget"
 	"nutmegfield.example/detour"
 	"nutmegfield.example/limit"
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
@@ -162,9 +164,12 @@
 		Table:    func() *route.Table { return fixture.table },
 		Refresh:  func(context.Context) error { return nil },
 	}
-	fixture.server = httptest.NewServer(fixture.gateway)
+	fixture.server = httptest.NewUnstartedServer(fixture.gateway)
+	fixture.gateway.Callers = &listener.Listener{Listener: fixture.server.Listener, Budget: memory.NewPlan(1<<30, 1<<10).Callers}
+	fixture.server.Listener = fixture.gateway.Callers
+	listener.Bind(fixture.server.Config)
+	fixture.server.Start()
 	c.Cleanup(fixture.server.Close)
-	fixture.gateway.Shutdown = fixture.server.Config.Shutdown
 	return fixture
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,14 +70,17 @@
 	// Notice is how long a draining host still accepts requests, so that the
 	// load balancer sees that it is not ready.
 	Notice time.Duration
-	// Shutdown stops accepting requests and waits for the running ones.
-	Shutdown func(ctx context.Context) error
+	// Callers is the listener for callers.
+	Callers *listener.Listener
 	// WaitForwarded waits for the requests that this host sends for others. It may be nil.
 	WaitForwarded func(ctx context.Context) error
 
-	waitTracker     waitTracker
-	bufferRoom      bufferRoom
-	draining        atomic.Bool
+	waitTracker waitTracker
+	bufferRoom  bufferRoom
+	draining    atomic.Bool
+	// endsAt is when the answers of a host that takes no connections any more must have ended,
+	// in nanoseconds since 1970; 0 before, and without a limit.
+	endsAt          atomic.Int64
 	runningRequests atomic.Int64
 }
 
@@ -93,9 +96,6 @@
 		call:      gateway.Protocol.ReadCall(request.Header),
 		arrivedAt: time.Now(),
 	}
-	if gateway.draining.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	forwarding.run()
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -156,7 +156,6 @@
 	host.exchange.Send = kernel.DatagramSender(datagrams)
 	host.boundListeners(kernelHost, listeners)
 	callers := newServer(listeners[2], host.gateway)
-	host.gateway.Shutdown = callers.Shutdown
 	run := func(ctx context.Context) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -78,6 +78,7 @@
 
 	once        sync.Once
 	lastRefused time.Time
+	ending      ending
 }
 
 // Accept returns the next connection for which there is room. It refuses others. Only one
@@ -87,7 +88,7 @@
 		listener.once.Do(func() { boundListener(cmp.Or(listener.Socket, listener.Listener)) })
 	}
 	for {
-		raw, err := listener.Listener.Accept()
+		raw, err := listener.next()
 		if err != nil {
 			return nil, err
 		}
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -222,6 +223,39 @@
 	fixture.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
 }
 
+// TestWaitingConnectionsAreAccepted guards against requests of connections that the system has
+// accepted when the listener ends.
+func TestWaitingConnectionsAreAccepted(t *testing.T) {
+	const waiting = 8
+	c := qt.New(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := &Listener{Listener: raw, Budget: memory.NewPlan(1<<30, 1<<10).Callers}
+	fixture := &fixture{C: c, listener: listener, address: raw.Addr().String()}
+	var callers []net.Conn
+	for range waiting {
+		callers = append(callers, fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	}
+	accepted := make(chan int, 1)
+	go func() { accepted <- listener.StopAccepting() }()
+	fixture.waitUntil("the listener ends", listener.ending.isBegun.Load)
+	server := &http.Server{Handler: http.HandlerFunc(fixture.serve)}
+	Bind(server)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	c.Check(<-accepted, qt.Equals, waiting)
+	_, err = net.Dial("tcp", fixture.address)
+	c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+	for _, conn := range callers {
+		status, text := fixture.answer(conn)
+		c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+	c.Check(served, qt.HasLen, 0)
+	fixture.waitUntil("idle connections have ended", func() bool { return listener.EndIdle() == 0 })
+	c.Check(server.Close(), qt.IsNil)
+	c.Check(<-served, qt.Equals, http.ErrServerClosed)
+}
+
 // TestAnswerIsNotReset guards against answers that are lost on their way because the connection
 // ends while the caller has sent more.
 func TestAnswerIsNotReset(t *testing.T) {
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -273,7 +273,7 @@
 
 // evict lets the holder give way if it is still in the phase in which it was chosen.
 func (holder *Holder) evict(phase Phase) bool {
-	if (phase == Head || phase == Body) && holder.hasInput != nil && holder.hasInput() {
+	if (phase == Head || phase == Body || phase == Idle) && holder.hasInput != nil && holder.hasInput() {
 		// The host is behind, not the caller.
 		holder.Progress()
 		return false
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -3,6 +3,8 @@
 package memory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,6 +218,33 @@
 	}
 }
 
+// Evict ends what the holders do that isChosen chooses, as if they gave way. It returns the
+// number of those that are still open.
+func (budget *Budget) Evict(isChosen func(candidate *Candidate) bool) (left int) {
+	now := time.Now()
+	budget.mutex.Lock()
+	holders := slices.Collect(maps.Keys(budget.holders))
+	budget.mutex.Unlock()
+	for _, holder := range holders {
+		candidate := holder.candidate(Connections, now)
+		if !isChosen(&candidate) || !holder.evict(candidate.Phase) {
+			left++
+		}
+	}
+	return left
+}
+
+// Cancel ends the waits of all requests, also of those that were sent to a target.
+func (budget *Budget) Cancel() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	for holder := range budget.holders {
+		if details := holder.details.Load(); details != nil && details.Cancel != nil {
+			details.Cancel()
+		}
+	}
+}
+
 // gather sets candidates to the holders that hold memory of a kind. The caller holds
 // relieving.
 func (budget *Budget) gather(kind Kind, now time.Time) {
