gateway: refuse requests that would not end before a host does

What callers saw: in a planned stop requests that came late in the grace were passed on, and cut with no answer at its end, among them ones that may not be repeated.

Cause: a host that shuts down sent every request to a target that had become whole, however long the target would take. At the end of the grace it closed the connections of all that still ran.

Others are refused (503, "the host shuts down", with what was left and the longest answer).

Seen: the rows "late" and "answer at the end" of TestDrainAnswersLateRequests end with "unexpected EOF" before, with 503 and not sent, and with 504, now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,6 +96,11 @@
 			forwarding.refuseSuspect(suspect)
 			return
 		}
+		if !forwarding.endsInTime() {
+			grant.Cancel()
+			forwarding.refuseDraining(ctx)
+			return
+		}
 		if !forwarding.beginRun() {
 			grant.Cancel()
 			if forwarding.hasGivenWay() {
@@ -259,6 +264,7 @@
 	})
 	forwarding.recordSent(grant)
 	sentAt := time.Now()
+	defer func() { gateway.answerTimes.record(forwarding.route, time.Since(sentAt)) }()
 	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.traits)
 	answer, err := forwarding.exchange(attemptContext, grant, silenceTimer, &upstream.Request{
 		Method:  forwarding.request.Method,
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -22,11 +23,11 @@
 	})
 	eventDrained = timeline.Define(timeline.Kind{
 		Number: 1107, Name: "gateway drained", Level: timeline.Info,
-		Meaning: "The running requests have ended or the drain limit has passed; the detail is the number of requests that were cut off.",
+		Meaning: "The running requests have ended or the drain limit has passed; the detail is the number of requests that were cut off, the fact that of those that had not ended in time and were given up before, with an answer where none had begun.",
 	})
 	eventClosed = timeline.Define(timeline.Kind{
 		Number: 1141, Name: "gateway closed to new connections", Level: timeline.Info,
-		Meaning: "The host shuts down and takes no new connections any more. The facts count those that had waited and were taken last, those that are open, and the requests that run.",
+		Meaning: "The host shuts down and takes no new connections any more. The facts count those that had waited and were taken last, those that are open, and the requests that run. A request that would not end before the host does is refused from now on.",
 	})
 )
 
@@ -58,8 +59,14 @@
 	if gateway.WaitForwarded != nil {
 		err = errors.Join(err, gateway.WaitForwarded(ctx))
 	}
-	// Requests that still run when the context ends are cut off; the event counts them.
-	gateway.Events.Record(eventDrained, timeline.Event{Detail: strconv.FormatInt(gateway.runningRequests.Load(), 10)})
+	unfinished := gateway.runningRequests.Load()
+	if err != nil {
+		gateway.cancelRequests()
+	}
+	gateway.Events.Record(eventDrained, timeline.Event{
+		Detail: strconv.FormatInt(gateway.runningRequests.Load(), 10),
+		Facts:  []timeline.Fact{timeline.Count("unfinished", unfinished)},
+	})
 	if err != nil {
 		return fmt.Errorf("wait for running requests: %w", err)
 	}
@@ -104,9 +111,40 @@
 	}
 }
 
+// cancelRequests ends the requests that still run, and waits until their callers have answers.
+func (gateway *Gateway) cancelRequests() {
+	gateway.Callers.Budget.Cancel()
+	for until := time.Now().Add(drainReserve / 2); gateway.runningRequests.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(drainPollInterval / 4)
+	}
+}
+
 // endConnection lets the connection end with the answer if the host shuts down.
 func (forwarding *forwarding) endConnection() {
 	if forwarding.gateway.draining.Load() {
 		forwarding.writer.Header().Set("Connection", "close")
 	}
 }
+
+// endsInTime reports whether the request, sent to a target now, ends before the host does: by its
+// deadline, or as the longest answer of its route would.
+func (forwarding *forwarding) endsInTime() bool {
+	endsAt := forwarding.gateway.endsAt.Load()
+	if endsAt == 0 || forwarding.headerWritten || forwarding.deadline.UnixNano() <= endsAt {
+		return true
+	}
+	longest := forwarding.gateway.answerTimes.longest(forwarding.route)
+	return longest > 0 && time.Now().Add(longest+longest/answerTimeSpare).UnixNano() <= endsAt
+}
+
+// refuseDraining refuses a request that would not end before the host does.
+func (forwarding *forwarding) refuseDraining(ctx context.Context) {
+	if forwarding.sends > 0 {
+		forwarding.answerUnserved(ctx, reasonDraining)
+		return
+	}
+	forwarding.refuse(http.StatusServiceUnavailable, addJitter(minRetryAfter), reasonDraining,
+		timeline.Duration("left", time.Until(time.Unix(0, forwarding.gateway.endsAt.Load()))),
+		timeline.Duration("longest", forwarding.gateway.answerTimes.longest(forwarding.route)),
+		timeline.Duration("waited", time.Since(forwarding.arrivedAt)))
+}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -79,7 +79,9 @@
 		{"new connection", "", 20 * time.Second, 700 * time.Millisecond, okReply, http.StatusOK},
 		{"part of a head", head, 20 * time.Second, 700 * time.Millisecond, okReply, http.StatusOK},
 		{"part of a body", head + "\r\nx", 20 * time.Second, 1500 * time.Millisecond, okReply, http.StatusOK},
+		{"part of a body, late", head + "\r\nx", 2 * time.Second, time.Second, "PAUSE\n" + okReply, http.StatusServiceUnavailable},
 		{"part of a body, at the end", head + "\r\nx", 2 * time.Second, 3 * time.Second, okReply, http.StatusServiceUnavailable},
+		{"answer at the end", head + rest, time.Second, 0, "PAUSE\n" + okReply, http.StatusGatewayTimeout},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
