listener: let callers whose requests are denied give way first

What callers saw: while 1,060 callers at each host asked every 0.85 s for a path without a route, two hosts that said that they are ready took no new connection from anybody for 26 to 36 s, and ended the connections that ordinary callers kept. 70 callers at the address that says ready did the same to the balancer's checks.

Cause: an idle connection gave way after a second, whether or not a request on it was ever served. So a crowd that asked more often never gave way, and ordinary callers, idle for longer, were the only ones that did. Readiness did not look at the listener.

Change: an idle connection gives way at once unless its requests are served; a denied request (no route or key) takes that back, and ends the connection while others have to give way. Kept connections come after all of these, and give way only to connections that find no room, to few more than it takes. A new connection looks again once others gave way. A listener that has refused all connections for a second, and has no room, is full: its host is not ready until it has (event 1174). The same at entry hosts.

Seen: TestDeniedCallersGiveWay fails before (0 of 20 callers served, the kept connection ended, 3 of 3 runs).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmegfield.example/listener"
 	"nutmegfield.example/memory"
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
@@ -93,6 +94,8 @@
 	// IncarnationEnded reports whether the host incarnation that a record
 	// names has ended; nil reports false.
 	IncarnationEnded func(incarnation string) bool
+	// Callers is the listener for callers. It may be nil.
+	Callers *listener.Listener
 	// Memory counts answers that are held; nil has room for all.
 	Memory *memory.Budget
 	// Client returns the client of a protocol, nil if there is none.
@@ -135,7 +138,7 @@
 
 // Ready reports whether the load balancer should send requests to this host.
 func (entry *Entry) Ready() bool {
-	return !entry.drainAnnounced.Load() && entry.Store.Current() != nil
+	return !entry.drainAnnounced.Load() && entry.Store.Current() != nil && !entry.Callers.IsFull()
 }
 
 // takeAnswer counts bytes of an answer that are held, and reports whether there is room.
--- a/entry/part.go
+++ b/entry/part.go
@@ -57,6 +57,7 @@
 		Events:           host.Events,
 		HostIncarnation:  incarnationName(members.Self),
 		IncarnationEnded: func(incarnation string) bool { return incarnationEnded(incarnation, members.Self, members.View()) },
+		Callers:          callers,
 		Memory:           callers.Budget,
 		Client:           clients.Client,
 		TargetLeaving:    schedulers.TargetLeaving,
--- a/entry/server.go
+++ b/entry/server.go
@@ -63,6 +63,7 @@
 	case path == modelsPath || strings.HasPrefix(path, modelsPath+"/"):
 		entry.handleModels(callerWriter, received)
 	default:
+		callerWriter.conn.Deny(callerWriter)
 		badRequest(http.StatusNotFound, "there is nothing here").write(callerWriter, request.NewID())
 	}
 }
@@ -92,6 +93,7 @@
 	}()
 	workspace, problem := check(received)
 	if problem != nil {
+		callerWriter.conn.Deny(callerWriter)
 		refuseUnread(callerWriter, received, problem, request.NewID())
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,6 +245,7 @@
 	if status == 0 {
 		return true
 	}
+	forwarding.conn.Deny(forwarding.writer)
 	forwarding.refuse(status, 0, "no such route or key", timeline.Count("routes", forwarding.routesVersion))
 	return false
 }
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -471,10 +471,10 @@
 	return cmp.Or(longest, defaultTimeout)
 }
 
-// serveReadiness answers readiness checks of the load balancer: 503 while draining
-// or without routes, else 200.
+// serveReadiness answers readiness checks of the load balancer: 503 while draining,
+// without routes or with no room for a connection, else 200.
 func (host *host) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	if host.gateway.draining.Load() || host.gateway.Table() == nil {
+	if host.gateway.draining.Load() || host.gateway.Table() == nil || host.gateway.Callers.IsFull() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -313,6 +313,14 @@
 // the one before.
 func (conn *Conn) IsPipelined() bool { return conn != nil && conn.pipelined > 0 }
 
+// Deny records that the present request is denied, before the header of its answer is written. The
+// connection ends with the answer while others have to give way.
+func (conn *Conn) Deny(writer http.ResponseWriter) {
+	if conn.Holder().Deny() {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
 // endRequest is called when the answer to a request was written.
 func (conn *Conn) endRequest() {
 	conn.holder.GiveHeads()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmegfield.example/memory"
@@ -28,6 +29,8 @@
 	acceptPatience = 25 * time.Millisecond
 	acceptInterval = 6 * time.Millisecond
 	refusalMemory  = 250 * time.Millisecond
+	// fullTime is how long a listener has to refuse all connections to be full.
+	fullTime = time.Second
 	// lingerTime and lingerBytes bound what is still read after a refusal, so that a reset
 	// does not destroy it on its way.
 	lingerTime  = 500 * time.Millisecond
@@ -72,13 +75,19 @@
 	Problem func(status int) (fields, body string)
 	// OnRefused is called when a connection or head is refused. It may be nil.
 	OnRefused func(status int, reason string)
+	// OnFull is called when the listener is seen to be full, or not any more. It may be nil.
+	OnFull func(isFull bool, lasted time.Duration)
 	// OnUnread is called with the id of a request whose caller does not read the answer and
 	// loses its connection. It may be nil.
 	OnUnread func(request string)
 
 	once        sync.Once
 	lastRefused time.Time
-	ending      ending
+	// refusingSince is when the first connection was refused since one was taken, 0 for none, in
+	// nanoseconds since 1970; wasFull is what IsFull returned last.
+	refusingSince atomic.Int64
+	wasFull       atomic.Bool
+	ending        ending
 }
 
 // Accept returns the next connection for which there is room. It refuses others. Only one
@@ -117,19 +126,46 @@
 	}
 	conn.holder = listener.Budget.NewHolder(conn.evict, hasInput)
 	for waited := time.Duration(0); ; waited += acceptInterval {
-		// If there is no room, others are told to give way.
-		if conn.holder.Open(memory.ConnectionCost) {
+		isOpen := conn.holder.Open(memory.ConnectionCost)
+		if !isOpen {
+			// Others were told to give way, and most do at once.
+			isOpen = conn.holder.Open(memory.ConnectionCost)
+		}
+		if isOpen {
 			bound(conn.socket, max(listener.writeTimeout(), defaultWriteTimeout))
+			listener.refusingSince.Store(0)
 			return conn
 		}
 		if waited >= acceptPatience || time.Since(listener.lastRefused) < refusalMemory {
 			listener.lastRefused = time.Now()
+			listener.refusingSince.CompareAndSwap(0, listener.lastRefused.UnixNano())
 			return nil
 		}
 		time.Sleep(acceptInterval)
 	}
 }
 
+// IsFull reports whether the listener has refused all connections for a while, and still has no
+// room for another one. That of a nil listener does not.
+func (listener *Listener) IsFull() bool {
+	if listener == nil {
+		return false
+	}
+	since, lasted := listener.refusingSince.Load(), time.Duration(0)
+	if since != 0 {
+		lasted = time.Since(time.Unix(0, since))
+	}
+	isFull := lasted >= fullTime && !listener.Budget.HasRoom(memory.Connections, memory.ConnectionCost)
+	if isFull {
+		// Without further callers nobody else would ask for room.
+		listener.Budget.Relieve(memory.Connections, memory.ConnectionCost)
+	}
+	if listener.wasFull.Swap(isFull) != isFull && listener.OnFull != nil {
+		listener.OnFull(isFull, lasted)
+	}
+	return isFull
+}
+
 func (listener *Listener) limits() Limits {
 	if listener.Limits == nil {
 		return Limits{}
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -26,6 +26,8 @@
 	*qt.C
 	listener *Listener
 	address  string
+	// resume ends the requests for the path /wait.
+	resume   chan struct{}
 	mutex    sync.Mutex
 	refusals []string
 }
@@ -44,7 +46,7 @@
 	budget.Parts[memory.Heads] = 600 << 10
 	budget.Parts[memory.Bodies] = 4 << 20
 	budget.Parts[memory.Requests] = 8 * memory.RequestCost
-	fixture := &fixture{C: c, address: raw.Addr().String()}
+	fixture := &fixture{C: c, address: raw.Addr().String(), resume: make(chan struct{})}
 	fixture.listener = &Listener{Listener: raw, Budget: budget, IsSmall: true, RetryAfter: time.Second, OnRefused: func(status int, reason string) {
 		fixture.mutex.Lock()
 		defer fixture.mutex.Unlock()
@@ -83,6 +85,15 @@
 	conn := Of(request)
 	end, ok := conn.Begin(writer, request)
 	defer end()
+	if request.URL.Path == "/denied" {
+		conn.Deny(writer)
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if request.URL.Path == "/wait" {
+		conn.Holder().Enter(memory.Running)
+		<-fixture.resume
+	}
 	if !ok || request.URL.Path == "/refused" {
 		conn.RefuseUnread(writer, request, http.StatusServiceUnavailable)
 		return
@@ -296,6 +307,76 @@
 	fixture.Check(status, qt.Equals, http.StatusRequestTimeout)
 }
 
+// TestDeniedCallersGiveWay guards against a crowd that holds all connections by requests that are
+// denied, so often that none of the connections is idle for long, while callers whose requests are
+// served find no room, or lose the connections that they keep.
+func TestDeniedCallersGiveWay(t *testing.T) {
+	const places, members = 64, 80
+	fixture := newFixture(t, func(listener *Listener) {
+		listener.Budget.Parts[memory.Connections] = places * memory.ConnectionCost
+		listener.Budget.Parts[memory.Requests] = places * memory.RequestCost
+	})
+	const served = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	kept := fixture.dial(served)
+	status, text := fixture.answer(kept)
+	fixture.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	for range members {
+		go func() {
+			for fixture.Context().Err() == nil {
+				conn, err := net.Dial("tcp", fixture.address)
+				if err != nil {
+					return
+				}
+				for err == nil {
+					var answer *http.Response
+					if _, err = io.WriteString(conn, "GET /denied HTTP/1.1\r\nHost: h\r\n\r\n"); err == nil {
+						answer, err = http.ReadResponse(bufio.NewReader(conn), nil)
+					}
+					if answer != nil && answer.Close {
+						err = io.EOF
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				_ = conn.Close()
+			}
+		}()
+	}
+	isServed := 0
+	const callers = 20
+	for range callers {
+		time.Sleep(75 * time.Millisecond)
+		conn := fixture.dial(served)
+		if status, _ := fixture.answer(conn); status == http.StatusOK {
+			isServed++
+		}
+		_ = conn.Close()
+	}
+	fixture.Check(isServed >= callers*19/20, qt.IsTrue, qt.Commentf("%d of %d are served", isServed, callers))
+	_, err := io.WriteString(kept, served)
+	fixture.Check(err, qt.IsNil)
+	status, text = fixture.answer(kept)
+	fixture.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+}
+
+// TestFull guards against a host that says that it is ready while it takes no connection, and
+// against one that does not for want of callers who try.
+func TestFull(t *testing.T) {
+	fixture := newFixture(t, nil)
+	for range 8 {
+		fixture.dial("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	fixture.waitUntil("all run", func() bool { return fixture.listener.Budget.Serving() == 8 })
+	fixture.Check(fixture.listener.IsFull(), qt.IsFalse)
+	began := time.Now()
+	fixture.waitUntil("it is full", func() bool {
+		_ = fixture.dial("").Close()
+		return fixture.listener.IsFull()
+	})
+	fixture.Check(time.Since(began) >= fullTime, qt.IsTrue)
+	close(fixture.resume)
+	fixture.waitUntil("it has room", func() bool { return !fixture.listener.IsFull() })
+}
+
 // TestBodiesFindRoom guards against callers whose bodies are refused because others hold all
 // memory without making progress.
 func TestBodiesFindRoom(t *testing.T) {
--- a/listener/report.go
+++ b/listener/report.go
@@ -37,6 +37,12 @@
 	})
 )
 
+var eventFull = timeline.Define(timeline.Kind{
+	Number: 1174, Name: "listener full", Level: timeline.Warn,
+	Meaning: "A listener has refused all connections for a second and has no room for another, so that the host does not say that it is ready; or it takes them again, by the detail. The facts are the listener, for how long it has refused them, and what connections hold, and may hold, in KiB.",
+	Action:  "find out who holds the connections (1171, 1172); give the host more memory or descriptors, or add hosts",
+})
+
 // Report records what happens at a listener.
 type Report struct {
 	// Name is that of the listener.
@@ -70,6 +76,16 @@
 	budget.OnGaveWay = report.gaveWay
 	listener.OnRefused = report.refused
 	listener.OnUnread = report.unread
+	listener.OnFull = func(isFull bool, lasted time.Duration) {
+		detail := "takes connections"
+		if isFull {
+			detail = "takes no connections"
+		}
+		report.Events.Record(eventFull, timeline.Event{Detail: detail, Facts: []timeline.Fact{
+			{Key: "listener", Value: report.Name}, timeline.Duration("lasted", lasted),
+			timeline.Count("held", budget.Held(memory.Connections)>>10), timeline.Count("part", budget.Parts[memory.Connections]>>10),
+		}})
+	}
 	for _, kind := range memory.Kinds() {
 		if budget.Parts[kind] == 0 {
 			continue
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -69,7 +69,7 @@
 	// received counts the bytes of the phase, of which marked had come by progressAt.
 	received atomic.Int64
 	marked   int64
-	// hasServed means that a request of the connection was served.
+	// hasServed means that a request of the connection was served, and none denied since.
 	hasServed atomic.Bool
 	details   atomic.Pointer[Details]
 	// idleTimeout is how long callers rely on the idle connection, in nanoseconds.
@@ -176,6 +176,16 @@
 	}
 }
 
+// Deny records that a request of the connection was denied. It reports whether connections have
+// to give way, so that this one should end with the answer.
+func (holder *Holder) Deny() (isPressed bool) {
+	if holder == nil {
+		return false
+	}
+	holder.hasServed.Store(false)
+	return holder.budget.isPressed(Connections)
+}
+
 // SetIdleTimeout sets how long callers rely on the connection while it is idle.
 func (holder *Holder) SetIdleTimeout(timeout time.Duration) {
 	if holder != nil {
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -47,6 +47,9 @@
 	// Beyond shortEighths of what may be taken, holders give way until reliefEighths are.
 	// The room between is for those that arrive meanwhile.
 	shortEighths, reliefEighths = 7, 6
+	// Connections that callers keep are last, and give way to further ones only: to as many, and
+	// this part more.
+	keptDivisor = 64
 	// pressedTime is how long after holders had to give way a part counts as short.
 	pressedTime = 5 * time.Second
 	// reliefInterval is the shortest time between two looks for holders that give way to
@@ -193,10 +196,10 @@
 	budget.gather(kind, now)
 	needed := max(relief.Held-part/eighths*reliefEighths, further)
 	for _, i := range Order(kind, part, budget.candidates) {
-		if relief.Freed >= needed {
+		candidate := &budget.candidates[i]
+		if relief.Freed >= needed || candidate.isKept() && (further == 0 || relief.Freed >= further+part/keptDivisor) {
 			break
 		}
-		candidate := &budget.candidates[i]
 		if !budget.chosen[i].evict(candidate.Phase) {
 			continue
 		}
@@ -218,6 +221,11 @@
 	}
 }
 
+// HasRoom reports whether there is room for bytes of a kind.
+func (budget *Budget) HasRoom(kind Kind, bytes int64) bool {
+	return budget.Held(kind)+bytes <= budget.Parts[kind]
+}
+
 // Evict ends what the holders do that isChosen chooses, as if they gave way. It returns the
 // number of those that are still open.
 func (budget *Budget) Evict(isChosen func(candidate *Candidate) bool) (left int) {
--- a/memory/order.go
+++ b/memory/order.go
@@ -21,8 +21,9 @@
 	// unreadTime is the time after which a write that a caller does not read makes its
 	// connection give way.
 	unreadTime = time.Second
-	// idleTime is the shortest time for which a connection that served requests stays idle
-	// before it gives way.
+	// idleTime is the shortest time for which a connection whose last request was served stays
+	// idle before it gives way. Others do at once: a crowd whose requests come to nothing, but
+	// often, would hold all connections.
 	idleTime = time.Second
 )
 
@@ -34,7 +35,7 @@
 	// Age is the time since the phase began, Quiet the time without progress, and Writing
 	// how long a write has waited for the caller to read.
 	Age, Quiet, Writing time.Duration
-	// IsProven means that a request of the connection was served.
+	// IsProven means that a request of the connection was served, and none denied since.
 	IsProven bool
 	// IsOverdue: the connection has been idle for longer than callers rely on.
 	IsOverdue bool
@@ -89,7 +90,7 @@
 	case Head:
 		return (kind == Connections || kind == Heads) && candidate.Quiet >= quietTime
 	case Idle:
-		return kind == Connections && (candidate.IsOverdue || candidate.Age >= idleTime)
+		return kind == Connections && (!candidate.IsProven || candidate.IsOverdue || candidate.Age >= idleTime)
 	case Queued:
 		return kind == Connections || kind == Requests
 	case Body:
@@ -106,6 +107,11 @@
 	}
 }
 
+// isKept reports whether the connection is one that callers keep, and whose requests are served.
+func (candidate *Candidate) isKept() bool {
+	return candidate.Phase == Idle && candidate.IsProven && !candidate.IsOverdue
+}
+
 // stage orders phases and their progress: who has stopped gives way before who is idle, and
 // both before those whose answers are late.
 func (candidate *Candidate) stage() int {
