entry: answer requests that become whole while a host shuts down

What callers saw: when a host of the entry role was stopped under load, some requests ended without an answer, on new and on kept connections.

The server was shut down with the drain: it closes connections whose requests become whole from then on, and the system resets those that it had accepted and the process had not. Kept connections were never told that they end.

Change: answers say Connection: close once the host is not ready.

Seen: TestDrainAnswersLateHeads fails before ("unexpected EOF").

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -39,6 +41,31 @@
 	})
 }
 
+// TestDrainAnswersLateHeads guards against requests that end without an answer as they become whole
+// while the server of a drained host is stopped, and against callers that go on to use their
+// connections.
+func TestDrainAnswersLateHeads(t *testing.T) {
+	runFixture(t, func(fixture *fixture) {
+		conn, err := fixture.listener.dial(fixture.Context(), "", "")
+		fixture.Assert(err, qt.IsNil)
+		const head = "POST " + chatPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+		_, err = io.WriteString(conn, head)
+		fixture.Assert(err, qt.IsNil)
+		fixture.Assert(fixture.entry.Drain(fixture.Context()), qt.IsNil)
+		fixture.stop()
+		time.Sleep(lateHeadTime)
+		go func() { _, _ = io.WriteString(conn, "\r\n") }()
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		fixture.Assert(err, qt.IsNil)
+		fixture.Check(answer.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		fixture.Check(answer.Header.Get(HeaderOutcome), qt.Equals, string(request.NotRun))
+		fixture.Check(answer.Close, qt.IsTrue)
+	})
+}
+
+// lateHeadTime is how long after the server is stopped a head becomes whole.
+const lateHeadTime = 500 * time.Millisecond
+
 func TestDrainCutShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture(t)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,10 @@
 		Number: 1006, Name: "request cut", Level: timeline.Warn,
 		Meaning: "A drain that was cut short ended before this request did.",
 	})
+	eventClosed = timeline.Define(timeline.Kind{
+		Number: 1009, Name: "entry closed to new connections", Level: timeline.Info,
+		Meaning: "The dispatched requests have ended, and the host takes no new connections any more. The facts count those that had waited and were taken last, and those that are open.",
+	})
 	eventPanicked = timeline.Define(timeline.Kind{
 		Number: 1007, Name: "handler panicked", Level: timeline.Error,
 		Meaning: "A request handler panicked; the request was answered or its connection aborted, and the host keeps running.",
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -173,7 +173,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	fixture.stop = stop
 	accepting := newListener(fixture.listener, nil, memory.NewPlan(134<<20, 4100), fixture.entry.Settings)
-	fixture.entry.Memory = accepting.Budget
+	fixture.entry.Memory, fixture.entry.Callers = accepting.Budget, accepting
 	go func() { fixture.serveResult <- fixture.entry.Serve(ctx, accepting) }()
 	synctest.Wait()
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -28,7 +28,7 @@
 		conn := listener.Of(received)
 		end, begun := conn.Begin(writer, received)
 		defer end()
-		callerWriter := newCallerWriter(writer, conn, entry.Settings.WriteTimeout)
+		callerWriter := newCallerWriter(writer, conn, entry.Settings.WriteTimeout, entry.drainAnnounced.Load)
 		if len(received.TransferEncoding) > 0 {
 			// The connection isn't used again after a chunked body: bytes that are
 			// left over could be parsed as a smuggled request.
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -19,16 +19,19 @@
 	conn    *listener.Conn
 	control *http.ResponseController
 	timeout time.Duration
+	// isLast reports whether the connection ends with the answer.
+	isLast func() bool
 	// headerWritten is set once the status is written.
 	headerWritten bool
 }
 
-func newCallerWriter(writer http.ResponseWriter, conn *listener.Conn, timeout time.Duration) *callerWriter {
+func newCallerWriter(writer http.ResponseWriter, conn *listener.Conn, timeout time.Duration, isLast func() bool) *callerWriter {
 	callerWriter := &callerWriter{
 		ResponseWriter: writer,
 		conn:           conn,
 		control:        http.NewResponseController(writer),
 		timeout:        timeout,
+		isLast:         isLast,
 	}
 	// Clears the deadline of an earlier request on the connection. Only the
 	// writers of tests return an error, as they have no deadlines.
@@ -52,8 +55,8 @@
 		return
 	}
 	callerWriter.headerWritten = true
-	if !callerWriter.conn.Holder().Enter(memory.Running) {
-		// Its body has given way.
+	if !callerWriter.conn.Holder().Enter(memory.Running) || callerWriter.isLast() {
+		// Its body has given way, or the host shuts down.
 		callerWriter.Header().Set("Connection", "close")
 	}
 }
