gateway: end idle connections while requests still run in a drain

Cause: the drain looked for idle connections only once nothing ran, so that callers kept theirs while a long answer held the host, and sent requests late in the grace that had to be refused. The server's shutdown ended them at once before.

Change: idle connections end from the beginning.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -91,10 +91,11 @@
 	for lastRunAt := time.Now(); ; {
 		// The end of an answer may still be written after its request.
 		isRunning := gateway.runningRequests.Load() > 0 || gateway.Callers.Budget.Serving() > 0
+		open := gateway.Callers.EndIdle()
 		switch {
 		case isRunning:
 			lastRunAt = time.Now()
-		case gateway.Callers.EndIdle() == 0:
+		case open == 0:
 			return nil
 		case time.Since(lastRunAt) >= withoutRequestTime:
 			gateway.Callers.EndWaiting()
