--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmegfield.example/listener"
 	"nutmegfield.example/memory"
 	"nutmegfield.example/once"
 	"nutmegfield.example/profile"
@@ -69,6 +70,10 @@
 		Number: 1006, Name: "request cut", Level: timeline.Warn,
 		Meaning: "A drain that was cut short ended before this request did.",
 	})
+	eventClosed = timeline.Define(timeline.Kind{
+		Number: 1009, Name: "entry closed to new connections", Level: timeline.Info,
+		Meaning: "The dispatched requests have ended, and the host takes no new connections any more. The facts count those that had waited and were taken last, and those that are open.",
+	})
 	eventPanicked = timeline.Define(timeline.Kind{
 		Number: 1007, Name: "handler panicked", Level: timeline.Error,
 		Meaning: "A request handler panicked; the request was answered or its connection aborted, and the host keeps running.",
@@ -93,6 +98,8 @@
 	// IncarnationEnded reports whether the host incarnation that a record
 	// names has ended; nil reports false.
 	IncarnationEnded func(incarnation string) bool
+	// Callers is the listener for callers. It may be nil.
+	Callers *listener.Listener
 	// Memory counts answers that are held; nil has room for all.
 	Memory *memory.Budget
 	// Client returns the client of a protocol, nil if there is none.
@@ -135,7 +142,7 @@
 
 // Ready reports whether the load balancer should send requests to this host.
 func (entry *Entry) Ready() bool {
-	return !entry.drainAnnounced.Load() && entry.Store.Current() != nil
+	return !entry.drainAnnounced.Load() && entry.Store.Current() != nil && !entry.Callers.IsFull()
 }
 
 // takeAnswer counts bytes of an answer that are held, and reports whether there is room.
--- a/entry/server.go
+++ b/entry/server.go
@@ -28,7 +28,7 @@
 		conn := listener.Of(received)
 		end, begun := conn.Begin(writer, received)
 		defer end()
-		callerWriter := newCallerWriter(writer, conn, entry.Settings.WriteTimeout)
+		callerWriter := newCallerWriter(writer, conn, entry.Settings.WriteTimeout, entry.drainAnnounced.Load)
 		if len(received.TransferEncoding) > 0 {
 			// The connection isn't used again after a chunked body: bytes that are
 			// left over could be parsed as a smuggled request.
@@ -63,6 +63,7 @@
 	case path == modelsPath || strings.HasPrefix(path, modelsPath+"/"):
 		entry.handleModels(callerWriter, received)
 	default:
+		callerWriter.conn.Deny(callerWriter)
 		badRequest(http.StatusNotFound, "there is nothing here").write(callerWriter, request.NewID())
 	}
 }
@@ -92,6 +93,7 @@
 	}()
 	workspace, problem := check(received)
 	if problem != nil {
+		callerWriter.conn.Deny(callerWriter)
 		refuseUnread(callerWriter, received, problem, request.NewID())
 		return
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -23,6 +23,8 @@
 	"nutmegfield.example/budget"
 	"nutmegfield.example/detour"
 	"nutmegfield.example/limit"
+	"nutmegfield.example/listener"
+	"nutmegfield.example/memory"
 	"nutmegfield.example/origin"
 	"nutmegfield.example/quarantine"
 	"nutmegfield.example/quota"
@@ -173,9 +175,12 @@
 		Refresh:  func(context.Context) error { return nil },
 	}
 	fixture.gateway.Witnesses = fixture.gateway.NewWitnesses()
-	fixture.server = httptest.NewServer(fixture.gateway)
+	fixture.server = httptest.NewUnstartedServer(fixture.gateway)
+	fixture.gateway.Callers = &listener.Listener{Listener: fixture.server.Listener, Budget: memory.NewPlan(1<<30, 1<<10).Callers}
+	fixture.server.Listener = fixture.gateway.Callers
+	listener.Bind(fixture.server.Config)
+	fixture.server.Start()
 	c.Cleanup(fixture.server.Close)
-	fixture.gateway.Shutdown = fixture.server.Config.Shutdown
 	return fixture
 }
 
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,8 @@
 	*qt.C
 	listener *Listener
 	address  string
+	// resume ends the requests for the path /wait.
+	resume   chan struct{}
 	mutex    sync.Mutex
 	refusals []string
 }
@@ -43,7 +46,7 @@
 	budget.Parts[memory.Heads] = 600 << 10
 	budget.Parts[memory.Bodies] = 4 << 20
 	budget.Parts[memory.Requests] = 8 * memory.RequestCost
-	fixture := &fixture{C: c, address: raw.Addr().String()}
+	fixture := &fixture{C: c, address: raw.Addr().String(), resume: make(chan struct{})}
 	fixture.listener = &Listener{Listener: raw, Budget: budget, IsSmall: true, RetryAfter: time.Second, OnRefused: func(status int, reason string) {
 		fixture.mutex.Lock()
 		defer fixture.mutex.Unlock()
@@ -82,6 +85,15 @@
 	conn := Of(request)
 	end, ok := conn.Begin(writer, request)
 	defer end()
+	if request.URL.Path == "/denied" {
+		conn.Deny(writer)
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if request.URL.Path == "/wait" {
+		conn.Holder().Enter(memory.Running)
+		<-fixture.resume
+	}
 	if !ok || request.URL.Path == "/refused" {
 		conn.RefuseUnread(writer, request, http.StatusServiceUnavailable)
 		return
@@ -222,6 +234,59 @@
 	fixture.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
 }
 
+// TestWaitingConnectionsAreAccepted guards against requests of connections that the system has
+// accepted when the listener ends.
+func TestWaitingConnectionsAreAccepted(t *testing.T) {
+	const waiting = 8
+	c := qt.New(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := &Listener{Listener: raw, Budget: memory.NewPlan(1<<30, 1<<10).Callers}
+	fixture := &fixture{C: c, listener: listener, address: raw.Addr().String()}
+	var callers []net.Conn
+	for range waiting {
+		callers = append(callers, fixture.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	}
+	accepted := make(chan int, 1)
+	go func() { accepted <- listener.StopAccepting() }()
+	fixture.waitUntil("the listener ends", listener.ending.isBegun.Load)
+	server := &http.Server{Handler: http.HandlerFunc(fixture.serve)}
+	Bind(server)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	c.Check(<-accepted, qt.Equals, waiting)
+	_, err = net.Dial("tcp", fixture.address)
+	c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+	for _, conn := range callers {
+		status, text := fixture.answer(conn)
+		c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+	c.Check(served, qt.HasLen, 0)
+	fixture.waitUntil("idle connections have ended", func() bool { return listener.EndIdle() == 0 })
+	c.Check(server.Close(), qt.IsNil)
+	c.Check(<-served, qt.Equals, http.ErrServerClosed)
+}
+
+// TestAnswerIsNotReset guards against answers that are lost on their way because the connection
+// ends while the caller has sent more.
+func TestAnswerIsNotReset(t *testing.T) {
+	fixture := newFixture(t, nil)
+	conn := fixture.dial("GET /long HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + strings.Repeat("GET / HTTP/1.1\r\n\r\n", 1000))
+	fixture.Assert(conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	answer, readErr := http.ReadResponse(bufio.NewReader(conn), nil)
+	fixture.Assert(readErr, qt.IsNil)
+	// The caller reads slowly, so that a part is on its way when the server has written all.
+	n, err := int64(0), error(nil)
+	for err == nil {
+		var read int64
+		read, err = io.CopyN(io.Discard, answer.Body, 8<<10)
+		n += read
+		time.Sleep(time.Millisecond)
+	}
+	fixture.Check(err, qt.Equals, io.EOF)
+	fixture.Check(n, qt.Equals, int64(answerBytes))
+}
+
 // TestNewConnectionsFindRoom guards against callers that can't connect because others hold all
 // connections without making progress.
 func TestNewConnectionsFindRoom(t *testing.T) {
@@ -242,6 +307,76 @@
 	fixture.Check(status, qt.Equals, http.StatusRequestTimeout)
 }
 
+// TestDeniedCallersGiveWay guards against a crowd that holds all connections by requests that are
+// denied, so often that none of the connections is idle for long, while callers whose requests are
+// served find no room, or lose the connections that they keep.
+func TestDeniedCallersGiveWay(t *testing.T) {
+	const places, members = 64, 80
+	fixture := newFixture(t, func(listener *Listener) {
+		listener.Budget.Parts[memory.Connections] = places * memory.ConnectionCost
+		listener.Budget.Parts[memory.Requests] = places * memory.RequestCost
+	})
+	const served = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	kept := fixture.dial(served)
+	status, text := fixture.answer(kept)
+	fixture.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	for range members {
+		go func() {
+			for fixture.Context().Err() == nil {
+				conn, err := net.Dial("tcp", fixture.address)
+				if err != nil {
+					return
+				}
+				for err == nil {
+					var answer *http.Response
+					if _, err = io.WriteString(conn, "GET /denied HTTP/1.1\r\nHost: h\r\n\r\n"); err == nil {
+						answer, err = http.ReadResponse(bufio.NewReader(conn), nil)
+					}
+					if answer != nil && answer.Close {
+						err = io.EOF
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				_ = conn.Close()
+			}
+		}()
+	}
+	isServed := 0
+	const callers = 20
+	for range callers {
+		time.Sleep(75 * time.Millisecond)
+		conn := fixture.dial(served)
+		if status, _ := fixture.answer(conn); status == http.StatusOK {
+			isServed++
+		}
+		_ = conn.Close()
+	}
+	fixture.Check(isServed >= callers*19/20, qt.IsTrue, qt.Commentf("%d of %d are served", isServed, callers))
+	_, err := io.WriteString(kept, served)
+	fixture.Check(err, qt.IsNil)
+	status, text = fixture.answer(kept)
+	fixture.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+}
+
+// TestFull guards against a host that says that it is ready while it takes no connection, and
+// against one that does not for want of callers who try.
+func TestFull(t *testing.T) {
+	fixture := newFixture(t, nil)
+	for range 8 {
+		fixture.dial("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	fixture.waitUntil("all run", func() bool { return fixture.listener.Budget.Serving() == 8 })
+	fixture.Check(fixture.listener.IsFull(), qt.IsFalse)
+	began := time.Now()
+	fixture.waitUntil("it is full", func() bool {
+		_ = fixture.dial("").Close()
+		return fixture.listener.IsFull()
+	})
+	fixture.Check(time.Since(began) >= fullTime, qt.IsTrue)
+	close(fixture.resume)
+	fixture.waitUntil("it has room", func() bool { return !fixture.listener.IsFull() })
+}
+
 // TestBodiesFindRoom guards against callers whose bodies are refused because others hold all
 // memory without making progress.
 func TestBodiesFindRoom(t *testing.T) {
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -3,6 +3,8 @@
 package memory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +47,9 @@
 	// Beyond shortEighths of what may be taken, holders give way until reliefEighths are.
 	// The room between is for those that arrive meanwhile.
 	shortEighths, reliefEighths = 7, 6
+	// Connections that callers keep are last, and give way to further ones only: to as many, and
+	// this part more.
+	keptDivisor = 64
 	// pressedTime is how long after holders had to give way a part counts as short.
 	pressedTime = 5 * time.Second
 	// reliefInterval is the shortest time between two looks for holders that give way to
@@ -191,10 +196,10 @@
 	budget.gather(kind, now)
 	needed := max(relief.Held-part/eighths*reliefEighths, further)
 	for _, i := range Order(kind, part, budget.candidates) {
-		if relief.Freed >= needed {
+		candidate := &budget.candidates[i]
+		if relief.Freed >= needed || candidate.isKept() && (further == 0 || relief.Freed >= further+part/keptDivisor) {
 			break
 		}
-		candidate := &budget.candidates[i]
 		if !budget.chosen[i].evict(candidate.Phase) {
 			continue
 		}
@@ -216,6 +221,38 @@
 	}
 }
 
+// HasRoom reports whether there is room for bytes of a kind.
+func (budget *Budget) HasRoom(kind Kind, bytes int64) bool {
+	return budget.Held(kind)+bytes <= budget.Parts[kind]
+}
+
+// Evict ends what the holders do that isChosen chooses, as if they gave way. It returns the
+// number of those that are still open.
+func (budget *Budget) Evict(isChosen func(candidate *Candidate) bool) (left int) {
+	now := time.Now()
+	budget.mutex.Lock()
+	holders := slices.Collect(maps.Keys(budget.holders))
+	budget.mutex.Unlock()
+	for _, holder := range holders {
+		candidate := holder.candidate(Connections, now)
+		if !isChosen(&candidate) || !holder.evict(candidate.Phase) {
+			left++
+		}
+	}
+	return left
+}
+
+// Cancel ends the waits of all requests, also of those that were sent to a target.
+func (budget *Budget) Cancel() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	for holder := range budget.holders {
+		if details := holder.details.Load(); details != nil && details.Cancel != nil {
+			details.Cancel()
+		}
+	}
+}
+
 // gather sets candidates to the holders that hold memory of a kind. The caller holds
 // relieving.
 func (budget *Budget) gather(kind Kind, now time.Time) {
