origin: show streams that cross versions at hosts out of step

It needs hosts that have run for a minute, as younger ones ask the store whether the pool had one version.

Hosts of the test can be kept from other hosts, too.

--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -66,8 +66,9 @@
 type testHost struct {
 	origins *Origins
 	end     context.CancelFunc
-	// isCut means that it hears no other host.
-	isCut      bool
+	// group is that of the hosts that it hears. isApart means that it can't reach the platform.
+	group      string
+	isApart    bool
 	verifiedAt time.Time
 }
 
@@ -75,7 +76,9 @@
 //
 //	versions VERSION ...         those of the pool's targets; hosts know at once
 //	start HOST ..., kill HOST ...
-//	cut HOST, heal HOST          it hears no other host
+//	cut HOST ..., heal HOST ...  they hear no other hosts than each other
+//	apart HOST ...               they can't reach the platform
+//	rejoin HOST ...              they can
 //	away, back                   the platform
 //	later DURATION COMMAND       away or back, in a while
 //	large                        only one host reads the records of streams
@@ -99,7 +102,9 @@
 	case "versions":
 		script.versions = words[1:]
 		for _, name := range slices.Sorted(maps.Keys(script.hosts)) {
-			script.hosts[name].origins.SetTargets(script.targets())
+			if host := script.hosts[name]; !host.isApart {
+				host.origins.SetTargets(script.targets())
+			}
 		}
 	case "start":
 		for _, name := range words[1:] {
@@ -110,11 +115,29 @@
 			script.hosts[name].end()
 			set(func() { delete(script.hosts, name) })
 		}
-	case "cut":
-		set(func() { script.hosts[words[1]].isCut = true })
-	case "heal":
-		set(func() { script.hosts[words[1]].isCut = false })
+	case "cut", "heal":
+		for _, name := range words[1:] {
+			set(func() {
+				host := script.hosts[name]
+				if host.group = ""; words[0] == "cut" {
+					host.group = strings.Join(words[1:], " ")
+				}
+			})
+		}
+	case "apart", "rejoin":
+		for _, name := range words[1:] {
+			host := script.hosts[name]
+			// It has just read the platform.
+			host.origins.VerifiedAt()
+			set(func() { host.isApart = words[0] == "apart" })
+			if !host.isApart {
+				host.origins.SetTargets(script.targets())
+			}
+		}
 	case "away":
+		for _, host := range script.hosts {
+			host.origins.VerifiedAt()
+		}
 		set(func() { script.isAway = true })
 	case "back":
 		set(func() { script.isAway = false })
@@ -179,7 +202,7 @@
 			defer script.mutex.Unlock()
 			var members []string
 			for other, state := range script.hosts {
-				if other != name && !state.isCut && !host.isCut {
+				if other != name && state.group == host.group {
 					members = append(members, other)
 				}
 			}
@@ -189,7 +212,7 @@
 		VerifiedAt: func() time.Time {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			if !script.isAway {
+			if !script.isAway && !host.isApart {
 				host.verifiedAt = time.Now()
 			}
 			return host.verifiedAt
@@ -209,7 +232,7 @@
 			List: func(context.Context) (map[string][]byte, error) {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return nil, errors.New("away")
 				}
 				return maps.Clone(script.records), nil
@@ -217,7 +240,7 @@
 			Save: func(_ context.Context, name string, value []byte) error {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return errors.New("away")
 				}
 				script.records[name] = value
@@ -233,7 +256,7 @@
 			List: func(context.Context) (map[string][]byte, error) {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return nil, errors.New("away")
 				}
 				return maps.Clone(script.marks), nil
@@ -241,7 +264,7 @@
 			Save: func(_ context.Context, pool string, value []byte) error {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return errors.New("away")
 				}
 				script.marks[pool] = value
@@ -263,7 +286,7 @@
 	defer script.mutex.Unlock()
 	script.messages++
 	sender, receiver := script.hosts[from], script.hosts[to]
-	if sender == nil || receiver == nil || sender.isCut || receiver.isCut || script.isLossy && script.random.Float64() < lostShare {
+	if sender == nil || receiver == nil || sender.group != receiver.group || script.isLossy && script.random.Float64() < lostShare {
 		return
 	}
 	time.AfterFunc(time.Millisecond, func() { receiver.origins.Receive(from, message) })
