origin: let streams go on at hosts out of step only on evidence

Callers saw streams that had begun at targets of a new version go on at the old one where they took them up at a host that was cut off.

Cause: a host concluded that a pool has one version from not having heard of another. It believed a list of targets that was read up to 3 s ago, and any host that answered, also one that was cut off with it.

A host now says or believes so only while it hears more than half of the hosts that it knew within an hour; else it lists targets and marks on the platform after the stream was taken up, for all that wait at once. Without either the stream is refused.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -221,8 +222,9 @@
 
 // sharedRead is a list request in progress, whose callers wait for done.
 type sharedRead struct {
-	done chan struct{}
-	err  error
+	begunAt time.Time
+	done    chan struct{}
+	err     error
 }
 
 // Run watches the platform and lists its objects until the context ends. It
@@ -363,20 +365,48 @@
 	}
 }
 
+// ReadSince lists the objects with a request that begins after a time, unless the last list took
+// long.
+func (follower *Follower) ReadSince(ctx context.Context, since time.Time) error {
+	for {
+		if follower.untilRead(pollPause) > 0 {
+			return Unavailable.New("the last list took long")
+		}
+		shared := follower.beginRead(ctx)
+		if shared.begunAt.Before(since) {
+			// It may have found an older state.
+			_ = shared.wait(ctx)
+			if err := ctx.Err(); err != nil {
+				return fmt.Errorf("wait for a list in progress: %w", err)
+			}
+			continue
+		}
+		return shared.wait(ctx)
+	}
+}
+
 // read lists all objects and applies the listing. Concurrent calls share one
 // request.
-func (follower *Follower) read(ctx context.Context) error {
+func (follower *Follower) read(ctx context.Context) error { return follower.beginRead(ctx).wait(ctx) }
+
+// beginRead begins to list all objects, or returns the read in progress.
+func (follower *Follower) beginRead(ctx context.Context) *sharedRead {
 	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
 	shared := follower.pendingRead
 	if shared == nil {
-		shared = &sharedRead{done: make(chan struct{})}
+		shared = &sharedRead{begunAt: time.Now(), done: make(chan struct{})}
 		follower.pendingRead = shared
 		go follower.readOnce(context.WithoutCancel(ctx), shared)
 	}
-	follower.mutex.Unlock()
+	return shared
+}
+
+// wait waits for the end of the read and returns its error.
+func (sharedRead *sharedRead) wait(ctx context.Context) error {
 	select {
-	case <-shared.done:
-		return shared.err
+	case <-sharedRead.done:
+		return sharedRead.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -508,3 +508,31 @@
 		"8106 routes/main, revision 1: discovery.bad: odd", "8106 routes/main, revision 2: long", "8105 2", "8112 limits.body_bytes -1",
 	})
 }
+
+// TestReadSince guards against taking the result of a list that began before a time for newer.
+func TestReadSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lists := 0
+		follower := &Follower{
+			Outage: &Outage{}, OnChange: func(State) {},
+			Source: Source{List: func(context.Context) (Listing, error) {
+				lists++
+				time.Sleep(100 * time.Millisecond)
+				return Listing{Revision: int64(lists)}, nil
+			}},
+		}
+		go func() { _ = follower.Refresh(t.Context()) }()
+		time.Sleep(50 * time.Millisecond)
+		var group sync.WaitGroup
+		for range 10 {
+			group.Go(func() { c.Check(follower.ReadSince(t.Context(), time.Now()), qt.IsNil) })
+		}
+		group.Wait()
+		c.Check(follower.State().Revision, qt.Equals, int64(2))
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		c.Check(follower.ReadSince(ctx, time.Now()), qt.ErrorIs, context.DeadlineExceeded)
+		time.Sleep(time.Second)
+	})
+}
--- a/exchange/check_test.go
+++ b/exchange/check_test.go
@@ -30,7 +30,7 @@
 	host.Ledger = &quota.Ledger{Interval: host.Interval}
 	host.Ledger.SetLimits(map[string]quota.Limit{"w": {Rate: 1, Burst: 100}})
 	host.Limiter = &limit.Limiter{Address: "a", Members: host.Members, Events: host.Events, OnUpdate: func() {}}
-	host.Origins = &origin.Origins{Members: func() []string { return nil }, Send: host.SendOrigins, Events: host.Events}
+	host.Origins = &origin.Origins{Members: func() []string { return nil }, Known: host.KnownPeers, Send: host.SendOrigins, Events: host.Events}
 	host.Balancer.SetTargets([]balance.Target{{ID: "t", Pool: "p", Address: "10.0.0.1:1", Slots: 10}}, nil)
 	return host
 }
--- a/exchange/origins_test.go
+++ b/exchange/origins_test.go
@@ -32,7 +32,7 @@
 			hosts[name] = network.start(t, name, func(host *Exchange) {
 				host.Origins = &origin.Origins{
 					Members: func() []string { return host.Members().Others }, Send: host.SendOrigins, Events: host.Events,
-					VerifiedAt: time.Now, KeepsMarks: func() bool { return false },
+					Known: host.KnownPeers, KeepsMarks: func() bool { return false },
 				}
 				send := host.Send
 				host.Send = func(address string, datagram []byte) {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -156,7 +156,7 @@
 		Attempts: &quarantine.Attempts{Check: checkTarget, CheckTimeout: time.Second},
 		Suspects: &quarantine.Suspects{},
 		Limiter:  &limit.Limiter{},
-		Origins:  &origin.Origins{Members: func() []string { return nil }, VerifiedAt: func() time.Time { return time.Time{} }},
+		Origins:  &origin.Origins{Members: func() []string { return nil }, Known: func() int { return 0 }},
 		Budget:   &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }, StartedAt: time.Now().Add(-time.Minute)},
 		Events:   &timeline.Recorder{},
 		Table:    func() *route.Table { return fixture.table },
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -272,7 +272,7 @@
 	sources.Eras.OnChange = host.keeper.Restore
 	host.origins = &origin.Origins{
 		Members: func() []string { return host.exchange.Members().Others }, Send: host.exchange.SendOrigins,
-		VerifiedAt: host.targetFollower.VerifiedAt, Marks: sources.Marks, Events: events,
+		Known: host.exchange.KnownPeers, ReadTargets: host.targetFollower.ReadSince, Marks: sources.Marks, Events: events,
 		KeepsMarks: func() bool { return host.exchange.Leads(1) },
 		Records:    sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: func() time.Duration { return time.Duration(host.longestStream.Load()) },
 		ReadsRecords: func() bool { return !host.exchange.UsesSummaries() },
--- a/origin/marks.go
+++ b/origin/marks.go
@@ -16,8 +16,6 @@
 	markInterval = 10 * time.Second
 	// markTimeout limits a call to the platform.
 	markTimeout = time.Second
-	// marksLifetime is how long the marks that were read are used.
-	marksLifetime = time.Second
 	// maxMarkLead is how far the time of a mark may be ahead of this host's clock.
 	maxMarkLead = time.Minute
 )
@@ -25,7 +23,7 @@
 var (
 	eventMarkFailed = timeline.Define(timeline.Kind{
 		Number: 1129, Name: "mark not kept", Level: timeline.Info,
-		Meaning: "The platform's marks of pools with several versions could not be read or written; the detail is the error. Hosts that start when all others have ended may refuse to let streams go on.",
+		Meaning: "The platform's mark that a pool has several versions could not be written; the detail is the error. Hosts that start when all others have ended may let streams go on at another version.",
 	})
 	eventMarked = timeline.Define(timeline.Kind{
 		Number: 1130, Name: "mark written", Level: timeline.Info,
@@ -84,33 +82,26 @@
 	return nil
 }
 
-// isUnmarked reports whether the platform knows that a pool has had one version only for as
-// long as streams last.
-func (origins *Origins) isUnmarked(ctx context.Context, pool string) bool {
+// isUnmarked reports whether the platform's marks, as they were last read, say that a pool has
+// had one version only for as long as streams last.
+func (origins *Origins) isUnmarked(pool string) bool {
 	origins.marksMutex.Lock()
 	defer origins.marksMutex.Unlock()
-	if time.Since(origins.marksReadAt) >= marksLifetime {
-		if err := origins.readMarks(ctx); err != nil {
-			origins.Events.Record(eventMarkFailed, timeline.Event{Pool: pool, Detail: err.Error()})
-			return false
-		}
-	}
 	mixedAt, isMarked := origins.marks[pool]
 	// A mark may be as old as markInterval while the pool has several versions.
 	return !isMarked || time.Since(mixedAt) > streamLifetime+2*markInterval
 }
 
-// readMarks reads the marks. The caller holds marksMutex.
 func (origins *Origins) readMarks(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, markTimeout)
-	defer cancel()
 	values, err := origins.Marks.List(ctx)
 	if err != nil {
 		return fmt.Errorf("read marks: %w", err)
 	}
+	origins.marksMutex.Lock()
+	defer origins.marksMutex.Unlock()
 	now := time.Now()
 	before := origins.unreadableMarks
-	origins.marks, origins.marksReadAt, origins.unreadableMarks = map[string]time.Time{}, now, map[string]unreadableMark{}
+	origins.marks, origins.unreadableMarks = map[string]time.Time{}, map[string]unreadableMark{}
 	for pool, value := range values {
 		var mark mark
 		if err := json.Unmarshal(value, &mark); err != nil || mark.MixedAt.After(now.Add(maxMarkLead)) {
--- a/origin/metrics.go
+++ b/origin/metrics.go
@@ -15,3 +15,12 @@
 func countStreams(count int) {
 	metrics.GetOrCreateGauge("nutmegfield_remembered_streams", nil).Set(float64(count))
 }
+
+// countPlatformRead counts a read by which this host found out whether pools have one version.
+func countPlatformRead(err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("nutmegfield_version_reads_total{result=%q}", result)).Inc()
+}
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -38,9 +38,9 @@
 	// membersTimeout limits the wait of a host that has just started for other hosts.
 	membersTimeout  = time.Second
 	membersInterval = 20 * time.Millisecond
-	// maxVerifiedAge is the age of the targets up to which a host that hears no other
-	// relies on them.
-	maxVerifiedAge = 3 * time.Second
+	// enoughWitnesses is the number of other hosts in touch whose word a host takes that has not
+	// seen the targets for as long as streams last.
+	enoughWitnesses = 3
 	// forgetInterval is how often old streams are forgotten.
 	forgetInterval = time.Second
 )
@@ -48,11 +48,11 @@
 var (
 	eventFound = timeline.Define(timeline.Kind{
 		Number: 1126, Name: "stream's version found", Level: timeline.Info,
-		Meaning: "A caller takes a stream up, and the version of the targets' software that began it is known; the detail says from where: this host began it or was told of it, another host knows it, or the pool has had one version only, as this host, others or the platform know.",
+		Meaning: "A caller takes a stream up, and the version of the targets' software that began it is known; the detail says from where: this host began it or was told of it, another host knows it, the platform's records hold it, or the pool has had one version only, as this host or others that are in touch know, or as the platform says, which was asked after the stream was taken up. The facts are the number of hosts asked, of those that answered, of those heard and of those known.",
 	})
 	eventUnknown = timeline.Define(timeline.Kind{
 		Number: 1127, Name: "stream's version unknown", Level: timeline.Info,
-		Meaning: "A caller takes a stream up, and no host that answered knows the version of the targets' software that began it, while the pool has or recently had several. The stream does not go on, as it may be another one's. The facts are the number of hosts asked and of those that answered.",
+		Meaning: "A caller takes a stream up, and no host that answered knows the version of the targets' software that began it. The detail says why it may be another one than that of the pool's targets. The stream does not go on. The facts are the attempt that began it, and the number of hosts asked, of those that answered, of those heard and of those known.",
 	})
 	eventVersions = timeline.Define(timeline.Kind{
 		Number: 1128, Name: "versions of a pool", Level: timeline.Info,
@@ -118,9 +118,12 @@
 	Members func() []string
 	// Send sends a message to a host; it may be lost.
 	Send func(address string, message *Message)
-	// VerifiedAt returns when this host last knew that its targets are the newest.
-	VerifiedAt func() time.Time
-	Marks      Marks
+	// Known returns the number of other hosts that are heard, or were within a minute.
+	Known func() int
+	// ReadTargets reads the targets from the platform and sets them, unless that was begun
+	// after a time.
+	ReadTargets func(ctx context.Context, since time.Time) error
+	Marks       Marks
 	// KeepsMarks reports whether this host writes marks for all.
 	KeepsMarks func() bool
 	// Records are the platform's records of streams. Recorder returns the address of the
@@ -136,6 +139,8 @@
 	Events  *timeline.Recorder
 
 	pools pools
+	// most is the most other hosts that were known lately.
+	most mostKnown
 
 	mutex   sync.Mutex
 	streams map[Stream]*record
@@ -151,10 +156,10 @@
 	readMutex     sync.Mutex
 	recordsReadAt atomic.Pointer[time.Time]
 	// isReading is set while the records are read for other hosts.
-	isReading   atomic.Bool
-	marksMutex  sync.Mutex
-	marks       map[string]time.Time
-	marksReadAt time.Time
+	isReading  atomic.Bool
+	marksMutex sync.Mutex
+	marks      map[string]time.Time
+	platform   platformReads
 	// unreadableMarks are those of marks that can't be read, by pool.
 	unreadableMarks map[string]unreadableMark
 }
@@ -244,6 +249,7 @@
 func (origins *Origins) Receive(address string, message *Message) {
 	now := time.Now()
 	answer := &Message{}
+	isInTouch := len(message.Questions) > 0 && origins.touch().isEnough()
 	origins.mutex.Lock()
 	for _, beginning := range message.Beginnings {
 		origins.remember(beginning.Stream, &record{version: beginning.Version, begunAt: now})
@@ -252,9 +258,10 @@
 		origins.remember(beginning.Stream, &record{version: beginning.Version, begunAt: now})
 	}
 	for _, question := range message.Questions {
+		state := origins.pools.state(question.Pool, now)
+		state.IsEstablished = state.IsEstablished && isInTouch
 		answer.Answers = append(answer.Answers, Answer{
-			Stream: question.Stream, Version: origins.known(question.Stream), Pool: origins.pools.state(question.Pool, now),
-			HasRead: origins.hasRead(),
+			Stream: question.Stream, Version: origins.known(question.Stream), Pool: state, HasRead: origins.hasRead(),
 		})
 	}
 	for _, answer := range message.Answers {
@@ -303,63 +310,96 @@
 // Find returns the version that began a stream of a pool, 0 if it can't be told. The attempt
 // is empty if the caller does not name it. Request is for events.
 func (origins *Origins) Find(ctx context.Context, request, attempt, pool string) balance.VersionID {
-	stream := NewStream(attempt)
+	stream, takenUpAt := NewStream(attempt), time.Now()
 	origins.mutex.Lock()
 	version := origins.known(stream)
 	origins.mutex.Unlock()
+	event := timeline.Event{Request: request, Pool: pool}
 	if version != 0 {
-		return origins.recordFound(request, pool, version, "known to this host")
+		return origins.recordFound(&event, version, "known to this host")
+	}
+	question := Question{Stream: stream, Pool: pool}
+	asked, answers := origins.ask(ctx, question)
+	touch := origins.touch()
+	event.Facts = []timeline.Fact{
+		timeline.Count("asked", asked), timeline.Count("answers", len(answers)), timeline.Count("heard", touch.heard), timeline.Count("known", touch.known),
 	}
-	asked, answers := origins.ask(ctx, Question{Stream: stream, Pool: pool})
 	for _, answer := range answers {
 		if answer.Version != 0 {
-			return origins.recordFound(request, pool, answer.Version, "known to another host")
+			return origins.recordFound(&event, answer.Version, "known to another host")
 		}
 	}
-	if version, from := origins.onlyVersion(ctx, pool, answers); version != 0 {
-		return origins.recordFound(request, pool, version, from)
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	version, why := origins.onlyVersion(ctx, pool, takenUpAt, witnesses{asked: asked, answers: answers, touch: touch})
+	if version != 0 {
+		return origins.recordFound(&event, version, why)
 	}
-	if version := origins.findRecorded(ctx, Question{Stream: stream, Pool: pool}); version != 0 {
-		return origins.recordFound(request, pool, version, "known to the platform")
+	if version := origins.findRecorded(ctx, question); version != 0 {
+		return origins.recordFound(&event, version, "known to the platform")
 	}
 	countFound("unknown")
-	origins.Events.Record(eventUnknown, timeline.Event{
-		Request: request, Pool: pool,
-		Facts: []timeline.Fact{
-			{Key: "resumes", Value: attempt}, timeline.Count("asked", asked), timeline.Count("answers", len(answers)),
-		},
-	})
+	event.Detail = why
+	event.Facts = append(event.Facts, timeline.Fact{Key: "resumes", Value: attempt})
+	origins.Events.Record(eventUnknown, event)
 	return 0
 }
 
+// witnesses are the other hosts that were asked, with the answers of those that don't know the
+// stream, and how well this host hears others.
+type witnesses struct {
+	asked   int
+	answers []Answer
+	touch   touch
+}
+
+// know reports whether this host or others know that a pool has had one version only for as long
+// as streams last, and which of them.
+func (witnesses *witnesses) know(own PoolState) (isKnown bool, from string) {
+	established := 0
+	for _, answer := range witnesses.answers {
+		if answer.Pool.IsEstablished {
+			established++
+		}
+	}
+	// Most of those that are asked were told, if the stream began while its host knew several.
+	isInTouch := own.IsEstablished && witnesses.touch.isEnough() && 2*len(witnesses.answers) > witnesses.asked
+	if established >= enoughWitnesses || isInTouch && established > 0 {
+		return true, "one version, as other hosts know"
+	}
+	return isInTouch, "one version, as this host knows"
+}
+
 // onlyVersion returns the version of a pool that has had no other for as long as streams
-// last, and who knows so; 0 if it had others or nobody knows.
-func (origins *Origins) onlyVersion(ctx context.Context, pool string, answers []Answer) (balance.VersionID, string) {
+// last, and who knows so; 0 if it had others or nobody knows, and which of these. What this host
+// knows may be old if it is out of step, so that the platform is asked then.
+func (origins *Origins) onlyVersion(ctx context.Context, pool string, takenUpAt time.Time, witnesses witnesses) (balance.VersionID, string) {
+	const mixed = "the pool has or recently had several versions"
 	own := origins.pools.state(pool, time.Now())
-	isEstablished := false
-	for _, answer := range answers {
+	for _, answer := range witnesses.answers {
 		if answer.Pool.IsMixed || answer.Pool.Only != 0 && answer.Pool.Only != own.Only {
-			return 0, ""
+			return 0, mixed
 		}
-		isEstablished = isEstablished || answer.Pool.IsEstablished
-	}
-	isVerified := time.Since(origins.VerifiedAt()) < maxVerifiedAge
-	switch {
-	case own.IsMixed || own.Only == 0:
-		return 0, ""
-	case isEstablished:
-		return own.Only, "one version, as other hosts know"
-	case own.IsEstablished && (isVerified || len(answers) > 0):
-		return own.Only, "one version, as this host knows"
-	case isVerified && origins.isUnmarked(ctx, pool):
-		return own.Only, "one version, as the platform knows"
-	}
-	return 0, ""
+	}
+	if own.IsMixed || own.Only == 0 {
+		return 0, mixed
+	}
+	if isKnown, from := witnesses.know(own); isKnown {
+		return own.Only, from
+	}
+	if err := origins.readPlatform(ctx, takenUpAt); err != nil {
+		return 0, "this host may be out of step, and can't read the platform: " + err.Error()
+	}
+	if now := origins.pools.state(pool, time.Now()); now.IsMixed || now.Only != own.Only || !origins.isUnmarked(pool) {
+		return 0, mixed
+	}
+	return own.Only, "one version, as the platform knows"
 }
 
-func (origins *Origins) recordFound(request, pool string, version balance.VersionID, from string) balance.VersionID {
+func (origins *Origins) recordFound(event *timeline.Event, version balance.VersionID, from string) balance.VersionID {
 	countFound(from)
-	origins.Events.Record(eventFound, timeline.Event{Request: request, Pool: pool, Detail: from})
+	event.Detail = from
+	origins.Events.Record(eventFound, *event)
 	return version
 }
 
@@ -482,6 +522,7 @@
 			// All hosts may end before the next tick.
 		case <-ticker.C:
 			origins.forget(time.Now())
+			origins.touch()
 		}
 		if ctx.Err() != nil {
 			return nil
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -36,6 +36,8 @@
 					t.Log(line)
 					script.run(t.Context(), strings.Fields(line))
 				}
+				// Reads of the platform end.
+				time.Sleep(platformInterval + platformTimeout)
 			})
 		})
 	}
@@ -66,10 +68,11 @@
 type testHost struct {
 	origins *Origins
 	end     context.CancelFunc
-	// group is that of the hosts that it hears. isApart means that it can't reach the platform.
-	group      string
-	isApart    bool
-	verifiedAt time.Time
+	// group is that of the hosts that it hears, since cutAt. isApart means that it can't reach the
+	// platform.
+	group            string
+	startedAt, cutAt time.Time
+	isApart          bool
 }
 
 // run executes a command:
@@ -120,24 +123,19 @@
 			set(func() {
 				host := script.hosts[name]
 				if host.group = ""; words[0] == "cut" {
-					host.group = strings.Join(words[1:], " ")
+					host.group, host.cutAt = strings.Join(words[1:], " "), time.Now()
 				}
 			})
 		}
 	case "apart", "rejoin":
 		for _, name := range words[1:] {
 			host := script.hosts[name]
-			// It has just read the platform.
-			host.origins.VerifiedAt()
 			set(func() { host.isApart = words[0] == "apart" })
 			if !host.isApart {
 				host.origins.SetTargets(script.targets())
 			}
 		}
 	case "away":
-		for _, host := range script.hosts {
-			host.origins.VerifiedAt()
-		}
 		set(func() { script.isAway = true })
 	case "back":
 		set(func() { script.isAway = false })
@@ -194,7 +192,7 @@
 
 func (script *script) start(ctx context.Context, name string) {
 	ctx, end := context.WithCancel(ctx)
-	host := &testHost{end: end}
+	host := &testHost{end: end, startedAt: time.Now()}
 	host.origins = &Origins{
 		Events: &timeline.Recorder{},
 		Members: func() []string {
@@ -209,13 +207,26 @@
 			return members
 		},
 		Send: func(address string, message *Message) { script.send(name, address, message) },
-		VerifiedAt: func() time.Time {
+		Known: func() int {
+			script.mutex.Lock()
+			defer script.mutex.Unlock()
+			count := 0
+			for other, state := range script.hosts {
+				wasHeard := host.cutAt.After(host.startedAt) && time.Since(host.cutAt) < time.Minute
+				if other != name && (state.group == host.group || wasHeard) {
+					count++
+				}
+			}
+			return count
+		},
+		ReadTargets: func(context.Context, time.Time) error {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			if !script.isAway && !host.isApart {
-				host.verifiedAt = time.Now()
+			if script.isAway || host.isApart {
+				return errors.New("away")
 			}
-			return host.verifiedAt
+			host.origins.SetTargets(script.targets())
+			return nil
 		},
 		Zone:    "z",
 		Longest: func() time.Duration { return 15 * time.Second },
@@ -250,7 +261,13 @@
 		KeepsMarks: func() bool {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			return name == slices.Min(slices.Collect(maps.Keys(script.hosts)))
+			var group []string
+			for other, state := range script.hosts {
+				if state.group == host.group {
+					group = append(group, other)
+				}
+			}
+			return name == slices.Min(group)
 		},
 		Marks: Marks{
 			List: func(context.Context) (map[string][]byte, error) {
@@ -300,6 +317,7 @@
 		var reads atomic.Int64
 		origins := &Origins{
 			Events: &timeline.Recorder{}, Send: func(string, *Message) {}, Recorder: func() string { return "" },
+			Members: func() []string { return nil }, Known: func() int { return 0 },
 			Records: Records{List: func(ctx context.Context) (map[string][]byte, error) {
 				reads.Add(1)
 				<-ctx.Done()
@@ -325,8 +343,9 @@
 		}
 		origins := &Origins{Events: &timeline.Recorder{}, Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return marks, nil }}}
 		expect := func(want map[string]bool) {
+			c.Assert(origins.readMarks(t.Context()), qt.IsNil)
 			for pool, isUnmarked := range want {
-				c.Check(origins.isUnmarked(t.Context(), pool), qt.Equals, isUnmarked, qt.Commentf("%s after %s", pool, time.Now()))
+				c.Check(origins.isUnmarked(pool), qt.Equals, isUnmarked, qt.Commentf("%s after %s", pool, time.Now()))
 			}
 		}
 		for range 40 {
@@ -357,3 +376,43 @@
 	pools.set([]balance.Target{{ID: "b", Pool: "p", Version: "2"}}, now)
 	c.Check(pools.isMixed("p", now), qt.IsTrue)
 }
+
+// TestPlatformIsReadForAllTakers guards against a host that reads the platform for each stream
+// that is taken up, or believes a read that began before.
+func TestPlatformIsReadForAllTakers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var reads atomic.Int64
+		origins := &Origins{
+			Events: &timeline.Recorder{}, Members: func() []string { return nil }, Known: func() int { return 0 },
+			Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return map[string][]byte{}, nil }},
+		}
+		var version atomic.Value
+		version.Store("v1")
+		origins.ReadTargets = func(context.Context, time.Time) error {
+			reads.Add(1)
+			target := balance.Target{ID: "t", Pool: testPool, Version: version.Load().(string)}
+			time.Sleep(100 * time.Millisecond)
+			origins.SetTargets([]balance.Target{target})
+			return nil
+		}
+		origins.SetTargets([]balance.Target{{ID: "t", Pool: testPool, Version: "v1"}})
+		time.Sleep(2 * time.Second)
+		var group sync.WaitGroup
+		for i := range 1000 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				c.Check(origins.Find(t.Context(), "r", fmt.Sprint(i), testPool), qt.Equals, balance.NewVersionID(testPool, "v1"))
+			})
+		}
+		group.Wait()
+		c.Check(reads.Load() <= 4, qt.IsTrue, qt.Commentf("%d reads", reads.Load()))
+		// A read with the old version is in progress when the new one comes.
+		time.Sleep(platformInterval)
+		group.Go(func() { origins.Find(t.Context(), "r", "early", testPool) })
+		time.Sleep(50 * time.Millisecond)
+		version.Store("v2")
+		c.Check(origins.Find(t.Context(), "r", "late", testPool), qt.Equals, balance.VersionID(0))
+		group.Wait()
+	})
+}
