--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -36,6 +36,8 @@
 					t.Log(line)
 					script.run(t.Context(), strings.Fields(line))
 				}
+				// Reads of the platform end.
+				time.Sleep(platformInterval + platformTimeout)
 			})
 		})
 	}
@@ -66,16 +68,20 @@
 type testHost struct {
 	origins *Origins
 	end     context.CancelFunc
-	// isCut means that it hears no other host.
-	isCut      bool
-	verifiedAt time.Time
+	// group is that of the hosts that it hears, since cutAt. isApart means that it can't reach the
+	// platform.
+	group            string
+	startedAt, cutAt time.Time
+	isApart          bool
 }
 
 // run executes a command:
 //
 //	versions VERSION ...         those of the pool's targets; hosts know at once
 //	start HOST ..., kill HOST ...
-//	cut HOST, heal HOST          it hears no other host
+//	cut HOST ..., heal HOST ...  they hear no other hosts than each other
+//	apart HOST ...               they can't reach the platform
+//	rejoin HOST ...              they can
 //	away, back                   the platform
 //	later DURATION COMMAND       away or back, in a while
 //	large                        only one host reads the records of streams
@@ -99,7 +105,9 @@
 	case "versions":
 		script.versions = words[1:]
 		for _, name := range slices.Sorted(maps.Keys(script.hosts)) {
-			script.hosts[name].origins.SetTargets(script.targets())
+			if host := script.hosts[name]; !host.isApart {
+				host.origins.SetTargets(script.targets())
+			}
 		}
 	case "start":
 		for _, name := range words[1:] {
@@ -110,10 +118,23 @@
 			script.hosts[name].end()
 			set(func() { delete(script.hosts, name) })
 		}
-	case "cut":
-		set(func() { script.hosts[words[1]].isCut = true })
-	case "heal":
-		set(func() { script.hosts[words[1]].isCut = false })
+	case "cut", "heal":
+		for _, name := range words[1:] {
+			set(func() {
+				host := script.hosts[name]
+				if host.group = ""; words[0] == "cut" {
+					host.group, host.cutAt = strings.Join(words[1:], " "), time.Now()
+				}
+			})
+		}
+	case "apart", "rejoin":
+		for _, name := range words[1:] {
+			host := script.hosts[name]
+			set(func() { host.isApart = words[0] == "apart" })
+			if !host.isApart {
+				host.origins.SetTargets(script.targets())
+			}
+		}
 	case "away":
 		set(func() { script.isAway = true })
 	case "back":
@@ -171,7 +192,7 @@
 
 func (script *script) start(ctx context.Context, name string) {
 	ctx, end := context.WithCancel(ctx)
-	host := &testHost{end: end}
+	host := &testHost{end: end, startedAt: time.Now()}
 	host.origins = &Origins{
 		Events: &timeline.Recorder{},
 		Members: func() []string {
@@ -179,20 +200,33 @@
 			defer script.mutex.Unlock()
 			var members []string
 			for other, state := range script.hosts {
-				if other != name && !state.isCut && !host.isCut {
+				if other != name && state.group == host.group {
 					members = append(members, other)
 				}
 			}
 			return members
 		},
 		Send: func(address string, message *Message) { script.send(name, address, message) },
-		VerifiedAt: func() time.Time {
+		Known: func() int {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			if !script.isAway {
-				host.verifiedAt = time.Now()
+			count := 0
+			for other, state := range script.hosts {
+				wasHeard := host.cutAt.After(host.startedAt) && time.Since(host.cutAt) < time.Minute
+				if other != name && (state.group == host.group || wasHeard) {
+					count++
+				}
 			}
-			return host.verifiedAt
+			return count
+		},
+		ReadTargets: func(context.Context, time.Time) error {
+			script.mutex.Lock()
+			defer script.mutex.Unlock()
+			if script.isAway || host.isApart {
+				return errors.New("away")
+			}
+			host.origins.SetTargets(script.targets())
+			return nil
 		},
 		Zone:    "z",
 		Longest: func() time.Duration { return 15 * time.Second },
@@ -209,7 +243,7 @@
 			List: func(context.Context) (map[string][]byte, error) {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return nil, errors.New("away")
 				}
 				return maps.Clone(script.records), nil
@@ -217,7 +251,7 @@
 			Save: func(_ context.Context, name string, value []byte) error {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return errors.New("away")
 				}
 				script.records[name] = value
@@ -227,13 +261,19 @@
 		KeepsMarks: func() bool {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			return name == slices.Min(slices.Collect(maps.Keys(script.hosts)))
+			var group []string
+			for other, state := range script.hosts {
+				if state.group == host.group {
+					group = append(group, other)
+				}
+			}
+			return name == slices.Min(group)
 		},
 		Marks: Marks{
 			List: func(context.Context) (map[string][]byte, error) {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return nil, errors.New("away")
 				}
 				return maps.Clone(script.marks), nil
@@ -241,7 +281,7 @@
 			Save: func(_ context.Context, pool string, value []byte) error {
 				script.mutex.Lock()
 				defer script.mutex.Unlock()
-				if script.isAway {
+				if script.isAway || host.isApart {
 					return errors.New("away")
 				}
 				script.marks[pool] = value
@@ -263,7 +303,7 @@
 	defer script.mutex.Unlock()
 	script.messages++
 	sender, receiver := script.hosts[from], script.hosts[to]
-	if sender == nil || receiver == nil || sender.isCut || receiver.isCut || script.isLossy && script.random.Float64() < lostShare {
+	if sender == nil || receiver == nil || sender.group != receiver.group || script.isLossy && script.random.Float64() < lostShare {
 		return
 	}
 	time.AfterFunc(time.Millisecond, func() { receiver.origins.Receive(from, message) })
@@ -277,6 +317,7 @@
 		var reads atomic.Int64
 		origins := &Origins{
 			Events: &timeline.Recorder{}, Send: func(string, *Message) {}, Recorder: func() string { return "" },
+			Members: func() []string { return nil }, Known: func() int { return 0 },
 			Records: Records{List: func(ctx context.Context) (map[string][]byte, error) {
 				reads.Add(1)
 				<-ctx.Done()
@@ -302,8 +343,9 @@
 		}
 		origins := &Origins{Events: &timeline.Recorder{}, Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return marks, nil }}}
 		expect := func(want map[string]bool) {
+			c.Assert(origins.readMarks(t.Context()), qt.IsNil)
 			for pool, isUnmarked := range want {
-				c.Check(origins.isUnmarked(t.Context(), pool), qt.Equals, isUnmarked, qt.Commentf("%s after %s", pool, time.Now()))
+				c.Check(origins.isUnmarked(pool), qt.Equals, isUnmarked, qt.Commentf("%s after %s", pool, time.Now()))
 			}
 		}
 		for range 40 {
@@ -334,3 +376,43 @@
 	pools.set([]balance.Target{{ID: "b", Pool: "p", Version: "2"}}, now)
 	c.Check(pools.isMixed("p", now), qt.IsTrue)
 }
+
+// TestPlatformIsReadForAllTakers guards against a host that reads the platform for each stream
+// that is taken up, or believes a read that began before.
+func TestPlatformIsReadForAllTakers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var reads atomic.Int64
+		origins := &Origins{
+			Events: &timeline.Recorder{}, Members: func() []string { return nil }, Known: func() int { return 0 },
+			Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return map[string][]byte{}, nil }},
+		}
+		var version atomic.Value
+		version.Store("v1")
+		origins.ReadTargets = func(context.Context, time.Time) error {
+			reads.Add(1)
+			target := balance.Target{ID: "t", Pool: testPool, Version: version.Load().(string)}
+			time.Sleep(100 * time.Millisecond)
+			origins.SetTargets([]balance.Target{target})
+			return nil
+		}
+		origins.SetTargets([]balance.Target{{ID: "t", Pool: testPool, Version: "v1"}})
+		time.Sleep(2 * time.Second)
+		var group sync.WaitGroup
+		for i := range 1000 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				c.Check(origins.Find(t.Context(), "r", fmt.Sprint(i), testPool), qt.Equals, balance.NewVersionID(testPool, "v1"))
+			})
+		}
+		group.Wait()
+		c.Check(reads.Load() <= 4, qt.IsTrue, qt.Commentf("%d reads", reads.Load()))
+		// A read with the old version is in progress when the new one comes.
+		time.Sleep(platformInterval)
+		group.Go(func() { origins.Find(t.Context(), "r", "early", testPool) })
+		time.Sleep(50 * time.Millisecond)
+		version.Store("v2")
+		c.Check(origins.Find(t.Context(), "r", "late", testPool), qt.Equals, balance.VersionID(0))
+		group.Wait()
+	})
+}
