gateway: do not let a stream go on at older weights

Callers got events of weights 1 after events of weights 2 within one answer, when a stream broke off and went on at another target: the gateway compared the ids of events and the version of the software only, and never read the version of the weights, which heads and events tell.

The newest version that the caller has is kept with the answer; a head or an event with an older one does not continue the stream, which is tried elsewhere or breaks off. A newer one may: runs themselves change weights that way.

Streams that callers take up at another host are not compared: the host does not know what they have.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -484,7 +484,10 @@
 		grant.End(balance.Failed)
 		return failed, "the answer has no signature"
 	}
-	eventReader := eventReader{reader: bufio.NewReader(answer.Body), buffer: buffer{room: &forwarding.gateway.bufferRoom}}
+	eventReader := eventReader{
+		reader: bufio.NewReader(answer.Body), buffer: buffer{room: &forwarding.gateway.bufferRoom},
+		weightsField: forwarding.gateway.Protocol.WeightsField,
+	}
 	defer eventReader.buffer.release()
 	count, continues := 0, forwarding.continues()
 	for {
@@ -543,6 +546,7 @@
 		}
 		forwarding.recordVersion(&grant.Target)
 		forwarding.writeStreamHeader(answer)
+		forwarding.weights = max(forwarding.weights, reply.Weights)
 		if forwarding.recordPassed(event); !forwarding.canContinue() {
 			silenceTimer.stop()
 		}
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -36,6 +36,7 @@
 	faultNoEvent  = "noEvent"
 	faultNoID     = "noID"
 	faultOrder    = "order"
+	faultWeights  = "weights"
 )
 
 // continuationFault says what keeps an answer from continuing a stream. The zero value
@@ -75,6 +76,8 @@
 		return continuationFault{faultType, fmt.Sprintf("content type %.*q", maxNamed, contentType)}
 	case encoding != "" && !strings.EqualFold(encoding, "identity"):
 		return continuationFault{faultEncoding, fmt.Sprintf("content encoding %.*q", maxNamed, encoding)}
+	case forwarding.isOlder(reply.Weights):
+		return forwarding.weightsFault(reply.Weights)
 	default:
 		return continuationFault{}
 	}
@@ -103,11 +106,23 @@
 		return continuationFault{faultNoID, fmt.Sprintf("an event without an id after event %.*s", maxNamed, last)}
 	case isFirst && !isContinuedBy(event.id, last, mustBeNext), !isAfter(event.id, last):
 		return continuationFault{faultOrder, fmt.Sprintf("event %.*s after event %.*s", maxNamed, event.id, maxNamed, last)}
+	case forwarding.isOlder(event.weights):
+		return forwarding.weightsFault(event.weights)
 	default:
 		return continuationFault{}
 	}
 }
 
+// isOlder reports whether a version of weights, 0 for an unknown one, is older than that of an
+// event that the caller has.
+func (forwarding *forwarding) isOlder(weights int64) bool {
+	return weights != 0 && weights < forwarding.weights
+}
+
+func (forwarding *forwarding) weightsFault(weights int64) continuationFault {
+	return continuationFault{faultWeights, fmt.Sprintf("weights of version %d after %d", weights, forwarding.weights)}
+}
+
 // hasBareReturn reports whether a text has carriage returns without line feeds. These also end
 // lines of events, but not for eventReader.
 func hasBareReturn(text []byte) bool {
@@ -133,6 +148,7 @@
 // recordPassed records that an event is passed on to the caller.
 func (forwarding *forwarding) recordPassed(event event) {
 	forwarding.hasPassedEvent = forwarding.hasPassedEvent || !event.isBlank
+	forwarding.weights = max(forwarding.weights, event.weights)
 	if event.id == "" {
 		return
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,12 +6,15 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
 	reader *bufio.Reader
 	buffer buffer
+	// weightsField is the name of the field with the version of the weights, empty for none.
+	weightsField string
 }
 
 // event is a complete event with its closing empty line.
@@ -22,6 +25,8 @@
 	id string
 	// isBlank is set if it has no field, only comments and line breaks.
 	isBlank bool
+	// weights is the version of the model's weights from this event on, 0 if not given.
+	weights int64
 }
 
 // next returns the next complete event. It returns io.EOF at the end of a complete stream,
@@ -55,10 +60,22 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			next.id = string(bytes.TrimSpace(value))
 		}
+		if name, value, ok := bytes.Cut(text, []byte(":")); ok && eventReader.weightsField != "" && string(name) == eventReader.weightsField {
+			next.weights = ReadWeights(string(value))
+		}
 		next.isBlank = next.isBlank && bytes.HasPrefix(text, []byte(":"))
 	}
 }
 
+// ReadWeights reads a version of weights. It returns 0 for what is none.
+func ReadWeights(text string) int64 {
+	version, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	if err != nil || version < 0 {
+		return 0
+	}
+	return version
+}
+
 // isAfter reports whether an event's id comes after the last one. A non-numeric
 // id only has to differ from it.
 func isAfter(id, last string) bool {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -46,6 +46,7 @@
 	testLimit     = "Test-Limit"
 	testBrittle   = "Test-Brittle"
 	testLeaving   = "Test-Leaving"
+	testWeights   = "Test-Weights"
 	testRest      = "Test-Rest"
 	testLastEvent = "Last-Event-Id"
 	testResumes   = "Test-Resumes"
@@ -81,11 +82,12 @@
 		rest, _ := time.ParseDuration(header.Get(testRest))
 		return Reply{
 			Leaving: header.Get(testLeaving) != "", Rest: rest,
-			RateLimit: limit, Brittle: brittle,
+			RateLimit: limit, Brittle: brittle, Weights: ReadWeights(header.Get(testWeights)),
 			ID: header.Get(testID), NotRun: header.Get(testNotRun) != "",
 			Misdirected: status == http.StatusMisdirectedRequest, Sealed: header.Get(testSeal) != "",
 		}
 	},
+	WeightsField: strings.ToLower(testWeights),
 	ReadIdentity: func(status int, header http.Header, _ []byte) witness.Identity {
 		return witness.Identity{Target: header.Get(testTarget), Misdirected: status == http.StatusMisdirectedRequest}
 	},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,9 @@
 	// hasPassedEvent reports whether an event was passed on, hasGaps whether the ids of
 	// those that were are not consecutive integers.
 	hasPassedEvent, hasGaps bool
+	// weights is the newest version of the model's weights that the stream's events are of, 0
+	// if not known.
+	weights int64
 	// version is that of the targets at which the stream goes on, 0 for a new stream.
 	version balance.VersionID
 	// choice is that of the version of the next target, counted what the target answers while
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -89,6 +89,8 @@
 	// whether it says something that can't be read.
 	Load              TargetLoad
 	HasUnreadableLoad bool
+	// Weights is the version of the model's weights that the answer begins with, 0 if not given.
+	Weights int64
 	// Sealed reports whether the answer carries the target's signature.
 	Sealed bool
 }
@@ -115,6 +117,9 @@
 	// WriteRefusal sets the retry time in the response header of a request that
 	// the gateway refuses; an after of 0 sets none.
 	WriteRefusal func(header http.Header, call Call, after time.Duration)
+	// WeightsField is the name of the field of events that tells the version of the model's
+	// weights from there on, empty if they don't.
+	WeightsField string
 	// ReportPath is the path at which engines tell of themselves without using a slot, empty
 	// if they do not.
 	ReportPath string
