protocol: take no answer of an engine without a length as whole

Callers of entry hosts could get a part of an engine's error as the whole answer, which is also kept for its key, and engines could import a part of an export: both were read to the end of the connection, which also ends if the engine does. Found by the review of the answers without a length. Such answers are refused as garbled, as those of services are; HEAD has no body and is exempt.

Seen to fail before: TestEngineAnswersWithoutLength, both checks, with the comparison switched off. It passes with it, as do the tests of package protocol.

--- a/protocol/dispatch_test.go
+++ b/protocol/dispatch_test.go
@@ -236,6 +236,23 @@
 	})
 }
 
+// TestEngineAnswersWithoutLength guards against errors and exports of an engine without a length
+// that are cut and taken as whole.
+func TestEngineAnswersWithoutLength(t *testing.T) {
+	status := http.StatusBadRequest
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writeRaw(writer, fmt.Sprintf(`HTTP/1.1 %d X\r\nNutmegfield-Request: %s\r\n\r\n[{"err`, status, newCall("").Request))
+	})
+	inBubble(t, handler, func(t *testing.T, network *network) {
+		client := newEngine(testLimits, network.dial)
+		_, err := dispatchAll(client, newCall(http.MethodPost))
+		qt.Check(t, errorName(err), qt.Equals, "garbled")
+		status = http.StatusOK
+		_, err = client.Export(context.Background(), testAddress, 7)
+		qt.Check(t, errorName(err), qt.Equals, "garbled")
+	})
+}
+
 // TestCopyOfALeavingRefusal guards against an engine that writes the refusal of an earlier
 // request again while it runs the next one of the connection: that one would be said not to
 // have run, and its caller's resend would run it twice. A copy names another request or none.
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -90,6 +90,10 @@
 		abandon()
 		return nil, Garbled.New("%s: a refusal that names request %q", address, named)
 	case response.StatusCode != http.StatusOK:
+		if !isDelimited(response) {
+			_ = response.Body.Close()
+			return nil, Garbled.New("%s: an answer with status %d without a length, whose end can't be told", address, response.StatusCode)
+		}
 		return plainAnswer(response, engine.limits), nil
 	case call.Stream != isStream(response):
 		_ = response.Body.Close()
--- a/protocol/engine_calls.go
+++ b/protocol/engine_calls.go
@@ -124,6 +124,10 @@
 	if err != nil {
 		return nil, Broken.Wrap(err, "%s %s", method, url)
 	}
+	if !isDelimited(response) {
+		_ = response.Body.Close()
+		return nil, Garbled.New("%s %s: an answer without a length, whose end can't be told", method, url)
+	}
 	limits := engine.limits
 	limits.MaxBytes = maxBytes
 	limitedBody := newLimitedBody(response.Body, limits)
--- a/protocol/service.go
+++ b/protocol/service.go
@@ -44,5 +44,5 @@
 // isDelimited reports whether an answer has a length or is chunked, so that a
 // complete answer can be told from one cut off by a broken connection.
 func isDelimited(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return response.Request != nil && response.Request.Method == http.MethodHead || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
