witness: close the ways found by the review

- After a pause of the host the id over a connection that was opened as the answer's head was read said nothing: the target may have been started again meanwhile.
It counts only if the host was not paused.
- Parts that had lain in a socket's buffer counted as sent while a connection was open.
Only parts that the host had to wait for do; the error that a look at the socket brings is kept, as the system tells of a reset only once.
- Sound answers broke where a target closes the connection over which it was asked.
Another one is opened at once while answers run.
- A silent connection used up the time for a second one, which has its own now.
- An entry with an earlier start broke sound answers of the present process, although it answers over an older connection.

--- a/detour/server.go
+++ b/detour/server.go
@@ -122,9 +122,9 @@
 // Takes reports whether this host sends requests for others at all.
 func (server *Server) Takes() bool { return server.IsDraining == nil || !server.IsDraining() }
 
-// wasPaused reports whether this host has not worked for a while, and has not been at work
+// WasPaused reports whether this host has not worked for a while, and has not been at work
 // again for long.
-func (server *Server) wasPaused() bool {
+func (server *Server) WasPaused() bool {
 	now := time.Now()
 	return server.isOverdue(now) || now.UnixNano() < server.pausedUntil.Load()
 }
@@ -143,7 +143,7 @@
 		return "the host shuts down"
 	case server.running.Load() > limit:
 		return fmt.Sprintf("the host sends %d requests for others", server.running.Load()-1)
-	case server.wasPaused():
+	case server.WasPaused():
 		return "the host was paused"
 	case time.Duration(server.lag.Load()) > maxLag:
 		return fmt.Sprintf("the host is %s late", time.Duration(server.lag.Load()).Round(time.Millisecond))
@@ -181,7 +181,7 @@
 		Body: request.GetBody(), ID: request.GetId(), Once: request.GetFreshOnly(),
 		MaySend: func() bool {
 			_, _, maySend := server.Target(decodeTarget(request.GetTarget()))
-			return maySend && !server.wasPaused()
+			return maySend && !server.WasPaused()
 		},
 		OnSkipped: func(skipped upstream.Skipped) { server.OnSkipped(request.GetId(), &target, skipped) },
 	})
@@ -197,19 +197,18 @@
 	defer func() { _ = answer.Body.Close() }()
 	watched.Heard()
 	server.OnAnswer(&target, answer)
-	confirm := func() bool { return false }
+	var watch *witness.Watch
 	if answer.Unframed && server.WatchEnd != nil {
-		watch := server.WatchEnd(&target, request.GetId(), sentAt)
+		watch = server.WatchEnd(&target, request.GetId(), sentAt)
 		defer watch.End()
-		confirm = func() bool { return watch.Confirm(stream.Context()) }
 	}
-	return server.passOn(stream, answer, watched, confirm)
+	return server.passOn(stream, answer, watched, watch)
 }
 
-// passOn passes an answer on as it arrives. Confirm reports whether one without a length is
-// whole.
+// passOn passes an answer on as it arrives. Watch is that of an answer without a length, nil for
+// others.
 func (server *Server) passOn(
-	stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer, watched *Attempt, confirm func() bool,
+	stream detourpb.DRPCDetours_ForwardStream, answer *upstream.Answer, watched *Attempt, watch *witness.Watch,
 ) error {
 	head := &detourpb.Reply{
 		Status: uint32(answer.Status), Header: encodeHeader(answer.Header), Length: answer.Length, Unframed: answer.Unframed,
@@ -221,15 +220,19 @@
 	answer.Header = nil
 	buffer := make([]byte, replyBytes)
 	for {
+		isDry, waitsSince := watch != nil && answer.Body.IsDry(), time.Now()
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			watched.Heard()
 		}
+		if n > 0 && isDry {
+			watch.Heard(waitsSince)
+		}
 		reply := &detourpb.Reply{Body: buffer[:n]}
 		isComplete := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 		switch {
 		case isComplete:
-			reply.End, reply.Confirmed = true, answer.Unframed && confirm()
+			reply.End, reply.Confirmed = true, watch != nil && watch.Confirm(stream.Context())
 		case err != nil:
 			if n > 0 {
 				if err := stream.Send(reply); err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -310,7 +310,7 @@
 	// The verdict stays done if relay panics because the caller has left.
 	verdict := done
 	defer func() { forwarding.endAttempt(ctx, attempt, verdict) }()
-	answerEnd := gateway.watchEnd(answer, &grant.Target, forwarding.call.ID, sentAt)
+	answerEnd := gateway.watchEnd(answer, reply, &grant.Target, forwarding.call.ID, sentAt)
 	defer answerEnd.end()
 	var reason string
 	verdict, reason = forwarding.relay(ctx, grant, answer, reply, attempt, answerEnd, silenceTimer)
@@ -491,6 +491,7 @@
 	defer eventReader.buffer.release()
 	count, continues := 0, forwarding.continues()
 	for {
+		answerEnd.wait(eventReader.reader.Buffered() == 0)
 		event, err := eventReader.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			silenceTimer.stop()
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -351,6 +351,7 @@
 			return func() { gateway.runningRequests.Add(-1) }
 		},
 	}
+	gateway.Witnesses.WasPaused = host.detourServer.WasPaused
 	gateway.Paths, gateway.Detours = host.paths, host.detours
 	gateway.WaitForwarded = host.detourServer.Wait
 	host.snapshots.Register = host.detourServer.Register
--- a/gateway/witness.go
+++ b/gateway/witness.go
@@ -47,21 +47,33 @@
 	answer *upstream.Answer
 	// watch is that of an answer without a length over an own connection, nil for others.
 	watch *witness.Watch
+	// waitsSince is when the wait for the next part of the answer began, zero if the part may
+	// have come before.
+	waitsSince time.Time
 }
 
 // watchEnd begins to watch for the end of an answer to a request that was sent at a moment.
-func (gateway *Gateway) watchEnd(answer *upstream.Answer, target *balance.Target, request string, sentAt time.Time) *answerEnd {
+func (gateway *Gateway) watchEnd(answer *upstream.Answer, reply Reply, target *balance.Target, request string, sentAt time.Time) *answerEnd {
 	answerEnd := &answerEnd{answer: answer}
-	if answer.Unframed && answer.Confirmed == nil {
+	if answer.Unframed && answer.Confirmed == nil && !reply.NotRun {
 		answerEnd.watch = gateway.Witnesses.Begin(target, request, sentAt)
 	}
 	return answerEnd
 }
 
-// heard records that a part of the answer was read.
+// wait is called before the next part of the answer is read; isDry means that the caller has
+// read all before it.
+func (answerEnd *answerEnd) wait(isDry bool) {
+	answerEnd.waitsSince = time.Time{}
+	if answerEnd.watch != nil && isDry && answerEnd.answer.Body.IsDry() {
+		answerEnd.waitsSince = time.Now()
+	}
+}
+
+// heard records that the part was read.
 func (answerEnd *answerEnd) heard() {
-	if answerEnd.watch != nil {
-		answerEnd.watch.Heard()
+	if !answerEnd.waitsSince.IsZero() {
+		answerEnd.watch.Heard(answerEnd.waitsSince)
 	}
 }
 
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -281,13 +281,20 @@
 // hasNoInput reports whether the target has neither sent anything nor closed the
 // connection.
 func (connection *connection) hasNoInput() bool {
+	isEmpty, _ := connection.peek()
+	return isEmpty
+}
+
+// peek reports whether the target has neither sent anything nor closed the connection. It
+// returns the error of a broken connection, which no later read does.
+func (connection *connection) peek() (bool, error) {
 	system, ok := connection.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return true, nil
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return false, fmt.Errorf("reach the socket: %w", err)
 	}
 	var one [1]byte
 	var peekErr error
@@ -295,7 +302,15 @@
 		_, _, peekErr = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && (errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EINTR))
+	switch {
+	case err != nil:
+		return false, fmt.Errorf("reach the socket: %w", err)
+	case errors.Is(peekErr, syscall.EAGAIN), errors.Is(peekErr, syscall.EINTR):
+		return true, nil
+	case peekErr != nil:
+		return false, fmt.Errorf("read: %w", peekErr)
+	}
+	return false, nil
 }
 
 // updateReuse reads from an answer whether and how long its connection may be
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -213,6 +213,20 @@
 	return n, err
 }
 
+// IsDry reports whether nothing has come that was not read, so that the next read waits. It is
+// false for an answer that comes over another host.
+func (body *Body) IsDry() bool {
+	if body.connection == nil || body.connection.reader.Buffered() > 0 {
+		return false
+	}
+	isDry, err := body.connection.peek()
+	if err != nil {
+		// The system tells of a reset only once.
+		body.connection.input.failed = err
+	}
+	return isDry
+}
+
 // Discard reads a body that nobody needs to its end, so that its connection can be reused.
 // It gives up after maxDiscardBytes or discardTimeout; Close then closes the connection.
 func (body *Body) Discard() {
@@ -256,6 +270,8 @@
 	// lines are allowed.
 	isInHead                  bool
 	remaining, remainingLines int
+	// failed is the error of the connection, if that is known already.
+	failed error
 }
 
 func (headLimiter *headLimiter) startHead() {
@@ -265,6 +281,9 @@
 func (headLimiter *headLimiter) endHead() { headLimiter.isInHead = false }
 
 func (headLimiter *headLimiter) Read(buffer []byte) (int, error) {
+	if headLimiter.failed != nil {
+		return 0, headLimiter.failed
+	}
 	if !headLimiter.isInHead {
 		return headLimiter.source.Read(buffer)
 	}
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -25,9 +25,10 @@
 const (
 	// maxQuestionTime limits the wait for the answer to a question.
 	maxQuestionTime = 3 * time.Second
-	// deliveryTime is the time after which a part of an answer that is read was certainly
-	// sent after a connection had been opened, as it may have been in a buffer before.
+	// deliveryTime is how long a part of an answer may be on its way to this host.
 	deliveryTime = 250 * time.Millisecond
+	// secondTime limits the wait for an answer over a second connection.
+	secondTime = time.Second
 	// keepTime is how long a connection is kept for further answers. Targets close idle ones.
 	keepTime = 8 * time.Second
 	// maxTargets limits the targets to which connections are kept.
@@ -42,7 +43,7 @@
 // Evidence is what shows whether a target outlived its answer.
 type Evidence string
 
-// The kinds of evidence. Answers are whole by the first four.
+// The kinds of evidence.
 const (
 	// OlderConnection: the target answers over a connection older than the request.
 	OlderConnection Evidence = "the target answers over a connection that is older than the request"
@@ -68,7 +69,7 @@
 type Identity struct {
 	Target    string
 	StartedAt time.Time
-	// Misdirected reports whether the target says that it is not the one that was asked.
+	// Misdirected reports whether the target says that it is not the one that was tracked.
 	Misdirected bool
 }
 
@@ -80,15 +81,18 @@
 	Question func(target *balance.Target, id string) *upstream.Request
 	// Identify reads what a target says of itself.
 	Identify func(status int, header http.Header, body []byte) Identity
-	Events   *timeline.Recorder
+	// WasPaused reports whether this host has not worked for a while, or only just does again.
+	// It may be nil.
+	WasPaused func() bool
+	Events    *timeline.Recorder
 
 	mutex   sync.Mutex
-	targets map[balance.Incarnation]*asked
+	targets map[balance.Incarnation]*trackedTarget
 	number  atomic.Int64
 }
 
-// asked is a target that sends answers without a length.
-type asked struct {
+// trackedTarget is a target that sends answers without a length.
+type trackedTarget struct {
 	balance.Target
 	users   int
 	waiting []*Watch
@@ -105,11 +109,15 @@
 // Watch is an answer without a length.
 type Watch struct {
 	witnesses *Witnesses
-	asked     *asked
+	target    *trackedTarget
 	request   string
-	// sentAt is when the request was about to be sent, beganAt when its answer began.
+	// sentAt is when the request was about to be sent, beganAt when the head of its answer was
+	// read.
 	sentAt, beganAt time.Time
-	// heardAt is when the last part of the answer was read, in nanoseconds after beganAt.
+	// isLate is set if the head may have come long before it was read.
+	isLate bool
+	// heardAt is the time before which the last part of the answer had not come to this host,
+	// in nanoseconds after beganAt.
 	heardAt atomic.Int64
 	result  chan Evidence
 }
@@ -119,53 +127,54 @@
 func (witnesses *Witnesses) Begin(target *balance.Target, request string, sentAt time.Time) *Watch {
 	witnesses.mutex.Lock()
 	defer witnesses.mutex.Unlock()
-	asked := witnesses.askedTarget(target)
-	asked.users++
-	if asked.drop != nil {
-		asked.drop.Stop()
-		asked.drop = nil
+	tracked := witnesses.track(target)
+	tracked.users++
+	if tracked.drop != nil {
+		tracked.drop.Stop()
+		tracked.drop = nil
 	}
 	watch := &Watch{
-		witnesses: witnesses, asked: asked, request: request, sentAt: sentAt, beganAt: time.Now(), result: make(chan Evidence, 1),
+		witnesses: witnesses, target: tracked, request: request, sentAt: sentAt, beganAt: time.Now(), result: make(chan Evidence, 1),
+		isLate: witnesses.WasPaused != nil && witnesses.WasPaused(),
 	}
-	witnesses.prepare(asked, sentAt)
-	if asked.refresh == nil {
-		witnesses.scheduleRefresh(asked)
+	witnesses.prepare(tracked, sentAt)
+	if tracked.refresh == nil {
+		witnesses.scheduleRefresh(tracked)
 	}
 	return watch
 }
 
 // scheduleRefresh asks the target again and again while answers of it run: it may close a
 // connection that is idle for long. The caller holds the mutex.
-func (witnesses *Witnesses) scheduleRefresh(asked *asked) {
+func (witnesses *Witnesses) scheduleRefresh(tracked *trackedTarget) {
 	interval := keepTime
-	if asked.connection != nil {
-		interval = asked.connection.IdleLimit()
+	if tracked.connection != nil {
+		interval = tracked.connection.IdleLimit()
 	}
-	asked.refresh = time.AfterFunc(interval/2, func() {
+	tracked.refresh = time.AfterFunc(interval/2, func() {
 		witnesses.mutex.Lock()
 		defer witnesses.mutex.Unlock()
-		asked.refresh = nil
-		if asked.users == 0 {
+		tracked.refresh = nil
+		if tracked.users == 0 {
 			return
 		}
-		if !asked.isAsking {
-			witnesses.askLocked(&Watch{witnesses: witnesses, asked: asked, result: make(chan Evidence, 1)})
+		if !tracked.isAsking {
+			witnesses.askLocked(&Watch{witnesses: witnesses, target: tracked, result: make(chan Evidence, 1)})
 		}
-		witnesses.scheduleRefresh(asked)
+		witnesses.scheduleRefresh(tracked)
 	})
 }
 
-// askedTarget returns the state of a target. The caller holds the mutex.
-func (witnesses *Witnesses) askedTarget(target *balance.Target) *asked {
+// track returns the state of a target. The caller holds the mutex.
+func (witnesses *Witnesses) track(target *balance.Target) *trackedTarget {
 	incarnation := target.Incarnation()
 	if known := witnesses.targets[incarnation]; known != nil && known.Address == target.Address {
 		return known
 	}
 	if witnesses.targets == nil {
-		witnesses.targets = map[balance.Incarnation]*asked{}
+		witnesses.targets = map[balance.Incarnation]*trackedTarget{}
 	}
-	added := &asked{Target: *target}
+	added := &trackedTarget{Target: *target}
 	if len(witnesses.targets) < maxTargets {
 		witnesses.targets[incarnation] = added
 	}
@@ -174,56 +183,73 @@
 
 // prepare takes an idle connection to the target that is older than the request, or begins to
 // open one. The caller holds the mutex.
-func (witnesses *Witnesses) prepare(asked *asked, sentAt time.Time) {
-	if asked.isAsking || asked.connecting != nil || asked.connection != nil && asked.connection.IsUsable() {
+func (witnesses *Witnesses) prepare(tracked *trackedTarget, sentAt time.Time) {
+	if tracked.isAsking || tracked.connecting != nil || tracked.connection != nil && tracked.connection.IsUsable() {
 		return
 	}
-	if asked.connection != nil {
-		asked.connection.Close()
+	if tracked.connection != nil {
+		tracked.connection.Close()
 	}
-	if asked.connection = witnesses.Connections.Reserve(asked.Address, sentAt); asked.connection != nil {
+	if tracked.connection = witnesses.Connections.Reserve(tracked.Address, sentAt); tracked.connection == nil {
+		witnesses.connect(tracked)
+	}
+}
+
+// replace opens another connection to the target if it closes the present one. The caller holds
+// the mutex.
+func (witnesses *Witnesses) replace(tracked *trackedTarget) {
+	if tracked.connecting != nil || tracked.connection != nil && tracked.connection.IsUsable() {
 		return
 	}
+	if tracked.connection != nil {
+		tracked.connection.Close()
+		tracked.connection = nil
+	}
+	witnesses.connect(tracked)
+}
+
+// connect opens a connection to the target. The caller holds the mutex.
+func (witnesses *Witnesses) connect(tracked *trackedTarget) {
 	connecting := make(chan struct{})
-	asked.connecting = connecting
+	tracked.connecting = connecting
 	go func() {
-		connection, err := witnesses.Connections.Open(context.Background(), asked.Address)
+		connection, err := witnesses.Connections.Open(context.Background(), tracked.Address)
 		witnesses.mutex.Lock()
 		defer witnesses.mutex.Unlock()
 		if err == nil {
-			asked.connection = connection
+			tracked.connection = connection
 		}
-		asked.connecting = nil
+		tracked.connecting = nil
 		close(connecting)
-		witnesses.release(asked)
+		witnesses.release(tracked)
 	}()
 }
 
 // release closes the connection to a target some time after its last use. The caller holds
 // the mutex.
-func (witnesses *Witnesses) release(asked *asked) {
-	if asked.users > 0 || asked.connecting != nil || asked.drop != nil {
+func (witnesses *Witnesses) release(tracked *trackedTarget) {
+	if tracked.users > 0 || tracked.connecting != nil || tracked.drop != nil {
 		return
 	}
-	asked.drop = time.AfterFunc(keepTime, func() {
+	tracked.drop = time.AfterFunc(keepTime, func() {
 		witnesses.mutex.Lock()
 		defer witnesses.mutex.Unlock()
-		asked.drop = nil
-		if asked.users > 0 {
+		tracked.drop = nil
+		if tracked.users > 0 {
 			return
 		}
-		if incarnation := asked.Incarnation(); witnesses.targets[incarnation] == asked {
+		if incarnation := tracked.Incarnation(); witnesses.targets[incarnation] == tracked {
 			delete(witnesses.targets, incarnation)
 		}
-		if asked.connection != nil {
-			asked.connection.Close()
-			asked.connection = nil
+		if tracked.connection != nil {
+			tracked.connection.Close()
+			tracked.connection = nil
 		}
 	})
 }
 
-// Heard records that a part of the answer was read.
-func (watch *Watch) Heard() { watch.heardAt.Store(int64(time.Since(watch.beganAt))) }
+// Heard records that a part of the answer was read that had not come before a time.
+func (watch *Watch) Heard(after time.Time) { watch.heardAt.Store(int64(after.Sub(watch.beganAt))) }
 
 // Confirm is called after the end of the answer. It reports whether the answer is whole, as its
 // target was alive after the end. Without evidence it is not.
@@ -234,12 +260,16 @@
 	select {
 	case evidence = <-watch.result:
 	case <-ctx.Done():
-		evidence = NoTime
+		select {
+		case evidence = <-watch.result:
+		default:
+			evidence = NoTime
+		}
 	}
 	isWhole := evidence.isWhole()
 	metrics.GetOrCreateCounter(`nutmegfield_unframed_answers_total{whole="` + strconv.FormatBool(isWhole) + `"}`).Inc()
 	watch.witnesses.Events.Record(eventUnframedEnded, timeline.Event{
-		Request: watch.request, Pool: watch.asked.Pool, Target: watch.asked.ID, Detail: string(evidence),
+		Request: watch.request, Pool: watch.target.Pool, Target: watch.target.ID, Detail: string(evidence),
 		Facts: []timeline.Fact{
 			{Key: "whole", Value: strconv.FormatBool(isWhole)}, timeline.Duration("took", time.Since(began)),
 		},
@@ -251,8 +281,8 @@
 func (watch *Watch) End() {
 	watch.witnesses.mutex.Lock()
 	defer watch.witnesses.mutex.Unlock()
-	watch.asked.users--
-	watch.witnesses.release(watch.asked)
+	watch.target.users--
+	watch.witnesses.release(watch.target)
 }
 
 func (evidence Evidence) isWhole() bool {
@@ -273,66 +303,72 @@
 
 // askLocked is ask for callers that hold the mutex.
 func (witnesses *Witnesses) askLocked(watch *Watch) {
-	asked := watch.asked
-	asked.waiting = append(asked.waiting, watch)
-	if !asked.isAsking {
-		asked.isAsking = true
-		go witnesses.askAll(asked)
+	tracked := watch.target
+	tracked.waiting = append(tracked.waiting, watch)
+	if !tracked.isAsking {
+		tracked.isAsking = true
+		go witnesses.askAll(tracked)
 	}
 }
 
 // askAll asks a target until no watch waits for it. A question counts only for answers that
 // had ended before it.
-func (witnesses *Witnesses) askAll(asked *asked) {
+func (witnesses *Witnesses) askAll(tracked *trackedTarget) {
 	for {
 		witnesses.mutex.Lock()
-		connecting := asked.connecting
+		connecting := tracked.connecting
 		witnesses.mutex.Unlock()
 		if connecting != nil {
 			<-connecting
 		}
 		witnesses.mutex.Lock()
-		watches := asked.waiting
-		asked.waiting = nil
-		connection := asked.connection
-		asked.connection = nil
-		asked.isAsking = len(watches) > 0
-		if !asked.isAsking {
-			asked.connection = connection
+		watches := tracked.waiting
+		tracked.waiting = nil
+		connection := tracked.connection
+		tracked.connection = nil
+		tracked.isAsking = len(watches) > 0
+		if !tracked.isAsking {
+			tracked.connection = connection
 		}
 		witnesses.mutex.Unlock()
 		if len(watches) == 0 {
 			return
 		}
-		connection = witnesses.askFor(asked, connection, watches)
+		connection = witnesses.askFor(tracked, connection, watches)
 		witnesses.mutex.Lock()
-		asked.connection = connection
-		witnesses.release(asked)
+		tracked.connection = connection
+		if tracked.users > 0 {
+			// Answers that still run need one that is open before they end.
+			witnesses.replace(tracked)
+		}
+		witnesses.release(tracked)
 		witnesses.mutex.Unlock()
 	}
 }
 
 // askFor asks a target over a connection, and over a new one if that brings nothing. It returns
 // the connection that may be used again, nil for none.
-func (witnesses *Witnesses) askFor(asked *asked, connection *upstream.Reserved, watches []*Watch) *upstream.Reserved {
-	if witnesses.Question(&asked.Target, "") == nil {
+func (witnesses *Witnesses) askFor(tracked *trackedTarget, connection *upstream.Reserved, watches []*Watch) *upstream.Reserved {
+	if witnesses.Question(&tracked.Target, "") == nil {
 		for _, watch := range watches {
-			watch.result <- NoQuestion
+			watch.tell(NoQuestion)
 		}
 		return connection
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxQuestionTime)
 	defer cancel()
-	identity, err := witnesses.question(ctx, asked, connection)
+	identity, err := witnesses.question(ctx, tracked, connection)
 	isNew := err != nil
 	if isNew {
 		// What accepts a new connection may be another process.
-		if connection, err = witnesses.Connections.Open(ctx, asked.Address); err == nil {
-			identity, err = witnesses.question(ctx, asked, connection)
+		ctx, cancel := context.WithTimeout(context.Background(), secondTime)
+		defer cancel()
+		if connection, err = witnesses.Connections.Open(ctx, tracked.Address); err == nil {
+			identity, err = witnesses.question(ctx, tracked, connection)
 		}
 	}
 	for _, watch := range watches {
-		watch.result <- watch.judge(identity, connection, isNew, err)
+		watch.tell(watch.judge(identity, connection, isNew, err))
 	}
 	if err != nil {
 		return nil
@@ -340,19 +376,27 @@
 	return connection
 }
 
+// tell gives a watch its evidence. Only the first counts.
+func (watch *Watch) tell(evidence Evidence) {
+	select {
+	case watch.result <- evidence:
+	default:
+	}
+}
+
 var errNoConnection = errors.New("there is no connection to the target")
 
 // question asks a target for its identity. It closes the connection, which may be nil, if that
 // fails.
-func (witnesses *Witnesses) question(ctx context.Context, asked *asked, connection *upstream.Reserved) (Identity, error) {
+func (witnesses *Witnesses) question(ctx context.Context, tracked *trackedTarget, connection *upstream.Reserved) (Identity, error) {
 	if connection == nil {
 		return Identity{}, errNoConnection
 	}
 	id := "witness-" + strconv.FormatInt(witnesses.number.Add(1), 36) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	answer, body, err := connection.Ask(ctx, witnesses.Question(&asked.Target, id))
+	answer, body, err := connection.Ask(ctx, witnesses.Question(&tracked.Target, id))
 	if err != nil {
 		connection.Close()
-		return Identity{}, fmt.Errorf("ask the target %s: %w", asked.ID, err)
+		return Identity{}, fmt.Errorf("ask the target %s: %w", tracked.ID, err)
 	}
 	return witnesses.Identify(answer.Status, answer.Header, body), nil
 }
@@ -363,19 +407,20 @@
 	if err != nil {
 		return NoAnswer
 	}
-	target, openedAt := &watch.asked.Target, connection.OpenedAt()
+	target, openedAt := &watch.target.Target, connection.OpenedAt()
 	knowsStart := identity.StartedAt.UnixMilli() > 0 && target.StartedAt.UnixMilli() > 0
 	switch {
-	case identity.Misdirected, identity.Target != "" && identity.Target != target.ID,
-		knowsStart && identity.StartedAt.UnixMilli() != target.StartedAt.UnixMilli():
+	case identity.Misdirected, identity.Target != "" && identity.Target != target.ID:
 		return Replaced
 	case openedAt.Before(watch.sentAt):
 		return OlderConnection
 	case !isNew && watch.beganAt.Add(time.Duration(watch.heardAt.Load())).Sub(openedAt) > deliveryTime:
 		return OpenMeanwhile
+	case knowsStart && !identity.StartedAt.Equal(target.StartedAt):
+		return Replaced
 	case knowsStart:
 		return SameStart
-	case !isNew && identity.Target == target.ID && openedAt.Sub(watch.beganAt) < deliveryTime:
+	case !isNew && !watch.isLate && identity.Target == target.ID && openedAt.Sub(watch.beganAt) < deliveryTime:
 		return SameID
 	default:
 		return LateConnection
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,9 +29,11 @@
 		// idle means that there is an idle connection before the request; the answer takes a
 		// time, and the target is replaced at its end by one that replies otherwise.
 		idle, isReplaced bool
-		takes            time.Duration
-		after            string
-		want             Evidence
+		// isPaused means that this host was paused before it read the head of the answer.
+		isPaused bool
+		takes    time.Duration
+		after    string
+		want     Evidence
 	}{
 		{name: "older", idle: true, after: "Target: t", want: OlderConnection},
 		{name: "older, full", idle: true, after: "Not-Run: 1", want: OlderConnection},
@@ -38,7 +41,9 @@
 		{name: "meanwhile", takes: time.Second, after: "Other: 1", want: OpenMeanwhile},
 		{name: "meanwhile, replaced under the same id", takes: time.Second, isReplaced: true, after: "Target: t", want: LateConnection},
 		{name: "same start", isReplaced: true, after: "Start: 7", want: SameStart},
-		{name: "another start", idle: true, after: "Target: t\r\nStart: 8", want: Replaced},
+		{name: "another start", after: "Target: t\r\nStart: 8", want: Replaced},
+		{name: "older, entry of an earlier start", idle: true, after: "Target: t\r\nStart: 8", want: OlderConnection},
+		{name: "same id, after a pause", isPaused: true, after: "Target: t", want: LateConnection},
 		{name: "another target", idle: true, after: "Target: u", want: Replaced},
 		{name: "misdirected", isReplaced: true, after: "Misdirected: 1", want: Replaced},
 		{name: "same id", after: "Target: t", want: SameID},
@@ -50,22 +55,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				target := &standIn{}
-				connections := &upstream.Connections{Dial: target.dial, DialTimeout: time.Second, Identify: func(_ int, header http.Header) upstream.Identity {
-					return upstream.Identity{ID: header.Get("Id")}
-				}}
-				witnesses := &Witnesses{
-					Connections: connections, Events: &timeline.Recorder{},
-					Question: func(_ *balance.Target, id string) *upstream.Request {
-						return &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}
-					},
-					Identify: func(_ int, header http.Header, _ []byte) Identity {
-						identity := Identity{Target: header.Get("Target"), Misdirected: header.Get("Misdirected") != ""}
-						if start := header.Get("Start"); start != "" {
-							identity.StartedAt = time.UnixMilli(int64(start[0] - '0'))
-						}
-						return identity
-					},
-				}
+				witnesses := newWitnesses(target)
+				witnesses.WasPaused = func() bool { return test.isPaused }
+				connections := witnesses.Connections
 				if test.idle {
 					c.Assert(connections.Warm(t.Context(), "a"), qt.IsNil)
 				}
@@ -74,7 +66,7 @@
 				defer cancel()
 				watch := witnesses.Begin(&balance.Target{ID: "t", Address: "a", StartedAt: time.UnixMilli(7)}, "q", time.Now())
 				time.Sleep(test.takes)
-				watch.Heard()
+				watch.Heard(time.Now())
 				synctest.Wait()
 				target.set(test.after)
 				if test.isReplaced {
@@ -89,7 +81,9 @@
 				c.Assert(got, qt.Equals, test.want)
 				watch.End()
 				time.Sleep(2 * keepTime)
+				witnesses.mutex.Lock()
 				c.Assert(witnesses.targets, qt.HasLen, 0)
+				witnesses.mutex.Unlock()
 				c.Assert(connections.OpenCount("a"), qt.Equals, 0)
 				target.closeAll()
 			})
@@ -97,22 +91,56 @@
 	}
 }
 
+func newWitnesses(target *standIn) *Witnesses {
+	return &Witnesses{
+		Connections: &upstream.Connections{Dial: target.dial, DialTimeout: time.Second, Identify: func(_ int, header http.Header) upstream.Identity {
+			return upstream.Identity{ID: header.Get("Id")}
+		}},
+		Events: &timeline.Recorder{},
+		Question: func(_ *balance.Target, id string) *upstream.Request {
+			return &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}
+		},
+		Identify: func(_ int, header http.Header, _ []byte) Identity {
+			identity := Identity{Target: header.Get("Target"), Misdirected: header.Get("Misdirected") != ""}
+			if start := header.Get("Start"); start != "" {
+				identity.StartedAt = time.UnixMilli(int64(start[0] - '0'))
+			}
+			return identity
+		},
+	}
+}
+
 // standIn accepts connections and replies to each request alike.
 type standIn struct {
+	mutex sync.Mutex
 	conns []net.Conn
 	text  string
 }
 
-func (standIn *standIn) set(text string) { standIn.text = text }
+func (standIn *standIn) set(text string) {
+	standIn.mutex.Lock()
+	defer standIn.mutex.Unlock()
+	standIn.text = text
+}
+
+func (standIn *standIn) reply() string {
+	standIn.mutex.Lock()
+	defer standIn.mutex.Unlock()
+	return standIn.text
+}
 
 func (standIn *standIn) dial(context.Context, string, string) (net.Conn, error) {
 	near, far := net.Pipe()
+	standIn.mutex.Lock()
+	defer standIn.mutex.Unlock()
 	standIn.conns = append(standIn.conns, far)
 	go standIn.serve(far)
 	return near, nil
 }
 
 func (standIn *standIn) closeAll() {
+	standIn.mutex.Lock()
+	defer standIn.mutex.Unlock()
 	for _, conn := range standIn.conns {
 		_ = conn.Close()
 	}
@@ -124,13 +152,36 @@
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
-		if err != nil || standIn.text == "CLOSE" {
+		text := standIn.reply()
+		if err != nil || text == "CLOSE" {
 			return
 		}
-		if standIn.text == "MUTE" {
+		if text == "MUTE" {
 			_, _ = io.Copy(io.Discard, reader)
 			return
 		}
-		_, _ = io.WriteString(conn, strings.ReplaceAll(reply, "%", request.Header.Get("Id"))+standIn.text+"\r\n\r\n")
+		_, _ = io.WriteString(conn, strings.ReplaceAll(reply, "%", request.Header.Get("Id"))+text+"\r\n\r\n")
 	}
 }
+
+// TestAnswersAfterAClosedConnection guards against sound answers that are broken as the target
+// closes the connection over which it was asked about an earlier one.
+func TestAnswersAfterAClosedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		target := &standIn{text: "Target: t\r\nConnection: close"}
+		witnesses := newWitnesses(target)
+		first := witnesses.Begin(&balance.Target{ID: "t", Address: "a"}, "q", time.Now())
+		second := witnesses.Begin(&balance.Target{ID: "t", Address: "a"}, "r", time.Now())
+		time.Sleep(time.Second)
+		first.Heard(time.Now())
+		c.Assert(first.Confirm(t.Context()), qt.IsTrue)
+		time.Sleep(time.Second)
+		second.Heard(time.Now())
+		c.Assert(second.Confirm(t.Context()), qt.IsTrue)
+		first.End()
+		second.End()
+		time.Sleep(2 * keepTime)
+		target.closeAll()
+	})
+}
