quota, gateway: let rests of streams overdraw a quota

Callers took streams up after all hosts had ended and were answered 429, while new streams began (LOST).

Cause: buckets are empty when hosts start. What is refilled goes to new requests of at most a hundredth of the burst, which may overdraw the bucket by a quarter of it; the rest of a stream is larger, and waited for the debt to be refilled. It may overdraw the bucket as far now, if the version that began the stream is known.

TestRestsOfStreamsComeFirst fails without (0.10 of rests, 0.12 of new requests allowed) and with an overdraft of half of the burst (130,200 units of 113,000 in a window, 64 hosts). TestStreamGoesOnAboveTheQuota was answered 429 before.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -156,11 +157,14 @@
 		Attempts: &quarantine.Attempts{Check: checkTarget, CheckTimeout: time.Second},
 		Suspects: &quarantine.Suspects{},
 		Limiter:  &limit.Limiter{},
-		Origins:  &origin.Origins{Members: func() []string { return nil }, Known: func() int { return 0 }},
-		Budget:   &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }, StartedAt: time.Now().Add(-time.Minute)},
-		Events:   &timeline.Recorder{},
-		Table:    func() *route.Table { return fixture.table },
-		Refresh:  func(context.Context) error { return nil },
+		Origins: &origin.Origins{
+			Members: func() []string { return nil }, Known: func() int { return 0 },
+			ReadTargets: func(context.Context, time.Time) error { return errors.New("no platform") },
+		},
+		Budget:  &budget.Budget{Ratio: 1, Window: 10 * time.Second, Spare: 10, Hosts: func() int { return 1 }, StartedAt: time.Now().Add(-time.Minute)},
+		Events:  &timeline.Recorder{},
+		Table:   func() *route.Table { return fixture.table },
+		Refresh: func(context.Context) error { return nil },
 	}
 	fixture.server = httptest.NewServer(fixture.gateway)
 	c.Cleanup(fixture.server.Close)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -347,10 +347,15 @@
 			forwarding.quotaUnits = float64(forwarding.call.PromptTokens + forwarding.call.OutputTokens)
 		}
 	}
-	decision := forwarding.gateway.Ledger.Take(forwarding.workspace.Name, forwarding.quotaUnits)
+	take := forwarding.gateway.Ledger.Take
+	if forwarding.version != 0 {
+		take = forwarding.gateway.Ledger.TakeForRest
+	}
+	decision := take(forwarding.workspace.Name, forwarding.quotaUnits)
 	if !decision.Allowed {
 		forwarding.refuse(http.StatusTooManyRequests, addJitter(decision.RetryAfter), "over the quota",
 			timeline.Fact{Key: "workspace", Value: forwarding.workspace.Name},
+			timeline.Fact{Key: "resumes", Value: forwarding.call.Resumes},
 			timeline.Count("units", int64(forwarding.quotaUnits)),
 			timeline.Count("left", int64(decision.Level)),
 			timeline.Count("rate", int64(decision.Limit.Rate)),
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/origin"
+	"nutmegfield.example/quota"
 	"nutmegfield.example/route"
 )
 
@@ -77,6 +78,30 @@
 	}
 }
 
+// TestStreamGoesOnAboveTheQuota guards against streams that don't go on while new requests of
+// their workspace use what is refilled.
+func TestStreamGoesOnAboveTheQuota(t *testing.T) {
+	c := qt.New(t)
+	configuration := testConfiguration(func(route *route.Route) { applyRouteKind(route, "resumable") })
+	configuration.Workspaces[0].Quota = route.Quota{InTokens: true, Rate: 1, Burst: 100, PlainTokens: 10}
+	fixture := newFixture(c, configuration, 1)
+	fixture.ledger.SetLimits(map[string]quota.Limit{"clubs": {Rate: 1, Burst: 100}})
+	fixture.gateway.Origins.SetTargets(fixture.targets)
+	fixture.gateway.Origins.RecordBegin(origin.NewStream("first"), testPool, fixture.targets[0].VersionID())
+	fixture.replies = []string{"HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s1\n\nid: 2\ndata: b\n\nCLOSE\n"}
+	send := func(resumes string) int {
+		request := fixture.newRequest(t.Context(), http.MethodPost, "/r/a", "x")
+		if resumes != "" {
+			request.Header.Set(testLastEvent, "1")
+			request.Header.Set(testResumes, resumes)
+		}
+		return fixture.sendForStatus(request)
+	}
+	c.Assert(send(""), qt.Equals, http.StatusTooManyRequests)
+	c.Assert(send("first"), qt.Equals, http.StatusOK)
+	c.Assert(send("unknown"), qt.Equals, http.StatusServiceUnavailable)
+}
+
 // TestStreamsThatGoOnComeFirst guards against streams of which callers have a part and that
 // are refused while new ones of their rank begin: when all hosts have ended, all are taken up
 // at once while there is little room.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,6 +28,8 @@
 	// its burst.
 	tinyRequestDivisor      = 100
 	tinyRequestDebtFraction = 0.25
+	// The rest of a stream may overdraw the bucket by restDebtFraction of its burst.
+	restDebtFraction = 0.25
 	// A host that just started refills no bucket for this long while it expects
 	// other hosts and has received no report; then it assumes that they are
 	// unreachable and refills its even share.
@@ -204,6 +206,16 @@
 // Take takes units from a workspace's quota, or none if they are not available. A
 // workspace without a limit is always allowed.
 func (ledger *Ledger) Take(workspace string, units float64) Decision {
+	return ledger.take(workspace, units, (*bucket).minLevel)
+}
+
+// TakeForRest is Take for the rest of a stream that a caller takes up. It may overdraw the bucket, so
+// that streams go on while new requests wait.
+func (ledger *Ledger) TakeForRest(workspace string, units float64) Decision {
+	return ledger.take(workspace, units, func(bucket *bucket, _ float64) float64 { return -restDebtFraction * bucket.limit.Burst })
+}
+
+func (ledger *Ledger) take(workspace string, units float64, minLevelOf func(bucket *bucket, units float64) float64) Decision {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	silent := ledger.refill(time.Now())
@@ -212,7 +224,7 @@
 		return Decision{Allowed: true}
 	}
 	decision := Decision{Level: bucket.level, Limit: bucket.limit, SilentPeers: silent, Peers: len(ledger.peers)}
-	minLevel := bucket.minLevel(units)
+	minLevel := minLevelOf(bucket, units)
 	switch {
 	case bucket.level <= minLevel:
 		decision.RetryAfter = time.Duration((minLevel - bucket.level) / bucket.limit.Rate * float64(time.Second))
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -30,6 +30,9 @@
 	// incarnation is that of all hosts.
 	incarnation uint64
 	allowed     int
+	// Each restEvery-th request is the rest of a stream, none if that is 0; rests counts
+	// these, restsAllowed those that were allowed.
+	restEvery, rests, restsAllowed int
 }
 
 // sentReport is a report in flight.
@@ -101,7 +104,16 @@
 		for pending += fleet.demand * stepTime.Seconds() / units; pending >= 1; pending-- {
 			ledger := fleet.ledgers[random.IntN(len(fleet.ledgers))]
 			fleet.requests++
-			if ledger.Take(workspace, units).Allowed {
+			take := ledger.Take
+			isRest := fleet.restEvery > 0 && fleet.requests%fleet.restEvery == 0
+			if isRest {
+				fleet.rests++
+				take = ledger.TakeForRest
+			}
+			if take(workspace, units).Allowed {
+				if isRest {
+					fleet.restsAllowed++
+				}
 				fleet.allowed++
 				taken += units
 			}
@@ -182,6 +194,39 @@
 	}
 }
 
+// TestRestsOfStreamsComeFirst guards against streams that don't go on after all hosts have
+// restarted with empty buckets, since new requests use what is refilled, and against overuse by
+// rests of streams.
+func TestRestsOfStreamsComeFirst(t *testing.T) {
+	for _, run := range []struct{ hosts, restEvery int }{{7, 4}, {7, 1}, {64, 4}, {64, 1}} {
+		t.Run(fmt.Sprintf("%d-%d", run.hosts, run.restEvery), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				newHosts := func(seed uint64) *fleet {
+					if run.hosts == 64 {
+						return newFleetWithDelayedReports(tolerance.Bucket(limit), seed)
+					}
+					return newFleet(run.hosts, tolerance.Bucket(limit))
+				}
+				// Requests are five times what is tiny.
+				const units = 600
+				fleet := newHosts(1)
+				fleet.applyLoad(10, units)
+				restarted := newHosts(101)
+				restarted.taken, restarted.restEvery = fleet.taken, run.restEvery
+				restarted.applyLoad(2, units)
+				share := float64(restarted.restsAllowed) / float64(restarted.rests)
+				shareOfNew := float64(restarted.allowed-restarted.restsAllowed) / float64(max(1, restarted.requests-restarted.rests))
+				t.Logf("%.2f of rests, %.2f of new requests", share, shareOfNew)
+				c.Check(share >= shareOfNew, qt.IsTrue)
+				restarted.applyLoad(8, units)
+				c.Check(restarted.maxWindowUsage() <= windowLimit(limit), qt.IsTrue,
+					qt.Commentf("%.0f of %.0f", restarted.maxWindowUsage(), windowLimit(limit)))
+			})
+		})
+	}
+}
+
 // maxWindowUsage returns the most units taken in any window.
 func (fleet *fleet) maxWindowUsage() float64 {
 	steps := int(tolerance.Window / stepTime)
