exchange: set up the hosts of the quota tests before they run

Cause: TestHostsCutOffForMinutes and TestHostsWithoutSeeds set a field of the ledger after its host had been started: with -race 11 of 36 runs beside each other reported the race; without it none failed (30 runs).

Change: the field and the quota are set before the start.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -347,10 +347,10 @@
 func (network *network) startWithQuota(t *testing.T, count int, seeds ...string) []*Exchange {
 	var hosts []*Exchange
 	for i := range count {
-		host := network.start(t, string(rune('a'+i)), nil, seeds...)
-		host.Ledger.ExpectedPeers = host.KnownPeers
-		host.Ledger.SetLimits(map[string]quota.Limit{"clubs": quotaTolerance.Bucket(quotaLimit)})
-		hosts = append(hosts, host)
+		hosts = append(hosts, network.start(t, string(rune('a'+i)), func(host *Exchange) {
+			host.Ledger.ExpectedPeers = host.KnownPeers
+			host.Ledger.SetLimits(map[string]quota.Limit{"clubs": quotaTolerance.Bucket(quotaLimit)})
+		}, seeds...))
 	}
 	return hosts
 }
