upstream: take one answer without a name over a reserved connection

Only the first answer on a connection that had carried no request could be unnamed, so that each second question failed, and the next connection came too late to tell.

The first unnamed answer of a connection is the question's: earlier answers were named, and so are copies of them. The connection carries no other question then.

--- a/upstream/match.go
+++ b/upstream/match.go
@@ -133,6 +133,7 @@
 		}
 		identity := matching.connections.Identify(response.StatusCode, response.Header)
 		doubt := matching.doubt(response.StatusCode, identity)
+		connection.hadUnnamed = connection.hadUnnamed || identity.ID == ""
 		if doubt == "" {
 			return response, nil
 		}
@@ -160,7 +161,10 @@
 func (matching *matching) doubt(status int, identity Identity) Doubt {
 	id := matching.request.ID
 	switch {
-	case identity.ID == "" && matching.isFirst && (identity.NotRun || id == "" || matching.request.takesUnnamed):
+	case identity.ID == "" && matching.isFirst && (identity.NotRun || id == ""):
+		return ""
+	case identity.ID == "" && matching.request.takesUnnamed && !matching.connection.hadUnnamed:
+		// The earlier answers named their requests, and so would copies of them.
 		return ""
 	case identity.ID == "":
 		return NamesNone
--- a/upstream/reserved.go
+++ b/upstream/reserved.go
@@ -62,7 +62,7 @@
 func (reserved *Reserved) IdleLimit() time.Duration { return reserved.connection.idleLimit() }
 
 // Ask sends a request and returns its answer, with its body. An answer that names no request is
-// taken if the connection has carried no other. After an error the connection must be closed.
+// taken if none has come over the connection before; it carries no other request then. After an error the connection must be closed.
 func (reserved *Reserved) Ask(ctx context.Context, request *Request) (*Answer, []byte, error) {
 	connection := reserved.connection
 	if !reserved.IsUsable() {
@@ -84,7 +84,7 @@
 	}
 	connection.uses++
 	connection.idleSince = time.Now()
-	if answer.Unframed {
+	if answer.Unframed || connection.hadUnnamed {
 		connection.noReuse = true
 	}
 	return answer, body, nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -75,7 +75,8 @@
 	// be nil.
 	OnSkipped func(Skipped)
 
-	// takesUnnamed means that the first answer on a connection may name no request.
+	// takesUnnamed means that the first answer on a connection that names no request is taken.
+	// Ask sets it.
 	takesUnnamed bool
 }
 
@@ -315,6 +316,8 @@
 	idleBefore time.Duration
 	// keepAlive is the idle timeout stated by the target, 0 for none.
 	keepAlive time.Duration
+	// hadUnnamed reports whether an answer that named no request has come.
+	hadUnnamed bool
 	// noReuse reports whether the connection must not carry another request.
 	noReuse bool
 	onClose func()
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -38,6 +38,7 @@
 		{name: "older", idle: true, after: "Target: t", want: OlderConnection},
 		{name: "older, full", idle: true, after: "Not-Run: 1", want: OlderConnection},
 		{name: "older, replaced under the same id", idle: true, isReplaced: true, after: "Target: t", want: LateConnection},
+		{name: "older, unnamed", idle: true, after: "Target: t\r\nUnnamed: 1", want: OlderConnection},
 		{name: "meanwhile", takes: time.Second, after: "Other: 1", want: OpenMeanwhile},
 		{name: "meanwhile, replaced under the same id", takes: time.Second, isReplaced: true, after: "Target: t", want: LateConnection},
 		{name: "same start", isReplaced: true, after: "Start: 7", want: SameStart},
@@ -94,6 +95,9 @@
 func newWitnesses(target *standIn) *Witnesses {
 	return &Witnesses{
 		Connections: &upstream.Connections{Dial: target.dial, DialTimeout: time.Second, Identify: func(_ int, header http.Header) upstream.Identity {
+			if header.Get("Unnamed") != "" {
+				return upstream.Identity{}
+			}
 			return upstream.Identity{ID: header.Get("Id")}
 		}},
 		Events: &timeline.Recorder{},
@@ -185,3 +189,21 @@
 		target.closeAll()
 	})
 }
+
+// TestUnnamedAnswers guards against sound answers that are broken as the target's answers to
+// questions name no request: after the first, another connection is needed.
+func TestUnnamedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		target := &standIn{text: "Target: t\r\nUnnamed: 1"}
+		witnesses := newWitnesses(target)
+		for range 5 {
+			watch := witnesses.Begin(&balance.Target{ID: "t", Address: "a"}, "q", time.Now())
+			time.Sleep(10 * time.Millisecond)
+			c.Assert(watch.Confirm(t.Context()), qt.IsTrue)
+			watch.End()
+		}
+		time.Sleep(2 * keepTime)
+		target.closeAll()
+	})
+}
