review: give each run of a case addresses of its own

Cause: all runs started their hosts at the same addresses, with ports that were free at another one. One run of some 150 could not run, as a host did not get ready beside nine other runs; its log was not kept.

Change: the addresses come from the id of the process, the ports are those that are free there, and a host that does not get ready is recorded with the last line of its log.

--- a/review/standin-2/platform/host.go
+++ b/review/standin-2/platform/host.go
@@ -129,6 +129,13 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// lastLine returns the last line of the log.
+func (host *host) lastLine() string {
+	text, _ := os.ReadFile(host.log.Name())
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends the process a signal.
 func (host *host) signal(signal syscall.Signal) { _ = host.command.Process.Signal(signal) }
 
--- a/review/standin-2/platform/main.go
+++ b/review/standin-2/platform/main.go
@@ -124,13 +124,15 @@
 // startHosts starts hosts in zones, each at an address of its own, and waits until they are
 // ready.
 func (deployment *deployment) startHosts(zones ...string) error {
-	ports, err := freePorts(4)
+	// Other cases may run beside this one.
+	network := fmt.Sprintf("127.%d.%d", 32+os.Getpid()>>8%192, os.Getpid()&255)
+	ports, err := freePorts(network+".1", 4)
 	if err != nil {
 		return err
 	}
 	for i, zone := range zones {
 		deployment.hosts = append(deployment.hosts, &host{
-			name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.25.%d.25", i+1),
+			name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.%d", network, i+1),
 			front: ports[0], ready: ports[1], peers: ports[2], operatorPort: ports[3],
 		})
 	}
@@ -141,7 +143,8 @@
 	}
 	for _, host := range deployment.hosts {
 		if !host.awaitReady(15 * time.Second) {
-			return fmt.Errorf("host %s does not get ready", host.name)
+			hasEnded, reason := host.hasEnded()
+			return fmt.Errorf("host %s does not get ready, has ended: %t %s; its last line: %s", host.name, hasEnded, reason, host.lastLine())
 		}
 	}
 	// The hosts hear of each other.
@@ -149,11 +152,11 @@
 	return nil
 }
 
-// freePorts returns ports that are free at 127.0.0.1.
-func freePorts(count int) ([]int, error) {
+// freePorts returns ports that are free at an address.
+func freePorts(address string, count int) ([]int, error) {
 	var ports []int
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", address+":0")
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin-2/platform/reborn.go
+++ b/review/standin-2/platform/reborn.go
@@ -114,7 +114,7 @@
 
 // addLinkedServer starts a server behind a link of its own.
 func (deployment *deployment) addLinkedServer(server *targetServer, links map[string]*proxy) error {
-	ports, err := freePorts(1)
+	ports, err := freePorts("127.0.0.1", 1)
 	if err != nil {
 		return err
 	}
