gateway: pass on late in a shutdown only what ends by its deadline

Cause: after its notice a host passed a request on if the longest answer of the route in the last minutes, and half as much again, ended in time. That is a sample and no bound: the request asked for six times as much as those before. A refusal by a full target counted as an answer, too.

Now a request is passed on only if its deadline, by which it is answered in any case, is before the end of the host; others get 503 and a time to come back. answerTimes is gone.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -264,7 +264,6 @@
 	})
 	forwarding.recordSent(grant)
 	sentAt := time.Now()
-	defer func() { gateway.answerTimes.record(forwarding.route, time.Since(sentAt)) }()
 	attempt := gateway.Attempts.Begin(&grant.Target, forwarding.call.ID, forwarding.traits)
 	answer, err := forwarding.exchange(attemptContext, grant, silenceTimer, &upstream.Request{
 		Method:  forwarding.request.Method,
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -27,7 +27,7 @@
 	})
 	eventClosed = timeline.Define(timeline.Kind{
 		Number: 1141, Name: "gateway closed to new connections", Level: timeline.Info,
-		Meaning: "The host shuts down and takes no new connections any more. The facts count those that had waited and were taken last, those that are open, and the requests that run. A request that would not end before the host does is refused from now on.",
+		Meaning: "The host shuts down and takes no new connections any more. The facts count those that had waited and were taken last, those that are open, and the requests that run. A request whose deadline is later than the end of the host is refused from now on.",
 	})
 )
 
@@ -127,18 +127,14 @@
 	}
 }
 
-// endsInTime reports whether the request, sent to a target now, ends before the host does: by its
-// deadline, or as the longest answer of its route would.
+// endsInTime reports whether the request, sent to a target now, certainly ends before the host
+// does: at its deadline. How long earlier answers took tells nothing of this one.
 func (forwarding *forwarding) endsInTime() bool {
 	endsAt := forwarding.gateway.endsAt.Load()
-	if endsAt == 0 || forwarding.headerWritten || forwarding.deadline.UnixNano() <= endsAt {
-		return true
-	}
-	longest := forwarding.gateway.answerTimes.longest(forwarding.route)
-	return longest > 0 && time.Now().Add(longest+longest/answerTimeSpare).UnixNano() <= endsAt
+	return endsAt == 0 || forwarding.headerWritten || forwarding.deadline.UnixNano() <= endsAt
 }
 
-// refuseDraining refuses a request that would not end before the host does.
+// refuseDraining refuses a request that may not end before the host does.
 func (forwarding *forwarding) refuseDraining(ctx context.Context) {
 	if forwarding.sends > 0 {
 		forwarding.answerUnserved(ctx, reasonDraining)
@@ -146,6 +142,6 @@
 	}
 	forwarding.refuse(http.StatusServiceUnavailable, addJitter(minRetryAfter), reasonDraining,
 		timeline.Duration("left", time.Until(time.Unix(0, forwarding.gateway.endsAt.Load()))),
-		timeline.Duration("longest", forwarding.gateway.answerTimes.longest(forwarding.route)),
+		timeline.Duration("needed", time.Until(forwarding.deadline)),
 		timeline.Duration("waited", time.Since(forwarding.arrivedAt)))
 }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"nutmegfield.example/route"
 )
 
 // TestDrainWaitsForRequestsOnly guards against a host that is killed at the end of its grace
@@ -125,3 +127,51 @@
 		})
 	}
 }
+
+// TestDrainRefusesLongerAnswers guards against a request that is passed on late in the shutdown as
+// the last answers of its route were short, and cut as its own is longer: answers of targets, or
+// their refusals.
+func TestDrainRefusesLongerAnswers(t *testing.T) {
+	const head, rest = "POST /r/a HTTP/1.1\r\nHost: h.example\r\nTest-Id: q1\r\nTest-Key: k\r\nContent-Length: 2\r\n\r\nx", "y"
+	const event = "id: 1\ndata: x\n\n"
+	const stream = "HTTP/1.1 200 OK\nTest-Id: ID\nTest-Seal: s\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n12\n" + event + "\n"
+	for _, test := range []struct {
+		name, before, late string
+		streaming          bool
+	}{
+		{"plain", okReply, "PAUSE\n" + okReply, false},
+		{"stream", stream + "0\n\n", stream + "PAUSE\n0\n\n", true},
+		{"refused before", "HTTP/1.1 503 Service Unavailable\nTest-Id: ID\nTest-Not-Run: 1\nContent-Length: 0\n\n", "PAUSE\n" + okReply, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			fixture := newFixture(c, testConfiguration(func(route *route.Route) { route.Streaming = test.streaming }), 1)
+			fixture.replies = []string{test.before, test.late}
+			response, err := http.DefaultClient.Do(fixture.newRequest(context.Background(), http.MethodPost, "/r/a", "xy"))
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, response.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.Body.Close(), qt.IsNil)
+			conn, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, head)
+			c.Assert(err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			go func() { _ = fixture.gateway.Drain(ctx) }()
+			time.Sleep(500 * time.Millisecond)
+			_, err = io.WriteString(conn, rest)
+			c.Assert(err, qt.IsNil)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, answer.Body)
+			c.Check(err, qt.IsNil)
+			c.Check(answer.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Check(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			c.Check(fixture.receivedRequests(), qt.HasLen, 1)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,6 @@
 
 	waitTracker waitTracker
 	bufferRoom  bufferRoom
-	answerTimes answerTimes
 	draining    atomic.Bool
 	// endsAt is when the answers of a host that takes no connections any more must have ended,
 	// in nanoseconds since 1970; 0 before, and without a limit.
