witness: find how a target is asked once, when its answer begins

Cause: a host asks the target of an answer without a length whether it has outlived it. The question was made from the routes in force each time: once to see whether there is one, and once for each connection. A version that dropped the pool in between yielded none, and a goroutine of its own dereferenced it. A version that dropped the pool during the answer broke off a whole answer, too.

Now the question is found when the answer begins and kept; routes without one replace none. It names the target, so that no other process answers it as its own.

TestDroppedPoolIsAskedFurther failed in both lines before: the test process ended with the same trace, and a whole answer was 502.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -106,7 +106,7 @@
 			closed := "CLOSE"
 			fixture.health.Store(&closed)
 		}
-		c.Assert(fixture.read("/r/a"), qt.Equals, test.want, qt.Commentf("%+v", test))
+		c.Assert(fixture.read(), qt.Equals, test.want, qt.Commentf("%+v", test))
 		c.Assert(crashes.Load() > 0, qt.Equals, test.hasEnded)
 	}
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -65,7 +67,7 @@
 				if test.isLeaving {
 					fixture.leave()
 				}
-				c.Assert(fixture.read("/r/a"), qt.Equals, want)
+				c.Assert(fixture.read(), qt.Equals, want)
 			})
 		}
 	}
@@ -83,8 +85,8 @@
 
 // read sends a request and returns the status and the words of its answer, and "broken" if it
 // breaks off.
-func (fixture *fixture) read(path string) string {
-	response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(fixture.Context(), http.MethodPost, path, "x"))
+func (fixture *fixture) read() string {
+	response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(fixture.Context(), http.MethodPost, "/r/a", "x"))
 	fixture.Assert(err, qt.IsNil)
 	body, err := io.ReadAll(response.Body)
 	fixture.Assert(response.Body.Close(), qt.IsNil)
@@ -94,3 +96,45 @@
 	}
 	return got
 }
+
+// TestDroppedPoolIsAskedFurther guards against a host that crashes, or breaks off a whole answer
+// without a length, as a new version of the routes drops the pool of its target: during the answer
+// or while the target is asked whether it has outlived it.
+func TestDroppedPoolIsAskedFurther(t *testing.T) {
+	const mute = "HOLD"
+	for name, test := range map[string]struct {
+		health       string
+		isWhileAsked bool
+		want         string
+	}{
+		"during the answer": {health: healthyReply, want: "200 who"},
+		"while asked":       {health: mute, isWhileAsked: true, want: "502"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, "once") }), 1)
+			fixture.health.Store(&test.health)
+			var table atomic.Pointer[route.Table]
+			table.Store(fixture.table)
+			fixture.gateway.Table = table.Load
+			fixture.replies = []string{okReply, unframedReply + "who\nPAUSE\nCLOSE\n"}
+			c.Assert(fixture.read(), qt.Equals, "200 ok")
+			answer := make(chan string)
+			go func() { answer <- fixture.read() }()
+			for len(fixture.receivedRequests()) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if test.isWhileAsked {
+				close(fixture.resume)
+				time.Sleep(500 * time.Millisecond)
+			}
+			table.Store(route.NewTable(&route.Configuration{Version: 2}))
+			if !test.isWhileAsked {
+				close(fixture.resume)
+			}
+			c.Assert(<-answer, qt.Equals, test.want)
+		})
+	}
+}
--- a/gateway/witness.go
+++ b/gateway/witness.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// question returns the request by which a target says who it is, nil if there is none.
-func (gateway *Gateway) question(target *balance.Target, id string) *upstream.Request {
+// question returns how a target is asked who it is, nil if the routes in force have no way.
+func (gateway *Gateway) question(target *balance.Target) witness.Question {
 	table := gateway.Table()
 	if table == nil || gateway.Protocol.ReadIdentity == nil {
 		return nil
@@ -37,9 +37,12 @@
 	if path == "" {
 		return nil
 	}
-	header := http.Header{}
-	gateway.Protocol.WriteForward(header, Forward{ID: id, Target: target.ID})
-	return &upstream.Request{Method: http.MethodGet, Target: path, Host: target.Address, Header: header, ID: id}
+	targetID, address := target.ID, target.Address
+	return func(id string) *upstream.Request {
+		header := http.Header{}
+		gateway.Protocol.WriteForward(header, Forward{ID: id, Target: targetID})
+		return &upstream.Request{Method: http.MethodGet, Target: path, Host: address, Header: header, ID: id}
+	}
 }
 
 // answerEnd tells whether an answer that has ended is whole.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -65,6 +65,9 @@
 	NoQuestion Evidence = "the pool has no health checks"
 )
 
+// Question returns a request with an id that a target answers with its identity.
+type Question func(id string) *upstream.Request
+
 // Identity is what a target says of itself. Its fields are zero for what it does not say.
 type Identity struct {
 	Target    string
@@ -76,9 +79,9 @@
 // Witnesses finds evidence on the targets of answers. Its fields are set before use.
 type Witnesses struct {
 	Connections *upstream.Connections
-	// Question returns a request that a target answers with its identity, and does not count
-	// as work of callers. The request has the id. It is nil if there is none.
-	Question func(target *balance.Target, id string) *upstream.Request
+	// Question returns how a target is asked for its identity, which does not count as work of
+	// callers, by the routes in force. It is nil if the target can't be asked.
+	Question func(target *balance.Target) Question
 	// Identify reads what a target says of itself.
 	Identify func(status int, header http.Header, body []byte) Identity
 	// WasPaused reports whether this host has not worked for a while, or only just does again.
@@ -94,8 +97,11 @@
 // trackedTarget is a target that sends answers without a length.
 type trackedTarget struct {
 	balance.Target
-	users   int
-	waiting []*Watch
+	// question is how the target was asked by the newest routes that have its pool, nil for none.
+	// The routes may drop the pool while answers of it run.
+	question Question
+	users    int
+	waiting  []*Watch
 	// isAsking is set while a question is on its way or being prepared.
 	isAsking bool
 	// connection is the one to the target, nil if there is none; connecting is closed once it
@@ -129,6 +135,9 @@
 	defer witnesses.mutex.Unlock()
 	tracked := witnesses.track(target)
 	tracked.users++
+	if question := witnesses.Question(target); question != nil {
+		tracked.question = question
+	}
 	if tracked.drop != nil {
 		tracked.drop.Stop()
 		tracked.drop = nil
@@ -324,7 +333,7 @@
 		witnesses.mutex.Lock()
 		watches := tracked.waiting
 		tracked.waiting = nil
-		connection := tracked.connection
+		connection, question := tracked.connection, tracked.question
 		tracked.connection = nil
 		tracked.isAsking = len(watches) > 0
 		if !tracked.isAsking {
@@ -334,7 +343,13 @@
 		if len(watches) == 0 {
 			return
 		}
-		connection = witnesses.askFor(tracked, connection, watches)
+		if question == nil {
+			for _, watch := range watches {
+				watch.tell(NoQuestion)
+			}
+		} else {
+			connection = witnesses.askFor(tracked, question, connection, watches)
+		}
 		witnesses.mutex.Lock()
 		tracked.connection = connection
 		if tracked.users > 0 {
@@ -348,23 +363,19 @@
 
 // askFor asks a target over a connection, and over a new one if that brings nothing. It returns
 // the connection that may be used again, nil for none.
-func (witnesses *Witnesses) askFor(tracked *trackedTarget, connection *upstream.Reserved, watches []*Watch) *upstream.Reserved {
-	if witnesses.Question(&tracked.Target, "") == nil {
-		for _, watch := range watches {
-			watch.tell(NoQuestion)
-		}
-		return connection
-	}
+func (witnesses *Witnesses) askFor(
+	tracked *trackedTarget, question Question, connection *upstream.Reserved, watches []*Watch,
+) *upstream.Reserved {
 	ctx, cancel := context.WithTimeout(context.Background(), maxQuestionTime)
 	defer cancel()
-	identity, err := witnesses.question(ctx, tracked, connection)
+	identity, err := witnesses.askOver(ctx, tracked, question, connection)
 	isNew := err != nil
 	if isNew {
 		// What accepts a new connection may be another process.
 		ctx, cancel := context.WithTimeout(context.Background(), secondTime)
 		defer cancel()
 		if connection, err = witnesses.Connections.Open(ctx, tracked.Address); err == nil {
-			identity, err = witnesses.question(ctx, tracked, connection)
+			identity, err = witnesses.askOver(ctx, tracked, question, connection)
 		}
 	}
 	for _, watch := range watches {
@@ -386,14 +397,16 @@
 
 var errNoConnection = errors.New("there is no connection to the target")
 
-// question asks a target for its identity. It closes the connection, which may be nil, if that
+// askOver asks a target for its identity. It closes the connection, which may be nil, if that
 // fails.
-func (witnesses *Witnesses) question(ctx context.Context, tracked *trackedTarget, connection *upstream.Reserved) (Identity, error) {
+func (witnesses *Witnesses) askOver(
+	ctx context.Context, tracked *trackedTarget, question Question, connection *upstream.Reserved,
+) (Identity, error) {
 	if connection == nil {
 		return Identity{}, errNoConnection
 	}
 	id := "witness-" + strconv.FormatInt(witnesses.number.Add(1), 36) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	answer, body, err := connection.Ask(ctx, witnesses.Question(&tracked.Target, id))
+	answer, body, err := connection.Ask(ctx, question(id))
 	if err != nil {
 		connection.Close()
 		return Identity{}, fmt.Errorf("ask the target %s: %w", tracked.ID, err)
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -101,8 +101,10 @@
 			return upstream.Identity{ID: header.Get("Id")}
 		}},
 		Events: &timeline.Recorder{},
-		Question: func(_ *balance.Target, id string) *upstream.Request {
-			return &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}
+		Question: func(*balance.Target) Question {
+			return func(id string) *upstream.Request {
+				return &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}
+			}
 		},
 		Identify: func(_ int, header http.Header, _ []byte) Identity {
 			identity := Identity{Target: header.Get("Target"), Misdirected: header.Get("Misdirected") != ""}
