discovery: hold a vanished entry only after an outage in which it may expire

Cause: an entry that vanished around any failed call to the platform was taken for one that had expired in an outage and was held for 2.2 s after the failure, and up to 0.25 s more. One refused or late list was enough.

Now it is held only if, besides, no host had read the entries for two heartbeats of targets: the platform removes an entry after three without a write, so that none can have expired sooner. Hosts tell each other of their reads already. The hold ends by a timer. Facts of 8103 tell which call had failed and for how long nothing was read, also of entries that go at once. The heartbeat is a setting.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -163,8 +163,10 @@
 	// one failed between the platform's previous answer and the one that led to
 	// this state. It is zero otherwise, and in a state from another host.
 	OutageAt time.Time
-	// OutageCause says what failed then.
+	// OutageCause says what failed then, and OutageAge how long ago a read, by whichever host, had
+	// last found the objects to be the platform's newest.
 	OutageCause string
+	OutageAge   time.Duration
 	// IsRestored is set in the first state of an era: the platform came back from an
 	// older copy, from which the objects may be.
 	IsRestored bool
@@ -181,6 +183,8 @@
 type failure struct {
 	at    time.Time
 	cause string
+	// age is that of the last verification at the answer after it.
+	age time.Duration
 }
 
 func (outage *Outage) recordFailure(cause string) {
@@ -692,7 +696,8 @@
 	}
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
-	follower.state.OutageAt, follower.state.OutageCause, follower.state.IsRestored = outage.at, outage.cause, isRestored
+	follower.state.OutageAt, follower.state.OutageCause, follower.state.OutageAge = outage.at, outage.cause, outage.age
+	follower.state.IsRestored = isRestored
 	if leftOut == 0 {
 		follower.expectWatch()
 	}
@@ -706,6 +711,11 @@
 	follower.mutex.Lock()
 	outage := follower.Outage.lastAfter(follower.answeredAt)
 	follower.answeredAt = time.Now()
+	if verifiedAt := follower.verified.At; verifiedAt.After(follower.startedAt) {
+		outage.age = follower.answeredAt.Sub(verifiedAt)
+	} else {
+		outage.age = follower.answeredAt.Sub(follower.startedAt)
+	}
 	recovered := follower.platformLost
 	follower.platformLost = false
 	follower.mutex.Unlock()
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -19,8 +20,13 @@
 	// held. The platform states that entries of live targets may be missing for
 	// about two seconds.
 	maxHoldTime = 2200 * time.Millisecond
-	// heldCheckInterval is how often held targets are checked for expiry.
-	heldCheckInterval = 250 * time.Millisecond
+	// outageHeartbeats is the number of heartbeats for which the platform must not have been read
+	// before an entry that vanishes may have expired meanwhile. The platform removes an entry
+	// after three without a write, and the last write may be one old when an outage begins.
+	outageHeartbeats = 2
+	defaultHeartbeat = 1200 * time.Millisecond
+	// restoredCheckInterval is how often it is checked whether entries of a copy are believed.
+	restoredCheckInterval = 250 * time.Millisecond
 	// departureMemory is how long targets are remembered that were leaving or gone. The
 	// copy that a platform comes back from may still have them.
 	departureMemory = time.Minute
@@ -34,7 +40,7 @@
 var (
 	eventTargetEntry = timeline.Define(timeline.Kind{
 		Number: 8103, Name: "target entry", Level: timeline.Info,
-		Meaning: "The platform's entry of a target was added, changed or removed; the detail says which.",
+		Meaning: "The platform's entry of a target was added, changed or removed; the detail says which. If requests to the platform failed before, cause is the last failure, and unread the time for which no host had read the entries; a target is used further only if that is so long that its entry may have expired.",
 	})
 	eventTargetUnreadable = timeline.Define(timeline.Kind{
 		Number: 8104, Name: "target entry unreadable", Level: timeline.Warn,
@@ -52,12 +58,15 @@
 
 // Targets decodes the platform's entries, which are objects that describe one target
 // each. If an entry vanishes in an outage, its target is held until maxHoldTime after
-// it. If the platform came back from an older copy, the entries of targets that have left
+// it, as the entry may have expired. One that vanishes around calls that failed for a shorter time
+// was removed, as its target leaves. If the platform came back from an older copy, the entries of targets that have left
 // since are not believed. Fields must be set before Apply.
 type Targets struct {
 	// Decode returns the target that an entry describes by its name and value.
 	Decode func(name string, value []byte) (balance.Target, error)
-	Events *timeline.Recorder
+	// Heartbeat is the time between two writes of a target to its entry; 0 stands for the default.
+	Heartbeat time.Duration
+	Events    *timeline.Recorder
 	// OnChange is called with the complete list of targets after each change.
 	OnChange func([]balance.Target)
 
@@ -93,13 +102,11 @@
 	until    time.Time
 }
 
-// Run drops targets whose entries did not come back within maxHoldTime, and believes the
-// entries of departed ones that the platform still has after maxDepartedTime. It returns
-// nil when the context ends.
+// Run believes the entries of departed targets that the platform still has after
+// maxDepartedTime. It returns nil when the context ends.
 func (targets *Targets) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause.For(ctx, heldCheckInterval)
-		targets.dropExpired()
+		pause.For(ctx, restoredCheckInterval)
 		targets.believeRestored()
 	}
 	return nil
@@ -134,7 +141,7 @@
 	targets.depart(next, state)
 	targets.holdVanished(next, unreadable, state)
 	dropReplaced(next)
-	targets.recordChanges(next, unreadable)
+	targets.recordChanges(next, unreadable, state)
 	targets.recordDepartures(next, unreadable)
 	targets.targets = next
 	targets.publish()
@@ -246,7 +253,7 @@
 		}
 		until, held := targets.heldUntil[name]
 		if !held {
-			if target.Leaving || state.OutageAt.IsZero() {
+			if target.Leaving || !targets.wasOutage(state) {
 				continue
 			}
 			until = state.OutageAt.Add(maxHoldTime)
@@ -256,10 +263,14 @@
 				entriesHeld.Inc()
 				targets.Events.Record(eventTargetEntry, timeline.Event{
 					Target: name, Pool: target.Pool, Detail: "missing after an outage, used further", Facts: []timeline.Fact{
-						{Key: "cause", Value: state.OutageCause}, timeline.Duration("outageAge", now.Sub(state.OutageAt)), timeline.Duration("held", until.Sub(now)),
+						{Key: "cause", Value: state.OutageCause}, timeline.Duration("outageAge", now.Sub(state.OutageAt)),
+						timeline.Duration("unread", state.OutageAge), timeline.Duration("held", until.Sub(now)),
 					},
 				})
 			}
+			if !held {
+				time.AfterFunc(until.Sub(now), targets.dropExpired)
+			}
 			if targets.heldUntil == nil {
 				targets.heldUntil = map[string]time.Time{}
 			}
@@ -269,6 +280,15 @@
 	}
 }
 
+// wasOutage reports whether the platform was away before a state for so long that entries may
+// have expired.
+func (targets *Targets) wasOutage(state State) bool {
+	if state.OutageAt.IsZero() {
+		return false
+	}
+	return state.IsRestored || state.OutageAge >= outageHeartbeats*cmp.Or(targets.Heartbeat, defaultHeartbeat)
+}
+
 // dropExpired drops the held targets whose time in heldUntil has passed.
 func (targets *Targets) dropExpired() {
 	targets.mutex.Lock()
@@ -295,7 +315,7 @@
 
 // recordChanges records an event for each target that is new or gone, changed its
 // leaving state, or has a new start time or address.
-func (targets *Targets) recordChanges(next map[string]balance.Target, unreadable map[string]Object) {
+func (targets *Targets) recordChanges(next map[string]balance.Target, unreadable map[string]Object, state State) {
 	for name, target := range next {
 		before, found := targets.targets[name]
 		switch {
@@ -311,11 +331,13 @@
 		if _, ok := next[name]; ok {
 			continue
 		}
-		detail := "gone"
+		event := timeline.Event{Target: name, Detail: "gone"}
 		if _, ok := unreadable[name]; ok {
-			detail = "unreadable: gets nothing new"
+			event.Detail = "unreadable: gets nothing new"
+		} else if !state.OutageAt.IsZero() {
+			event.Facts = []timeline.Fact{{Key: "cause", Value: state.OutageCause}, timeline.Duration("unread", state.OutageAge)}
 		}
-		targets.Events.Record(eventTargetEntry, timeline.Event{Target: name, Detail: detail})
+		targets.Events.Record(eventTargetEntry, event)
 	}
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -251,7 +251,9 @@
 		Hosts: host.exchange.Hosts, Turn: host.exchange.Turn, StartDelay: delay, OnRead: host.checkTargets, OnChange: host.routes.Apply,
 		Within: min(settings.Platform.RoutesWithin, settings.Platform.TargetsWithin),
 	}
-	host.targets = &discovery.Targets{Decode: sources.DecodeTarget, Events: events, OnChange: host.setTargets}
+	host.targets = &discovery.Targets{
+		Decode: sources.DecodeTarget, Heartbeat: settings.Platform.Heartbeat, Events: events, OnChange: host.setTargets,
+	}
 	host.targetFollower = &discovery.Follower{
 		Outage: outage, Eras: sources.Eras, ShouldWatch: watches, Kind: "targets", Source: sources.Targets, Events: events,
 		Hosts: host.exchange.Hosts, Turn: host.exchange.Turn, StartDelay: delay, OnChange: host.targets.Apply,
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -17,6 +17,8 @@
 	// of the targets, must be in force on all gateways.
 	RoutesWithin  time.Duration `yaml:"routesWithin" default:"2s"`
 	TargetsWithin time.Duration `yaml:"targetsWithin" default:"2s"`
+	// Heartbeat is the time between two writes of a target to its entry.
+	Heartbeat time.Duration `yaml:"heartbeat" default:"1200ms"`
 }
 
 // minWithin keeps hosts from asking the platform without a pause.
@@ -36,6 +38,9 @@
 	if platform.TargetsWithin < minWithin {
 		checker.addFault("platform.targetsWithin", "is %s, must be at least %s", platform.TargetsWithin, minWithin)
 	}
+	if platform.Heartbeat <= 0 {
+		checker.addFault("platform.heartbeat", "is %s, must be above 0", platform.Heartbeat)
+	}
 	if platform.Rate <= 0 {
 		checker.addFault("platform.rate", "is %g, must be above 0", platform.Rate)
 	}
