upstream: do not take a reset during an upload for the end of an answer

Cause: the system tells of a reset once, and the goroutine that writes the body may be told of it in place of the read, which then finds an ordinary end.

Now the end of a body that ends with its connection counts only if the whole request was written without an error before it. The write is waited for as long as before a connection is kept.

TestEarlyAnswerOfASlowReader shows that a target that reads on is still believed.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -117,7 +118,7 @@
 		connection.close()
 		return nil, err
 	}
-	answer.Body.connections, answer.Body.connection, answer.Body.stopAbort = connections, connection, stopAbort
+	answer.Body.connections, answer.Body.stopAbort = connections, stopAbort
 	return answer, nil
 }
 
@@ -135,12 +136,13 @@
 		}
 		return nil, Unknown.Wrap(err, "write to %s", connection.address)
 	}
-	connection.bodyWritten = nil
+	connection.bodyWritten, connection.isUnwritten = nil, false
 	if len(request.Body) > maxInlineBodyBytes {
-		connection.bodyWritten = make(chan error, 1)
+		written := make(chan error, 1)
+		connection.bodyWritten = written
 		go func() {
 			_, err := connection.Write(request.Body)
-			connection.bodyWritten <- err
+			written <- err
 		}()
 	}
 	matching := &matching{connections: connections, connection: connection, request: request, carried: carried, isFirst: carried == 0}
@@ -152,13 +154,14 @@
 		return nil, Unknown.Wrap(err, "read from %s", connection.address)
 	}
 	connection.updateReuse(response)
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body:   &Body{content: response.Body},
+		Body:   &Body{content: response.Body, connection: connection, isUnframed: isUnframed},
 		Length: response.ContentLength,
 
-		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead,
+		Unframed: isUnframed,
 		Reused:   connection.uses > 0,
 	}, nil
 }
@@ -190,6 +193,8 @@
 	content     io.Reader
 	connections *Connections
 	connection  *connection
+	// isUnframed means that the body ends with the connection.
+	isUnframed bool
 	// stopAbort keeps the end of the request's context from aborting the
 	// connection; it returns false if that has already happened.
 	stopAbort func() bool
@@ -205,10 +210,18 @@
 	return &Body{content: content, release: release}
 }
 
+// errUnread is returned at the end of a body that ends with its connection, if the target did not
+// take the whole request: the connection was reset, of which the system tells only once, and may
+// have told the write in place of the read.
+var errUnread = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+
 // Read returns io.EOF only at the end of a complete body.
 func (body *Body) Read(buffer []byte) (int, error) {
 	n, err := body.content.Read(buffer)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if body.isUnframed && !body.connection.waitBodyWritten() {
+			return n, errUnread
+		}
 		body.readToEnd = true
 	}
 	return n, err
@@ -305,8 +318,10 @@
 	input   *headLimiter
 	reader  *bufio.Reader
 	// bodyWritten receives the result of writing a body concurrently; nil if the
-	// body was written before the answer was read.
+	// body was written before the answer was read, or has been since. isUnwritten is set once
+	// it was not written in time.
 	bodyWritten chan error
+	isUnwritten bool
 	// uses is the number of answers that were read completely, carried that of the requests
 	// that were written, also in part.
 	uses, carried int
@@ -337,15 +352,16 @@
 // waitBodyWritten reports whether the whole request was written; it waits up to
 // bodyWriteTimeout.
 func (connection *connection) waitBodyWritten() bool {
-	if connection.bodyWritten == nil {
-		return true
+	if connection.bodyWritten == nil || connection.isUnwritten {
+		return !connection.isUnwritten
 	}
 	timer := time.NewTimer(bodyWriteTimeout)
 	defer timer.Stop()
 	select {
 	case err := <-connection.bodyWritten:
-		return err == nil
+		connection.bodyWritten, connection.isUnwritten = nil, err != nil
 	case <-timer.C:
-		return false
+		connection.isUnwritten = true
 	}
+	return !connection.isUnwritten
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -294,3 +294,42 @@
 	group.Wait()
 	c.Assert(connections.OpenCount(address), qt.Equals, share)
 }
+
+// TestResetDuringUpload guards against an answer without a length that is taken as whole although
+// its target reset the connection while the request was still being written: the system may tell
+// the write of the reset, and the read of an ordinary end.
+func TestResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	const rounds = 100
+	address, _ := startTarget(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+testID+"\r\n\r\nhalf")
+		time.Sleep(2 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	connections := newConnections()
+	body := make([]byte, 16<<20)
+	complete := 0
+	for range rounds {
+		if text, err := exchange(connections, address, body, true); err == nil {
+			complete++
+			c.Logf("complete: %q", text)
+		}
+	}
+	c.Assert(complete, qt.Equals, 0, qt.Commentf("of %d", rounds))
+}
+
+// TestEarlyAnswerOfASlowReader checks that an answer without a length is whole if its target reads
+// the rest of a long request all the same.
+func TestEarlyAnswerOfASlowReader(t *testing.T) {
+	c := qt.New(t)
+	address, _ := startTarget(c, func(conn net.Conn, _ *bufio.Reader, request *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+testID+"\r\n\r\nwhole")
+		_, err := io.Copy(io.Discard, request.Body)
+		c.Check(err, qt.IsNil)
+		return false
+	})
+	text, err := exchange(newConnections(), address, make([]byte, 1<<20), true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.Equals, "whole")
+}
