head: check the status of answers before net/http reads them

Package head checks the bytes of each head as they arrive: a status line has HTTP/1.x and a status from 100 to 599 other than 101. upstream checks in the input of its connections; head.Transport gives protocol, platform, objects and the operators' commands connections that are checked; a detour checks what another host has read again.

--- a/command/apply.go
+++ b/command/apply.go
@@ -18,7 +18,7 @@
 }
 
 func (options *platformOptions) client() *objects.Client {
-	return &objects.Client{Address: options.Platform, Timeout: platformTimeout, Do: new(http.Client).Do}
+	return &objects.Client{Address: options.Platform, Timeout: platformTimeout, Do: (&http.Client{Transport: objects.NewTransport(nil)}).Do}
 }
 
 type applyCommand struct {
--- a/detour/client.go
+++ b/detour/client.go
@@ -24,6 +24,7 @@
 
 	"nutmegfield.example/balance"
 	"nutmegfield.example/detour/detourpb"
+	"nutmegfield.example/head"
 	"nutmegfield.example/pause"
 	"nutmegfield.example/timeline"
 	"nutmegfield.example/upstream"
@@ -308,6 +309,10 @@
 		return nil, upstream.Unknown.New("the answer over host %s has %d fields", exchange.host.ID, fields)
 	}
 	header := decodeHeader(reply.GetHeader())
+	// A host of an earlier build passes on what it has read.
+	if err := head.CheckRead(int(reply.GetStatus()), header); err != nil {
+		return nil, upstream.Unknown.Wrap(err, "read over host %s", exchange.host.ID)
+	}
 	if err := exchange.checkOwn(call, int(reply.GetStatus()), header); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/head/head_test.go
@@ -0,0 +1,149 @@
+package head
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// line is a line of testdata/heads.txt.
+type line struct{ name, verdict, text string }
+
+func readLines(c *qt.C) []line {
+	text, err := os.ReadFile("testdata/heads.txt")
+	c.Assert(err, qt.IsNil)
+	var lines []line
+	for text := range strings.Lines(string(text)) {
+		if strings.HasPrefix(text, "#") {
+			continue
+		}
+		var line line
+		_, err := fmt.Sscanf(text, "%s %s %q", &line.name, &line.verdict, &line.text)
+		c.Assert(err, qt.IsNil, qt.Commentf("line %q", text))
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// verdict checks a head that comes in pieces of some bytes.
+func verdict(text string, piece int) string {
+	var checker Checker
+	for len(text) > 0 {
+		n := min(piece, len(text))
+		taken, err := checker.Write([]byte(text[:n]))
+		switch {
+		case err != nil:
+			return "malformed"
+		case checker.IsWhole() && taken < len(text):
+			return "longer"
+		}
+		text = text[n:]
+	}
+	if checker.IsWhole() {
+		return "whole"
+	}
+	return "open"
+}
+
+// TestHeads guards against heads that are no answer of the protocol and are taken as one.
+func TestHeads(t *testing.T) {
+	for _, line := range readLines(qt.New(t)) {
+		t.Run(line.name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, piece := range []int{1, 3, 1 << 10} {
+				c.Assert(verdict(line.text, piece), qt.Equals, line.verdict, qt.Commentf("%d bytes at once", piece))
+			}
+		})
+	}
+}
+
+// TestTransport guards against answers with such heads that net/http takes: as the first answer of
+// a connection, after another one and after an interim one.
+func TestTransport(t *testing.T) {
+	const whole, interim = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\n"
+	for _, line := range readLines(qt.New(t)) {
+		for name, replies := range map[string][]string{"first": {line.text}, "second": {whole, line.text}, "interim": {interim + line.text}} {
+			t.Run(line.name+"/"+name, func(t *testing.T) {
+				c := qt.New(t)
+				transport := NewTransport(&http.Transport{DialContext: dialReplies(c, line.verdict == "open", replies)})
+				defer transport.CloseIdleConnections()
+				for i := range replies {
+					ctx, cancel := context.WithTimeout(c.Context(), time.Second)
+					defer cancel()
+					request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/", http.NoBody)
+					c.Assert(err, qt.IsNil)
+					response, err := transport.RoundTrip(request)
+					if i == len(replies)-1 && line.verdict != "whole" {
+						c.Assert(err, qt.IsNotNil, qt.Commentf("%+v", response))
+						c.Assert(ctx.Err(), qt.IsNil)
+						return
+					}
+					c.Assert(err, qt.IsNil)
+					body, err := io.ReadAll(response.Body)
+					c.Assert(err, qt.IsNil)
+					c.Assert(string(body), qt.Equals, "ok")
+					c.Assert(response.Body.Close(), qt.IsNil)
+				}
+			})
+		}
+	}
+}
+
+// dialReplies returns a function that opens a connection to a server which answers with replies,
+// the last one with a body unless it is open, and then closes the connection.
+func dialReplies(c *qt.C, isOpen bool, replies []string) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			reader := bufio.NewReader(far)
+			for i, reply := range replies {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				if i == len(replies)-1 && !isOpen {
+					reply += "ok"
+				}
+				_, _ = io.WriteString(far, reply)
+			}
+		}()
+		c.Cleanup(func() { _ = near.Close() })
+		return near, nil
+	}
+}
+
+// FuzzChecker looks for heads that the checker takes and net/http reads otherwise: with another
+// status or another end.
+func FuzzChecker(f *testing.F) {
+	for _, line := range readLines(qt.New(f)) {
+		f.Add([]byte(line.text), uint8(3))
+	}
+	f.Fuzz(func(t *testing.T, text []byte, piece uint8) {
+		c := qt.New(t)
+		var checker Checker
+		n, err := checker.Write(text)
+		c.Assert(verdict(string(text), 1+int(piece)) == "malformed", qt.Equals, err != nil)
+		if err != nil || !checker.IsWhole() {
+			return
+		}
+		reader := bufio.NewReader(bytes.NewReader(text))
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return
+		}
+		c.Assert(response.StatusCode, qt.Equals, checker.Status())
+		c.Assert(reader.Buffered() <= len(text)-n, qt.IsTrue)
+	})
+}
--- a/protocol/connection.go
+++ b/protocol/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -90,12 +89,18 @@
 	}
 }
 
-// connectionOf returns the *connection that net/http uses, also underneath TLS, or
-// nil if there is none.
+// connectionOf returns the *connection that net/http uses, also underneath others, or nil if there
+// is none.
 func connectionOf(conn net.Conn) *connection {
-	if tlsConn, ok := conn.(*tls.Conn); ok {
-		conn = tlsConn.NetConn()
+	for conn != nil {
+		if connection, ok := conn.(*connection); ok {
+			return connection
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
 	}
-	connection, _ := conn.(*connection)
-	return connection
+	return nil
 }
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"nutmegfield.example/head"
 	"nutmegfield.example/request"
 )
 
@@ -45,9 +46,9 @@
 // server-sent events, and the engine's control calls under /engine.
 type engine struct {
 	limits    Limits
-	transport *http.Transport
+	transport *head.Transport
 	// singleUse opens a new connection for each request.
-	singleUse *http.Transport
+	singleUse *head.Transport
 }
 
 func (engine *engine) dispatch(ctx context.Context, address string, call *Call) (*Answer, error) {
--- a/protocol/service.go
+++ b/protocol/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"nutmegfield.example/head"
 	"nutmegfield.example/request"
 )
 
@@ -21,7 +22,7 @@
 // service is the client of plain HTTP services.
 type service struct {
 	limits    Limits
-	transport *http.Transport
+	transport *head.Transport
 }
 
 func (service *service) dispatch(ctx context.Context, address string, call *Call) (*Answer, error) {
--- a/protocol/transport.go
+++ b/protocol/transport.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"nutmegfield.example/head"
 )
 
 const (
@@ -25,7 +27,9 @@
 )
 
 // newTransport returns a transport that keeps connections to targets open.
-func newTransport(dial dialFunc) *http.Transport {
+func newTransport(dial dialFunc) *head.Transport { return head.NewTransport(baseTransport(dial)) }
+
+func baseTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext:            countingDialer(dial),
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
@@ -38,10 +42,10 @@
 
 // newSingleUseTransport returns a transport that opens a new connection for each
 // request, as an open one may have gone silent.
-func newSingleUseTransport(dial dialFunc) *http.Transport {
-	transport := newTransport(dial)
-	transport.DisableKeepAlives = true
-	return transport
+func newSingleUseTransport(dial dialFunc) *head.Transport {
+	base := baseTransport(dial)
+	base.DisableKeepAlives = true
+	return head.NewTransport(base)
 }
 
 // nonReplayableBody hides its length and type from net/http, which otherwise
@@ -107,7 +111,7 @@
 // arrive within headerTimeout; 0 means no limit. The error is NotSent if no byte was
 // sent, otherwise Silent or Broken. IsReused reports whether the connection had carried
 // another request before.
-func send(ctx context.Context, transport *http.Transport, address string, call *Call, headerTimeout time.Duration) (response *http.Response, isReused bool, err error) {
+func send(ctx context.Context, transport *head.Transport, address string, call *Call, headerTimeout time.Duration) (response *http.Response, isReused bool, err error) {
 	sendTrace := &sendTrace{call: call}
 	ctx, cancel := context.WithCancelCause(ctx)
 	trace := &httptrace.ClientTrace{GotConn: sendTrace.gotConn}
--- a/upstream/match.go
+++ b/upstream/match.go
@@ -119,9 +119,7 @@
 	connection := matching.connection
 	sentRequest := &http.Request{Method: matching.request.Method}
 	for range maxForeignAnswers {
-		connection.input.startHead()
-		response, err := http.ReadResponse(connection.reader, sentRequest)
-		connection.input.endHead()
+		response, err := connection.readHead(sentRequest)
 		if err != nil {
 			return nil, fmt.Errorf("read the answer's header: %w", err)
 		}
@@ -145,6 +143,21 @@
 	return nil, errForeignAnswers
 }
 
+// readHead reads the head of an answer.
+func (connection *connection) readHead(request *http.Request) (*http.Response, error) {
+	// What is buffered can be peeked at.
+	buffered, _ := connection.reader.Peek(connection.reader.Buffered())
+	if err := connection.input.startHead(buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(connection.reader, request)
+	connection.input.endHead()
+	if err != nil {
+		return nil, fmt.Errorf("parse: %w", err)
+	}
+	return response, nil
+}
+
 // countLines returns the number of lines of a header.
 func countLines(header http.Header) int {
 	count := 0
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"nutmegfield.example/errorkind"
+	"nutmegfield.example/head"
 )
 
 // Error types of this package.
@@ -126,11 +127,11 @@
 	sent := time.Now()
 	carried := connection.carried
 	connection.carried++
-	head := connections.encodeHead(request)
+	text := connections.encodeHead(request)
 	if len(request.Body) <= maxInlineBodyBytes {
-		head = append(head, request.Body...)
+		text = append(text, request.Body...)
 	}
-	if n, err := connection.Write(head); err != nil {
+	if n, err := connection.Write(text); err != nil {
 		if n == 0 && ctx.Err() == nil {
 			return nil, NotSent.Wrap(err, "write to %s", connection.address)
 		}
@@ -277,9 +278,11 @@
 }
 
 // headLimiter is the input of a connection's buffer. It fails once the head of an answer
-// is longer than maxHeadBytes or has more lines than maxHeadLines.
+// is longer than maxHeadBytes, has more lines than maxHeadLines or is malformed.
 type headLimiter struct {
 	source io.Reader
+	// checker checks the head.
+	checker head.Checker
 	// isInHead is set while the head of an answer is read, of which remaining bytes and
 	// lines are allowed.
 	isInHead                  bool
@@ -288,8 +291,19 @@
 	failed error
 }
 
-func (headLimiter *headLimiter) startHead() {
+// startHead is called before a head is read, with the part of it that has come already.
+func (headLimiter *headLimiter) startHead(buffered []byte) error {
 	headLimiter.isInHead, headLimiter.remaining, headLimiter.remainingLines = true, maxHeadBytes, maxHeadLines
+	headLimiter.checker = head.Checker{}
+	return headLimiter.check(buffered)
+}
+
+// check checks a part of the head, and what follows it.
+func (headLimiter *headLimiter) check(text []byte) error {
+	if _, err := headLimiter.checker.Write(text); err != nil {
+		headLimiter.failed = fmt.Errorf("check the head: %w", err)
+	}
+	return headLimiter.failed
 }
 
 func (headLimiter *headLimiter) endHead() { headLimiter.isInHead = false }
@@ -308,6 +322,9 @@
 	headLimiter.remaining -= n
 	// The last bytes may be those of the body; they don't matter any more then.
 	headLimiter.remainingLines -= bytes.Count(buffer[:n], []byte("\n"))
+	if err := headLimiter.check(buffer[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
