head: take no answer whose fields or framing are malformed

Cause: net/http's parser takes blanks in names and keeps such names as they are. A blank before the colon of Content-Length or Transfer-Encoding makes an answer without a length of it, with all that follows as its body.

Now each line of a head has a name of token characters, the colon right behind it, a value without control bytes, and CR and LF at its end; lines that go on, empty names and bodies that are framed in two ways are no answer. What another host has read is checked by its fields. The names are checked by golang.org/x/net/http/httpguts.

--- a/detour/heads_test.go
+++ b/detour/heads_test.go
@@ -42,6 +42,9 @@
 		{name: "status 0"},
 		{name: "status 101", status: 101},
 		{name: "status 999", status: 999},
+		{name: "blank in a name", status: 200, field: &detourpb.Field{Name: "Other Field", Values: []string{"a"}}},
+		{name: "blank before the colon", status: 200, field: &detourpb.Field{Name: "Content-Length ", Values: []string{"2"}}},
+		{name: "control byte in a value", status: 200, field: &detourpb.Field{Name: "Other", Values: []string{"a\x00b"}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/head/head.go
+++ b/head/head.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
 	"nutmegfield.example/errorkind"
 )
@@ -42,9 +43,16 @@
 
 // Checker checks the head of one answer as its bytes arrive. The zero value is ready for use.
 type Checker struct {
-	// start is the beginning of the current line, of length bytes.
-	start  [maxStartBytes]byte
-	length int
+	// start is the beginning of the current line, of length bytes. hasName is set behind the name
+	// of a field, hasReturn behind a carriage return.
+	start              [maxStartBytes]byte
+	length             int
+	hasName, hasReturn bool
+	// isOld is set for HTTP/1.0. contentLength is the field that gives the length of the body,
+	// empty for none, and isChunked is set if there is one that says that it comes in chunks.
+	isOld         bool
+	contentLength string
+	isChunked     bool
 	// status is 0 until the status line has ended.
 	status  int
 	isWhole bool
@@ -73,8 +81,20 @@
 func (checker *Checker) line() []byte { return checker.start[:min(checker.length, maxStartBytes)] }
 
 func (checker *Checker) add(char byte) error {
-	if char == '\n' {
+	switch {
+	case checker.hasReturn && char != '\n':
+		return malformed("a carriage return inside the line that begins with %.20q", checker.line())
+	case checker.hasReturn:
 		return checker.endLine()
+	case char == '\r':
+		checker.hasReturn = true
+		return nil
+	case char < ' ' && char != '\t' || char == 0x7f:
+		return malformed("the byte %#02x in the line that begins with %.20q", char, checker.line())
+	case checker.status > 0 && !checker.hasName && char == ':' && checker.length > 0:
+		checker.hasName = true
+	case checker.status > 0 && !checker.hasName && !httpguts.IsTokenRune(rune(char)):
+		return malformed("the byte %#02x in the name of the field that begins with %.20q", char, checker.line())
 	}
 	if checker.length < maxStartBytes {
 		checker.start[checker.length] = char
@@ -82,7 +102,7 @@
 	checker.length++
 	if checker.status == 0 && checker.length == statusLineBytes+1 {
 		// What is no answer need not be read to the end of a line.
-		_, err := readStatus(bytes.TrimSuffix(checker.line(), []byte("\r")))
+		_, err := readStatus(checker.line())
 		return err
 	}
 	return nil
@@ -90,21 +110,58 @@
 
 // endLine checks a line at its end.
 func (checker *Checker) endLine() error {
-	line := bytes.TrimSuffix(checker.line(), []byte("\r"))
+	line := checker.line()
+	var err error
 	switch {
 	case checker.status == 0:
-		status, err := readStatus(line)
-		if err != nil {
-			return err
-		}
-		checker.status = status
+		checker.status, err = readStatus(line)
+		checker.isOld = err == nil && line[len(statusLineStart)] == '0'
 	case len(line) == 0:
 		checker.isWhole = true
+		err = checker.checkFraming()
+	case !checker.hasName:
+		err = malformed("no field in the line that begins with %.20q", line)
+	default:
+		err = checker.checkField(line)
+	}
+	checker.length, checker.hasName, checker.hasReturn = 0, false, false
+	return err
+}
+
+// checkField checks a field if it says where the body ends.
+func (checker *Checker) checkField(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.Trim(value, " \t")
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		if checker.length > maxStartBytes || len(value) == 0 || bytes.ContainsFunc(value, func(char rune) bool { return char < '0' || char > '9' }) {
+			return malformed("a length of %.20q", value)
+		}
+		if checker.contentLength != "" && checker.contentLength != string(value) {
+			return malformed("two lengths, %.20q and %.20q", checker.contentLength, value)
+		}
+		checker.contentLength = string(value)
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		if checker.length > maxStartBytes || checker.isChunked || !bytes.EqualFold(value, []byte("chunked")) {
+			return malformed("a body that is encoded as %.20q", value)
+		}
+		checker.isChunked = true
 	}
-	checker.length = 0
 	return nil
 }
 
+// checkFraming checks that the head says in one way only where the body ends.
+func (checker *Checker) checkFraming() error {
+	switch {
+	case checker.isChunked && checker.contentLength != "":
+		return malformed("chunks and a length of %.20q", checker.contentLength)
+	case checker.isChunked && checker.isOld:
+		return malformed("chunks in an answer of HTTP/1.0")
+	default:
+		return nil
+	}
+}
+
 // readStatus reads the status from the beginning of a status line.
 func readStatus(line []byte) (int, error) {
 	if len(line) < statusLineBytes || !bytes.HasPrefix(line, []byte(statusLineStart)) ||
@@ -137,9 +194,19 @@
 
 // CheckRead returns an error unless the head of a final answer, which was read elsewhere, is one
 // of the protocol.
-func CheckRead(status int, _ http.Header) error {
+func CheckRead(status int, header http.Header) error {
 	if status < http.StatusOK {
 		return malformed("the status is %03d", status)
 	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformed("a field of the name %.20q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return malformed("a value of the field %.20q", name)
+			}
+		}
+	}
 	return checkStatus(status)
 }
--- a/head/head_test.go
+++ b/head/head_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -125,7 +126,7 @@
 }
 
 // FuzzChecker looks for heads that the checker takes and net/http reads otherwise: with another
-// status or another end.
+// status or end, with fields that the protocol doesn't allow, or with a body of another length.
 func FuzzChecker(f *testing.F) {
 	for _, line := range readLines(qt.New(f)) {
 		f.Add([]byte(line.text), uint8(3))
@@ -145,5 +146,25 @@
 		}
 		c.Assert(response.StatusCode, qt.Equals, checker.Status())
 		c.Assert(reader.Buffered() <= len(text)-n, qt.IsTrue)
+		c.Assert(CheckRead(max(response.StatusCode, http.StatusOK), response.Header), qt.IsNil)
+		c.Assert(len(response.TransferEncoding) > 0, qt.Equals, checker.isChunked)
+		hasBody := response.StatusCode >= http.StatusOK && response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotModified
+		if hasBody && checker.contentLength != "" {
+			c.Assert(strings.TrimLeft(checker.contentLength, "0"), qt.Equals, strings.TrimLeft(strconv.FormatInt(response.ContentLength, 10), "0"))
+		}
+		if hasBody && !checker.isChunked && checker.contentLength == "" {
+			c.Assert(response.ContentLength, qt.Equals, int64(-1))
+		}
 	})
 }
+
+func BenchmarkChecker(b *testing.B) {
+	text := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest: 9c41d07be2a35f68\r\nSeal: 3e1b.07.5a2.600.0.c9f2a4d1.600.07.5a2.600\r\n" +
+		"Load: 3,0,8 of 14\r\nKeep-Alive: timeout=8\r\nDate: Mon, 07 Dec 2026 00:58:26 GMT\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for b.Loop() {
+		var checker Checker
+		if _, err := checker.Write(text); err != nil || !checker.IsWhole() {
+			b.Fatal(err)
+		}
+	}
+}
