head: require that a head came whole and after its request

It rested on net/http's parser alone; now the checker must have seen the end, too.

Another way was found by this: net/http may take a second answer that a server sent behind the first on a kept connection for the answer to the next request, if it has read it by the time that the connection is given to that. Services of entry hosts name no requests. Now the head must have come since the request got its connection.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -291,6 +291,12 @@
 				fixture.writeEndlessly(conn, text)
 				return
 			}
+			if quoted, ok := strings.CutPrefix(line, "RAW "); ok {
+				text, err := strconv.Unquote(quoted)
+				fixture.Check(err, qt.IsNil)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", request.Header.Get(testID)))
+				continue
+			}
 			if text, ok := strings.CutPrefix(line, "FILL "); ok {
 				if fixture.fill(conn, text) != nil {
 					return
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -24,8 +24,8 @@
 // of the caller's request if it is not q1. All others are the targets' replies in order.
 // Those whose names begin with "case" are alternatives: the script runs once for each of
 // them. In replies, ID stands for the request's id; CLOSE closes the connection, RESET
-// resets it, HOLD sends nothing more until the gateway closes it, and ENDLESS and TRICKLE
-// send a text again and again until then.
+// resets it, HOLD sends nothing more until the gateway closes it, RAW sends a text as it is, and
+// ENDLESS and TRICKLE send one again and again until then.
 func TestScripts(t *testing.T) {
 	runScripts(t, "testdata/*.txtar", func(*fixture) {})
 }
@@ -33,7 +33,7 @@
 // TestScriptsOverAnotherHost runs the scripts on streams that go on, at a host that reaches
 // no target, so that another host passes the answers on to it.
 func TestScriptsOverAnotherHost(t *testing.T) {
-	for _, pattern := range []string{"testdata/continued*.txtar", "testdata/takenup*.txtar", "testdata/withoutids.txtar", "testdata/resume.txtar", "testdata/endless*.txtar", "testdata/trickled*.txtar"} {
+	for _, pattern := range []string{"testdata/continued*.txtar", "testdata/takenup*.txtar", "testdata/withoutids.txtar", "testdata/resume.txtar", "testdata/endless*.txtar", "testdata/trickled*.txtar", "testdata/malformed*.txtar"} {
 		runScripts(t, pattern, func(fixture *fixture) { fixture.reachOverAnotherHost() })
 	}
 }
--- a/head/head_test.go
+++ b/head/head_test.go
@@ -168,3 +168,50 @@
 		}
 	}
 }
+
+// TestAnswerBeforeItsRequest guards against an answer that came before its request was written, behind
+// the one to the request before: net/http may have read it by then.
+func TestAnswerBeforeItsRequest(t *testing.T) {
+	c := qt.New(t)
+	const own, other = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, own+other); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	transport := NewTransport(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	taken := 0
+	for range 2000 {
+		request, err := http.NewRequestWithContext(c.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/", http.NoBody)
+		c.Assert(err, qt.IsNil)
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		if err == nil && string(body) != "ok" {
+			taken++
+		}
+	}
+	c.Assert(taken, qt.Equals, 0)
+}
--- a/head/transport.go
+++ b/head/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // Transport sends requests by net/http and checks the heads of their answers.
@@ -60,15 +61,24 @@
 
 // RoundTrip sends a request and returns its answer, or an error of type Malformed.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[checkedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*checkedConn); ok {
 			conn.expectHead()
+			used.Store(conn)
 		}
 	}}
 	response, err := transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, fmt.Errorf("send the request: %w", err)
 	}
+	if conn := used.Load(); conn == nil || !conn.hasHead() {
+		_ = response.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
+		return nil, malformed("the answer's head did not come whole after the request")
+	}
 	return response, nil
 }
 
@@ -122,3 +132,11 @@
 	defer checkedConn.mutex.Unlock()
 	checkedConn.isExpecting, checkedConn.checker = true, Checker{}
 }
+
+// hasHead reports whether the head of the final answer has come whole since it was expected. What
+// net/http had read before is the answer to no request.
+func (checkedConn *checkedConn) hasHead() bool {
+	checkedConn.mutex.Lock()
+	defer checkedConn.mutex.Unlock()
+	return !checkedConn.isExpecting
+}
--- a/upstream/match.go
+++ b/upstream/match.go
@@ -75,6 +75,7 @@
 	// requests.
 	errForeignAnswers = errors.New("the connection delivers answers to other requests")
 	errHeadTooLong    = errors.New("the answer's header is too long")
+	errHeadNotWhole   = errors.New("the answer's header is not whole")
 	errSkippedTooLong = errors.New("another request's answer is too long")
 	// errNoOther is returned when a request may be repeated and its own answer does not
 	// follow one that names no request, errUnknownEnd when it is not known where a skipped
@@ -151,10 +152,13 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(connection.reader, request)
-	connection.input.endHead()
+	isWhole := connection.input.endHead()
 	if err != nil {
 		return nil, fmt.Errorf("parse: %w", err)
 	}
+	if !isWhole {
+		return nil, errHeadNotWhole
+	}
 	return response, nil
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -306,7 +306,11 @@
 	return headLimiter.failed
 }
 
-func (headLimiter *headLimiter) endHead() { headLimiter.isInHead = false }
+// endHead is called once a head was read, and reports whether it is whole.
+func (headLimiter *headLimiter) endHead() bool {
+	headLimiter.isInHead = false
+	return headLimiter.checker.IsWhole()
+}
 
 func (headLimiter *headLimiter) Read(buffer []byte) (int, error) {
 	if headLimiter.failed != nil {
