--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nutmegfield.example/balance"
+	"nutmegfield.example/detour"
 	"nutmegfield.example/route"
 )
 
@@ -138,3 +141,65 @@
 		})
 	}
 }
+
+// TestHalfAnswerToALongUpload guards against a part of an answer that is passed on as the whole, as
+// its target answers a long upload at once, without a length, and resets the connection.
+func TestHalfAnswerToALongUpload(t *testing.T) {
+	for _, isDetour := range []bool{false, true} {
+		t.Run("detour="+strconv.FormatBool(isDetour), func(t *testing.T) {
+			c := qt.New(t)
+			fixture := newFixture(c, testConfiguration(func(route *route.Route) { applyRouteKind(route, "once") }), 1)
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer target.Close()
+			go fixture.serveReset(target)
+			fixture.targets[0].Address = target.Addr().String()
+			fixture.balancer.SetTargets(fixture.targets, nil)
+			body := strings.Repeat("x", defaultMaxBodyBytes)
+			if isDetour {
+				fixture.reachOverAnotherHost()
+				body = body[:detour.MaxBodyBytes]
+			}
+			for range 30 {
+				response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(c.Context(), http.MethodPost, "/r/a", body))
+				c.Assert(err, qt.IsNil)
+				text, err := io.ReadAll(response.Body)
+				c.Assert(err, qt.IsNil)
+				c.Assert(response.Body.Close(), qt.IsNil)
+				c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("body %q", text))
+			}
+		})
+	}
+}
+
+// serveReset answers questions whether the target is healthy, and resets other connections after a
+// part of an answer.
+func (fixture *fixture) serveReset(listener net.Listener) {
+	const part = "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s1\r\n\r\nhalf"
+	healthy := strings.ReplaceAll(healthyReply, "\n", "\r\n")
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				names := strings.NewReplacer("ID", request.Header.Get(testID), "TARGET", request.Header.Get(testTarget))
+				if request.URL.Path == testHealth {
+					_, _ = names.WriteString(conn, healthy)
+					continue
+				}
+				_, _ = names.WriteString(conn, part)
+				time.Sleep(time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+		}()
+	}
+}
