head: test the transport over TLS

Cause: the checks are done behind TLS by a dial function of their own, which no test used.

Change: TestTransportOverTLS reads two answers over a kept connection and refuses a malformed one.

Result: it passes with -race.

--- a/head/head_test.go
+++ b/head/head_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -100,6 +103,36 @@
 	}
 }
 
+// TestTransportOverTLS checks that answers are read, and checked, behind TLS.
+func TestTransportOverTLS(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/" {
+			_, _ = io.WriteString(writer, "ok")
+			return
+		}
+		conn, _, err := http.NewResponseController(writer).Hijack()
+		c.Check(err, qt.IsNil)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nno")
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	client := &http.Client{Transport: NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}})}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		response, err := client.Get(server.URL)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		c.Assert(string(body), qt.Equals, "ok")
+	}
+	_, err := client.Get(server.URL + "/malformed")
+	c.Assert(Is(err, Malformed), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 // dialReplies returns a function that opens a connection to a server which answers with replies,
 // the last one with a body unless it is open, and then closes the connection.
 func dialReplies(c *qt.C, isOpen bool, replies []string) func(context.Context, string, string) (net.Conn, error) {
