--- a/head/head_test.go
+++ b/head/head_test.go
@@ -6,38 +6,19 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// line is a line of testdata/heads.txt.
-type line struct{ name, verdict, text string }
 
-func readLines(c *qt.C) []line {
-	text, err := os.ReadFile("testdata/heads.txt")
-	c.Assert(err, qt.IsNil)
-	var lines []line
-	for text := range strings.Lines(string(text)) {
-		if strings.HasPrefix(text, "#") {
-			continue
-		}
-		var line line
-		_, err := fmt.Sscanf(text, "%s %s %q", &line.name, &line.verdict, &line.text)
-		c.Assert(err, qt.IsNil, qt.Commentf("line %q", text))
-		lines = append(lines, line)
-	}
-	return lines
-}
+	"nutmegfield.example/head/headtest"
+)
 
 // verdict checks a head that comes in pieces of some bytes.
 func verdict(text string, piece int) string {
@@ -61,11 +42,11 @@
 
 // TestHeads guards against heads that are no answer of the protocol and are taken as one.
 func TestHeads(t *testing.T) {
-	for _, line := range readLines(qt.New(t)) {
-		t.Run(line.name, func(t *testing.T) {
+	for _, head := range headtest.Heads(qt.New(t)) {
+		t.Run(head.Name, func(t *testing.T) {
 			c := qt.New(t)
 			for _, piece := range []int{1, 3, 1 << 10} {
-				c.Assert(verdict(line.text, piece), qt.Equals, line.verdict, qt.Commentf("%d bytes at once", piece))
+				c.Assert(verdict(head.Text, piece), qt.Equals, head.Verdict, qt.Commentf("%d bytes at once", piece))
 			}
 		})
 	}
@@ -75,11 +56,11 @@
 // a connection, after another one and after an interim one.
 func TestTransport(t *testing.T) {
 	const whole, interim = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\n"
-	for _, line := range readLines(qt.New(t)) {
-		for name, replies := range map[string][]string{"first": {line.text}, "second": {whole, line.text}, "interim": {interim + line.text}} {
-			t.Run(line.name+"/"+name, func(t *testing.T) {
+	for _, head := range headtest.Heads(qt.New(t)) {
+		for name, replies := range map[string][]string{"first": {head.Text}, "second": {whole, head.Text}, "interim": {interim + head.Text}} {
+			t.Run(head.Name+"/"+name, func(t *testing.T) {
 				c := qt.New(t)
-				transport := NewTransport(&http.Transport{DialContext: dialReplies(c, line.verdict == "open", replies)})
+				transport := NewTransport(&http.Transport{DialContext: dialReplies(c, head.Verdict == "open", replies)})
 				defer transport.CloseIdleConnections()
 				for i := range replies {
 					ctx, cancel := context.WithTimeout(c.Context(), time.Second)
@@ -87,7 +68,7 @@
 					request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/", http.NoBody)
 					c.Assert(err, qt.IsNil)
 					response, err := transport.RoundTrip(request)
-					if i == len(replies)-1 && line.verdict != "whole" {
+					if i == len(replies)-1 && head.Verdict != "whole" {
 						c.Assert(err, qt.IsNotNil, qt.Commentf("%+v", response))
 						c.Assert(ctx.Err(), qt.IsNil)
 						return
@@ -161,8 +142,8 @@
 // FuzzChecker looks for heads that the checker takes and net/http reads otherwise: with another
 // status or end, with fields that the protocol doesn't allow, or with a body of another length.
 func FuzzChecker(f *testing.F) {
-	for _, line := range readLines(qt.New(f)) {
-		f.Add([]byte(line.text), uint8(3))
+	for _, head := range headtest.Heads(qt.New(f)) {
+		f.Add([]byte(head.Text), uint8(3))
 	}
 	f.Fuzz(func(t *testing.T, text []byte, piece uint8) {
 		c := qt.New(t)
