discovery: guard the start time of a follower and name the unread time

A follower that had not begun counted as unread since the year 1. The field of the state was named after an age although it is a duration.

Change: Run sets the time under the mutex, a follower that has not begun knows of no unread time, and the field is named Unread.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -163,10 +163,9 @@
 	// one failed between the platform's previous answer and the one that led to
 	// this state. It is zero otherwise, and in a state from another host.
 	OutageAt time.Time
-	// OutageCause says what failed then, and OutageAge how long ago a read, by whichever host, had
-	// last found the objects to be the platform's newest.
+	// OutageCause says what failed then. Unread is for how long no host had read the objects.
 	OutageCause string
-	OutageAge   time.Duration
+	Unread      time.Duration
 	// IsRestored is set in the first state of an era: the platform came back from an
 	// older copy, from which the objects may be.
 	IsRestored bool
@@ -183,8 +182,8 @@
 type failure struct {
 	at    time.Time
 	cause string
-	// age is that of the last verification at the answer after it.
-	age time.Duration
+	// unread is the time from the last verification, or this host's start, to the answer after it.
+	unread time.Duration
 }
 
 func (outage *Outage) recordFailure(cause string) {
@@ -279,7 +278,9 @@
 // Run watches the platform and lists its objects until the context ends. It
 // returns nil.
 func (follower *Follower) Run(ctx context.Context) error {
+	follower.mutex.Lock()
 	follower.startedAt = time.Now()
+	follower.mutex.Unlock()
 	for follower.State().Revision == 0 && time.Since(follower.startedAt) < follower.StartDelay && ctx.Err() == nil {
 		pause.For(ctx, startCheckInterval)
 	}
@@ -696,7 +697,7 @@
 	}
 	follower.state.Objects = objects
 	follower.state.ChangedRevision = revision
-	follower.state.OutageAt, follower.state.OutageCause, follower.state.OutageAge = outage.at, outage.cause, outage.age
+	follower.state.OutageAt, follower.state.OutageCause, follower.state.Unread = outage.at, outage.cause, outage.unread
 	follower.state.IsRestored = isRestored
 	if leftOut == 0 {
 		follower.expectWatch()
@@ -711,10 +712,12 @@
 	follower.mutex.Lock()
 	outage := follower.Outage.lastAfter(follower.answeredAt)
 	follower.answeredAt = time.Now()
-	if verifiedAt := follower.verified.At; verifiedAt.After(follower.startedAt) {
-		outage.age = follower.answeredAt.Sub(verifiedAt)
-	} else {
-		outage.age = follower.answeredAt.Sub(follower.startedAt)
+	unreadSince := follower.verified.At
+	if unreadSince.Before(follower.startedAt) {
+		unreadSince = follower.startedAt
+	}
+	if !unreadSince.IsZero() {
+		outage.unread = follower.answeredAt.Sub(unreadSince)
 	}
 	recovered := follower.platformLost
 	follower.platformLost = false
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -452,7 +452,7 @@
 	targets.Apply(State{Objects: map[string]Object{
 		"a": {Name: "a", Value: []byte("leaving")}, "b": {Name: "b", Value: []byte("ready")},
 	}})
-	targets.Apply(State{OutageAt: time.Now(), OutageAge: time.Minute})
+	targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute})
 	c.Assert(ids, qt.DeepEquals, []string{"b"})
 }
 
--- a/discovery/targets.go
+++ b/discovery/targets.go
@@ -58,9 +58,10 @@
 
 // Targets decodes the platform's entries, which are objects that describe one target
 // each. If an entry vanishes in an outage, its target is held until maxHoldTime after
-// it, as the entry may have expired. One that vanishes around calls that failed for a shorter time
-// was removed, as its target leaves. If the platform came back from an older copy, the entries of targets that have left
-// since are not believed. Fields must be set before Apply.
+// it, as the entry may have expired. One that vanishes around calls that failed for a
+// shorter time was removed, as its target leaves. If the platform came back from an older
+// copy, the entries of targets that have left since are not believed. Fields must be set
+// before Apply.
 type Targets struct {
 	// Decode returns the target that an entry describes by its name and value.
 	Decode func(name string, value []byte) (balance.Target, error)
@@ -264,16 +265,16 @@
 				targets.Events.Record(eventTargetEntry, timeline.Event{
 					Target: name, Pool: target.Pool, Detail: "missing after an outage, used further", Facts: []timeline.Fact{
 						{Key: "cause", Value: state.OutageCause}, timeline.Duration("outageAge", now.Sub(state.OutageAt)),
-						timeline.Duration("unread", state.OutageAge), timeline.Duration("held", until.Sub(now)),
+						timeline.Duration("unread", state.Unread), timeline.Duration("held", until.Sub(now)),
 					},
 				})
 			}
-			if !held {
-				time.AfterFunc(until.Sub(now), targets.dropExpired)
-			}
 			if targets.heldUntil == nil {
 				targets.heldUntil = map[string]time.Time{}
 			}
+			if !held {
+				time.AfterFunc(until.Sub(now), targets.dropExpired)
+			}
 			targets.heldUntil[name] = until
 			next[name] = target
 		}
@@ -286,7 +287,7 @@
 	if state.OutageAt.IsZero() {
 		return false
 	}
-	return state.IsRestored || state.OutageAge >= outageHeartbeats*cmp.Or(targets.Heartbeat, defaultHeartbeat)
+	return state.IsRestored || state.Unread >= outageHeartbeats*cmp.Or(targets.Heartbeat, defaultHeartbeat)
 }
 
 // dropExpired drops the held targets whose time in heldUntil has passed.
@@ -335,7 +336,7 @@
 		if _, ok := unreadable[name]; ok {
 			event.Detail = "unreadable: gets nothing new"
 		} else if !state.OutageAt.IsZero() {
-			event.Facts = []timeline.Fact{{Key: "cause", Value: state.OutageCause}, timeline.Duration("unread", state.OutageAge)}
+			event.Facts = []timeline.Fact{{Key: "cause", Value: state.OutageCause}, timeline.Duration("unread", state.Unread)}
 		}
 		targets.Events.Record(eventTargetEntry, event)
 	}
--- a/discovery/unreadable_test.go
+++ b/discovery/unreadable_test.go
@@ -131,12 +131,12 @@
 		}
 		targets.Apply(State{Objects: map[string]Object{"a": {Name: "a", Revision: 1}, "b": {Name: "b", Revision: 1}}})
 		// The entries of both vanish in an outage, and that of one comes back unreadable.
-		targets.Apply(State{OutageAt: time.Now(), OutageAge: time.Minute})
+		targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute})
 		c.Check(known, qt.HasLen, 2)
-		targets.Apply(State{OutageAt: time.Now(), OutageAge: time.Minute, Objects: map[string]Object{"a": {Name: "a", Revision: 2, Unreadable: "odd"}}})
+		targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute, Objects: map[string]Object{"a": {Name: "a", Revision: 2, Unreadable: "odd"}}})
 		c.Assert(known, qt.HasLen, 1)
 		c.Check(known[0].ID, qt.Equals, "b")
-		targets.Apply(State{OutageAt: time.Now(), OutageAge: time.Minute})
+		targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute})
 		c.Check(known, qt.HasLen, 1)
 		// It has not left either: its entry may be written again before the host reads it in
 		// the copy that the platform came back from.
