exchange, quarantine: tell of suspects by when they are due

Cause: a host told suspects with two or more crashes eight times before those with one. A request that crashes one target on each host has one crash on each, and was told by none; quarantined suspects filled every other message, some twice.

Change: suspects are sent by the number of the message in which they are due, which grows with the messages that they were in, so that none waits for all repeats of others. Own observations come before what was heard, contents before paths and parts. One quarantined suspect precedes the changes in a message, the others follow, each once.

--- a/exchange/suspicions.go
+++ b/exchange/suspicions.go
@@ -22,8 +22,9 @@
 	// field has the number 0.
 	suspicionsMarker = 1
 	// Suspicions are sent to suspicionRecipients random hosts at most once per
-	// suspicionInterval: what is new and, in one of repeatRounds rounds and before it,
-	// the quarantined contents in turn. A host that learns something new passes it on.
+	// suspicionInterval: what is new and, in one of repeatRounds rounds, the quarantined
+	// contents in turn, of which the first comes before what is new and the others after it.
+	// A host that learns something new passes it on.
 	suspicionInterval   = 250 * time.Millisecond
 	repeatRounds        = 2
 	suspicionRecipients = 2
@@ -49,10 +50,14 @@
 	suspects := exchange.Suspects
 	for round := 1; pause.For(ctx, suspicionInterval); round++ {
 		message := &exchangepb.Suspicions{Address: exchange.Address}
-		if round%repeatRounds == 0 {
-			suspects.NextQuarantined(addTo(message))
+		repeats := round%repeatRounds == 0
+		if repeats {
+			suspects.NextQuarantined(1, addTo(message))
 		}
 		suspects.TakeChanges(addTo(message))
+		if repeats {
+			suspects.NextQuarantined(maxReceivedSuspects, addTo(message))
+		}
 		if len(message.GetSuspects()) == 0 {
 			// What changes next is sent at once.
 			suspects.WaitForChange(ctx, suspicionInterval)
@@ -65,11 +70,14 @@
 	return nil
 }
 
-// addTo returns a function that adds suspects to a message. It returns false for the
-// first that doesn't fit.
+// addTo returns a function that adds suspects to a message, each once. It returns false for
+// the first that doesn't fit.
 func addTo(message *exchangepb.Suspicions) func(suspect *quarantine.Suspect) bool {
 	return func(suspect *quarantine.Suspect) bool {
 		before := message.GetSuspects()
+		if slices.ContainsFunc(before, func(added *exchangepb.Suspect) bool { return added.GetContent() == uint64(suspect.Trait) }) {
+			return true
+		}
 		message.Suspects = append(before, encodeSuspect(suspect, time.Now()))
 		if 1+proto.Size(message) > maxSuspicionBytes {
 			message.Suspects = before
--- a/exchange/suspicions_test.go
+++ b/exchange/suspicions_test.go
@@ -216,6 +216,57 @@
 	}
 }
 
+// TestCrashesAtTheSameTimeReachAllHosts guards against a request whose crashes are not added up
+// as each host observed only one of them, while there is more to tell of others: several requests
+// crash a target each on four hosts at the same time, beside many other requests.
+func TestCrashesAtTheSameTimeReachAllHosts(t *testing.T) {
+	for _, run := range []struct{ hosts, crashing int }{{4, 5}, {8, 5}, {64, 4}} {
+		t.Run(fmt.Sprintf("hosts%d", run.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const observers = 4
+				fleet := newSuspicionFleet(t, run.hosts)
+				time.Sleep(5 * time.Second)
+				content := quarantine.Trait(100)
+				request := func(parts ...string) quarantine.Traits {
+					content++
+					traits := quarantine.Traits{Content: content}
+					traits.Shared = append(traits.Shared, quarantine.NewShared("path", fmt.Sprint(content)))
+					for _, part := range parts {
+						traits.Shared = append(traits.Shared, quarantine.NewShared("part", part))
+					}
+					return traits
+				}
+				for _, host := range fleet.hosts {
+					host.Suspects.RecordServed(request("system", "clubs").Shared, func() quarantine.Trait { return 0 })
+				}
+				var crashers []quarantine.Traits
+				target := quarantine.Incarnation(0)
+				for range run.crashing {
+					crasher := request()
+					crashers = append(crashers, crasher)
+					for _, observer := range rand.Perm(run.hosts)[:observers] {
+						target++
+						suspects := fleet.hosts[observer].Suspects
+						crash := quarantine.Crash{Traits: crasher, Target: target, Evidence: quarantine.Refused, At: time.Now()}
+						suspects.RecordCrash(crash)
+						crash.Traits = request("system", "clubs", fmt.Sprint("own", content))
+						suspects.RecordCrash(crash)
+					}
+				}
+				crashedAt := time.Now()
+				for _, host := range fleet.hosts {
+					for _, crasher := range crashers {
+						fleet.waitQuarantined(host, crasher.Content)
+					}
+				}
+				took := time.Since(crashedAt)
+				t.Logf("refused on all hosts %s after the crashes", took)
+				fleet.Assert(took < suspicionTimeout, qt.IsTrue, qt.Commentf("%s", took))
+			})
+		})
+	}
+}
+
 func (fleet *suspicionFleet) setCut(isCut bool) {
 	fleet.byteMutex.Lock()
 	defer fleet.byteMutex.Unlock()
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -36,23 +36,34 @@
 	}
 }
 
-// TakeChanges calls add for the suspects that other hosts may not know yet, the most
-// important first, until add returns false. It counts those that were added as sent.
+// transmission tells how the latest change of a trait was sent: in count messages. When it came,
+// this host had sent since messages with changes.
+type transmission struct {
+	count, since int
+}
+
+// TakeChanges calls add for the suspects that other hosts may not know yet, by when they are due,
+// until add returns false. It counts those that were added as sent.
 func (suspects *Suspects) TakeChanges(add func(suspect *Suspect) bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	known := suspects.load()
 	var changed []*Suspect
-	for trait, transmissions := range suspects.transmissions {
-		if transmissions < maxTransmissions {
+	for trait, transmission := range suspects.transmissions {
+		if transmission.count < maxTransmissions {
 			changed = append(changed, known[trait])
 		}
 	}
+	if len(changed) == 0 {
+		return
+	}
+	suspects.messages++
 	countUntold(len(changed))
 	slices.SortFunc(changed, func(one, other *Suspect) int {
 		return cmp.Or(
-			cmp.Compare(other.priority(), one.priority()),
-			cmp.Compare(suspects.transmissions[one.Trait], suspects.transmissions[other.Trait]),
+			cmp.Compare(suspects.dueAt(one), suspects.dueAt(other)),
+			// The other traits of a request mostly tell the same as its content.
+			cmp.Compare(other.Depth, one.Depth),
 			cmp.Compare(one.Trait, other.Trait),
 		)
 	})
@@ -60,10 +71,20 @@
 		if !add(suspect) {
 			return
 		}
-		suspects.transmissions[suspect.Trait]++
+		sent := suspects.transmissions[suspect.Trait]
+		sent.count++
+		suspects.transmissions[suspect.Trait] = sent
 	}
 }
 
+// dueAt returns the number of the message in which a suspect is due. It grows with the messages that
+// the suspect was in, so that those of which this host knows a single ending don't wait for all
+// messages with others: that ending may be what another host lacks.
+func (suspects *Suspects) dueAt(suspect *Suspect) int {
+	transmission := suspects.transmissions[suspect.Trait]
+	return transmission.since + suspects.patience(suspect)*(1+transmission.count)
+}
+
 // RepeatAll lets all suspects with endings be sent again, as a host is heard that may
 // not know them.
 func (suspects *Suspects) RepeatAll() {
@@ -74,7 +95,7 @@
 	defer suspects.mutex.Unlock()
 	for trait, suspect := range suspects.load() {
 		if len(suspect.Endings) > 0 {
-			suspects.transmissions[trait] = 0
+			suspects.transmissions[trait] = transmission{since: suspects.messages}
 		}
 	}
 	suspects.notifyChanged()
@@ -88,24 +109,35 @@
 	}
 }
 
-// priority orders the suspects to send: quarantined ones come first, those with a
-// single ending, most of which didn't crash it, last.
-func (suspect *Suspect) priority() int {
+// patience returns the number of messages after which a suspect that changed is due. Those that
+// are quarantined, or may soon be, come first, then what was cleared and what this host alone may
+// know. Most of the suspects with a single ending didn't crash it, and what targets served before
+// rarely crashes them.
+func (suspects *Suspects) patience(suspect *Suspect) int {
+	_, isOwn := suspects.own[suspect.Trait]
 	switch {
 	case suspect.Quarantines > 0 && !suspect.explained:
+		return 1
+	case len(suspect.Endings) == 0:
 		return 3
+	case suspect.ServedBefore, suspect.explained:
+		return 12
+	case len(suspect.Endings) >= quarantineCrashes-1 && !suspect.Trait.isShared():
+		return 1
 	case len(suspect.Endings) >= quarantineCrashes-1:
 		return 2
-	case len(suspect.Endings) == 0:
-		return 1
+	case isOwn && !suspect.Trait.isShared():
+		return 3
+	case isOwn, !suspect.Trait.isShared():
+		return 6
 	default:
-		return 0
+		return 12
 	}
 }
 
-// NextQuarantined calls add for the quarantined suspects in turn, for hosts that may
-// not know them, until add returns false. The next call goes on from there.
-func (suspects *Suspects) NextQuarantined(add func(suspect *Suspect) bool) {
+// NextQuarantined calls add for up to count of the quarantined suspects in turn, for hosts that
+// may not know them, until add returns false. The next call goes on from there.
+func (suspects *Suspects) NextQuarantined(count int, add func(suspect *Suspect) bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	now := time.Now()
@@ -116,7 +148,7 @@
 		}
 	}
 	slices.SortFunc(quarantined, func(one, other *Suspect) int { return cmp.Compare(one.Trait, other.Trait) })
-	for range quarantined {
+	for range min(count, len(quarantined)) {
 		if !add(quarantined[suspects.nextRepeated%len(quarantined)]) {
 			return
 		}
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -193,9 +193,10 @@
 
 	// mutex guards changes of known and the fields below.
 	mutex sync.Mutex
-	// transmissions is the number of times that the latest change of a trait was
-	// taken for the other hosts.
-	transmissions map[Trait]int
+	// transmissions are those of the traits to tell the other hosts, messages is the number of
+	// messages that were filled with them.
+	transmissions map[Trait]transmission
+	messages      int
 	// changed is closed at the next change to tell the other hosts, nil if nobody
 	// waits for it.
 	changed chan struct{}
@@ -491,9 +492,11 @@
 	}
 	suspects.store(known)
 	if suspects.transmissions == nil {
-		suspects.transmissions = map[Trait]int{}
+		suspects.transmissions = map[Trait]transmission{}
+	}
+	if waiting, ok := suspects.transmissions[trait]; !ok || waiting.count > 0 {
+		suspects.transmissions[trait] = transmission{since: suspects.messages}
 	}
-	suspects.transmissions[trait] = 0
 	suspects.notifyChanged()
 	return true
 }
