quarantine: let a path of one content explain no other contents

Callers saw: of several requests that crash the same servers, some reached servers 4 to 7 times later than 3 s after they had crashed three (TestCrashingRequestIsSentOn, many-back-at-once and many).

Cause: what requests share may explain why targets ended under contents, whose quarantine is then withdrawn. The path of a request that one caller sends is another name of its content, but hosts hear of endings one trait at a time: for a while the path has more of them than its content, is taken for the cause first, and explains the contents of other crashing requests.

Change: a shared trait explains contents only if this host observed crashes under several contents with it, as those of a bad part of prompts are.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -70,9 +70,9 @@
 // explain decides which of the suspects that have enough endings are their cause. All
 // requests on a target that ended are suspected, so one that crashes targets makes the
 // traits of those around it suspects as well: a suspect whose endings others explain is not
-// quarantined. The result depends on the suspects alone, so that hosts which know the same
-// agree.
-func explain(known map[Trait]*Suspect) {
+// quarantined. The result depends on the suspects and on which of them are varied, so that hosts
+// which know the same agree.
+func explain(known map[Trait]*Suspect, isVaried func(Trait) bool) {
 	var candidates []*Suspect
 	for _, suspect := range known {
 		if suspect.Quarantines > 0 {
@@ -84,7 +84,7 @@
 	for _, suspect := range candidates {
 		rest := suspect.Endings
 		for _, culprit := range culprits {
-			if culprit.mayExplain(suspect) {
+			if isVaried(culprit.Trait) || suspect.Trait.isShared() {
 				rest = culprit.without(rest)
 			}
 		}
@@ -100,10 +100,26 @@
 	}
 }
 
-// mayExplain reports whether the suspect's trait may be the cause of another one's endings.
-// Of two contents each is sent again by itself, and shows what it does.
-func (suspect *Suspect) mayExplain(other *Suspect) bool {
-	return suspect.Trait.isShared() || other.Trait.isShared()
+// crashedContents is what this host observed of the contents under which targets ended with a
+// shared trait. The trait is varied if there were several. Else it may be no more than another
+// name of its only content, such as a path that one caller uses: it does not explain why targets
+// ended under other contents, each of which is sent again by itself and shows what it does.
+type crashedContents struct {
+	first    Trait
+	isVaried bool
+}
+
+// recordContent records that a target ended under a shared trait of a request with a content.
+func (suspects *Suspects) recordContent(trait, content Trait) {
+	if suspects.contents == nil {
+		suspects.contents = map[Trait]crashedContents{}
+	}
+	contents, ok := suspects.contents[trait]
+	if !ok {
+		contents.first = content
+	}
+	contents.isVaried = contents.isVaried || contents.first != content
+	suspects.contents[trait] = contents
 }
 
 // without returns the endings of targets that did not end under the suspect.
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -200,6 +200,8 @@
 	// changed is closed at the next change to tell the other hosts, nil if nobody
 	// waits for it.
 	changed chan struct{}
+	// contents are those under which this host observed crashes, by their shared traits.
+	contents map[Trait]crashedContents
 	// own are the traits of which this host observed a crash. ownChanged is closed
 	// when one of them is quarantined, nil if nobody waits for it.
 	own        map[Trait]struct{}
@@ -310,6 +312,9 @@
 	}
 	crash.Traits.all(func(trait Trait, depth uint8) {
 		suspects.own[trait] = struct{}{}
+		if trait.isShared() {
+			suspects.recordContent(trait, crash.Traits.Content)
+		}
 		suspects.apply(&Suspect{Trait: trait, Endings: []Ending{ending}, Depth: depth})
 	})
 }
@@ -544,7 +549,7 @@
 
 // store replaces the suspects, after it has decided which of them are quarantined.
 func (suspects *Suspects) store(known map[Trait]*Suspect) {
-	explain(known)
+	explain(known, func(trait Trait) bool { return suspects.contents[trait].isVaried })
 	uncertain := map[Incarnation]struct{}{}
 	for _, suspect := range known {
 		for _, ending := range suspect.Endings {
@@ -556,6 +561,7 @@
 	maps.DeleteFunc(suspects.served, func(trait Trait, _ int) bool {
 		return known[trait] == nil || len(known[trait].Endings) == 0
 	})
+	maps.DeleteFunc(suspects.contents, func(trait Trait, _ crashedContents) bool { return known[trait] == nil })
 	before := suspects.load()
 	suspects.known.Store(&known)
 	suspects.uncertain.Store(&uncertain)
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -47,6 +47,7 @@
 //	served HOST REQUEST                 a target served a request
 //	answer HOST TARGET                  a target answered
 //	tell FROM TO                        a host sends what it knows
+//	hear HOST PART TARGET...            a host hears that targets ended under a part
 //	restart HOST
 //	admit HOST REQUEST                  a request is admitted and goes on
 //	release                             such requests end
@@ -85,6 +86,12 @@
 		for _, suspect := range script.host(words[1]).load() {
 			script.host(words[2]).Learn(words[1], suspect)
 		}
+	case "hear":
+		heard := &Suspect{Trait: NewShared("part", words[2])}
+		for i := range words[3:] {
+			heard.Endings = append(heard.Endings, Ending{Target: Incarnation(number(3 + i)), At: time.Now(), Certain: true})
+		}
+		script.host(words[1]).Learn("c", heard)
 	case "restart":
 		delete(script.hosts, words[1])
 	case "admit":
