witness: believe no target that has started again under its id

Cause: a target that names no time of its start was believed by its id over a connection that was opened within 250 ms after the head of the answer was read. A cut holds the head up, so that the restart may lie between its sending and its reading. The entry with the later start was not compared.

Change: the time counts from the sending of the request, and a target whose entry names a later start has ended, unless it answers over a connection that is older than the request.

--- a/gateway/part.go
+++ b/gateway/part.go
@@ -432,6 +432,7 @@
 
 func (host *host) setTargets(targets []balance.Target) {
 	host.attempts.SetTargets(targets)
+	host.gateway.Witnesses.SetTargets(targets)
 	host.paths.SetTargets(targets)
 	host.origins.SetTargets(targets)
 	host.rollouts.setTargets(targets)
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -27,6 +27,8 @@
 	maxQuestionTime = 3 * time.Second
 	// deliveryTime is how long a part of an answer may be on its way to this host.
 	deliveryTime = 250 * time.Millisecond
+	// restartTime is the time within which no target ends and starts again under its id.
+	restartTime = 250 * time.Millisecond
 	// secondTime limits the wait for an answer over a second connection.
 	secondTime = time.Second
 	// keepTime is how long a connection is kept for further answers. Targets close idle ones.
@@ -51,8 +53,10 @@
 	OpenMeanwhile Evidence = "the target answers over a connection that was opened during the answer"
 	// SameStart: it says that it was started at the time known of it.
 	SameStart Evidence = "the target names the time of its start"
-	// SameID: it names its id over a connection that was opened as the answer began.
-	SameID Evidence = "the target names its id over a connection that was opened as the answer began"
+	// SameID: it names its id over a connection that was opened as the request was sent.
+	SameID Evidence = "the target names its id over a connection that was opened as the request was sent"
+	// StartedAgain: its entry names a later start than that of the target that got the request.
+	StartedAgain Evidence = "the target has started again under its id"
 	// Replaced: another target or another start of it answers at its address.
 	Replaced Evidence = "another target answers at the address"
 	// LateConnection: the connection was opened too late to tell.
@@ -89,11 +93,30 @@
 	WasPaused func() bool
 	Events    *timeline.Recorder
 
+	// starts are the times at which the present targets started, by id. It is replaced, never
+	// changed.
+	starts atomic.Pointer[map[string]time.Time]
+
 	mutex   sync.Mutex
 	targets map[balance.Incarnation]*trackedTarget
 	number  atomic.Int64
 }
 
+// SetTargets sets the present targets.
+func (witnesses *Witnesses) SetTargets(targets []balance.Target) {
+	starts := make(map[string]time.Time, len(targets))
+	for i := range targets {
+		starts[targets[i].ID] = targets[i].StartedAt
+	}
+	witnesses.starts.Store(&starts)
+}
+
+// hasStartedAgain reports whether the entry of a target names a later start.
+func (witnesses *Witnesses) hasStartedAgain(target *balance.Target) bool {
+	starts := witnesses.starts.Load()
+	return starts != nil && (*starts)[target.ID].After(target.StartedAt)
+}
+
 // trackedTarget is a target that sends answers without a length.
 type trackedTarget struct {
 	balance.Target
@@ -427,13 +450,16 @@
 		return Replaced
 	case openedAt.Before(watch.sentAt):
 		return OlderConnection
+	case watch.witnesses.hasStartedAgain(target):
+		return StartedAgain
 	case !isNew && watch.beganAt.Add(time.Duration(watch.heardAt.Load())).Sub(openedAt) > deliveryTime:
 		return OpenMeanwhile
 	case knowsStart && !identity.StartedAt.Equal(target.StartedAt):
 		return Replaced
 	case knowsStart:
 		return SameStart
-	case !isNew && !watch.isLate && identity.Target == target.ID && openedAt.Sub(watch.beganAt) < deliveryTime:
+	// What a network held up comes long after it was sent: only the time since the request is known.
+	case !isNew && !watch.isLate && identity.Target == target.ID && openedAt.Sub(watch.sentAt) < restartTime:
 		return SameID
 	default:
 		return LateConnection
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -31,9 +31,13 @@
 		idle, isReplaced bool
 		// isPaused means that this host was paused before it read the head of the answer.
 		isPaused bool
-		takes    time.Duration
-		after    string
-		want     Evidence
+		// headTakes is the time from the request to the head of its answer. startedAgain means that
+		// the target's entry names a later start by the end of the answer.
+		headTakes    time.Duration
+		startedAgain bool
+		takes        time.Duration
+		after        string
+		want         Evidence
 	}{
 		{name: "older", idle: true, after: "Target: t", want: OlderConnection},
 		{name: "older, full", idle: true, after: "Not-Run: 1", want: OlderConnection},
@@ -48,6 +52,10 @@
 		{name: "another target", idle: true, after: "Target: u", want: Replaced},
 		{name: "misdirected", isReplaced: true, after: "Misdirected: 1", want: Replaced},
 		{name: "same id", after: "Target: t", want: SameID},
+		{name: "same id, late head", headTakes: time.Second, after: "Target: t", want: LateConnection},
+		{name: "same id, started again", startedAgain: true, after: "Target: t", want: StartedAgain},
+		{name: "meanwhile, started again", takes: time.Second, startedAgain: true, after: "Target: t", want: StartedAgain},
+		{name: "older, started again", idle: true, startedAgain: true, after: "Target: t", want: OlderConnection},
 		{name: "no id", after: "Other: 1", want: LateConnection},
 		{name: "ended", isReplaced: true, after: "CLOSE", want: NoAnswer},
 		{name: "mute", idle: true, after: "MUTE", want: NoTime},
@@ -65,8 +73,13 @@
 				time.Sleep(time.Millisecond)
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				watch := witnesses.Begin(&balance.Target{ID: "t", Address: "a", StartedAt: time.UnixMilli(7)}, "q", time.Now())
+				sentAt := time.Now()
+				time.Sleep(test.headTakes)
+				watch := witnesses.Begin(&balance.Target{ID: "t", Address: "a", StartedAt: time.UnixMilli(7)}, "q", sentAt)
 				time.Sleep(test.takes)
+				if test.startedAgain {
+					witnesses.SetTargets([]balance.Target{{ID: "t", Address: "a", StartedAt: time.UnixMilli(9)}})
+				}
 				watch.Heard(time.Now())
 				synctest.Wait()
 				target.set(test.after)
