discovery: test the hold of leaving targets on a paused clock

Cause: the test before, TestLeavingTargetIsNotHeld, left a timer that publishes the targets 2.2 s later, after its end, and read what that writes. It runs on a paused clock now, which ends with it.

--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -435,25 +435,27 @@
 // TestLeavingTargetIsNotHeld guards against new requests for a target whose entry
 // vanishes in an outage of the platform after it said that it was leaving.
 func TestLeavingTargetIsNotHeld(t *testing.T) {
-	c := qt.New(t)
-	var ids []string
-	targets := &Targets{
-		Events: &timeline.Recorder{},
-		Decode: func(name string, value []byte) (balance.Target, error) {
-			return balance.Target{ID: name, Leaving: string(value) == "leaving"}, nil
-		},
-		OnChange: func(list []balance.Target) {
-			ids = nil
-			for _, target := range list {
-				ids = append(ids, target.ID)
-			}
-		},
-	}
-	targets.Apply(State{Objects: map[string]Object{
-		"a": {Name: "a", Value: []byte("leaving")}, "b": {Name: "b", Value: []byte("ready")},
-	}})
-	targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute})
-	c.Assert(ids, qt.DeepEquals, []string{"b"})
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var ids []string
+		targets := &Targets{
+			Events: &timeline.Recorder{},
+			Decode: func(name string, value []byte) (balance.Target, error) {
+				return balance.Target{ID: name, Leaving: string(value) == "leaving"}, nil
+			},
+			OnChange: func(list []balance.Target) {
+				ids = nil
+				for _, target := range list {
+					ids = append(ids, target.ID)
+				}
+			},
+		}
+		targets.Apply(State{Objects: map[string]Object{
+			"a": {Name: "a", Value: []byte("leaving")}, "b": {Name: "b", Value: []byte("ready")},
+		}})
+		targets.Apply(State{OutageAt: time.Now(), Unread: time.Minute})
+		c.Assert(ids, qt.DeepEquals, []string{"b"})
+	})
 }
 
 // TestRoutesVersionNeverDecreases checks that older, unreadable and missing routes
