--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// transmission tells how the latest change of a trait was sent: in count messages. When it came,
-// this host had sent since messages with changes.
+// transmission is the number of messages that the latest change of a trait was in, and that of all
+// messages with changes before it.
 type transmission struct {
 	count, since int
 }
