protocol: let the test's engine read the request before it cuts its answer

Cause: the engine of the test closed the connection while the end of the request was being written, which breaks the connection whatever was answered. It reads the request first now, so that the cut answer is what is judged.

--- a/protocol/dispatch_test.go
+++ b/protocol/dispatch_test.go
@@ -240,7 +240,9 @@
 // that are cut and taken as whole.
 func TestEngineAnswersWithoutLength(t *testing.T) {
 	status := http.StatusBadRequest
-	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		// A connection that ends while the request is written is broken, whatever was answered.
+		_, _ = io.Copy(io.Discard, request.Body)
 		writeRaw(writer, fmt.Sprintf(`HTTP/1.1 %d X\r\nNutmegfield-Request: %s\r\n\r\n[{"err`, status, newCall("").Request))
 	})
 	inBubble(t, handler, func(t *testing.T, network *network) {
