quarantine: let a part that others observed explain contents again

Cause: asked of each shared trait that this host had observed it under several contents. What it has to keep out is another name of one content, such as a path that one caller uses.

Change: a shared trait explains no contents only if this host observed it under one content, of which at least two crashes are known.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -70,9 +70,9 @@
 // explain decides which of the suspects that have enough endings are their cause. All
 // requests on a target that ended are suspected, so one that crashes targets makes the
 // traits of those around it suspects as well: a suspect whose endings others explain is not
-// quarantined. The result depends on the suspects and on which of them are varied, so that hosts
-// which know the same agree.
-func explain(known map[Trait]*Suspect, isVaried func(Trait) bool) {
+// quarantined. The result depends on the suspects, and on which shared traits this host takes
+// for another name of one content.
+func explain(known map[Trait]*Suspect, isAlias func(Trait) bool) {
 	var candidates []*Suspect
 	for _, suspect := range known {
 		if suspect.Quarantines > 0 {
@@ -84,7 +84,7 @@
 	for _, suspect := range candidates {
 		rest := suspect.Endings
 		for _, culprit := range culprits {
-			if isVaried(culprit.Trait) || suspect.Trait.isShared() {
+			if suspect.Trait.isShared() || culprit.Trait.isShared() && !isAlias(culprit.Trait) {
 				rest = culprit.without(rest)
 			}
 		}
@@ -101,14 +101,25 @@
 }
 
 // crashedContents is what this host observed of the contents under which targets ended with a
-// shared trait. The trait is varied if there were several. Else it may be no more than another
-// name of its only content, such as a path that one caller uses: it does not explain why targets
-// ended under other contents, each of which is sent again by itself and shows what it does.
+// shared trait.
 type crashedContents struct {
 	first    Trait
 	isVaried bool
 }
 
+// isAlias reports whether a shared trait may be no more than another name of one content, such as a
+// path that one caller uses: this host observed crashes under that content only, and several are
+// known. It then does not explain why targets ended under other contents, each of which is sent
+// again by itself and shows what it does. Contents that share a bad part crash one target each.
+func (suspects *Suspects) isAlias(trait Trait, known map[Trait]*Suspect) bool {
+	contents, ok := suspects.contents[trait]
+	if !ok || contents.isVaried {
+		return false
+	}
+	content := known[contents.first]
+	return content != nil && len(content.Endings) >= quarantineCrashes-1
+}
+
 // recordContent records that a target ended under a shared trait of a request with a content.
 func (suspects *Suspects) recordContent(trait, content Trait) {
 	if suspects.contents == nil {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -549,7 +549,7 @@
 
 // store replaces the suspects, after it has decided which of them are quarantined.
 func (suspects *Suspects) store(known map[Trait]*Suspect) {
-	explain(known, func(trait Trait) bool { return suspects.contents[trait].isVaried })
+	explain(known, func(trait Trait) bool { return suspects.isAlias(trait, known) })
 	uncertain := map[Incarnation]struct{}{}
 	for _, suspect := range known {
 		for _, ending := range suspect.Endings {
