origin: write the versions that hosts know to the platform

Callers saw: all hosts were killed and away for 1 s, in which the only server of a pool was replaced by one of another version.

Cause: a host that starts took the absence of a mark of several versions for proof that the pool had one.

Change: hosts write the versions of all pools to the platform, with when each was last seen, since when all are known, and the era; one host each 10 s, and at once for a new version, the next ones if they are not told of it. Hosts that start take the versions over, and let a stream that no host knows go on only by a history of the present era that is at most 30 s old and holds the pool's version and no other of the last minute. Streams that may have begun before the history are refused, with 503. The record is one more object beside the marks, which builds before this one take for the mark of a pool without a time; their marks are read as before.

TestPlatformIsReadForAllTakers gets a history.

TestOneHostWritesTheHistory and TestPlatformThatIsAwayIsNotCrowded guard the calls.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -87,8 +87,9 @@
 	livePeers  atomic.Int64
 	knownPeers atomic.Int64
 	interval   atomic.Int64
-	// turn is the result of Turn, liveZoneHosts that of ZoneHosts.
+	// turn is the result of Turn, succession that of Succession, liveZoneHosts that of ZoneHosts.
 	turn          atomic.Int64
+	succession    atomic.Int64
 	liveZoneHosts atomic.Int64
 	// newest is the newest configuration that another host reported.
 	newest atomic.Pointer[newestConfiguration]
--- a/exchange/origins.go
+++ b/exchange/origins.go
@@ -18,6 +18,8 @@
 	maxOriginItems = 64
 	// Bounds what is accepted from other hosts.
 	maxReceivedOriginItems = 4 * maxOriginItems
+	// maxSavedVersions is the number of versions of a history whose write other hosts are told of.
+	maxSavedVersions = 8192
 )
 
 var eventOriginsRejected = timeline.Define(timeline.Kind{
@@ -29,8 +31,10 @@
 // SendOrigins sends a message about streams to a host, in as many datagrams as it needs.
 func (exchange *Exchange) SendOrigins(address string, message *origin.Message) {
 	beginnings, questions, answers, records := message.Beginnings, message.Questions, message.Answers, message.Records
-	for len(beginnings)+len(questions)+len(answers)+len(records) > 0 {
-		encoded := &exchangepb.Origins{Address: exchange.Address}
+	saved := encodeSaved(message.Saved)
+	for saved != nil || len(beginnings)+len(questions)+len(answers)+len(records) > 0 {
+		encoded := &exchangepb.Origins{Address: exchange.Address, Saved: saved}
+		saved = nil
 		for ; len(beginnings) > 0 && len(encoded.GetBeginnings()) < maxOriginItems; beginnings = beginnings[1:] {
 			encoded.Beginnings = append(encoded.Beginnings, &exchangepb.Beginning{
 				Stream: uint64(beginnings[0].Stream), Version: uint32(beginnings[0].Version),
@@ -69,9 +73,10 @@
 		return
 	}
 	switch {
-	case exchange.livePeer(message.GetAddress()) == "" && len(message.GetBeginnings())+len(message.GetAnswers())+len(message.GetRecords()) > 0:
+	case exchange.livePeer(message.GetAddress()) == "" && (message.GetSaved() != nil || len(message.GetBeginnings())+len(message.GetAnswers())+len(message.GetRecords()) > 0):
 		exchange.rejectOrigins(message.GetAddress(), "not a live host")
-	case len(message.GetBeginnings())+len(message.GetQuestions())+len(message.GetAnswers())+len(message.GetRecords()) > maxReceivedOriginItems:
+	case len(message.GetBeginnings())+len(message.GetQuestions())+len(message.GetAnswers())+len(message.GetRecords()) > maxReceivedOriginItems,
+		len(message.GetSaved().GetVersions()) > maxSavedVersions:
 		exchange.rejectOrigins(message.GetAddress(), "too many items")
 	default:
 		exchange.Origins.Receive(message.GetAddress(), decodeOrigins(message))
@@ -90,8 +95,31 @@
 	}
 }
 
+// encodeSaved returns nil if there is nothing to tell, or too much: other hosts write, too, then.
+func encodeSaved(saved *origin.Saved) *exchangepb.Saved {
+	if saved == nil || len(saved.Versions) > maxSavedVersions {
+		return nil
+	}
+	encoded := &exchangepb.Saved{Era: saved.Era, Since: saved.Since, HasEarlier: saved.HasEarlier}
+	for _, version := range saved.Versions {
+		encoded.Versions = append(encoded.Versions, uint32(version))
+	}
+	return encoded
+}
+
+func decodeSaved(encoded *exchangepb.Saved) *origin.Saved {
+	if encoded == nil {
+		return nil
+	}
+	saved := &origin.Saved{Era: encoded.GetEra(), Since: encoded.GetSince(), HasEarlier: encoded.GetHasEarlier()}
+	for _, version := range encoded.GetVersions() {
+		saved.Versions = append(saved.Versions, balance.VersionID(version))
+	}
+	return saved
+}
+
 func decodeOrigins(message *exchangepb.Origins) *origin.Message {
-	decoded := &origin.Message{}
+	decoded := &origin.Message{Saved: decodeSaved(message.GetSaved())}
 	for _, beginning := range message.GetBeginnings() {
 		decoded.Beginnings = append(decoded.Beginnings, origin.Beginning{
 			Stream: origin.Stream(beginning.GetStream()), Version: balance.VersionID(beginning.GetVersion()),
--- a/exchange/origins_test.go
+++ b/exchange/origins_test.go
@@ -1,6 +1,10 @@
 package exchange
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -79,3 +83,67 @@
 		c.Assert(rejected, qt.Equals, 3)
 	})
 }
+
+// TestOneHostWritesTheHistory guards against hosts that write the history of versions each for itself,
+// and against a history that nobody writes as the platform turns the first hosts away.
+func TestOneHostWritesTheHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var names []string
+		for i := range 9 {
+			names = append(names, fmt.Sprintf("10.10.100.10%d:7600", i))
+		}
+		var mutex sync.Mutex
+		written, calls, turnedAway := map[string][]byte{}, 0, map[string]bool{}
+		for _, name := range names {
+			call := func() error {
+				calls++
+				if turnedAway[name] {
+					return errors.New("turned away")
+				}
+				return nil
+			}
+			network.start(t, name, func(host *Exchange) {
+				host.Origins = &origin.Origins{
+					Members: func() []string { return host.Members().Others }, Send: host.SendOrigins, Events: host.Events,
+					Known: host.KnownPeers, KeepsMarks: func() bool { return false }, Turn: host.Succession,
+					Marks: origin.Marks{
+						List: func(context.Context) (map[string][]byte, error) {
+							mutex.Lock()
+							defer mutex.Unlock()
+							return maps.Clone(written), call()
+						},
+						Save: func(_ context.Context, name string, value []byte) error {
+							mutex.Lock()
+							defer mutex.Unlock()
+							if err := call(); err != nil {
+								return err
+							}
+							written[name] = value
+							return nil
+						},
+					},
+				}
+				host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}})
+				go func() { _ = host.Origins.RunHistory(ctx) }()
+			}, names...)
+		}
+		time.Sleep(61 * time.Second)
+		mutex.Lock()
+		// A list and a write each ten seconds.
+		c.Check(calls <= 14, qt.IsTrue, qt.Commentf("%d calls", calls))
+		c.Check(len(written), qt.Equals, 1)
+		clear(written)
+		for _, name := range names[:3] {
+			turnedAway[name] = true
+		}
+		mutex.Unlock()
+		time.Sleep(13 * time.Second)
+		mutex.Lock()
+		c.Check(len(written), qt.Equals, 1)
+		mutex.Unlock()
+	})
+}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -151,6 +151,11 @@
 // Hosts may disagree on the order until they have received the same reports.
 func (exchange *Exchange) Turn() int { return int(exchange.turn.Load()) }
 
+// Succession returns the number of hosts that are not silent before this one in the order in which
+// hosts take over what one does for all: the first of each zone, then the second of each. Hosts may
+// disagree on the order until they have received the same reports.
+func (exchange *Exchange) Succession() int { return int(exchange.succession.Load()) }
+
 // ZoneLeader returns the address of the first host in the order of this host's zone, empty if
 // that is this host.
 func (exchange *Exchange) ZoneLeader() string {
@@ -277,6 +282,8 @@
 		zoneCounts[host.zone]++
 	}
 	exchange.turn.Store(int64(slices.Index(hosts, own)))
+	slices.SortStableFunc(hosts, func(one, other *peer) int { return cmp.Compare(one.rank, other.rank) })
+	exchange.succession.Store(int64(slices.Index(hosts, own)))
 	exchange.rank, exchange.zoneHosts = own.rank, zoneCounts[exchange.Zone]
 	exchange.livePeers.Store(int64(len(hosts) - 1))
 	exchange.liveZoneHosts.Store(int64(exchange.zoneHosts))
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -164,7 +164,7 @@
 		for _, part := range []func(context.Context) error{
 			host.balancer.Run, host.targets.Run, host.routeFollower.Run, host.targetFollower.Run, host.closeStaleConnections,
 			host.attempts.Run, host.suspects.Run, host.keeper.Run, host.exchange.RunSuspicions,
-			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.paths.Run, host.detourServer.Run, host.rollouts.run,
+			host.exchange.RunLimits, host.exchange.RunProbes, host.origins.Run, host.origins.RunRecords, host.origins.RunHistory, host.paths.Run, host.detourServer.Run, host.rollouts.run,
 			func(ctx context.Context) error { return host.snapshots.Serve(ctx, listeners[0]) },
 			func(ctx context.Context) error {
 				return serve(ctx, newServer(listeners[1], listener.Handler(http.HandlerFunc(host.serveReadiness))))
@@ -274,8 +274,8 @@
 	host.origins = &origin.Origins{
 		Members: func() []string { return host.exchange.Members().Others }, Send: host.exchange.SendOrigins,
 		Known: host.exchange.KnownPeers, ReadTargets: host.targetFollower.ReadSince, Marks: sources.Marks, Events: events,
-		KeepsMarks: func() bool { return host.exchange.Leads(1) },
-		Records:    sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: func() time.Duration { return time.Duration(host.longestStream.Load()) },
+		KeepsMarks: func() bool { return host.exchange.Leads(1) }, Turn: host.exchange.Succession, Era: sources.Eras.Current,
+		Records: sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: func() time.Duration { return time.Duration(host.longestStream.Load()) },
 		ReadsRecords: func() bool { return !host.exchange.UsesSummaries() },
 	}
 	host.exchange.Origins = host.origins
--- a/origin/marks.go
+++ b/origin/marks.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,9 @@
 const (
 	// markInterval is how often the mark of a pool with several versions is written again.
 	markInterval = 10 * time.Second
+	// markLifetime is how long a mark counts. It may be as old as markInterval while the pool has
+	// several versions.
+	markLifetime = streamLifetime + 2*markInterval
 	// markTimeout limits a call to the platform.
 	markTimeout = time.Second
 	// maxMarkLead is how far the time of a mark may be ahead of this host's clock.
@@ -88,18 +92,32 @@
 	origins.marksMutex.Lock()
 	defer origins.marksMutex.Unlock()
 	mixedAt, isMarked := origins.marks[pool]
-	// A mark may be as old as markInterval while the pool has several versions.
-	return !isMarked || time.Since(mixedAt) > streamLifetime+2*markInterval
+	return !isMarked || time.Since(mixedAt) > markLifetime
 }
 
+// readMarks reads the marks of all pools and the history of their versions.
 func (origins *Origins) readMarks(ctx context.Context) error {
+	era := origins.era()
 	values, err := origins.Marks.List(ctx)
 	if err != nil {
 		return fmt.Errorf("read marks: %w", err)
 	}
+	if origins.era() != era {
+		return fmt.Errorf("read marks: era %d of the platform is over", era)
+	}
+	now := time.Now()
+	values = maps.Clone(values)
+	value, isWritten := values[historyName]
+	delete(values, historyName)
+	isMarked := origins.setMarks(values, now)
+	origins.readHistory(value, isWritten, isMarked, era, now)
+	return nil
+}
+
+// setMarks sets the marks of pools, and reports whether one is of the time of streams that last.
+func (origins *Origins) setMarks(values map[string][]byte, now time.Time) (isMarked bool) {
 	origins.marksMutex.Lock()
 	defer origins.marksMutex.Unlock()
-	now := time.Now()
 	before := origins.unreadableMarks
 	origins.marks, origins.unreadableMarks = map[string]time.Time{}, map[string]unreadableMark{}
 	for pool, value := range values {
@@ -113,6 +131,7 @@
 			origins.unreadableMarks[pool], mark.MixedAt = unreadable, unreadable.firstAt
 		}
 		origins.marks[pool] = mark.MixedAt
+		isMarked = isMarked || now.Sub(mark.MixedAt) <= markLifetime
 	}
-	return nil
+	return isMarked
 }
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -101,6 +101,8 @@
 	Answers    []Answer
 	// Records are streams that the receiver has to record.
 	Records []Beginning
+	// Saved is what the sender has written to the platform for all hosts, nil for nothing.
+	Saved *Saved
 }
 
 // record is what is known of a stream.
@@ -126,6 +128,11 @@
 	Marks       Marks
 	// KeepsMarks reports whether this host writes marks for all.
 	KeepsMarks func() bool
+	// Turn returns the number of hosts before this one in the order in which they write to the
+	// platform for all. Nil stands for none.
+	Turn func() int
+	// Era returns the platform's present era. Nil stands for one era.
+	Era func() int64
 	// Records are the platform's records of streams. Recorder returns the address of the
 	// host that writes them for this host's zone, empty for this host; nil means that there
 	// are none. ReadsRecords reports whether this host reads them itself anyway.
@@ -138,7 +145,8 @@
 	Longest func() time.Duration
 	Events  *timeline.Recorder
 
-	pools pools
+	pools   pools
+	history historyState
 	// most is the most other hosts that were known lately.
 	most mostKnown
 
@@ -277,6 +285,9 @@
 	if len(message.Records) > 0 {
 		origins.addUnsaved(message.Records)
 	}
+	if message.Saved != nil {
+		origins.learnSaved(message.Saved, now)
+	}
 	if len(answer.Answers) > 0 {
 		origins.Send(address, answer)
 	}
@@ -393,6 +404,9 @@
 	if now := origins.pools.state(pool, time.Now()); now.IsMixed || now.Only != own.Only || !origins.isUnmarked(pool) {
 		return 0, mixed
 	}
+	if doubt := origins.doubtHistory(pool, own.Only, time.Now()); doubt != "" {
+		return 0, doubt
+	}
 	return own.Only, "one version, as the platform knows"
 }
 
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -55,6 +56,9 @@
 	hosts    map[string]*testHost
 	versions []string
 	marks    map[string][]byte
+	// copied are the marks that the platform comes back with, era counts how often it did.
+	copied map[string][]byte
+	era    int64
 	// isAway means that the platform can't be reached, isLossy that messages
 	// are lost.
 	isAway, isLossy bool
@@ -84,6 +88,10 @@
 //	rejoin HOST ...              they can
 //	away, back                   the platform
 //	later DURATION COMMAND       away or back, in a while
+//	copy                         the platform is copied
+//	restore                      it comes back from the copy, in a new era
+//	forget                       it has only what earlier builds write
+//	marks COUNT                  the number of marks on it
 //	large                        only one host reads the records of streams
 //	spoil                        adds records that can't be read
 //	lossy                        every third message is lost, at random
@@ -139,6 +147,23 @@
 		set(func() { script.isAway = true })
 	case "back":
 		set(func() { script.isAway = false })
+	case "copy":
+		set(func() { script.copied = maps.Clone(script.marks) })
+	case "restore":
+		set(func() {
+			script.marks = maps.Clone(script.copied)
+			script.era++
+		})
+	case "forget":
+		set(func() { delete(script.marks, historyName) })
+	case "marks":
+		set(func() {
+			count := len(script.marks)
+			if script.marks[historyName] != nil {
+				count--
+			}
+			script.Assert(fmt.Sprint(count), qt.Equals, words[1])
+		})
 	case "later":
 		duration, err := time.ParseDuration(words[1])
 		script.Assert(err, qt.IsNil)
@@ -258,16 +283,12 @@
 				return nil
 			},
 		},
-		KeepsMarks: func() bool {
+		KeepsMarks: func() bool { return script.turn(name) == 0 },
+		Turn:       func() int { return script.turn(name) },
+		Era: func() int64 {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			var group []string
-			for other, state := range script.hosts {
-				if state.group == host.group {
-					group = append(group, other)
-				}
-			}
-			return name == slices.Min(group)
+			return script.era
 		},
 		Marks: Marks{
 			List: func(context.Context) (map[string][]byte, error) {
@@ -295,6 +316,20 @@
 	host.origins.SetTargets(script.targets())
 	go func() { _ = host.origins.Run(ctx) }()
 	go func() { _ = host.origins.RunRecords(ctx) }()
+	go func() { _ = host.origins.RunHistory(ctx) }()
+}
+
+// turn returns the number of hosts before one among those that it hears.
+func (script *script) turn(name string) int {
+	script.mutex.Lock()
+	defer script.mutex.Unlock()
+	count := 0
+	for other, state := range script.hosts {
+		if own := script.hosts[name]; own != nil && state.group == own.group && other < name {
+			count++
+		}
+	}
+	return count
 }
 
 // send delivers a message after a millisecond.
@@ -383,9 +418,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		var reads atomic.Int64
+		written, err := json.Marshal(history{
+			Format: historyFormat, WrittenAt: time.Now().UnixMilli(), Since: time.Now().Add(-time.Minute).UnixMilli(),
+			Pools: map[string]map[balance.VersionID]int64{testPool: {balance.NewVersionID(testPool, "v1"): time.Now().UnixMilli()}},
+		})
+		c.Assert(err, qt.IsNil)
 		origins := &Origins{
 			Events: &timeline.Recorder{}, Members: func() []string { return nil }, Known: func() int { return 0 },
-			Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return map[string][]byte{}, nil }},
+			Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return map[string][]byte{historyName: written}, nil }},
 		}
 		var version atomic.Value
 		version.Store("v1")
@@ -416,3 +456,82 @@
 		group.Wait()
 	})
 }
+
+// TestOddHistories guards against a history of another writer or an earlier era that lets streams go on,
+// and against one that names versions for ever.
+func TestOddHistories(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		version := balance.NewVersionID(testPool, "v1")
+		good := func() history {
+			return history{
+				Format: historyFormat, Era: 3, WrittenAt: time.Now().UnixMilli(), Since: time.Now().Add(-time.Hour).UnixMilli(),
+				Pools: map[string]map[balance.VersionID]int64{testPool: {version: time.Now().UnixMilli()}},
+			}
+		}
+		for name, test := range map[string]struct {
+			change func(written *history)
+			text   string
+			want   balance.VersionID
+		}{
+			"good":            {change: func(*history) {}, want: version},
+			"other format":    {change: func(written *history) { written.Format++ }},
+			"earlier era":     {change: func(written *history) { written.Era-- }},
+			"later era":       {change: func(written *history) { written.Era++ }},
+			"old":             {change: func(written *history) { written.WrittenAt -= maxHistoryAge.Milliseconds() + 1 }},
+			"of the future":   {change: func(written *history) { written.WrittenAt += time.Hour.Milliseconds() }},
+			"before all time": {change: func(written *history) { written.WrittenAt = -1 << 62 }},
+			"young":           {change: func(written *history) { written.Since, written.HasEarlier = time.Now().UnixMilli(), true }},
+			"no pools":        {change: func(written *history) { written.Pools = nil }},
+			"another version": {change: func(written *history) { written.Pools[testPool][7] = time.Now().UnixMilli() }},
+			"a gone version":  {change: func(written *history) { written.Pools[testPool][7] = time.Now().Add(-streamLifetime).UnixMilli() }, want: version},
+			"text":            {text: "no history"}, "null": {text: "null"}, "list": {text: "[]"}, "deep": {text: strings.Repeat("[", 20_000)},
+			"names": {text: `{"format":1,"pools":{"p":{"-1":5}}}`}, "cut": {text: `{"format":1`}, "empty": {},
+		} {
+			value := []byte(test.text)
+			if test.change != nil {
+				written := good()
+				test.change(&written)
+				encoded, err := json.Marshal(written)
+				c.Assert(err, qt.IsNil)
+				value = encoded
+			}
+			origins := &Origins{
+				Events: &timeline.Recorder{}, Members: func() []string { return nil }, Known: func() int { return 0 },
+				Era:   func() int64 { return 3 },
+				Marks: Marks{List: func(context.Context) (map[string][]byte, error) { return map[string][]byte{historyName: value}, nil }},
+			}
+			origins.ReadTargets = func(context.Context, time.Time) error { return nil }
+			origins.SetTargets([]balance.Target{{ID: "t", Pool: testPool, Version: "v1"}})
+			c.Check(origins.Find(t.Context(), "r", "s", testPool), qt.Equals, test.want, qt.Commentf(name))
+			time.Sleep(platformInterval + platformTimeout)
+		}
+	})
+}
+
+// TestPlatformThatIsAwayIsNotCrowded guards against calls that grow with the number of hosts while the
+// platform is away.
+func TestPlatformThatIsAwayIsNotCrowded(t *testing.T) {
+	for _, hosts := range []int{8, 60, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			var calls atomic.Int64
+			for i := range hosts {
+				origins := &Origins{
+					Events: &timeline.Recorder{}, Members: func() []string { return make([]string, hosts-1) }, Turn: func() int { return i },
+					Marks: Marks{List: func(context.Context) (map[string][]byte, error) {
+						calls.Add(1)
+						return nil, errors.New("away")
+					}},
+				}
+				origins.SetTargets([]balance.Target{{ID: "t", Pool: testPool, Version: "v1"}})
+				go func() { _ = origins.RunHistory(ctx) }()
+			}
+			time.Sleep(2 * time.Minute)
+			t.Logf("%d calls of %d hosts", calls.Load(), hosts)
+			c.Check(calls.Load() <= int64(2*time.Minute/handoverDelay), qt.IsTrue)
+			cancel()
+		})
+	}
+}
--- a/origin/pools.go
+++ b/origin/pools.go
@@ -48,7 +48,10 @@
 	pools.mutex.Lock()
 	defer pools.mutex.Unlock()
 	if pools.byName == nil {
-		pools.byName, pools.startedAt = map[string]*poolVersions{}, now
+		pools.byName = map[string]*poolVersions{}
+	}
+	if pools.startedAt.IsZero() {
+		pools.startedAt = now
 	}
 	current := map[string]map[balance.VersionID]string{}
 	for name := range pools.byName {
@@ -88,6 +91,79 @@
 	return changed
 }
 
+// learn adds versions that other hosts have seen, with the times in milliseconds since 1970 at which
+// they last did. It reports whether a pool is known to have had several versions by that.
+func (pools *pools) learn(seen map[string]map[balance.VersionID]int64, now time.Time) (isMixed bool) {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	if pools.byName == nil {
+		pools.byName = map[string]*poolVersions{}
+	}
+	for name, versions := range seen {
+		pool := pools.byName[name]
+		if pool == nil {
+			pool = &poolVersions{name: name, seenAt: map[balance.VersionID]time.Time{}}
+		}
+		for version, milliseconds := range versions {
+			at := earlier(time.UnixMilli(milliseconds), now)
+			if now.Sub(at) >= streamLifetime || !at.After(pool.seenAt[version]) {
+				continue
+			}
+			_, isCurrent := pool.current[version]
+			_, isKnown := pool.seenAt[version]
+			isMixed = isMixed || !isCurrent && !isKnown && len(pool.current) > 0
+			pool.seenAt[version] = at
+			pools.byName[name] = pool
+		}
+	}
+	return isMixed
+}
+
+// seen returns the times at which the versions of all pools were last seen, in milliseconds since
+// 1970.
+func (pools *pools) seen(now time.Time) map[string]map[balance.VersionID]int64 {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	seen := map[string]map[balance.VersionID]int64{}
+	for _, name := range slices.Sorted(maps.Keys(pools.byName)) {
+		if len(seen) == maxHistoryPools {
+			break
+		}
+		pool, versions := pools.byName[name], map[balance.VersionID]int64{}
+		for version, at := range pool.seenAt {
+			if now.Sub(at) < streamLifetime {
+				versions[version] = at.UnixMilli()
+			}
+		}
+		for version := range pool.current {
+			versions[version] = now.UnixMilli()
+		}
+		if len(versions) > 0 {
+			seen[name] = versions
+		}
+	}
+	return seen
+}
+
+// current returns the present versions of the pools that a history holds.
+func (pools *pools) current() []balance.VersionID {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	names := slices.Sorted(maps.Keys(pools.byName))
+	var current []balance.VersionID
+	for _, name := range names[:min(maxHistoryPools, len(names))] {
+		current = slices.AppendSeq(current, maps.Keys(pools.byName[name].current))
+	}
+	return current
+}
+
+// start returns when targets were first set, zero if they were not.
+func (pools *pools) start() time.Time {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	return pools.startedAt
+}
+
 // state returns what is known of a pool.
 func (pools *pools) state(name string, now time.Time) PoolState {
 	pools.mutex.Lock()
