origin: let the next host write a mark that the first ones can't

Callers saw: the store turned the first host of each zone away while a second version of a pool appeared, and all hosts were killed after that.

Cause: the first host of each zone writes the mark for all. Whether it can was not part of the choice, and nobody knew whether it did: 1129 came each second on three hosts, 1130 on none, and six hosts could have written.

Change: a host tells the others of the marks and the history that it has written. Those that are not told write themselves, in the order of exchange.Succession, from 0.4 s on and 0.2 s apart. A host of an earlier build doesn't tell, so that one more host writes beside it, and passes over the new field.

Failed before, with the waiting hosts switched off: exchange TestMarksOfHostsTurnedAway with 3 of 9 hosts turned away (no mark), and the script of origin.

--- a/exchange/origins.go
+++ b/exchange/origins.go
@@ -18,8 +18,10 @@
 	maxOriginItems = 64
 	// Bounds what is accepted from other hosts.
 	maxReceivedOriginItems = 4 * maxOriginItems
-	// maxSavedVersions is the number of versions of a history whose write other hosts are told of.
+	// maxSavedVersions is the number of versions of a history whose write other hosts are told of,
+	// maxSavedMarks that of marks.
 	maxSavedVersions = 8192
+	maxSavedMarks    = 256
 )
 
 var eventOriginsRejected = timeline.Define(timeline.Kind{
@@ -76,7 +78,7 @@
 	case exchange.livePeer(message.GetAddress()) == "" && (message.GetSaved() != nil || len(message.GetBeginnings())+len(message.GetAnswers())+len(message.GetRecords()) > 0):
 		exchange.rejectOrigins(message.GetAddress(), "not a live host")
 	case len(message.GetBeginnings())+len(message.GetQuestions())+len(message.GetAnswers())+len(message.GetRecords()) > maxReceivedOriginItems,
-		len(message.GetSaved().GetVersions()) > maxSavedVersions:
+		len(message.GetSaved().GetVersions()) > maxSavedVersions, len(message.GetSaved().GetMarks()) > maxSavedMarks:
 		exchange.rejectOrigins(message.GetAddress(), "too many items")
 	default:
 		exchange.Origins.Receive(message.GetAddress(), decodeOrigins(message))
@@ -97,10 +99,10 @@
 
 // encodeSaved returns nil if there is nothing to tell, or too much: other hosts write, too, then.
 func encodeSaved(saved *origin.Saved) *exchangepb.Saved {
-	if saved == nil || len(saved.Versions) > maxSavedVersions {
+	if saved == nil || len(saved.Versions) > maxSavedVersions || len(saved.Marks) > maxSavedMarks {
 		return nil
 	}
-	encoded := &exchangepb.Saved{Era: saved.Era, Since: saved.Since, HasEarlier: saved.HasEarlier}
+	encoded := &exchangepb.Saved{Era: saved.Era, Since: saved.Since, HasEarlier: saved.HasEarlier, Marks: saved.Marks}
 	for _, version := range saved.Versions {
 		encoded.Versions = append(encoded.Versions, uint32(version))
 	}
@@ -111,7 +113,7 @@
 	if encoded == nil {
 		return nil
 	}
-	saved := &origin.Saved{Era: encoded.GetEra(), Since: encoded.GetSince(), HasEarlier: encoded.GetHasEarlier()}
+	saved := &origin.Saved{Era: encoded.GetEra(), Since: encoded.GetSince(), HasEarlier: encoded.GetHasEarlier(), Marks: encoded.GetMarks()}
 	for _, version := range encoded.GetVersions() {
 		saved.Versions = append(saved.Versions, balance.VersionID(version))
 	}
--- a/exchange/origins_test.go
+++ b/exchange/origins_test.go
@@ -84,66 +84,117 @@
 	})
 }
 
+// originStore keeps the marks of a test's hosts, and counts calls.
+type originStore struct {
+	mutex      sync.Mutex
+	written    map[string][]byte
+	calls      int
+	turnedAway map[string]bool
+}
+
+func (store *originStore) withLock(edit func()) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	edit()
+}
+
+// call counts a call of a host. The caller holds the mutex.
+func (store *originStore) call(host string) error {
+	store.calls++
+	if store.turnedAway[host] {
+		return errors.New("turned away")
+	}
+	return nil
+}
+
+// marks returns the calls of a host.
+func (store *originStore) marks(host string) origin.Marks {
+	return origin.Marks{
+		List: func(context.Context) (map[string][]byte, error) {
+			store.mutex.Lock()
+			defer store.mutex.Unlock()
+			return maps.Clone(store.written), store.call(host)
+		},
+		Save: func(_ context.Context, name string, value []byte) error {
+			store.mutex.Lock()
+			defer store.mutex.Unlock()
+			if err := store.call(host); err != nil {
+				return err
+			}
+			store.written[name] = value
+			return nil
+		},
+	}
+}
+
+// startOriginHosts starts nine hosts with targets of one version. They end with the test.
+func startOriginHosts(t *testing.T) (store *originStore, names []string, hosts []*Exchange) {
+	network := newNetwork()
+	store = &originStore{written: map[string][]byte{}, turnedAway: map[string]bool{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for i := range 9 {
+		names = append(names, fmt.Sprintf("10.10.100.10%d:7600", i))
+	}
+	for _, name := range names {
+		hosts = append(hosts, network.start(t, name, func(host *Exchange) {
+			host.Origins = &origin.Origins{
+				Members: func() []string { return host.Members().Others }, Send: host.SendOrigins, Events: host.Events,
+				Known: host.KnownPeers, KeepsMarks: func() bool { return host.Leads(1) }, Turn: host.Succession, Marks: store.marks(name),
+			}
+			host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}})
+			go func() { _ = host.Origins.RunHistory(ctx) }()
+			go func() { _ = host.Origins.Run(ctx) }()
+		}, names...))
+	}
+	return store, names, hosts
+}
+
 // TestOneHostWritesTheHistory guards against hosts that write the history of versions each for itself,
 // and against a history that nobody writes as the platform turns the first hosts away.
 func TestOneHostWritesTheHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		network := newNetwork()
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		var names []string
-		for i := range 9 {
-			names = append(names, fmt.Sprintf("10.10.100.10%d:7600", i))
-		}
-		var mutex sync.Mutex
-		written, calls, turnedAway := map[string][]byte{}, 0, map[string]bool{}
-		for _, name := range names {
-			call := func() error {
-				calls++
-				if turnedAway[name] {
-					return errors.New("turned away")
-				}
-				return nil
-			}
-			network.start(t, name, func(host *Exchange) {
-				host.Origins = &origin.Origins{
-					Members: func() []string { return host.Members().Others }, Send: host.SendOrigins, Events: host.Events,
-					Known: host.KnownPeers, KeepsMarks: func() bool { return false }, Turn: host.Succession,
-					Marks: origin.Marks{
-						List: func(context.Context) (map[string][]byte, error) {
-							mutex.Lock()
-							defer mutex.Unlock()
-							return maps.Clone(written), call()
-						},
-						Save: func(_ context.Context, name string, value []byte) error {
-							mutex.Lock()
-							defer mutex.Unlock()
-							if err := call(); err != nil {
-								return err
-							}
-							written[name] = value
-							return nil
-						},
-					},
-				}
-				host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}})
-				go func() { _ = host.Origins.RunHistory(ctx) }()
-			}, names...)
-		}
+		store, names, _ := startOriginHosts(t)
 		time.Sleep(61 * time.Second)
-		mutex.Lock()
-		// A list and a write each ten seconds.
-		c.Check(calls <= 14, qt.IsTrue, qt.Commentf("%d calls", calls))
-		c.Check(len(written), qt.Equals, 1)
-		clear(written)
-		for _, name := range names[:3] {
-			turnedAway[name] = true
-		}
-		mutex.Unlock()
+		store.withLock(func() {
+			// A list and a write each ten seconds.
+			c.Check(store.calls <= 14, qt.IsTrue, qt.Commentf("%d calls", store.calls))
+			c.Check(len(store.written), qt.Equals, 1)
+			clear(store.written)
+			for _, name := range names[:3] {
+				store.turnedAway[name] = true
+			}
+		})
 		time.Sleep(13 * time.Second)
-		mutex.Lock()
-		c.Check(len(written), qt.Equals, 1)
-		mutex.Unlock()
+		store.withLock(func() { c.Check(len(store.written), qt.Equals, 1) })
 	})
 }
+
+// TestMarksOfHostsTurnedAway guards against a mark of several versions that nobody writes as the platform
+// turns the first hosts away, and against one that all hosts write.
+func TestMarksOfHostsTurnedAway(t *testing.T) {
+	for _, turnedAway := range []int{0, 3, 8} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store, names, hosts := startOriginHosts(t)
+			time.Sleep(8 * time.Second)
+			store.withLock(func() {
+				clear(store.written)
+				store.calls = 0
+				for _, name := range names[:turnedAway] {
+					store.turnedAway[name] = true
+				}
+			})
+			for _, host := range hosts {
+				host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}, {Pool: "p", Version: "v2"}})
+			}
+			time.Sleep(time.Duration(turnedAway+1)*200*time.Millisecond + 300*time.Millisecond)
+			store.withLock(func() {
+				c.Check(store.written["p"], qt.IsNotNil, qt.Commentf("%d turned away", turnedAway))
+				// A mark, a list and a history; those turned away try for the mark and the list, and some twice.
+				c.Check(store.calls <= 3+3*turnedAway, qt.IsTrue, qt.Commentf("%d calls, %d turned away", store.calls, turnedAway))
+			})
+		})
+	}
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -258,12 +258,13 @@
 	return isOwnTurn && now.Sub(state.triedAt) >= origins.retryTime()
 }
 
-// handoverTime returns how long this host waits for the hosts before it to write for all.
+// handoverTime returns how long this host waits for the hosts before it to write for all. These may
+// have found out handoverDelay later that something has to be written.
 func (origins *Origins) handoverTime() time.Duration {
-	if origins.Turn == nil {
+	if origins.Turn == nil || origins.Turn() == 0 {
 		return 0
 	}
-	return time.Duration(origins.Turn()) * handoverDelay
+	return time.Duration(origins.Turn()+1) * handoverDelay
 }
 
 // retryTime returns the time between two attempts of this host. All hosts together make no more
@@ -327,6 +328,8 @@
 	Since      int64
 	HasEarlier bool
 	Versions   []balance.VersionID
+	// Marks are the pools whose marks it wrote.
+	Marks []string
 }
 
 // tellSaved tells all other hosts.
@@ -338,8 +341,12 @@
 
 // learnSaved records what this host or another one has written.
 func (origins *Origins) learnSaved(saved *Saved, now time.Time) {
+	if saved.Era != origins.era() {
+		return
+	}
+	origins.learnMarks(saved.Marks, now)
 	startedAt := origins.pools.start()
-	if saved.Era != origins.era() || len(saved.Versions) == 0 || startedAt.IsZero() {
+	if len(saved.Versions) == 0 || startedAt.IsZero() {
 		return
 	}
 	state := &origins.history
--- a/origin/marks.go
+++ b/origin/marks.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,7 +28,7 @@
 var (
 	eventMarkFailed = timeline.Define(timeline.Kind{
 		Number: 1129, Name: "mark not kept", Level: timeline.Info,
-		Meaning: "The platform's mark that a pool has several versions could not be written; the detail is the error. Hosts that start when all others have ended may let streams go on at another version.",
+		Meaning: "The platform's mark that a pool has several versions could not be written; the detail is the error. The next host in the order writes it, unless it is told that another one did.",
 	})
 	eventMarked = timeline.Define(timeline.Kind{
 		Number: 1130, Name: "mark written", Level: timeline.Info,
@@ -55,21 +56,95 @@
 	firstAt time.Time
 }
 
-// keepMarks writes the marks of pools with several versions, if this host does so for all.
-func (origins *Origins) keepMarks(ctx context.Context, marked map[string]time.Time) {
-	now := time.Now()
-	for _, pool := range origins.pools.mixed(now) {
-		if now.Sub(marked[pool]) < markInterval || !origins.KeepsMarks() {
-			continue
+// markDuty is what a host knows of the writing of a pool's mark.
+type markDuty struct {
+	// dueAt is when the mark has to be written next, triedAt when this host last tried.
+	dueAt, triedAt time.Time
+	// isOwn is set once this host has written it.
+	isOwn bool
+}
+
+// keepMarks writes the marks of pools with several versions: the first hosts of zones at once, the
+// others each in its turn if they are not told that it is done.
+func (origins *Origins) keepMarks(ctx context.Context) {
+	era := origins.era()
+	var written []string
+	for _, pool := range origins.dueMarks(time.Now()) {
+		now := time.Now()
+		err := origins.saveMark(ctx, pool, now)
+		if err == nil && origins.era() != era {
+			err = fmt.Errorf("save the mark of %s: era %d of the platform is over", pool, era)
 		}
-		if err := origins.saveMark(ctx, pool, now); err != nil {
+		if err != nil {
 			origins.Events.Record(eventMarkFailed, timeline.Event{Pool: pool, Detail: err.Error()})
 			continue
 		}
-		if marked[pool].IsZero() {
+		if origins.recordMark(pool, now) {
 			origins.Events.Record(eventMarked, timeline.Event{Pool: pool})
 		}
-		marked[pool] = now
+		written = append(written, pool)
+	}
+	if len(written) > 0 {
+		origins.tellSaved(&Saved{Era: era, Marks: written})
+	}
+}
+
+// dueMarks returns the pools whose marks this host has to write now.
+func (origins *Origins) dueMarks(now time.Time) []string {
+	mixed := origins.pools.mixed(now)
+	wait := origins.handoverTime()
+	if origins.KeepsMarks() {
+		wait = 0
+	}
+	retry := origins.retryTime()
+	origins.marksMutex.Lock()
+	defer origins.marksMutex.Unlock()
+	maps.DeleteFunc(origins.markDuties, func(pool string, duty *markDuty) bool {
+		return duty.dueAt.Before(now) && !slices.Contains(mixed, pool)
+	})
+	var due []string
+	for _, pool := range mixed {
+		duty := origins.markDuty(pool, now)
+		if now.Sub(duty.dueAt) >= wait && now.Sub(duty.triedAt) >= retry {
+			duty.triedAt = now
+			due = append(due, pool)
+		}
+	}
+	return due
+}
+
+// markDuty returns the duty of a pool's mark, a new one that is due now if there is none. The caller
+// holds marksMutex.
+func (origins *Origins) markDuty(pool string, now time.Time) *markDuty {
+	duty := origins.markDuties[pool]
+	if duty == nil {
+		if origins.markDuties == nil {
+			origins.markDuties = map[string]*markDuty{}
+		}
+		duty = &markDuty{dueAt: now}
+		origins.markDuties[pool] = duty
+	}
+	return duty
+}
+
+// recordMark records that this host wrote a mark, and reports whether it is the first time.
+func (origins *Origins) recordMark(pool string, now time.Time) (isFirst bool) {
+	origins.marksMutex.Lock()
+	defer origins.marksMutex.Unlock()
+	duty := origins.markDuty(pool, now)
+	isFirst = !duty.isOwn
+	duty.dueAt, duty.isOwn = now.Add(markInterval), true
+	return isFirst
+}
+
+// learnMarks records that another host wrote the marks of pools.
+func (origins *Origins) learnMarks(written []string, now time.Time) {
+	origins.marksMutex.Lock()
+	defer origins.marksMutex.Unlock()
+	for _, pool := range written {
+		if origins.markDuties[pool] != nil || len(origins.markDuties) < maxHistoryPools {
+			origins.markDuty(pool, now).dueAt = now.Add(markInterval)
+		}
 	}
 }
 
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -126,7 +126,7 @@
 	// after a time.
 	ReadTargets func(ctx context.Context, since time.Time) error
 	Marks       Marks
-	// KeepsMarks reports whether this host writes marks for all.
+	// KeepsMarks reports whether this host is one of the first that write marks for all.
 	KeepsMarks func() bool
 	// Turn returns the number of hosts before this one in the order in which they write to the
 	// platform for all. Nil stands for none.
@@ -154,7 +154,7 @@
 	streams map[Stream]*record
 	// waiting are the questions of this host that wait for answers.
 	waiting map[Stream][]chan<- reply
-	// marksMutex guards what the platform's marks said when they were last read.
+	// marksMutex guards what the platform's marks said when they were last read, and markDuties.
 	// recordsMutex guards unsaved, the streams that this host has to record, and mixed. readMutex is
 	// held while the records are read, last at recordsReadAt.
 	recordsMutex sync.Mutex
@@ -167,6 +167,7 @@
 	isReading  atomic.Bool
 	marksMutex sync.Mutex
 	marks      map[string]time.Time
+	markDuties map[string]*markDuty
 	platform   platformReads
 	// unreadableMarks are those of marks that can't be read, by pool.
 	unreadableMarks map[string]unreadableMark
@@ -523,25 +524,25 @@
 	return hash ^ hash>>33
 }
 
-// Run forgets old streams, and writes marks if this host does so for all, until the context
-// ends. It returns nil.
+// Run forgets old streams, and writes marks if that is this host's turn, until the context ends. It
+// returns nil.
 func (origins *Origins) Run(ctx context.Context) error {
-	marked := map[string]time.Time{}
-	ticker := time.NewTicker(forgetInterval)
+	ticker := time.NewTicker(handoverDelay)
 	defer ticker.Stop()
-	for {
+	for forgotAt := time.Now(); ; {
 		select {
 		case <-ctx.Done():
+			return nil
 		case <-origins.mixedPools():
 			// All hosts may end before the next tick.
 		case <-ticker.C:
-			origins.forget(time.Now())
-			origins.touch()
 		}
-		if ctx.Err() != nil {
-			return nil
+		if now := time.Now(); now.Sub(forgotAt) >= forgetInterval {
+			forgotAt = now
+			origins.forget(now)
+			origins.touch()
 		}
-		origins.keepMarks(ctx, marked)
+		origins.keepMarks(ctx)
 	}
 }
 
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -201,7 +201,7 @@
 			_, err := fmt.Sscan(words[1], &count)
 			script.Assert(err, qt.IsNil)
 		}
-		script.Assert(script.messages, qt.Equals, count)
+		set(func() { script.Assert(script.messages, qt.Equals, count) })
 	default:
 		script.Fatalf("unknown command %q", words[0])
 	}
