origin: write a mark again when the platform came back from a copy

Callers saw: the store came back from an older copy, without the mark that a pool has several versions.

Cause: a host remembers for 10 s that it wrote a mark, and not in which era of the platform. 8107 told of the new era, 1130 did not come again.

Change: that a mark is written, by this host or by the one that told it, counts in the era in which it was. In another one it is due at once. No callback is needed, so that none can be forgotten.

Failed before: the script `the platform comes back without the mark` of TestOrigins, with no mark after 1 s.

--- a/origin/history.go
+++ b/origin/history.go
@@ -344,7 +344,7 @@
 	if saved.Era != origins.era() {
 		return
 	}
-	origins.learnMarks(saved.Marks, now)
+	origins.learnMarks(saved.Marks, saved.Era, now)
 	startedAt := origins.pools.start()
 	if len(saved.Versions) == 0 || startedAt.IsZero() {
 		return
--- a/origin/marks.go
+++ b/origin/marks.go
@@ -58,6 +58,8 @@
 
 // markDuty is what a host knows of the writing of a pool's mark.
 type markDuty struct {
+	// era is that of the platform in which the mark was written, or has to be. A later one may lack it.
+	era int64
 	// dueAt is when the mark has to be written next, triedAt when this host last tried.
 	dueAt, triedAt time.Time
 	// isOwn is set once this host has written it.
@@ -69,7 +71,7 @@
 func (origins *Origins) keepMarks(ctx context.Context) {
 	era := origins.era()
 	var written []string
-	for _, pool := range origins.dueMarks(time.Now()) {
+	for _, pool := range origins.dueMarks(era, time.Now()) {
 		now := time.Now()
 		err := origins.saveMark(ctx, pool, now)
 		if err == nil && origins.era() != era {
@@ -79,7 +81,7 @@
 			origins.Events.Record(eventMarkFailed, timeline.Event{Pool: pool, Detail: err.Error()})
 			continue
 		}
-		if origins.recordMark(pool, now) {
+		if origins.recordMark(pool, era, now) {
 			origins.Events.Record(eventMarked, timeline.Event{Pool: pool})
 		}
 		written = append(written, pool)
@@ -89,8 +91,8 @@
 	}
 }
 
-// dueMarks returns the pools whose marks this host has to write now.
-func (origins *Origins) dueMarks(now time.Time) []string {
+// dueMarks returns the pools whose marks this host has to write now, in an era of the platform.
+func (origins *Origins) dueMarks(era int64, now time.Time) []string {
 	mixed := origins.pools.mixed(now)
 	wait := origins.handoverTime()
 	if origins.KeepsMarks() {
@@ -104,7 +106,7 @@
 	})
 	var due []string
 	for _, pool := range mixed {
-		duty := origins.markDuty(pool, now)
+		duty := origins.markDuty(pool, era, now)
 		if now.Sub(duty.dueAt) >= wait && now.Sub(duty.triedAt) >= retry {
 			duty.triedAt = now
 			due = append(due, pool)
@@ -113,37 +115,37 @@
 	return due
 }
 
-// markDuty returns the duty of a pool's mark, a new one that is due now if there is none. The caller
-// holds marksMutex.
-func (origins *Origins) markDuty(pool string, now time.Time) *markDuty {
+// markDuty returns the duty of a pool's mark in an era, a new one that is due now if there is none. The
+// caller holds marksMutex.
+func (origins *Origins) markDuty(pool string, era int64, now time.Time) *markDuty {
 	duty := origins.markDuties[pool]
-	if duty == nil {
+	if duty == nil || duty.era != era {
 		if origins.markDuties == nil {
 			origins.markDuties = map[string]*markDuty{}
 		}
-		duty = &markDuty{dueAt: now}
+		duty = &markDuty{era: era, dueAt: now}
 		origins.markDuties[pool] = duty
 	}
 	return duty
 }
 
-// recordMark records that this host wrote a mark, and reports whether it is the first time.
-func (origins *Origins) recordMark(pool string, now time.Time) (isFirst bool) {
+// recordMark records that this host wrote a mark, and reports whether it is the first time in the era.
+func (origins *Origins) recordMark(pool string, era int64, now time.Time) (isFirst bool) {
 	origins.marksMutex.Lock()
 	defer origins.marksMutex.Unlock()
-	duty := origins.markDuty(pool, now)
+	duty := origins.markDuty(pool, era, now)
 	isFirst = !duty.isOwn
 	duty.dueAt, duty.isOwn = now.Add(markInterval), true
 	return isFirst
 }
 
-// learnMarks records that another host wrote the marks of pools.
-func (origins *Origins) learnMarks(written []string, now time.Time) {
+// learnMarks records that a host wrote the marks of pools.
+func (origins *Origins) learnMarks(written []string, era int64, now time.Time) {
 	origins.marksMutex.Lock()
 	defer origins.marksMutex.Unlock()
 	for _, pool := range written {
 		if origins.markDuties[pool] != nil || len(origins.markDuties) < maxHistoryPools {
-			origins.markDuty(pool, now).dueAt = now.Add(markInterval)
+			origins.markDuty(pool, era, now).dueAt = now.Add(markInterval)
 		}
 	}
 }
