origin: let no stream go on that may be older than the history

Callers saw: all hosts of a build without the history were killed, the servers of their pool replaced, and hosts of this build started. Streams that they took up 4.5 s later went on at the other version: 42 of 42.

Cause: a history that hosts have just begun was believed for all streams, unless one was taken up within 2 s of its beginning. That none came so early was taken for proof that none is there.

Change: within a minute of the beginning of a history a stream that nobody knows goes on only if a host has ended since, of those that the writers heard: what began at hosts that still run is known to them. A stream that is taken up while none has ended tells of streams of before, unless one turns out to be silent within 3 s; none goes on for that minute then.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -156,6 +159,28 @@
 // disagree on the order until they have received the same reports.
 func (exchange *Exchange) Succession() int { return int(exchange.succession.Load()) }
 
+// Lives returns what identifies the lives of the hosts that are not silent, one from a start to the end
+// of a host, including that of this one.
+func (exchange *Exchange) Lives() []uint32 {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	lives := []uint32{newLife(exchange.Host, exchange.Incarnation)}
+	for _, peer := range exchange.peers {
+		if peer.alive {
+			lives = append(lives, newLife(peer.host, peer.incarnation))
+		}
+	}
+	return lives
+}
+
+func newLife(host string, incarnation uint64) uint32 {
+	hash := fnv.New32a()
+	// Writes to a hash don't fail.
+	_, _ = io.WriteString(hash, host)
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, incarnation))
+	return hash.Sum32()
+}
+
 // ZoneLeader returns the address of the first host in the order of this host's zone, empty if
 // that is this host.
 func (exchange *Exchange) ZoneLeader() string {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -275,6 +275,7 @@
 		Members: func() []string { return host.exchange.Members().Others }, Send: host.exchange.SendOrigins,
 		Known: host.exchange.KnownPeers, ReadTargets: host.targetFollower.ReadSince, Marks: sources.Marks, Events: events,
 		KeepsMarks: func() bool { return host.exchange.Leads(1) }, Turn: host.exchange.Succession, Era: sources.Eras.Current,
+		Lives: host.exchange.Lives, FirstStart: settings.Host.FirstStart,
 		Records: sources.Streams, Recorder: host.exchange.ZoneLeader, Zone: settings.Host.Zone, Longest: func() time.Duration { return time.Duration(host.longestStream.Load()) },
 		ReadsRecords: func() bool { return !host.exchange.UsesSummaries() },
 	}
--- a/origin/history.go
+++ b/origin/history.go
@@ -34,9 +34,10 @@
 	handoverDelay = 200 * time.Millisecond
 	// writeRetry is the shortest time between two attempts of a host to write.
 	writeRetry = time.Second
-	// foundingTime is the time from the beginning of a new history in which streams that are taken
-	// up are those of hosts that left none.
-	foundingTime = 2 * time.Second
+	// startSpread is the time within which hosts start that start together.
+	startSpread = 2 * time.Second
+	// endedTime is the time after which a host that has ended is known to be silent.
+	endedTime = 3 * time.Second
 	// maxHistoryPools limits the pools in a history, as entries of other writers may name many.
 	maxHistoryPools = 4096
 )
@@ -63,6 +64,9 @@
 	Since int64 `json:"since"`
 	// HasEarlier is set if streams may be taken up that began before.
 	HasEarlier bool `json:"hasEarlier"`
+	// Lives are those of the hosts that the writer heard, HasEnded is set if one of earlier writers ended.
+	Lives    []uint32 `json:"lives"`
+	HasEnded bool     `json:"hasEnded"`
 	// Pools holds the time at which each version of a pool was last seen.
 	Pools map[string]map[balance.VersionID]int64 `json:"pools"`
 }
@@ -105,6 +109,9 @@
 	staleAt, triedAt time.Time
 	// isUrgent is set if this host has to write it without a wait for others.
 	isUrgent bool
+	// unknownAt is when a stream was taken up that no host knows while none is known to have ended, zero
+	// for never.
+	unknownAt time.Time
 }
 
 // era returns the present era of the platform.
@@ -149,6 +156,10 @@
 		if isFirst {
 			state.since, state.hasEarlier = startedAt, isWritten || isMarked
 		}
+		if isFirst && origins.FirstStart && !state.hasEarlier {
+			// No stream can have begun before.
+			state.since = startedAt.Add(-streamLifetime)
+		}
 	}
 	state.isLearned = true
 	if isFirst {
@@ -173,7 +184,7 @@
 	if state.since.IsZero() {
 		state.since = startedAt
 	}
-	if since.Before(state.since.Add(-foundingTime)) {
+	if since.Before(state.since.Add(-startSpread)) {
 		state.since, state.hasEarlier = since, hasEarlier
 		return
 	}
@@ -201,27 +212,47 @@
 // doubtHistory returns why the history, as it was last read, does not show that a pool has had one
 // version only for as long as streams last, empty if it does.
 func (origins *Origins) doubtHistory(pool string, only balance.VersionID, now time.Time) string {
+	lives, startedAt := origins.lives(), origins.pools.start()
 	state := &origins.history
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	known := now.Sub(state.since)
-	if known < foundingTime && !state.hasEarlier {
-		state.hasEarlier, state.isUrgent = true, true
-	}
-	read := state.read
+	read, doubt := state.read, ""
 	switch {
+	case read == nil && origins.FirstStart && now.Sub(startedAt) < historyDelay+startSpread:
+		// The first one is being written.
 	case read == nil:
-		return "the platform has no history of versions"
+		doubt = "the platform has no history of versions"
 	case read.Era != state.readEra:
-		return "the platform's history of versions is of an earlier era"
+		doubt = "the platform's history of versions is of an earlier era"
 	case now.Sub(read.writtenAt()) > maxHistoryAge:
-		return "the platform's history of versions is old"
+		doubt = "the platform's history of versions is old"
 	case read.Pools[pool][only] == 0:
-		return "the platform's history of versions lacks the pool's"
-	case known < streamLifetime && state.hasEarlier:
-		return "the stream may have begun before the platform's history of versions"
+		doubt = "the platform's history of versions lacks the pool's"
+	}
+	if now.Sub(state.since) >= streamLifetime {
+		return doubt
+	}
+	// Streams that began since then at hosts that still run are known to these.
+	hasEnded := read.hasEnded(lives)
+	if !hasEnded && !state.hasEarlier && state.unknownAt.IsZero() {
+		state.unknownAt = now
+	}
+	if doubt == "" && (state.hasEarlier || !hasEnded) {
+		doubt = "the stream may have begun before the platform's history of versions"
+	}
+	return doubt
+}
+
+func (origins *Origins) lives() []uint32 {
+	if origins.Lives == nil {
+		return nil
 	}
-	return ""
+	return origins.Lives()
+}
+
+// hasEnded reports whether a host has ended since the history began, of those that its writers heard.
+func (history *history) hasEnded(lives []uint32) bool {
+	return history != nil && (history.HasEnded || slices.ContainsFunc(history.Lives, func(life uint32) bool { return !slices.Contains(lives, life) }))
 }
 
 // RunHistory writes the history if that is this host's turn, until the context ends. It returns nil.
@@ -240,10 +271,11 @@
 // mustWriteHistory reports whether the history is out of date, and the hosts before this one have
 // not written it in their time.
 func (origins *Origins) mustWriteHistory(now time.Time) bool {
-	startedAt, current := origins.pools.start(), origins.pools.current()
+	startedAt, current, lives := origins.pools.start(), origins.pools.current(), origins.lives()
 	state := &origins.history
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
+	state.checkUnknown(lives, now)
 	if startedAt.IsZero() || now.Sub(startedAt) < historyDelay {
 		return false
 	}
@@ -258,6 +290,18 @@
 	return isOwnTurn && now.Sub(state.triedAt) >= origins.retryTime()
 }
 
+// checkUnknown finds out whether a stream that no host knew has begun at one that has ended since, or
+// before the history. The caller holds the mutex.
+func (state *historyState) checkUnknown(lives []uint32, now time.Time) {
+	if state.unknownAt.IsZero() || now.Sub(state.unknownAt) < endedTime {
+		return
+	}
+	state.unknownAt = time.Time{}
+	if !state.hasEarlier && !state.read.hasEnded(lives) {
+		state.hasEarlier, state.isUrgent = true, true
+	}
+}
+
 // handoverTime returns how long this host waits for the hosts before it to write for all. These may
 // have found out handoverDelay later that something has to be written.
 func (origins *Origins) handoverTime() time.Duration {
@@ -292,11 +336,11 @@
 	if err := origins.readMarks(ctx); err != nil {
 		return err
 	}
-	now, era := time.Now(), origins.era()
+	now, era, lives := time.Now(), origins.era(), origins.lives()
 	state.mutex.Lock()
 	written := &history{
 		Format: historyFormat, Era: era, WrittenAt: now.UnixMilli(), Since: state.since.UnixMilli(), HasEarlier: state.hasEarlier,
-		Pools: origins.pools.seen(now),
+		Lives: lives, HasEnded: state.read.hasEnded(lives), Pools: origins.pools.seen(now),
 	}
 	isUpToDate := state.isUpToDate(origins.pools.current(), era, now)
 	state.mutex.Unlock()
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -133,6 +133,11 @@
 	Turn func() int
 	// Era returns the platform's present era. Nil stands for one era.
 	Era func() int64
+	// Lives returns what identifies the lives of this host and those that it hears, each from a start to
+	// an end.
+	Lives func() []uint32
+	// FirstStart is set if the host belongs to the first ones of all.
+	FirstStart bool
 	// Records are the platform's records of streams. Recorder returns the address of the
 	// host that writes them for this host's zone, empty for this host; nil means that there
 	// are none. ReadsRecords reports whether this host reads them itself anyway.
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -59,6 +59,8 @@
 	// copied are the marks that the platform comes back with, era counts how often it did.
 	copied map[string][]byte
 	era    int64
+	// lives counts the hosts that were started.
+	lives uint32
 	// isAway means that the platform can't be reached, isLossy that messages
 	// are lost.
 	isAway, isLossy bool
@@ -77,11 +79,14 @@
 	group            string
 	startedAt, cutAt time.Time
 	isApart          bool
+	// life identifies the host from its start to its end.
+	life uint32
 }
 
 // run executes a command:
 //
 //	versions VERSION ...         those of the pool's targets; hosts know at once
+//	first HOST ...               starts them as the first hosts of all
 //	start HOST ..., kill HOST ...
 //	cut HOST ..., heal HOST ...  they hear no other hosts than each other
 //	apart HOST ...               they can't reach the platform
@@ -117,9 +122,9 @@
 				host.origins.SetTargets(script.targets())
 			}
 		}
-	case "start":
+	case "first", "start":
 		for _, name := range words[1:] {
-			script.start(ctx, name)
+			script.start(ctx, name, words[0] == "first")
 		}
 	case "kill":
 		for _, name := range words[1:] {
@@ -215,9 +220,10 @@
 	return targets
 }
 
-func (script *script) start(ctx context.Context, name string) {
+func (script *script) start(ctx context.Context, name string, isFirst bool) {
 	ctx, end := context.WithCancel(ctx)
-	host := &testHost{end: end, startedAt: time.Now()}
+	script.lives++
+	host := &testHost{end: end, startedAt: time.Now(), life: script.lives}
 	host.origins = &Origins{
 		Events: &timeline.Recorder{},
 		Members: func() []string {
@@ -285,6 +291,18 @@
 		},
 		KeepsMarks: func() bool { return script.turn(name) == 0 },
 		Turn:       func() int { return script.turn(name) },
+		FirstStart: isFirst,
+		Lives: func() []uint32 {
+			script.mutex.Lock()
+			defer script.mutex.Unlock()
+			var lives []uint32
+			for _, state := range script.hosts {
+				if state.group == host.group {
+					lives = append(lives, state.life)
+				}
+			}
+			return lives
+		},
 		Era: func() int64 {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
--- a/settings/host.go
+++ b/settings/host.go
@@ -26,6 +26,8 @@
 	// number of files and connections that it may open; 0 means what the system says.
 	Memory      float64 `yaml:"memory"`
 	Descriptors int     `yaml:"descriptors"`
+	// FirstStart is set while the whole system starts for the first time.
+	FirstStart bool `yaml:"firstStart"`
 }
 
 const (
