witness: ask an engine for its start before a stream goes on there

Callers saw: the store was down, and the only server of a pool ended and started again under its id as another version.

Change: before the rest of a stream is written to an engine, its report is asked for the start of the process, over another connection than that of the request, which is opened first. If the start that the entry names answers later, it is the one that accepted the connection. Else the stream goes to another target of its version, or is refused.

Failed before: TestStreamsStayAtOneVersion/restarted-in-place (42 of 42 crossed), the script `the target has started again` of detour.TestExchange.

--- a/detour/client.go
+++ b/detour/client.go
@@ -413,6 +413,7 @@
 	return &detourpb.Request{
 		Sender: sender, Target: encodeTarget(call.Target), Method: call.Method, Path: call.Request.Target, Host: call.Host,
 		Header: encodeHeader(call.Header), Body: call.Body, Id: call.ID, FreshOnly: call.Once, Rank: uint32(max(0, call.Rank)),
+		VerifyStart: call.Verify != nil,
 	}
 }
 
--- a/detour/exchange_test.go
+++ b/detour/exchange_test.go
@@ -246,9 +246,9 @@
 	client  *Client
 	number  int
 	maySend bool
-	// once and noID say what is sent, skipped counts the answers that were not taken.
-	once, noID bool
-	skipped    int
+	// once, noID and verified say what is sent, skipped counts the answers that were not taken.
+	once, noID, verified bool
+	skipped              int
 }
 
 func newExchangeScript(ctx context.Context, t *testing.T) *exchangeScript {
@@ -272,11 +272,13 @@
 //	delay DURATION          before it does
 //	target down             connections to the target are refused
 //	host NAME down, draining, unreached, unwanted, paused
+//	host NAME finds another start of the target at its address
 //	host NAME old           its build believes refusals that name no request
 //	withdrawn               the request may not be sent any more
 //	wait DURATION
 //	send WANT               WANT is the status and body, or the kind of the error; runs is the target's
 //	once WANT               the same for a request that may run once
+//	verified WANT           the same for one that may only reach the start that is named
 //	unnamed WANT            the same for a request without an id
 //	skipped COUNT           answers that the client did not take as a request's own
 //	leave                   sends a request whose caller leaves after 100 ms
@@ -321,6 +323,10 @@
 		time.AfterFunc(10*time.Millisecond, script.network.cut)
 		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
 		script.once = false
+	case "verified":
+		script.verified = true
+		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
+		script.verified = false
 	case "unnamed":
 		script.noID = true
 		script.Assert(script.send(script.Context()), qt.Equals, rest, comment)
@@ -387,6 +393,8 @@
 			}
 			return identity
 		}
+	case "finds another start of the target at its address":
+		host.server.Verify = func(context.Context, *balance.Target, time.Time) error { return errors.New("another start") }
 	case "paused":
 		host.server.awakeAt.Store(time.Now().Add(-time.Minute).UnixNano())
 	default:
@@ -401,9 +409,14 @@
 	if script.noID {
 		id, header = "", http.Header{}
 	}
+	var verify func(context.Context, time.Time) error
+	if script.verified {
+		verify = func(context.Context, time.Time) error { return nil }
+	}
 	answer, err := script.client.Exchange(ctx, &Call{
 		Target: &script.target.Target,
 		Request: &upstream.Request{
+			Verify: verify,
 			Method: http.MethodPost, Target: "/path?query", Host: "h", Header: header, Body: []byte("body"), ID: id,
 			MaySend: func() bool { return script.maySend }, Once: script.once,
 			OnSkipped: func(upstream.Skipped) { script.skipped++ },
--- a/detour/server.go
+++ b/detour/server.go
@@ -54,6 +54,9 @@
 	// Target returns the current target of an incarnation, and whether it may get requests
 	// of this host now.
 	Target func(incarnation balance.Incarnation) (target balance.Target, isKnown, maySend bool)
+	// Verify returns an error unless a connection to a target that was opened at a time leads to the start
+	// of it that is known. It may be nil.
+	Verify func(ctx context.Context, target *balance.Target, openedAt time.Time) error
 	// Reaches reports whether this host reaches a pool.
 	Reaches func(pool string) bool
 	// Watch starts watching a request to a target of a pool, as for one of this host's own.
@@ -176,7 +179,12 @@
 	sentAt := time.Now()
 	watched := server.Watch(target.Pool)
 	defer watched.End()
+	var verify func(ctx context.Context, openedAt time.Time) error
+	if request.GetVerifyStart() && server.Verify != nil {
+		verify = func(ctx context.Context, openedAt time.Time) error { return server.Verify(ctx, &target, openedAt) }
+	}
 	answer, err := server.Connections.Exchange(stream.Context(), target.Address, &upstream.Request{
+		Verify: verify,
 		Method: request.GetMethod(), Target: request.GetPath(), Host: request.GetHost(), Header: decodeHeader(request.GetHeader()),
 		Body: request.GetBody(), ID: request.GetId(), Once: request.GetFreshOnly(),
 		MaySend: func() bool {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -273,6 +273,7 @@
 		Body:    forwarding.body,
 		ID:      forwarding.call.ID,
 		Once:    !forwarding.route.Retryable(),
+		Verify:  forwarding.verifyStart(&grant.Target),
 		MaySend: func() bool { return time.Since(sentAt) <= maxSendDelay && forwarding.maySend(&grant.Target) },
 
 		OnSkipped: func(skipped upstream.Skipped) { forwarding.recordSkipped(&grant.Target, skipped) },
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -348,7 +348,7 @@
 				gateway.Balancer.RecordDuration(target, reply.Load.Duration)
 			}
 		},
-		OnSkipped: gateway.recordSkipped, WatchEnd: gateway.Witnesses.Begin,
+		OnSkipped: gateway.recordSkipped, WatchEnd: gateway.Witnesses.Begin, Verify: gateway.Witnesses.Verify,
 		Begin: func() func() {
 			gateway.runningRequests.Add(1)
 			return func() { gateway.runningRequests.Add(-1) }
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -47,6 +47,19 @@
 		gateway.Rollouts.MayGoOn(forwarding.pool.Name, forwarding.version, forwarding.route.Name, time.Until(forwarding.deadline))
 }
 
+// verifyStart returns what verifies that a stream goes on at the start of a target that its entry
+// names, with the version that the entry names; nil for a new stream. Only engines are asked, whose report
+// takes no slot.
+func (forwarding *forwarding) verifyStart(target *balance.Target) func(ctx context.Context, openedAt time.Time) error {
+	gateway := forwarding.gateway
+	if forwarding.version == 0 || forwarding.resumedAfter() == "" || forwarding.pool.Engine == nil || gateway.Witnesses == nil {
+		return nil
+	}
+	return func(ctx context.Context, openedAt time.Time) error {
+		return gateway.Witnesses.Verify(ctx, target, openedAt)
+	}
+}
+
 // recordVersion records the version of the target whose event is the first one that is
 // passed on in this answer. The rest of the stream comes from targets of that version.
 func (forwarding *forwarding) recordVersion(target *balance.Target) {
--- a/upstream/reserved.go
+++ b/upstream/reserved.go
@@ -92,5 +92,8 @@
 
 var errAnswerTooLong = fmt.Errorf("an answer of more than %d bytes", maxAskedBytes)
 
+// Release keeps the connection for other requests, if it may carry more.
+func (reserved *Reserved) Release() { reserved.connections.keepIdle(reserved.connection) }
+
 // Close closes the connection.
 func (reserved *Reserved) Close() { reserved.connection.close() }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -70,6 +70,9 @@
 	// or was idle for at most MaxFreshIdle: when one breaks that was idle for longer, it is
 	// unknown whether the target has read the request.
 	Once bool
+	// Verify returns an error if the request may not go over a connection that was opened at a time.
+	// Nil means that it may go over any.
+	Verify func(ctx context.Context, openedAt time.Time) error
 	// MaySend reports, just before the request is written, whether it still may be. Nil
 	// means that it may.
 	MaySend func() bool
@@ -108,6 +111,12 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connect to %s", address)
 	}
+	if request.Verify != nil {
+		if err := request.Verify(ctx, connection.openedAt); err != nil {
+			connection.close()
+			return nil, Withdrawn.Wrap(err, "verify %s", address)
+		}
+	}
 	if request.MaySend != nil && !request.MaySend() {
 		connections.putIdle(connection)
 		return nil, Withdrawn.New("%s wants no requests now", address)
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -100,6 +101,8 @@
 	mutex   sync.Mutex
 	targets map[balance.Incarnation]*trackedTarget
 	number  atomic.Int64
+	// verified is when each target was last asked for its start and named the one of its entry.
+	verified map[balance.Incarnation]time.Time
 }
 
 // SetTargets sets the present targets.
@@ -109,6 +112,12 @@
 		starts[targets[i].ID] = targets[i].StartedAt
 	}
 	witnesses.starts.Store(&starts)
+	witnesses.mutex.Lock()
+	defer witnesses.mutex.Unlock()
+	maps.DeleteFunc(witnesses.verified, func(incarnation balance.Incarnation, _ time.Time) bool {
+		startedAt, isPresent := starts[incarnation.Target]
+		return !isPresent || startedAt.UnixMilli() != incarnation.StartedAt
+	})
 }
 
 // hasStartedAgain reports whether the entry of a target names a later start.
