--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -116,7 +116,7 @@
 	}
 	switch words[0] {
 	case "versions":
-		script.versions = words[1:]
+		set(func() { script.versions = words[1:] })
 		for _, name := range slices.Sorted(maps.Keys(script.hosts)) {
 			if host := script.hosts[name]; !host.isApart {
 				host.origins.SetTargets(script.targets())
@@ -264,7 +264,7 @@
 		Recorder: func() string {
 			script.mutex.Lock()
 			defer script.mutex.Unlock()
-			if first := slices.Min(slices.Collect(maps.Keys(script.hosts))); first != name {
+			if first := slices.Min(append(slices.Collect(maps.Keys(script.hosts)), name)); first != name {
 				return first
 			}
 			return ""
