origin: let hosts that know more replace a history that begins later

Cause: after the platform was away for over half a minute, a host that had just started could be the first to write the history, from its own start on. Hosts that have seen all versions for long took it for up to date, so that for ten seconds streams of a pool of one version were refused if all hosts ended then.

Change: a history is up to date for a host only if it begins no later than what the host knows. An urgent write ends when it is done, by whichever host; lives are asked for only when they are needed.

Failed before: the script `a host that has just started writes the history first after the platform was away` of TestOrigins. It holds now.

--- a/origin/history.go
+++ b/origin/history.go
@@ -16,7 +16,7 @@
 
 // Hosts write the versions of all pools that they have seen to the platform, for the case that all
 // hosts end at once: those that start can't tell from the present targets which versions there
-// were. One host writes for all.
+// were, and that no mark says so is no evidence. One host writes for all.
 
 const (
 	// historyName is the name of the history among the marks. Builds that don't know it take it for
@@ -64,7 +64,8 @@
 	Since int64 `json:"since"`
 	// HasEarlier is set if streams may be taken up that began before.
 	HasEarlier bool `json:"hasEarlier"`
-	// Lives are those of the hosts that the writer heard, HasEnded is set if one of earlier writers ended.
+	// Lives identify the hosts that the writer heard, each from a start to an end. HasEnded is set if one
+	// has ended that an earlier writer heard.
 	Lives    []uint32 `json:"lives"`
 	HasEnded bool     `json:"hasEnded"`
 	// Pools holds the time at which each version of a pool was last seen.
@@ -86,7 +87,7 @@
 // savedHistory is a history that this host knows to be on the platform.
 type savedHistory struct {
 	era        int64
-	at         time.Time
+	at, since  time.Time
 	hasEarlier bool
 	versions   map[balance.VersionID]bool
 }
@@ -130,6 +131,9 @@
 		origins.retell(now)
 	}
 	startedAt := origins.pools.start()
+	if startedAt.IsZero() {
+		startedAt = now
+	}
 	state := &origins.history
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
@@ -149,8 +153,11 @@
 	}
 	isFirst := !state.isLearned
 	if doubt == "" {
-		state.saved = &savedHistory{era: era, at: earlier(read.writtenAt(), now), hasEarlier: read.HasEarlier, versions: read.versions()}
-		state.adopt(time.UnixMilli(read.Since), read.HasEarlier, startedAt)
+		since := time.UnixMilli(read.Since)
+		state.saved = &savedHistory{
+			era: era, at: earlier(read.writtenAt(), now), since: since, hasEarlier: read.HasEarlier, versions: read.versions(),
+		}
+		state.adopt(since, read.HasEarlier, startedAt)
 	} else {
 		state.saved = nil
 		if isFirst {
@@ -169,12 +176,12 @@
 
 // recordLearned records what a host knows that has started. The caller holds the mutex.
 func (origins *Origins) recordLearned(state *historyState, doubt string, now time.Time) {
-	earlier := 0
+	hasEarlier := 0
 	if state.hasEarlier {
-		earlier = 1
+		hasEarlier = 1
 	}
 	origins.Events.Record(eventHistoryLearned, timeline.Event{
-		Detail: doubt, Facts: []timeline.Fact{timeline.Duration("since", now.Sub(state.since)), timeline.Count("hasEarlier", earlier)},
+		Detail: doubt, Facts: []timeline.Fact{timeline.Duration("since", now.Sub(state.since)), timeline.Count("hasEarlier", hasEarlier)},
 	})
 }
 
@@ -258,7 +265,9 @@
 // RunHistory writes the history if that is this host's turn, until the context ends. It returns nil.
 func (origins *Origins) RunHistory(ctx context.Context) error {
 	for pause.For(ctx, handoverDelay) {
-		if !origins.mustWriteHistory(time.Now()) {
+		now := time.Now()
+		origins.checkUnknown(now)
+		if !origins.mustWriteHistory(now) {
 			continue
 		}
 		if err := origins.writeHistory(ctx); err != nil {
@@ -271,16 +280,15 @@
 // mustWriteHistory reports whether the history is out of date, and the hosts before this one have
 // not written it in their time.
 func (origins *Origins) mustWriteHistory(now time.Time) bool {
-	startedAt, current, lives := origins.pools.start(), origins.pools.current(), origins.lives()
+	startedAt, current := origins.pools.start(), origins.pools.current()
 	state := &origins.history
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	state.checkUnknown(lives, now)
 	if startedAt.IsZero() || now.Sub(startedAt) < historyDelay {
 		return false
 	}
 	if state.isUpToDate(current, origins.era(), now) {
-		state.staleAt = time.Time{}
+		state.staleAt, state.isUrgent = time.Time{}, false
 		return false
 	}
 	if state.staleAt.IsZero() {
@@ -291,11 +299,18 @@
 }
 
 // checkUnknown finds out whether a stream that no host knew has begun at one that has ended since, or
-// before the history. The caller holds the mutex.
-func (state *historyState) checkUnknown(lives []uint32, now time.Time) {
-	if state.unknownAt.IsZero() || now.Sub(state.unknownAt) < endedTime {
+// before the history.
+func (origins *Origins) checkUnknown(now time.Time) {
+	state := &origins.history
+	state.mutex.Lock()
+	isDue := !state.unknownAt.IsZero() && now.Sub(state.unknownAt) >= endedTime
+	state.mutex.Unlock()
+	if !isDue {
 		return
 	}
+	lives := origins.lives()
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
 	state.unknownAt = time.Time{}
 	if !state.hasEarlier && !state.read.hasEnded(lives) {
 		state.hasEarlier, state.isUrgent = true, true
@@ -317,12 +332,17 @@
 	return max(writeRetry, time.Duration(len(origins.Members())+1)*handoverDelay)
 }
 
-// isUpToDate reports whether the platform has the current versions, written not long ago. The caller
-// holds the mutex.
+// isUpToDate reports whether the platform has the current versions, written not long ago, by a host
+// that knew no less of what was before. The caller holds the mutex.
 func (state *historyState) isUpToDate(current []balance.VersionID, era int64, now time.Time) bool {
 	saved := state.saved
-	return saved != nil && saved.era == era && now.Sub(saved.at) < historyInterval && (saved.hasEarlier || !state.hasEarlier) &&
-		!slices.ContainsFunc(current, func(version balance.VersionID) bool { return !saved.versions[version] })
+	switch {
+	case saved == nil, saved.era != era, now.Sub(saved.at) >= historyInterval:
+		return false
+	case state.hasEarlier && !saved.hasEarlier, saved.since.After(state.since.Add(startSpread)):
+		return false
+	}
+	return !slices.ContainsFunc(current, func(version balance.VersionID) bool { return !saved.versions[version] })
 }
 
 // writeHistory reads the platform's history and writes what is known now, with what it holds.
@@ -400,9 +420,9 @@
 	for _, version := range saved.Versions {
 		versions[version] = true
 	}
-	state.isUrgent = state.isUrgent && !saved.HasEarlier
-	state.saved = &savedHistory{era: saved.Era, at: now, hasEarlier: saved.HasEarlier, versions: versions}
-	state.adopt(time.UnixMilli(saved.Since), saved.HasEarlier, startedAt)
+	since := time.UnixMilli(saved.Since)
+	state.saved = &savedHistory{era: saved.Era, at: now, since: since, hasEarlier: saved.HasEarlier, versions: versions}
+	state.adopt(since, saved.HasEarlier, startedAt)
 	if !state.isLearned {
 		state.isLearned = true
 		origins.recordLearned(state, "", now)
