gateway: let no stream go on that began at a start of unknown version

Callers saw: the store was silent, half of the servers of a pool ended, started again as another version and ended once more. Streams that had begun there meanwhile went on at servers of the version of the old entries: 11 of 31.

Change: while the entries were not known to be the newest for a second, an engine is asked for its start before a resumable stream begins. If it names another one, or none within 0.2 s, the stream begins all the same, and is told to other hosts with an unknown version, at which no target is. Streams that begin over another host then are taken for such.

Failed before: TestStreamsStayAtOneVersion/ended-in-place, 11 of 31 crossed with the record of the entry's version.

Measured: ended-in-place 0 of 21 crossed, all 21 that were taken up while two servers of their version served went on; restarted-in-place 0 crossed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,9 @@
 	Events  *timeline.Recorder
 	// Table returns the routes in force, nil before the first are received.
 	Table func() *route.Table
+	// TargetsAge returns the time since the targets' entries were last known to be the newest. It may be
+	// nil.
+	TargetsAge func() time.Duration
 	// Refresh returns once the routes in force are the newest, or an error.
 	Refresh func(ctx context.Context) error
 
@@ -161,6 +164,9 @@
 	weights int64
 	// version is that of the targets at which the stream goes on, 0 for a new stream.
 	version balance.VersionID
+	// isStartDoubted is set if the target that runs a new stream may have started again since its
+	// entry was read.
+	isStartDoubted bool
 	// choice is that of the version of the next target, counted what the target answers while
 	// its pool has a rollout.
 	choice  rollout.Choice
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -308,10 +308,11 @@
 		Limiter:  host.limiter,
 		Origins:  host.origins,
 
-		Events:  events,
-		Table:   host.routes.Table,
-		Refresh: host.refreshRoutes,
-		Notice:  settings.Drain.Notice,
+		Events:     events,
+		Table:      host.routes.Table,
+		TargetsAge: func() time.Duration { return time.Since(host.targetFollower.VerifiedAt()) },
+		Refresh:    host.refreshRoutes,
+		Notice:     settings.Drain.Notice,
 	}
 	host.gateway.Witnesses = host.gateway.NewWitnesses()
 	host.addDetours(kernelHost)
--- a/gateway/path.go
+++ b/gateway/path.go
@@ -21,6 +21,10 @@
 		return gateway.Connections.Exchange(ctx, grant.Target.Address, request)
 	}
 	if !gateway.Paths.Reaches(pool) && len(gateway.Detours.Hosts(pool)) > 0 {
+		if request.Verify != nil && !forwarding.goesOn() {
+			// The other host would not begin it.
+			request.Verify, forwarding.isStartDoubted = nil, true
+		}
 		return gateway.Detours.Exchange(ctx, &detour.Call{Request: request, Target: &grant.Target, Rank: forwarding.rank})
 	}
 	silenceTimer.path = gateway.Paths.Begin(pool, silenceTimer.expireEarly)
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -17,6 +17,14 @@
 	reasonNoVersion      = "no target of the version that began the stream"
 )
 
+const (
+	// trustedAge is the age of the targets' entries up to which new streams begin without a question to
+	// the target.
+	trustedAge = time.Second
+	// maxBeginWait limits the wait of a new stream for its target's report.
+	maxBeginWait = 200 * time.Millisecond
+)
+
 // findVersion finds the version at which a stream goes on that the caller takes up, and the
 // pool that has it. It refuses the request and returns false if it is not known.
 func (forwarding *forwarding) findVersion(ctx context.Context) bool {
@@ -48,18 +56,35 @@
 }
 
 // verifyStart returns what verifies that a stream goes on at the start of a target that its entry
-// names, with the version that the entry names; nil for a new stream. Only engines are asked, whose report
-// takes no slot.
+// names, with the version that the entry names; nil for what needs none. Only engines are asked, whose
+// report takes no slot. A new stream begins in any case, but may not go on elsewhere if its target
+// may have started again since the entries were read.
 func (forwarding *forwarding) verifyStart(target *balance.Target) func(ctx context.Context, openedAt time.Time) error {
 	gateway := forwarding.gateway
-	if forwarding.version == 0 || forwarding.resumedAfter() == "" || forwarding.pool.Engine == nil || gateway.Witnesses == nil {
+	forwarding.isStartDoubted = false
+	if !forwarding.route.Streaming || forwarding.pool.Engine == nil || gateway.Witnesses == nil {
 		return nil
 	}
-	return func(ctx context.Context, openedAt time.Time) error {
+	verify := func(ctx context.Context, openedAt time.Time) error {
 		return gateway.Witnesses.Verify(ctx, target, openedAt)
 	}
+	if forwarding.goesOn() {
+		return verify
+	}
+	if !forwarding.route.Resumable || gateway.TargetsAge == nil || gateway.TargetsAge() < trustedAge {
+		return nil
+	}
+	return func(ctx context.Context, openedAt time.Time) error {
+		ctx, cancel := context.WithTimeout(ctx, maxBeginWait)
+		defer cancel()
+		forwarding.isStartDoubted = verify(ctx, openedAt) != nil
+		return nil
+	}
 }
 
+// goesOn reports whether the request is for the rest of a stream.
+func (forwarding *forwarding) goesOn() bool { return forwarding.resumedAfter() != "" }
+
 // recordVersion records the version of the target whose event is the first one that is
 // passed on in this answer. The rest of the stream comes from targets of that version.
 func (forwarding *forwarding) recordVersion(target *balance.Target) {
@@ -67,6 +92,9 @@
 		return
 	}
 	forwarding.version = target.VersionID()
+	if forwarding.isStartDoubted {
+		forwarding.version = origin.UnknownVersion
+	}
 	if attempt := cmp.Or(forwarding.call.Resumes, forwarding.call.ID); attempt != "" {
 		forwarding.gateway.Origins.RecordBegin(origin.NewStream(attempt), target.Pool, forwarding.version)
 	}
--- a/origin/origins.go
+++ b/origin/origins.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -60,6 +61,10 @@
 	})
 )
 
+// UnknownVersion is the version of a stream that began at a target of an unknown version. It is no
+// target's.
+const UnknownVersion = balance.VersionID(math.MaxUint32)
+
 // Stream identifies a stream by the caller's attempt that began it. It is the same on all
 // hosts.
 type Stream uint64
@@ -234,11 +239,11 @@
 }
 
 // RecordBegin records that this host passes the first event of a stream on, or the first one
-// after it was taken up, from a target of a version. While the pool has several versions,
-// other hosts are told.
+// after it was taken up, from a target of a version. While the pool has several versions, or
+// the version is unknown, other hosts are told.
 func (origins *Origins) RecordBegin(stream Stream, pool string, version balance.VersionID) {
 	now := time.Now()
-	isTold := origins.pools.isMixed(pool, now)
+	isTold := version == UnknownVersion || origins.pools.isMixed(pool, now)
 	origins.mutex.Lock()
 	origins.remember(stream, &record{version: version, pool: pool, begunAt: now, isOwn: true, isTold: isTold})
 	origins.mutex.Unlock()
