origin: record streams again when the platform came back from a copy

Cause: a host has each stream recorded once.

Failed before: the script `the platform comes back without the record of a stream` of TestOrigins. It holds now.

--- a/origin/origins.go
+++ b/origin/origins.go
@@ -221,6 +221,20 @@
 	origins.keep(untold)
 }
 
+// keepAgain has streams recorded again that began at this host, as the platform came back from an older
+// copy.
+func (origins *Origins) keepAgain(now time.Time) {
+	origins.mutex.Lock()
+	var beginnings []Beginning
+	for stream, record := range origins.streams {
+		if record.isOwn && record.isTold && now.Sub(record.begunAt) < retellLifetime {
+			beginnings = append(beginnings, Beginning{Stream: stream, Version: record.version})
+		}
+	}
+	origins.mutex.Unlock()
+	origins.keep(beginnings)
+}
+
 // tell tells the keepers of streams of them.
 func (origins *Origins) tell(beginnings []Beginning) {
 	messages := map[string]*Message{}
@@ -539,6 +553,7 @@
 func (origins *Origins) Run(ctx context.Context) error {
 	ticker := time.NewTicker(handoverDelay)
 	defer ticker.Stop()
+	era := origins.era()
 	for forgotAt := time.Now(); ; {
 		select {
 		case <-ctx.Done():
@@ -552,6 +567,10 @@
 			origins.forget(now)
 			origins.touch()
 		}
+		if present := origins.era(); present != era {
+			era = present
+			origins.keepAgain(time.Now())
+		}
 		origins.keepMarks(ctx)
 	}
 }
--- a/origin/origins_test.go
+++ b/origin/origins_test.go
@@ -56,9 +56,10 @@
 	hosts    map[string]*testHost
 	versions []string
 	marks    map[string][]byte
-	// copied are the marks that the platform comes back with, era counts how often it did.
-	copied map[string][]byte
-	era    int64
+	// copied and copiedRecords are the marks and records that the platform comes back with, era counts how
+	// often it did.
+	copied, copiedRecords map[string][]byte
+	era                   int64
 	// lives counts the hosts that were started.
 	lives uint32
 	// isAway means that the platform can't be reached, isLossy that messages
@@ -153,10 +154,10 @@
 	case "back":
 		set(func() { script.isAway = false })
 	case "copy":
-		set(func() { script.copied = maps.Clone(script.marks) })
+		set(func() { script.copied, script.copiedRecords = maps.Clone(script.marks), maps.Clone(script.records) })
 	case "restore":
 		set(func() {
-			script.marks = maps.Clone(script.copied)
+			script.marks, script.records = maps.Clone(script.copied), maps.Clone(script.copiedRecords)
 			script.era++
 		})
 	case "forget":
