origin: tell other hosts of a history that holds no versions

Cause: hosts took what they were told for a history only if it named a version. While the platform has no target, each host listed the marks every ten seconds, 68 calls a minute of nine hosts where one has twelve.

Change: the time since which versions are known says whether a history was written.

Failed before: TestOneHostWritesTheHistory with no targets, 68 calls of 14.

--- a/exchange/origins_test.go
+++ b/exchange/origins_test.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// startOriginHosts starts nine hosts with targets of one version. They end with the test.
-func startOriginHosts(t *testing.T) (store *originStore, names []string, hosts []*Exchange) {
+// startOriginHosts starts nine hosts with targets. They end with the test.
+func startOriginHosts(t *testing.T, targets ...balance.Target) (store *originStore, names []string, hosts []*Exchange) {
 	network := newNetwork()
 	store = &originStore{written: map[string][]byte{}, turnedAway: map[string]bool{}}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -142,7 +142,7 @@
 				Members: func() []string { return host.Members().Others }, Send: host.SendOrigins, Events: host.Events,
 				Known: host.KnownPeers, KeepsMarks: func() bool { return host.Leads(1) }, Turn: host.Succession, Marks: store.marks(name),
 			}
-			host.Origins.SetTargets([]balance.Target{{Pool: "p", Version: "v1"}})
+			host.Origins.SetTargets(targets)
 			go func() { _ = host.Origins.RunHistory(ctx) }()
 			go func() { _ = host.Origins.Run(ctx) }()
 		}, names...))
@@ -153,22 +153,24 @@
 // TestOneHostWritesTheHistory guards against hosts that write the history of versions each for itself,
 // and against a history that nobody writes as the platform turns the first hosts away.
 func TestOneHostWritesTheHistory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		store, names, _ := startOriginHosts(t)
-		time.Sleep(61 * time.Second)
-		store.withLock(func() {
-			// A list and a write each ten seconds.
-			c.Check(store.calls <= 14, qt.IsTrue, qt.Commentf("%d calls", store.calls))
-			c.Check(len(store.written), qt.Equals, 1)
-			clear(store.written)
-			for _, name := range names[:3] {
-				store.turnedAway[name] = true
-			}
+	for _, targets := range [][]balance.Target{{{Pool: "p", Version: "v1"}}, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store, names, _ := startOriginHosts(t, targets...)
+			time.Sleep(61 * time.Second)
+			store.withLock(func() {
+				// A list and a write each ten seconds.
+				c.Check(store.calls <= 14, qt.IsTrue, qt.Commentf("%d calls with %d targets", store.calls, len(targets)))
+				c.Check(len(store.written), qt.Equals, 1)
+				clear(store.written)
+				for _, name := range names[:3] {
+					store.turnedAway[name] = true
+				}
+			})
+			time.Sleep(13 * time.Second)
+			store.withLock(func() { c.Check(len(store.written), qt.Equals, 1) })
 		})
-		time.Sleep(13 * time.Second)
-		store.withLock(func() { c.Check(len(store.written), qt.Equals, 1) })
-	})
+	}
 }
 
 // TestMarksOfHostsTurnedAway guards against a mark of several versions that nobody writes as the platform
@@ -177,7 +179,7 @@
 	for _, turnedAway := range []int{0, 3, 8} {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
-			store, names, hosts := startOriginHosts(t)
+			store, names, hosts := startOriginHosts(t, balance.Target{Pool: "p", Version: "v1"})
 			time.Sleep(8 * time.Second)
 			store.withLock(func() {
 				clear(store.written)
--- a/origin/history.go
+++ b/origin/history.go
@@ -388,7 +388,7 @@
 type Saved struct {
 	// Era is that of the platform in which it was written.
 	Era int64
-	// Since, HasEarlier and Versions are those of the history, with no versions if it wrote none.
+	// Since, HasEarlier and Versions are those of the history. Since is 0 if it wrote none.
 	Since      int64
 	HasEarlier bool
 	Versions   []balance.VersionID
@@ -410,7 +410,7 @@
 	}
 	origins.learnMarks(saved.Marks, saved.Era, now)
 	startedAt := origins.pools.start()
-	if len(saved.Versions) == 0 || startedAt.IsZero() {
+	if saved.Since == 0 || startedAt.IsZero() {
 		return
 	}
 	state := &origins.history
